--- /dev/null
+++ b/papayacourse/config.py
@@ -0,0 +1,205 @@
+"""Reads a daemon's own configuration from its INI file into one checked object."""
+
+import configparser
+from collections.abc import Callable
+from pathlib import Path
+
+from attrs import Factory, frozen
+from returns.result import Failure, Result, Success
+
+from papayacourse.logs import LogLevel
+from papayacourse.types import Address, Fault
+
+MIN_MESH_KEY_LENGTH = 16  # characters
+
+
+@frozen
+class DaemonConfig:
+    """Everything a daemon must know before it meets the platform.
+
+    Attributes
+    ----------
+    name : str
+        The entry host's name, as the platform's host list has it.
+    domain, region : str
+        The failure domain and the region it stands in.
+    http, mesh : Address
+        Where to listen for callers and for other daemons.
+    kvstore, hostlist : Address
+        The platform's key-value service and host list.
+    weightstore : Address or None
+        The platform's weight store, where orders to engines need it.
+    mesh_key : str
+        The secret that daemons prove to each other.
+    seeds : tuple of Address
+        Mesh addresses to try when the platform cannot be asked.
+    max_body_bytes, max_header_bytes : int
+        The largest request body and header accepted, in bytes.
+    body_timeout : float
+        The longest a caller may take to send its request, in seconds.
+    stop_timeout : float
+        The longest a graceful stop waits for requests in progress, in seconds.
+    """
+
+    name: str
+    domain: str
+    region: str
+    http: Address
+    mesh: Address
+    kvstore: Address
+    hostlist: Address
+    mesh_key: str
+    weightstore: Address | None = None
+    seeds: tuple[Address, ...] = ()
+    log_level: str = "info"
+    max_body_bytes: int = 4 * 1024 * 1024
+    max_header_bytes: int = 32 * 1024
+    body_timeout: float = 20.0
+    stop_timeout: float = 3600.0
+
+
+def address_list(text: str) -> tuple[Address, ...]:
+    """Read addresses separated by commas or spaces."""
+    return tuple(Address.parse(part) for part in text.replace(",", " ").split())
+
+
+def log_level(text: str) -> str:
+    """Check a log level's name."""
+    if text.upper() not in LogLevel.__members__:
+        raise ValueError(f"{text!r} is not one of error, warning, info, debug")
+    return text.lower()
+
+
+def secret(text: str) -> str:
+    """Check that a shared secret is long enough to be one."""
+    if len(text) < MIN_MESH_KEY_LENGTH:
+        raise ValueError(f"needs at least {MIN_MESH_KEY_LENGTH} characters")
+    return text
+
+
+def word(text: str) -> str:
+    """Check a name that has to be there."""
+    if not text.strip():
+        raise ValueError("must not be empty")
+    return text.strip()
+
+
+def positive(kind: Callable) -> Callable:
+    """Make a reader of numbers above zero."""
+
+    def read(text: str):
+        value = kind(text)
+        if value <= 0:
+            raise ValueError(f"{text!r} must be above zero")
+        return value
+
+    return read
+
+
+@frozen
+class Option:
+    """One option of the file: where it stands, how it is read, whether it may be left out."""
+
+    section: str
+    option: str
+    attribute: str
+    read: Callable
+    required: bool = True
+
+
+OPTIONS = (
+    Option("daemon", "name", "name", word),
+    Option("daemon", "domain", "domain", word),
+    Option("daemon", "region", "region", word),
+    Option("listen", "http", "http", Address.parse),
+    Option("listen", "mesh", "mesh", Address.parse),
+    Option("platform", "kvstore", "kvstore", Address.parse),
+    Option("platform", "hostlist", "hostlist", Address.parse),
+    Option("platform", "weightstore", "weightstore", Address.parse, required=False),
+    Option("mesh", "key", "mesh_key", secret),
+    Option("mesh", "seeds", "seeds", address_list, required=False),
+    Option("log", "level", "log_level", log_level, required=False),
+    Option("limits", "max_body_bytes", "max_body_bytes", positive(int), required=False),
+    Option("limits", "max_header_bytes", "max_header_bytes", positive(int), required=False),
+    Option("limits", "body_timeout", "body_timeout", positive(float), required=False),
+    Option("limits", "stop_timeout", "stop_timeout", positive(float), required=False),
+)
+
+
+@frozen
+class IniFile:
+    """The sections of one INI text, and the faults found while reading it."""
+
+    sections: dict[str, dict[str, str]] = Factory(dict)
+
+
+def parse_ini(where: str, text: str) -> Result[IniFile, list[Fault]]:
+    """Split an INI text into sections, reporting the line where it is not INI."""
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text, source=where)
+    except configparser.Error as error:
+        return Failure([Fault(where, "", "", " ".join(str(error).split()))])
+    return Success(IniFile({name: dict(parser[name]) for name in parser.sections()}))
+
+
+def unknown_options(where: str, ini: IniFile, known: set[tuple[str, str]]) -> list[Fault]:
+    """List the options that no reader asked for, since a misspelt one must not pass silently."""
+    return [
+        Fault(where, section, option, "unknown option")
+        for section, options in ini.sections.items()
+        for option in options
+        if (section, option) not in known
+    ]
+
+
+def read_option(where: str, ini: IniFile, spec: Option) -> Result[dict, list[Fault]]:
+    """Read one option into a keyword argument, or into none when it may be left out."""
+    text = ini.sections.get(spec.section, {}).get(spec.option)
+    if text is None:
+        missing = [Fault(where, spec.section, spec.option, "missing")]
+        return Failure(missing) if spec.required else Success({})
+    try:
+        return Success({spec.attribute: spec.read(text)})
+    except ValueError as error:
+        return Failure([Fault(where, spec.section, spec.option, str(error))])
+
+
+def parse_config(where: str, text: str) -> Result[DaemonConfig, list[Fault]]:
+    """Read a daemon's configuration.
+
+    Parameters
+    ----------
+    where : str
+        The file's name, for the faults.
+    text : str
+        Its INI text.
+
+    Returns
+    -------
+    Result
+        The configuration, or every fault in it.
+    """
+    match parse_ini(where, text):
+        case Failure(faults):
+            return Failure(faults)
+        case Success(ini):
+            pass
+    arguments: dict = {}
+    faults = unknown_options(where, ini, {(spec.section, spec.option) for spec in OPTIONS})
+    for spec in OPTIONS:
+        match read_option(where, ini, spec):
+            case Success(found):
+                arguments |= found
+            case Failure(more):
+                faults += more
+    return Failure(faults) if faults else Success(DaemonConfig(**arguments))
+
+
+def load_config(file: str) -> Result[DaemonConfig, list[Fault]]:
+    """Read a daemon's configuration from a file."""
+    try:
+        text = Path(file).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure([Fault(file, "", "", f"cannot be read: {error}")])
+    return parse_config(file, text)
--- /dev/null
+++ b/papayacourse/control.py
@@ -0,0 +1,269 @@
+"""The daemon: owns every part, ties them together, starts and stops them in order."""
+
+import asyncio
+import hashlib
+import hmac
+import json
+import signal
+import sys
+import time
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import AsyncExitStack, contextmanager
+
+from attrs import define, field
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+
+from papayacourse import logs, web
+from papayacourse.catalog import Catalog, Client
+from papayacourse.config import DaemonConfig
+from papayacourse.cursor import CursorSigner
+from papayacourse.exceptions import RequestRefused
+from papayacourse.hostlist import HostList
+from papayacourse.kvstore import KeyValueStore
+from papayacourse.membership import Membership
+from papayacourse.messages import Hello
+from papayacourse.metrics import Metrics
+from papayacourse.pace import TokenClock, token_clock
+from papayacourse.peers import Peers
+from papayacourse.placement import Placement
+from papayacourse.records import Records
+from papayacourse.scheduler import Scheduler, permitted
+from papayacourse.streams import Relay
+from papayacourse.types import Address, GenerationRequest, HostKind
+from papayacourse.version import __version__
+from papayacourse.watch import SettingsWatch
+
+IDLE_CONNECTION_TIMEOUT = 300.0  # seconds
+BALANCER_NOTICE = 0.5  # seconds between turning not ready and refusing new connections
+
+
+def derived(key: str, use: str) -> str:
+    """Derive a key of its own for one use from the mesh key."""
+    return hmac.new(key.encode(), use.encode(), hashlib.sha256).hexdigest()
+
+
+@define(eq=False, slots=False)
+class Daemon:
+    """One papayacourse daemon."""
+
+    config: DaemonConfig
+    ready: bool = False
+    stopping: asyncio.Event = field(factory=asyncio.Event)
+    busy: Counter = field(factory=Counter)
+    schedulers: dict[tuple[str, str], Scheduler] = field(factory=dict)
+    tasks: set[asyncio.Task] = field(factory=set)
+    held: set[asyncio.Task] = field(factory=set)
+
+    def __attrs_post_init__(self) -> None:
+        config = self.config
+        self.idle = asyncio.Event()
+        self.idle.set()
+        self.metrics = Metrics(config.name)
+        self.catalog = Catalog()
+        self.store = KeyValueStore(config.kvstore, self.metrics.count_platform)
+        self.signer = CursorSigner(derived(config.mesh_key, "cursor"))
+        self.records = Records(self.store)
+        self.watch = SettingsWatch(self.store, self.catalog)
+
+    async def run(self) -> None:
+        """Serve until told to stop, then finish what is in progress."""
+        async with AsyncExitStack() as stack:
+            await self._open(stack)
+            await self.stopping.wait()
+            await self._drain()
+
+    async def _open(self, stack: AsyncExitStack) -> None:
+        config = self.config
+        incarnation = time.time_ns()
+        hello = Hello(config.name, incarnation, config.domain, config.region, "", b"")
+        self.peers = Peers(hello, config.mesh_key)
+        self.membership = Membership(
+            hello, self.peers, self.catalog, HostList(config.hostlist), config.seeds
+        )
+        self.placement = Placement(self.membership, self.peers, self.scheduler)
+        mesh = await stack.enter_async_context(self.peers.listening(config.mesh))
+        self.peers.hello = Hello(
+            config.name, incarnation, config.domain, config.region, str(mesh), b""
+        )
+        http = self._listen(stack)
+        stack.push_async_callback(self._stop_tasks)
+        for work in (
+            self.watch.run(),
+            self.membership.follow_host_list(),
+            self.membership.greet_seeds(),
+            self.placement.report(),
+        ):
+            self.spawn(work)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, self.stopping.set)
+        self.ready = True
+        logs.info("ready", http=str(http), mesh=str(mesh), version=__version__)
+        print(json.dumps({"ready": config.name, "http": str(http), "mesh": str(mesh)}), flush=True)
+
+    def _listen(self, stack: AsyncExitStack) -> Address:
+        config = self.config
+        self.server = HTTPServer(
+            Application(web.routes(self), compress_response=False, log_function=lambda _: None),
+            max_body_size=config.max_body_bytes,
+            max_buffer_size=config.max_body_bytes + config.max_header_bytes,
+            max_header_size=config.max_header_bytes,
+            body_timeout=config.body_timeout,
+            idle_connection_timeout=IDLE_CONNECTION_TIMEOUT,
+        )
+        sockets = bind_sockets(config.http.port, config.http.host)
+        self.server.add_sockets(sockets)
+        stack.push_async_callback(self.server.close_all_connections)
+        host, port = sockets[0].getsockname()[:2]
+        return Address(host, port)
+
+    def spawn(self, work) -> asyncio.Task:
+        """Run something for as long as the daemon runs; its failure is logged."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._task_done)
+        return task
+
+    def _task_done(self, task: asyncio.Task) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logs.failure("task failed", task.exception())
+
+    async def _stop_tasks(self) -> None:
+        for scheduler in self.schedulers.values():
+            await scheduler.__aexit__(None, None, None)
+        waiting = [*self.tasks, *self.held, *self.membership.beating.values()]
+        for task in waiting:
+            task.cancel()
+        await asyncio.gather(*waiting, return_exceptions=True)
+
+    async def _drain(self) -> None:
+        """Leave: not ready first, duties to the others, requests to their end."""
+        self.ready = False
+        logs.info("stopping", in_progress=self.busy.total())
+        await self.membership.leave()
+        await asyncio.sleep(BALANCER_NOTICE)
+        self.server.stop()
+        try:
+            await asyncio.wait_for(self.idle.wait(), self.config.stop_timeout)
+        except TimeoutError:
+            logs.error("stopped before every request had ended", cut_off=self.busy.total())
+        logs.info("stopped")
+
+    # What the handlers use.
+
+    @contextmanager
+    def in_progress(self, client: Client) -> Iterator[None]:
+        """Count a request of an account for as long as it runs."""
+        account = (client.team, client.name)
+        if self.busy[account] >= client.settings.max_in_progress:
+            raise RequestRefused(
+                429,
+                "account_limit",
+                "the account has too many requests in progress",
+                retry_after=1.0,
+            )
+        self.busy[account] += 1
+        self.idle.clear()
+        try:
+            yield
+        finally:
+            self.busy[account] -= 1
+            if not self.busy.total():
+                self.idle.set()
+
+    def scheduler(self, team: str, service: str) -> Scheduler:
+        """Return this daemon's scheduler of a service, started if need be."""
+        key = (team, service)
+        if key not in self.schedulers:
+            scheduler = Scheduler(team, service, self.catalog, self.membership, self.placement.tell)
+            scheduler.task = asyncio.create_task(scheduler.run())
+            self.schedulers[key] = scheduler
+            logs.info("scheduling", team=team, service=service)
+        return self.schedulers[key]
+
+    def token_clock(self, generation: GenerationRequest) -> TokenClock:
+        """Return a clock for the tokens of one generation."""
+        return token_clock(self.metrics, generation)
+
+    def hold(self, relay: Relay | None, resume_window: float) -> None:
+        """Keep a stream whose caller has gone for the time in which it may come back."""
+        if relay is not None:
+            task = asyncio.create_task(relay.abandon(resume_window))
+            self.held.add(task)
+            task.add_done_callback(self.held.discard)
+
+    def plain_addresses(self, team: str, service: str) -> list[str]:
+        """Return the addresses of a plain service's backend servers, this domain's first."""
+        hosts = [
+            host
+            for deployment in self.catalog.deployments(team, service)
+            for host in self.membership.backends(HostKind.PLAIN)
+            if permitted(host, deployment)
+        ]
+        hosts.sort(
+            key=lambda host: (host.domain != self.config.domain, host.region != self.config.region)
+        )
+        return [host.address for host in hosts]
+
+    def is_operator(self, authorization: str) -> bool:
+        """Tell whether a header carries the mesh key."""
+        wanted = f"Bearer {self.config.mesh_key}".encode()
+        return hmac.compare_digest(authorization.encode(), wanted)
+
+    def status(self) -> dict:
+        """Return what the daemon thinks, for operators."""
+        return {
+            "name": self.config.name,
+            "domain": self.config.domain,
+            "version": __version__,
+            "ready": self.ready,
+            "in_progress": self.busy.total(),
+            "settings": {
+                "paths": len(self.catalog.values),
+                "digest": f"{self.catalog.digest:016x}",
+                "revision": max((v.revision for v in self.catalog.values.values()), default=0),
+                "rejected": sorted(self.catalog.rejected),
+            },
+            "peers": [
+                {
+                    "name": m.name,
+                    "domain": m.domain,
+                    "alive": self.membership.is_alive(m.name),
+                    "leaving": m.leaving,
+                }
+                for m in self.membership.members.values()
+            ],
+            "schedulers": [
+                {
+                    "team": team,
+                    "service": service,
+                    "queued": len(scheduler.queue),
+                    "engines": [
+                        {
+                            "name": ledger.name,
+                            "usable": ledger.usable,
+                            "streams": len(ledger.streams),
+                            "tokens": ledger.tokens,
+                            "memory_tokens": ledger.memory_tokens,
+                        }
+                        for ledger in scheduler.ledgers.values()
+                    ],
+                }
+                for (team, service), scheduler in self.schedulers.items()
+            ],
+            "mesh_bytes": self.peers.bytes_total(),
+        }
+
+
+def serve(config: DaemonConfig) -> int:
+    """Run a daemon; returns its exit status."""
+    logs.start(config.log_level, config.name)
+    try:
+        asyncio.run(Daemon(config).run())
+    except OSError as error:
+        print(f"papayacourse: cannot start: {error}", file=sys.stderr)
+        return 1
+    return 0
--- /dev/null
+++ b/papayacourse/cursor.py
@@ -0,0 +1,79 @@
+"""Signed cursors that let a caller resume its stream at any daemon."""
+
+import json
+
+from attrs import frozen
+from itsdangerous import BadSignature, URLSafeSerializer
+
+from papayacourse.exceptions import RequestRefused
+
+SALT = "papayacourse stream cursor"
+
+
+@frozen
+class Cursor:
+    """Where a caller stands in a stream.
+
+    Attributes
+    ----------
+    account : str
+        ``team/account``; nobody else may use the cursor.
+    offset : int
+        The offset of the next token wanted.
+    """
+
+    account: str
+    service: str
+    stream: str
+    engine: str
+    address: str
+    prompt_tokens: int
+    max_tokens: int
+    created: int
+    offset: int = 0
+
+
+class CursorSigner:
+    """Writes and reads cursors.
+
+    The signature covers the stream and not the offset: it is made once for each stream, and a
+    caller who changes the offset only asks for another part of its own answer.
+    """
+
+    def __init__(self, key: str):
+        self.serializer = URLSafeSerializer(key, salt=SALT)
+
+    def prefix(self, cursor: Cursor) -> str:
+        """Return the signed part, to which ``~offset`` is added for each event."""
+        fields = (
+            cursor.account,
+            cursor.service,
+            cursor.stream,
+            cursor.engine,
+            cursor.address,
+            cursor.prompt_tokens,
+            cursor.max_tokens,
+            cursor.created,
+        )
+        return self.serializer.dumps(fields)
+
+    def read(self, text: str, account: str) -> Cursor:
+        """Read a cursor that an account sent back.
+
+        Raises
+        ------
+        RequestRefused
+            When it is not a cursor, or is another account's.
+        """
+        signed, tilde, offset = text.rpartition("~")
+        try:
+            if not tilde or not offset.isdecimal():
+                raise ValueError("no offset")
+            cursor = Cursor(*self.serializer.loads(signed), offset=int(offset))
+        except (BadSignature, json.JSONDecodeError, TypeError, ValueError) as error:
+            raise RequestRefused(
+                400, "bad_cursor", "Last-Event-ID is not a cursor of ours"
+            ) from error
+        if cursor.account != account:
+            raise RequestRefused(403, "foreign_cursor", "the cursor belongs to another account")
+        return cursor
--- /dev/null
+++ b/papayacourse/engines.py
@@ -0,0 +1,193 @@
+"""Speaks to model engines; the one module that knows their wire form."""
+
+import json
+from collections.abc import AsyncIterator, Iterable, Iterator
+from urllib.parse import quote
+
+from attrs import frozen
+
+from papayacourse.exceptions import (
+    BackendError,
+    BackendProtocolError,
+    BackendRefused,
+)
+from papayacourse.httpcall import HttpCall
+from papayacourse.types import Address, GenerationRequest
+
+CONNECT_TIMEOUT = 1.0  # seconds
+SILENCE_TIMEOUT = 5.0  # seconds without an event before the link counts as stalled
+CONTROL_TIMEOUT = 2.0  # seconds
+MAX_EVENT_BYTES = 256 * 1024
+
+
+@frozen
+class Token:
+    """One piece of output: its place in the stream, counted from zero, and its text."""
+
+    stream: str
+    offset: int
+    text: str
+
+
+@frozen
+class End:
+    """The end of the output, after so many tokens, and why (``stop`` or ``length``)."""
+
+    stream: str
+    offset: int
+    reason: str
+
+
+EngineEvent = Token | End
+
+
+@frozen
+class EngineLoad:
+    """What an engine reports about itself, with a lag."""
+
+    running: int
+    waiting: int
+    memory_used: int
+    memory_total: int
+    preemptions: int
+    leaving: bool
+
+
+def split_events(buffer: bytearray) -> Iterator[bytes]:
+    """Take whole server-sent events off the front of a buffer."""
+    while True:
+        end = buffer.find(b"\n\n")
+        if end < 0:
+            if len(buffer) > MAX_EVENT_BYTES:
+                raise BackendProtocolError(f"an event longer than {MAX_EVENT_BYTES} bytes")
+            return
+        event = bytes(buffer[:end])
+        del buffer[: end + 2]
+        yield event
+
+
+def parse_events(events: Iterable[bytes]) -> Iterator[EngineEvent]:
+    """Turn server-sent events into tokens and ends; comments are skipped."""
+    for event in events:
+        data = [line[5:] for line in event.split(b"\n") if line.startswith(b"data:")]
+        if not data:
+            continue
+        try:
+            raw = json.loads(b"\n".join(data))
+            if "text" in raw:
+                yield Token(raw["stream"], int(raw["offset"]), str(raw["text"]))
+            else:
+                yield End(raw["stream"], int(raw["offset"]), str(raw["reason"]))
+        except (ValueError, KeyError, TypeError) as error:
+            raise BackendProtocolError(f"not an event of an engine: {error!r}") from error
+
+
+class EngineStream:
+    """An open stream from an engine, to be used as an asynchronous context manager.
+
+    Parameters
+    ----------
+    address : str
+        The engine's ``host:port``.
+    generation : GenerationRequest
+        The request.
+    resume_at : int or None
+        The next offset wanted of a generation that runs already; None starts one.
+    """
+
+    def __init__(self, address: str, generation: GenerationRequest, resume_at: int | None = None):
+        target = Address.parse(address)
+        if resume_at is None:
+            body = {
+                "stream": generation.stream,
+                "prompt": generation.prompt,
+                "prompt_tokens": generation.prompt_tokens,
+                "max_tokens": generation.max_tokens,
+                "priority": generation.priority,
+                "seed": generation.seed,
+            }
+            data = json.dumps(body).encode()
+            self.call = HttpCall(
+                target, "POST", "/generate", body=data,
+                connect_timeout=CONNECT_TIMEOUT, idle_timeout=SILENCE_TIMEOUT,
+            )  # fmt: skip
+        else:
+            path = f"/streams/{quote(generation.stream, safe='')}?from={resume_at}"
+            self.call = HttpCall(
+                target, "GET", path, connect_timeout=CONNECT_TIMEOUT, idle_timeout=SILENCE_TIMEOUT
+            )
+
+    async def __aenter__(self) -> "EngineStream":
+        await self.call.__aenter__()
+        if self.call.status != 200:
+            try:
+                detail = (await self.call.read()).decode(errors="replace")
+            finally:
+                await self.call.__aexit__(None, None, None)
+            raise BackendRefused(self.call.status, detail)
+        return self
+
+    async def __aexit__(self, kind, error, traceback) -> None:
+        await self.call.__aexit__(kind, error, traceback)
+
+    async def batches(self) -> AsyncIterator[list[EngineEvent]]:
+        """Yield the events of each piece that the connection delivers."""
+        buffer = bytearray()
+        async for chunk in self.call.chunks():
+            buffer += chunk
+            batch = list(parse_events(split_events(buffer)))
+            if batch:
+                yield batch
+
+
+async def control(address: str, method: str, path: str, body: dict | None = None) -> dict:
+    """Make one short call to an engine and return its JSON answer."""
+    data = json.dumps(body).encode() if body is not None else b""
+    call = HttpCall(
+        Address.parse(address), method, path, body=data,
+        connect_timeout=CONNECT_TIMEOUT, idle_timeout=CONTROL_TIMEOUT,
+    )  # fmt: skip
+    async with call:
+        answer = await call.read()
+    if call.status != 200:
+        raise BackendRefused(call.status, answer.decode(errors="replace"))
+    try:
+        return json.loads(answer)
+    except ValueError as error:
+        raise BackendProtocolError(f"{address}: not JSON") from error
+
+
+async def cancel(address: str, stream: str) -> bool:
+    """Cancel a generation so that its memory comes back; False when that is not certain."""
+    try:
+        await control(address, "DELETE", f"/streams/{quote(stream, safe='')}")
+    except BackendRefused as error:
+        return error.status == 404
+    except BackendError:
+        return False
+    return True
+
+
+async def readers(address: str, stream: str) -> int:
+    """Return how many connections read a generation now; 0 when there is none such."""
+    try:
+        raw = await control(address, "GET", f"/streams/{quote(stream, safe='')}/state")
+    except BackendRefused:
+        return 0
+    return int(raw["readers"])
+
+
+async def load(address: str) -> EngineLoad:
+    """Return an engine's load report."""
+    raw = await control(address, "GET", "/load")
+    try:
+        return EngineLoad(
+            int(raw["running"]),
+            int(raw["waiting"]),
+            int(raw["memory_used"]),
+            int(raw["memory_total"]),
+            int(raw["preemptions"]),
+            bool(raw.get("leaving", False)),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise BackendProtocolError(f"{address}: not a load report") from error
--- /dev/null
+++ b/papayacourse/hostlist.py
@@ -0,0 +1,43 @@
+"""Speaks to the platform's lagging host list; the one module that knows its wire form."""
+
+import json
+
+from attrs import frozen
+from cattrs import structure
+from cattrs.errors import BaseValidationError
+
+from papayacourse.exceptions import BackendError, PlatformError, PlatformUnavailable
+from papayacourse.httpcall import HttpCall
+from papayacourse.types import Address, Host
+
+CALL_TIMEOUT = 3.0  # seconds
+
+
+@frozen
+class HostListing:
+    """The hosts of the platform as it last knew them."""
+
+    version: int
+    hosts: tuple[Host, ...]
+
+
+class HostList:
+    """A client of the host list."""
+
+    def __init__(self, address: Address):
+        self.address = address
+
+    async def get(self) -> HostListing:
+        """Return the list; raises PlatformUnavailable when it cannot be had."""
+        call = HttpCall(self.address, "GET", "/hosts", idle_timeout=CALL_TIMEOUT)
+        try:
+            async with call:
+                answer = await call.read()
+        except BackendError as error:
+            raise PlatformUnavailable(f"host list: {error}") from error
+        if call.status != 200:
+            raise PlatformUnavailable(f"host list: status {call.status}")
+        try:
+            return structure(json.loads(answer), HostListing)
+        except (ValueError, BaseValidationError) as error:
+            raise PlatformError(f"host list: not a host list: {error}") from error
--- /dev/null
+++ b/papayacourse/httpcall.py
@@ -0,0 +1,182 @@
+"""One HTTP exchange as a client, over tornado, that knows how far it got."""
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
+from tornado.iostream import IOStream, StreamClosedError
+
+from papayacourse.exceptions import (
+    BackendLinkLost,
+    BackendProtocolError,
+    BackendUnreachable,
+)
+from papayacourse.types import Address
+
+CHUNK_BYTES = 64 * 1024
+MAX_HEADER_BYTES = 64 * 1024
+MAX_STREAM_BYTES = 1 << 40
+MAX_READ_BYTES = 8 * 1024 * 1024
+BUFFERED_CHUNKS = 2
+
+# Tornado's own AsyncHTTPClient does not tell a call that was never sent from one that was, and
+# cannot be abandoned while the other side is silent. Both matter here, so this uses the
+# connection class that tornado's client and server are built on.
+
+
+class HttpCall(HTTPMessageDelegate):
+    """A request on a connection of its own, to be used as an asynchronous context manager.
+
+    Parameters
+    ----------
+    address : Address
+        Whom to call.
+    method, path : str
+        The request line.
+    headers : dict or HTTPHeaders, optional
+        Extra request headers.
+    body : bytes
+        The request body.
+    connect_timeout, idle_timeout : float
+        The longest wait for the connection, and for the next piece of the answer, in seconds.
+
+    Raises
+    ------
+    BackendUnreachable
+        When no connection was made; nothing has been sent then.
+    BackendLinkLost
+        When the connection broke or went silent afterwards.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        method: str,
+        path: str,
+        headers: dict | HTTPHeaders | None = None,
+        body: bytes = b"",
+        connect_timeout: float = 1.0,
+        idle_timeout: float = 10.0,
+    ):
+        self.address = address
+        self.method = method
+        self.path = path
+        self.request_headers = HTTPHeaders(headers or {})
+        self.body = body
+        self.connect_timeout = connect_timeout
+        self.idle_timeout = idle_timeout
+        self.status = 0
+        self.headers = HTTPHeaders()
+        self.finished = False
+        self.head: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.queue: asyncio.Queue[bytes | None] = asyncio.Queue(BUFFERED_CHUNKS)
+
+    async def __aenter__(self) -> "HttpCall":
+        self.stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        self.stream.set_nodelay(True)
+        try:
+            await self._connect()
+            self.reader = asyncio.ensure_future(self._exchange())
+            await asyncio.wait_for(asyncio.shield(self.head), self.idle_timeout)
+        except TimeoutError as error:
+            await self.__aexit__(None, None, None)
+            raise BackendLinkLost(f"{self.address} did not answer in time") from error
+        except BaseException:
+            await self.__aexit__(None, None, None)
+            raise
+        return self
+
+    async def __aexit__(self, kind, error, traceback) -> None:
+        self.stream.close()
+        reader = getattr(self, "reader", None)
+        if reader is not None and not reader.done():
+            reader.cancel()
+            await asyncio.gather(reader, return_exceptions=True)
+        if self.head.done() and not self.head.cancelled():
+            self.head.exception()
+
+    async def _connect(self) -> None:
+        target = (self.address.host, self.address.port)
+        try:
+            await asyncio.wait_for(self.stream.connect(target), self.connect_timeout)
+        except (TimeoutError, StreamClosedError, OSError) as error:
+            raise BackendUnreachable(f"no connection to {self.address}") from error
+
+    async def _exchange(self) -> None:
+        parameters = HTTP1ConnectionParameters(
+            no_keep_alive=True,
+            chunk_size=CHUNK_BYTES,
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=MAX_STREAM_BYTES,
+        )
+        connection = HTTP1Connection(self.stream, True, parameters)
+        self.request_headers["Host"] = str(self.address)
+        self.request_headers["Connection"] = "close"
+        self.request_headers["Content-Length"] = str(len(self.body))
+        line = RequestStartLine(self.method, self.path, "")
+        try:
+            await connection.write_headers(line, self.request_headers, self.body)
+            connection.finish()
+            await connection.read_response(self)
+        except (StreamClosedError, OSError):
+            pass
+        finally:
+            self._close_head()
+        await self.queue.put(None)
+
+    def _close_head(self) -> None:
+        if not self.head.done():
+            self.head.set_exception(BackendLinkLost(f"{self.address} closed before it answered"))
+
+    def headers_received(self, start_line, headers: HTTPHeaders) -> None:
+        """Take the status line and headers (called by tornado)."""
+        if start_line.code < 200:
+            return
+        self.status = start_line.code
+        self.headers = headers
+        if not self.head.done():
+            self.head.set_result(None)
+
+    async def data_received(self, chunk: bytes) -> None:
+        """Take a piece of the body; the connection is not read while the queue is full."""
+        await self.queue.put(chunk)
+
+    def finish(self) -> None:
+        """Note that the whole body has come (called by tornado)."""
+        self.finished = True
+
+    def on_connection_close(self) -> None:
+        """Note that the connection has gone (called by tornado)."""
+        self._close_head()
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body's pieces as they come.
+
+        Raises
+        ------
+        BackendLinkLost
+            When the connection breaks, or stays silent for the idle time-out.
+        """
+        while True:
+            try:
+                chunk = await asyncio.wait_for(self.queue.get(), self.idle_timeout)
+            except TimeoutError as error:
+                raise BackendLinkLost(f"{self.address} went silent") from error
+            if chunk is None:
+                break
+            yield chunk
+        if not self.finished:
+            raise BackendLinkLost(f"{self.address} closed midway")
+
+    async def read(self, limit: int = MAX_READ_BYTES) -> bytes:
+        """Return the whole body, which may not be longer than the limit in bytes."""
+        parts: list[bytes] = []
+        size = 0
+        async for chunk in self.chunks():
+            size += len(chunk)
+            if size > limit:
+                raise BackendProtocolError(f"{self.address} sent more than {limit} bytes")
+            parts.append(chunk)
+        return b"".join(parts)
--- /dev/null
+++ b/papayacourse/logs.py
@@ -0,0 +1,68 @@
+"""Writes the daemon's log as JSON lines through eliot."""
+
+import enum
+import sys
+import traceback
+
+import eliot
+
+
+class LogLevel(enum.IntEnum):
+    """How much is written; each level includes those above it."""
+
+    ERROR = 40
+    WARNING = 30
+    INFO = 20
+    DEBUG = 10
+
+
+threshold = LogLevel.INFO
+
+
+def start(level: str, daemon: str) -> None:
+    """Send every log line at or above a level to standard error.
+
+    Parameters
+    ----------
+    level : str
+        One of ``error``, ``warning``, ``info``, ``debug``.
+    daemon : str
+        The daemon's name, written on every line.
+    """
+    global threshold
+    threshold = LogLevel[level.upper()]
+    eliot.add_global_fields(daemon=daemon)
+    eliot.to_file(sys.stderr)
+
+
+def write(level: LogLevel, event: str, **fields) -> None:
+    """Write one line, unless the level is below the threshold."""
+    if level >= threshold:
+        eliot.log_message(message_type=event, level=level.name.lower(), **fields)
+
+
+def error(event: str, **fields) -> None:
+    """Write a line about a failure that needs somebody's eyes."""
+    write(LogLevel.ERROR, event, **fields)
+
+
+def warning(event: str, **fields) -> None:
+    """Write a line about something unusual that the daemon has dealt with."""
+    write(LogLevel.WARNING, event, **fields)
+
+
+def info(event: str, **fields) -> None:
+    """Write a line about an ordinary change of state."""
+    write(LogLevel.INFO, event, **fields)
+
+
+def debug(event: str, **fields) -> None:
+    """Write a line that only somebody hunting a fault wants."""
+    write(LogLevel.DEBUG, event, **fields)
+
+
+def failure(event: str, problem: BaseException, **fields) -> None:
+    """Write a line about an error that nobody expected, with its traceback."""
+    error(
+        event, error=repr(problem), traceback="".join(traceback.format_exception(problem)), **fields
+    )
--- /dev/null
+++ b/papayacourse/messages.py
@@ -0,0 +1,308 @@
+"""The typed messages that daemons exchange, and their form on the wire."""
+
+import cbor2
+from attrs import frozen
+from cattrs.errors import BaseValidationError
+from cattrs.preconf.cbor2 import make_converter
+
+from papayacourse.exceptions import MalformedMessage
+from papayacourse.types import GenerationRequest, Host
+
+PROTOCOL_VERSION = 1
+MAX_FRAME_BYTES = 2 * 1024 * 1024
+
+
+@frozen
+class Hello:
+    """Opens a link: who speaks, and a challenge for the other side."""
+
+    name: str
+    incarnation: int
+    domain: str
+    region: str
+    mesh: str
+    nonce: bytes
+
+
+@frozen
+class Proof:
+    """Answers the other side's challenge with the mesh key."""
+
+    digest: bytes
+
+
+@frozen
+class SettingsVersion:
+    """The highest revision that a daemon knows for one settings path."""
+
+    path: str
+    revision: int
+
+
+@frozen
+class Heartbeat:
+    """Says once a second that a daemon lives and what it knows.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether it has been told to stop and takes no new duty.
+    settings_digest : int
+        A hash over all (path, revision) pairs in force there.
+    hosts_version : int
+        The version of the host list it knows.
+    """
+
+    name: str
+    incarnation: int
+    leaving: bool
+    settings_digest: int
+    hosts_version: int
+
+
+@frozen
+class SettingsDigest:
+    """Asks a peer whose digest differs for the values that are newer there."""
+
+    versions: tuple[SettingsVersion, ...]
+
+
+@frozen
+class SettingsValue:
+    """One settings path at one revision; a deleted path has no text."""
+
+    path: str
+    revision: int
+    text: str | None
+    author: str = ""
+
+
+@frozen
+class SettingsUpdate:
+    """Hands newer settings values to a peer."""
+
+    values: tuple[SettingsValue, ...]
+
+
+@frozen
+class HostsUpdate:
+    """Hands a newer host list to a peer."""
+
+    version: int
+    hosts: tuple[Host, ...]
+
+
+@frozen
+class GrantRequest:
+    """Asks a scheduler for a place on an engine.
+
+    Attributes
+    ----------
+    generation : GenerationRequest
+        The request, with an empty prompt: the scheduler needs only its size and prefixes.
+    wait_limit : float
+        The longest wait that makes sense to the caller, in seconds.
+    avoid : tuple of str
+        Engines that have already failed this request.
+    """
+
+    generation: GenerationRequest
+    wait_limit: float
+    avoid: tuple[str, ...] = ()
+    join: bool = False
+
+
+@frozen
+class Granted:
+    """A place on an engine; answers a GrantRequest, or follows a Queued by itself."""
+
+    stream: str
+    engine: str
+    address: str
+
+
+@frozen
+class Joined:
+    """The same request already runs; read its stream instead."""
+
+    stream: str
+    engine: str
+    address: str
+
+
+@frozen
+class Queued:
+    """No place yet; a Granted or a GrantRefused follows, unless the scheduler is lost."""
+
+    stream: str
+    expected_wait: float
+
+
+@frozen
+class GrantRefused:
+    """No place, and why."""
+
+    stream: str
+    reason: str
+    detail: str
+    retry_after: float
+
+
+@frozen
+class StreamState:
+    """One generation in progress, as the daemon that relays it knows it."""
+
+    generation: GenerationRequest
+    engine: str
+    generated: int
+
+
+@frozen
+class StreamReport:
+    """Everything one daemon relays for one service, so that any scheduler can rebuild."""
+
+    daemon: str
+    team: str
+    service: str
+    streams: tuple[StreamState, ...]
+
+
+@frozen
+class StreamEnded:
+    """One generation has ended.
+
+    Attributes
+    ----------
+    outcome : str
+        ``finished``, ``cancelled``, ``failed`` or ``never_started``.
+    """
+
+    team: str
+    service: str
+    stream: str
+    engine: str
+    account: str
+    generated: int
+    outcome: str
+
+
+@frozen
+class Strike:
+    """A request was in flight on an engine that died."""
+
+    fingerprint: str
+    engine: str
+    expires: float
+
+
+@frozen
+class StrikesUpdate:
+    """Hands strikes to a peer."""
+
+    strikes: tuple[Strike, ...]
+
+
+@frozen
+class RunOnce:
+    """Asks the daemon that keeps a record's bucket to run a non-repeatable call."""
+
+    team: str
+    service: str
+    account: str
+    key: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@frozen
+class CallAnswer:
+    """A backend server's answer, or a refusal in the same form."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@frozen
+class Done:
+    """An answer that carries nothing."""
+
+
+@frozen
+class CallFailed:
+    """The peer met an error while it worked on a call."""
+
+    detail: str
+
+
+Message = (
+    Hello
+    | Proof
+    | Heartbeat
+    | SettingsDigest
+    | SettingsUpdate
+    | HostsUpdate
+    | GrantRequest
+    | Granted
+    | Joined
+    | GrantRefused
+    | Queued
+    | StreamReport
+    | StreamEnded
+    | StrikesUpdate
+    | RunOnce
+    | CallAnswer
+    | Done
+    | CallFailed
+)
+
+CLASSES = {cls.__name__: cls for cls in Message.__args__}
+converter = make_converter()
+
+
+@frozen
+class Frame:
+    """One message with what ties a call to its answer.
+
+    Attributes
+    ----------
+    call : int
+        Zero for a message that wants no answer.
+    is_answer : bool
+        Whether this frame answers the call of that number.
+    """
+
+    call: int
+    is_answer: bool
+    message: Message
+
+
+def encode(frame: Frame) -> bytes:
+    """Write a frame as CBOR."""
+    body = converter.unstructure(frame.message)
+    name = type(frame.message).__name__
+    return cbor2.dumps([PROTOCOL_VERSION, frame.call, frame.is_answer, name, body])
+
+
+def decode(data: bytes) -> Frame:
+    """Read a frame.
+
+    Raises
+    ------
+    MalformedMessage
+        When it is not a frame of this version with a message known here.
+    """
+    try:
+        version, call, is_answer, name, body = cbor2.loads(data)
+        if version != PROTOCOL_VERSION:
+            raise MalformedMessage(f"protocol version {version!r} is not {PROTOCOL_VERSION}")
+        if not isinstance(call, int) or not isinstance(is_answer, bool):
+            raise MalformedMessage("the frame's call number or answer mark has a wrong type")
+        message = converter.structure(body, CLASSES[name])
+    except MalformedMessage:
+        raise
+    except (cbor2.CBORDecodeError, BaseValidationError, KeyError, TypeError, ValueError) as error:
+        raise MalformedMessage(f"not a message: {type(error).__name__}") from error
+    return Frame(call, is_answer, message)
--- /dev/null
+++ b/papayacourse/placement.py
@@ -0,0 +1,222 @@
+"""Finds a place for a generation by asking the schedulers of the domain in turn."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from attrs import define, evolve, field
+
+from papayacourse import logs
+from papayacourse.exceptions import PeerError, RequestRefused
+from papayacourse.membership import Membership
+from papayacourse.messages import (
+    Done,
+    Granted,
+    GrantRefused,
+    GrantRequest,
+    Hello,
+    Joined,
+    Queued,
+    StreamEnded,
+    StreamReport,
+    StreamState,
+)
+from papayacourse.peers import Peers
+from papayacourse.scheduler import Scheduler
+from papayacourse.types import GenerationRequest
+
+ACK_TIMEOUT = 0.4  # seconds a scheduler may take to say anything
+REASK_INTERVAL = 1.0  # seconds between questions while queued
+REPORT_INTERVAL = 1.0  # seconds
+SCHEDULERS_TRIED = 3
+IDLE_SCHEDULER = 30.0  # seconds after which a scheduler without the duty is dropped
+
+Place = Granted | Joined
+OpenScheduler = Callable[[str, str], Scheduler]
+
+
+def duty(team: str, service: str) -> str:
+    """Name the duty of scheduling a service, for rendezvous hashing."""
+    return f"scheduler/{team}/{service}"
+
+
+@define(eq=False)
+class Placement:
+    """Both ends of the talk between entry daemons and schedulers.
+
+    Attributes
+    ----------
+    open_scheduler : callable
+        Returns this daemon's scheduler of a (team, service), started if need be.
+    relayed : dict of str to StreamState
+        The streams that this daemon relays, by stream id.
+    """
+
+    membership: Membership
+    peers: Peers
+    open_scheduler: OpenScheduler
+    clock: Callable[[], float] = time.monotonic
+    relayed: dict[str, StreamState] = field(factory=dict)
+    waiting: dict[str, asyncio.Future] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.peers.handlers[GrantRequest] = self.asked
+        self.peers.handlers[Granted] = self.told
+        self.peers.handlers[GrantRefused] = self.told
+        self.peers.handlers[StreamReport] = self.reported
+        self.peers.handlers[StreamEnded] = self.noted
+
+    # The scheduler's end.
+
+    async def asked(
+        self, peer: Hello, request: GrantRequest
+    ) -> Granted | Joined | Queued | GrantRefused:
+        """Answer a request for a place."""
+        generation = request.generation
+        return self.open_scheduler(generation.team, generation.service).ask(peer.name, request)
+
+    async def reported(self, _peer: Hello, report: StreamReport) -> None:
+        """Take a report of the streams that a daemon relays."""
+        self.open_scheduler(report.team, report.service).report(report)
+
+    async def noted(self, _peer: Hello, note: StreamEnded) -> Done:
+        """Take the news that a stream has ended."""
+        self.open_scheduler(note.team, note.service).ended(note)
+        return Done()
+
+    async def tell(self, daemon: str, answer: Granted | GrantRefused) -> None:
+        """Send a waiting daemon its answer."""
+        if daemon == self.membership.me.name:
+            await self.told(self.membership.me, answer)
+            return
+        try:
+            await self.peers.send(daemon, answer)
+        except PeerError as error:
+            # The daemon asks again, or is dead and its place lapses.
+            logs.warning("grant not delivered", daemon=daemon, why=str(error))
+
+    # The entry daemon's end.
+
+    async def told(self, _peer: Hello, answer: Granted | GrantRefused) -> None:
+        """Take an answer that was waited for."""
+        future = self.waiting.get(answer.stream)
+        if future is not None and not future.done():
+            future.set_result(answer)
+
+    async def place(self, request: GrantRequest) -> Place:
+        """Wait for a place.
+
+        Raises
+        ------
+        RequestRefused
+            When there is none in time; the work has not run then.
+        """
+        stream = request.generation.stream
+        deadline = self.clock() + request.wait_limit
+        self.waiting[stream] = asyncio.get_running_loop().create_future()
+        try:
+            while True:
+                answer = await self._ask(request)
+                if isinstance(answer, Queued):
+                    answer = await self._wait(stream)
+                match answer:
+                    case Granted() | Joined():
+                        return answer
+                    case GrantRefused():
+                        raise refusal(answer)
+                if self.clock() > deadline:
+                    raise RequestRefused(
+                        503, "overloaded", "no place came free in time", retry_after=REASK_INTERVAL
+                    )
+        except BaseException:
+            await self.give_back(request.generation)
+            raise
+        finally:
+            del self.waiting[stream]
+
+    async def _wait(self, stream: str) -> Granted | GrantRefused | None:
+        try:
+            return await asyncio.wait_for(asyncio.shield(self.waiting[stream]), REASK_INTERVAL)
+        except TimeoutError:
+            return None
+
+    async def _ask(self, request: GrantRequest) -> Granted | Joined | Queued | GrantRefused:
+        generation = request.generation
+        small = GrantRequest(
+            evolve(generation, prompt=""),
+            request.wait_limit,
+            request.avoid,
+            request.join,
+        )
+        owners = self.membership.owners(duty(generation.team, generation.service))
+        for owner in owners[:SCHEDULERS_TRIED]:
+            if owner == self.membership.me.name:
+                break
+            try:
+                return await self.peers.call(owner, small, ACK_TIMEOUT)
+            except PeerError as error:
+                logs.warning("scheduler silent", daemon=owner, why=str(error))
+        return await self.asked(self.membership.me, small)
+
+    async def give_back(self, generation: GenerationRequest) -> None:
+        """Give up a place, or the wait for one."""
+        await self.end(generation, "", 0, "never_started")
+
+    async def end(
+        self, generation: GenerationRequest, engine: str, generated: int, outcome: str
+    ) -> None:
+        """Tell the scheduler that a stream has ended, and how."""
+        self.relayed.pop(generation.stream, None)
+        note = StreamEnded(
+            generation.team,
+            generation.service,
+            generation.stream,
+            engine,
+            generation.account,
+            generated,
+            outcome,
+        )
+        owners = self.membership.owners(duty(generation.team, generation.service))
+        if not owners or owners[0] == self.membership.me.name:
+            await self.noted(self.membership.me, note)
+            return
+        try:
+            await self.peers.send(owners[0], note)
+        except PeerError as error:
+            # The place lapses by itself, since nobody reports the stream any more.
+            logs.debug("end of stream not noted", daemon=owners[0], why=str(error))
+
+    def progress(self, generation: GenerationRequest, engine: str, generated: int) -> None:
+        """Note how far a stream has come, for the next report."""
+        self.relayed[generation.stream] = StreamState(
+            evolve(generation, prompt=""), engine, generated
+        )
+
+    async def report(self) -> None:
+        """Report the streams relayed here to their schedulers, for ever."""
+        while True:
+            await asyncio.sleep(REPORT_INTERVAL)
+            by_service: dict[tuple[str, str], list[StreamState]] = {}
+            for state in self.relayed.values():
+                key = (state.generation.team, state.generation.service)
+                by_service.setdefault(key, []).append(state)
+            for (team, service), states in by_service.items():
+                await self._report(
+                    StreamReport(self.membership.me.name, team, service, tuple(states))
+                )
+
+    async def _report(self, report: StreamReport) -> None:
+        owners = self.membership.owners(duty(report.team, report.service))
+        if not owners or owners[0] == self.membership.me.name:
+            await self.reported(self.membership.me, report)
+            return
+        try:
+            await self.peers.send(owners[0], report)
+        except PeerError as error:
+            logs.debug("streams not reported", daemon=owners[0], why=str(error))
+
+
+def refusal(answer: GrantRefused) -> RequestRefused:
+    """Turn a scheduler's refusal into the caller's final answer."""
+    status = 429 if answer.reason == "overloaded" else 503
+    return RequestRefused(status, answer.reason, answer.detail, retry_after=answer.retry_after)
--- /dev/null
+++ b/papayacourse/rendezvous.py
@@ -0,0 +1,34 @@
+"""Chooses one member for a key so that all daemons with the same list choose alike."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def weight(key: str, name: str) -> int:
+    """Return the weight of a name for a key."""
+    return xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
+
+
+def ranked(key: str, names: Iterable[str]) -> list[str]:
+    """Order names by their rendezvous weight for a key.
+
+    Parameters
+    ----------
+    key : str
+        What is to be placed, such as ``scheduler/sound/planner``.
+    names : iterable of str
+        The candidates.
+
+    Returns
+    -------
+    list of str
+        Best candidate first. Removing a name leaves the order of the rest as it was.
+    """
+    return sorted(names, key=lambda name: (-weight(key, name), name))
+
+
+def chosen(key: str, names: Iterable[str]) -> str | None:
+    """Return the best candidate for a key, or None when there are none."""
+    order = ranked(key, names)
+    return order[0] if order else None
--- /dev/null
+++ b/papayacourse/settingsfile.py
@@ -0,0 +1,40 @@
+"""Reads a file of settings for many paths, one INI section for each path."""
+
+import configparser
+from pathlib import Path
+
+from papayacourse.editor import Change, checked, checked_path
+from papayacourse.exceptions import SettingsError
+from papayacourse.settings import KINDS
+from papayacourse.types import Fault
+
+
+def read_settings_file(file: str) -> list[Change]:
+    """Read and check a file whose sections are paths.
+
+    Raises
+    ------
+    SettingsError
+        With every fault of the file.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(Path(file).read_text(encoding="utf-8"), source=file)
+    except (configparser.Error, OSError, UnicodeDecodeError) as error:
+        raise SettingsError([Fault(file, "", "", " ".join(str(error).split()))]) from error
+    changes, faults = [], []
+    for section in parser.sections():
+        try:
+            changes.append(checked(section, section_text(section, dict(parser[section]))))
+        except SettingsError as error:
+            faults += error.faults
+    if faults:
+        raise SettingsError(faults)
+    return changes
+
+
+def section_text(path: str, options: dict[str, str]) -> str:
+    """Return the INI text that a path holds for the options of its section."""
+    lines = [f"[{KINDS[checked_path(path).kind].section}]"]
+    lines += [f"{name} = {value}".replace("\n", "\n    ") for name, value in options.items()]
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/papayacourse/types.py
@@ -0,0 +1,121 @@
+"""Small typed values that several modules share."""
+
+import enum
+
+from attrs import field, frozen, validators
+
+
+class Ran(enum.StrEnum):
+    """Whether the work of a request ran, as far as it can be proved."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class HostKind(enum.StrEnum):
+    """What runs on a host of the platform's list."""
+
+    ENTRY = "entry"
+    ENGINE = "engine"
+    PLAIN = "plain"
+
+
+class HostState(enum.StrEnum):
+    """Whether a host stays or has been told to leave."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@frozen
+class Address:
+    """An IP number and a port."""
+
+    host: str
+    port: int = field(validator=[validators.ge(0), validators.le(65535)])
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Read ``host:port``; raises ValueError when it is not that."""
+        host, colon, port = text.strip().rpartition(":")
+        if not colon or not host:
+            raise ValueError(f"{text!r} is not host:port")
+        return cls(host, int(port))
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@frozen
+class Place:
+    """Where a host stands."""
+
+    domain: str
+    region: str
+
+
+@frozen
+class Fault:
+    """One thing wrong in a file or a settings value, named so that it can be found."""
+
+    where: str
+    section: str
+    option: str
+    what: str
+
+    def __str__(self) -> str:
+        spot = f"[{self.section}] {self.option}".strip() if self.section else self.option
+        return f"{self.where}: {spot}: {self.what}"
+
+
+@frozen
+class Host:
+    """One host of the platform's list.
+
+    Attributes
+    ----------
+    address : str
+        ``host:port`` of the service callers or daemons use there.
+    mesh : str
+        ``host:port`` of the daemon's mesh listener; empty for backend servers.
+    """
+
+    name: str
+    kind: HostKind
+    address: str
+    domain: str
+    region: str
+    state: HostState = HostState.LIVE
+    mesh: str = ""
+    service: str = ""
+
+
+@frozen
+class GenerationRequest:
+    """What a caller asks a model engine to generate.
+
+    Attributes
+    ----------
+    stream : str
+        The id of the generation, unique for ever.
+    prompt : str
+        The prompt, chat messages already rendered.
+    prompt_tokens : int
+        An estimate of the prompt's length in tokens.
+    max_tokens : int
+        The longest output wanted, in tokens.
+    prefixes : tuple of int
+        Hashes of growing prefixes of the prompt, for cache affinity.
+    """
+
+    stream: str
+    team: str
+    service: str
+    account: str
+    prompt: str
+    prompt_tokens: int
+    max_tokens: int
+    priority: int
+    prefixes: tuple[int, ...] = ()
+    seed: int | None = None
--- /dev/null
+++ b/standins/faultproxy.py
@@ -0,0 +1,152 @@
+"""A TCP proxy that injects faults: cuts, stalls, delays, one-way loss, closing midway."""
+
+import asyncio
+import json
+
+from attrs import define, field
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
+from tornado.tcpserver import TCPServer
+
+from standins.common import HOST, JsonHandler, parser, serve
+
+CHUNK_BYTES = 64 * 1024
+
+
+@define(eq=False, slots=False)
+class Proxy(TCPServer):
+    """Forwards connections to a target, with faults.
+
+    Attributes
+    ----------
+    mode : str
+        ``pass``, ``cut`` (refuse and close), ``stall`` (hold everything), ``stall-back`` (hold
+        only what the target sends).
+    delay : float
+        Added one way, in seconds.
+    close_after : int
+        Close a connection once the target has sent so many bytes; -1 for never.
+    """
+
+    target: str = ""
+    mode: str = "pass"
+    delay: float = 0.0
+    close_after: int = -1
+    bytes_forward: int = 0
+    bytes_back: int = 0
+    connections: set = field(factory=set)
+    switched: asyncio.Event = field(factory=asyncio.Event)
+
+    def __attrs_pre_init__(self) -> None:
+        super().__init__()
+
+    async def handle_stream(self, stream, address) -> None:
+        """Forward one connection."""
+        if self.mode == "cut":
+            stream.close()
+            return
+        host, _, port = self.target.rpartition(":")
+        try:
+            onward = await TCPClient().connect(host, int(port))
+        except OSError:
+            stream.close()
+            return
+        pair = (stream, onward)
+        self.connections.add(pair)
+        for one in pair:
+            one.set_nodelay(True)
+        await asyncio.gather(self.pump(stream, onward, False), self.pump(onward, stream, True))
+        self.connections.discard(pair)
+
+    async def pump(self, source, sink, back: bool) -> None:
+        """Copy one direction."""
+        sent = 0
+        queue: asyncio.Queue = asyncio.Queue(64)
+        writer = asyncio.ensure_future(self.drain(queue, sink))
+        loop = asyncio.get_running_loop()
+        try:
+            while True:
+                data = await source.read_bytes(CHUNK_BYTES, partial=True)
+                await self.unstalled(back)
+                sent += len(data)
+                self.count(len(data), back)
+                await queue.put((loop.time() + self.delay, data))
+                if back and 0 <= self.close_after <= sent:
+                    self.close_after = -1
+                    break
+        except StreamClosedError:
+            pass
+        await queue.put((0.0, None))
+        await writer
+        source.close()
+        sink.close()
+
+    async def unstalled(self, back: bool) -> None:
+        """Wait while this direction is held."""
+        while self.mode == "stall" or (back and self.mode == "stall-back"):
+            self.switched.clear()
+            await self.switched.wait()
+
+    def count(self, size: int, back: bool) -> None:
+        """Count bytes by direction."""
+        if back:
+            self.bytes_back += size
+        else:
+            self.bytes_forward += size
+
+    async def drain(self, queue: asyncio.Queue, sink) -> None:
+        """Write what is due, in order."""
+        loop = asyncio.get_running_loop()
+        while True:
+            due, data = await queue.get()
+            if data is None:
+                return
+            await asyncio.sleep(max(0.0, due - loop.time()))
+            try:
+                await sink.write(data)
+            except StreamClosedError:
+                data = None
+
+    def cut_all(self) -> None:
+        """Close every connection."""
+        for pair in list(self.connections):
+            for stream in pair:
+                stream.close()
+
+
+class Admin(JsonHandler):
+    """The switches, for tests."""
+
+    def get(self) -> None:
+        """Answer with the bytes forwarded."""
+        proxy = self.standin
+        self.finish({"forward": proxy.bytes_forward, "back": proxy.bytes_back})
+
+    def post(self) -> None:
+        """Set switches; ``mode: cut`` also closes what is open."""
+        for name, value in self.body().items():
+            setattr(self.standin, name, value)
+        self.standin.switched.set()
+        if self.body().get("mode") == "cut":
+            self.standin.cut_all()
+        self.finish({})
+
+
+async def listen(proxy: Proxy, name: str) -> None:
+    """Listen for connections to forward, and say where."""
+    proxy.listen(0, HOST)
+    port = next(iter(proxy._sockets.values())).getsockname()[1]
+    print(json.dumps({"proxy": name, "address": f"{HOST}:{port}"}), flush=True)
+
+
+def main() -> None:
+    """Run the proxy; its admin address is the ready line's, its own is the proxy line's."""
+    options = parser("fault-injecting proxy")
+    options.add_argument("--target", default="")
+    parsed = options.parse_args()
+    proxy = Proxy(target=parsed.target)
+    serve(parsed, [("/admin", Admin, {"standin": proxy})], listen(proxy, parsed.name))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/plainservice.py
@@ -0,0 +1,78 @@
+"""A plain service that counts how often each key ran."""
+
+import asyncio
+from collections import Counter
+
+from attrs import define, field
+
+from standins.common import JsonHandler, parser, serve
+
+
+@define(eq=False)
+class PlainService:
+    """The calls that ran, and the switches that make it fail."""
+
+    name: str = ""
+    ran: Counter = field(factory=Counter)
+    calls: int = 0
+    delay: float = 0.0
+    close_before: int = 0
+    close_after: int = 0
+
+
+class Run(JsonHandler):
+    """Any call: it runs, and says so."""
+
+    async def _run(self) -> None:
+        service = self.standin
+        key = self.request.headers.get("Idempotency-Key", "")
+        if service.close_before:
+            service.close_before -= 1
+            self.request.connection.stream.close()
+            return
+        service.calls += 1
+        if key:
+            service.ran[key] += 1
+        if service.delay:
+            await asyncio.sleep(service.delay)
+        if service.close_after:
+            service.close_after -= 1
+            self.request.connection.stream.close()
+            return
+        self.set_header("X-Backend", service.name)
+        self.finish(
+            {
+                "method": self.request.method,
+                "uri": self.request.uri,
+                "key": key,
+                "times": service.ran[key],
+                "body": self.request.body.decode(errors="replace"),
+            }
+        )
+
+    get = post = put = patch = delete = _run
+
+
+class Admin(JsonHandler):
+    """The counts and switches, for tests."""
+
+    def get(self) -> None:
+        """Answer with how often each key ran."""
+        self.finish({"ran": dict(self.standin.ran), "calls": self.standin.calls})
+
+    def post(self) -> None:
+        """Set switches: delay, close_before, close_after."""
+        for name, value in self.body().items():
+            setattr(self.standin, name, value)
+        self.finish({})
+
+
+def main() -> None:
+    """Run the service."""
+    options = parser("plain service").parse_args()
+    shared = {"standin": PlainService(options.name)}
+    serve(options, [("/admin", Admin, shared), (".*", Run, shared)])
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""The tests of papayacourse: behave features with real processes."""
--- /dev/null
+++ b/tests/features/steps/caller_steps.py
@@ -0,0 +1,43 @@
+"""Steps that callers take."""
+
+from behave import then, when
+
+from standins.fleet import call
+from tests.callers import KEYS, StreamingCaller, check_whole
+
+
+def caller(context, account, prompt, model, daemon, **options):
+    """Return a caller of one daemon."""
+    address = context.fleet.processes[daemon].http
+    return StreamingCaller(address, account, model, prompt, **options)
+
+
+@when('account "{account}" streams "{prompt}" from "{model}" through "{daemon}"')
+def stream_to_end(context, account, prompt, model, daemon):
+    context.caller = caller(context, account, prompt, model, daemon).start()
+    context.caller.join()
+
+
+@when('account "{account}" starts streaming "{prompt}" from "{model}" through "{daemon}"')
+def start_stream(context, account, prompt, model, daemon):
+    context.caller = caller(context, account, prompt, model, daemon).start()
+    context.caller.wait_tokens(5)
+
+
+@then("the answer has {count:d} tokens of one generation in order")
+def answer_is_whole(context, count):
+    context.caller.join()
+    assert not context.caller.broken, context.caller.broken
+    assert context.caller.error is None, context.caller.error
+    assert context.caller.done, "no [DONE]"
+    check_whole(context.caller.texts, count)
+
+
+@when('account "{account}" posts refund "{key}" through "{daemon}"')
+def post_refund(context, account, key, daemon):
+    headers = {"Authorization": f"Bearer {KEYS[account]}", "Idempotency-Key": key}
+    address = context.fleet.processes[daemon].http
+    context.answer = call(
+        address, "POST", "/services/deposit-ledger/refunds", {"crates": 3}, headers
+    )
+    assert context.answer.status == 200, context.answer.body
--- /dev/null
+++ b/tests/run.py
@@ -0,0 +1,86 @@
+"""Runs every behave feature, several at once, and prints one closing line."""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from attrs import frozen
+
+TESTS = Path(__file__).parent
+KNOWN_RED = TESTS.parent / "KNOWN-RED.txt"
+AT_ONCE = 3
+FEATURE_LIMIT = 1200  # seconds
+
+
+@frozen
+class Outcome:
+    """What became of one scenario."""
+
+    name: str
+    passed: bool
+    output: str = ""
+
+
+def known_red() -> set[str]:
+    """Return the names of scenarios that KNOWN-RED.txt lists, each on a ``test:`` line."""
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
+    return {line.removeprefix("test:").strip() for line in lines if line.startswith("test:")}
+
+
+def run_feature(file: Path) -> list[Outcome]:
+    """Run one feature in a process of its own."""
+    with tempfile.NamedTemporaryFile(suffix=".json") as report:
+        command = [sys.executable, "-m", "behave", "--no-capture", "-f", "json", "-o", report.name]
+        command += ["-f", "plain", str(file)]
+        done = subprocess.run(
+            command,
+            cwd=TESTS,
+            capture_output=True,
+            text=True,
+            timeout=FEATURE_LIMIT,
+            check=False,
+            env=os.environ | {"PYTHONPATH": str(TESTS.parent)},
+        )
+        text = Path(report.name).read_text(encoding="utf-8")
+    output = done.stdout + done.stderr
+    try:
+        features = json.loads(text)
+    except ValueError:
+        return [Outcome(f"{file.stem}: did not run", False, output)]
+    scenarios = [
+        Outcome(element["name"], element.get("status") == "passed", output)
+        for feature in features
+        for element in feature.get("elements", [])
+        if element["type"] != "background"
+    ]
+    if done.returncode and all(outcome.passed for outcome in scenarios):
+        scenarios.append(Outcome(f"{file.stem}: behave failed", False, output))
+    return scenarios
+
+
+def main() -> int:
+    """Run what the command line names, or every feature; returns the exit status."""
+    files = [Path(name).resolve() for name in sys.argv[1:]] or sorted(
+        TESTS.glob("features/*.feature")
+    )
+    with ThreadPoolExecutor(AT_ONCE) as pool:
+        outcomes = [outcome for found in pool.map(run_feature, files) for outcome in found]
+    red = known_red()
+    failed = [outcome for outcome in outcomes if not outcome.passed]
+    for text in dict.fromkeys(outcome.output for outcome in failed):
+        print(text[-8000:])
+    for outcome in failed:
+        print(f"{'KNOWN RED' if outcome.name in red else 'FAILED'}: {outcome.name}")
+    unknown = [outcome for outcome in failed if outcome.name not in red]
+    print(f"{len(outcomes) - len(failed)} passed, {len(unknown)} failed")
+    return 1 if unknown or not outcomes else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
