Split the handlers by what they serve; add invariants and domain summaries

Cause: one module held every HTTP handler, and the parts to come need a shared way to check invariants and a message in which domains tell each other how they stand.

Change: completions, plaincalls, pages and routes beside web; invariants.check, fatal when the configuration says so (every test fleet does); DomainSummary and ServiceLoad messages.

--- a/papayacourse/config.py
+++ b/papayacourse/config.py
@@ -39,6 +39,8 @@
         The longest a caller may take to send its request, in seconds.
     stop_timeout : float
         The longest a graceful stop waits for requests in progress, in seconds.
+    fatal_invariants : bool
+        Whether a violated invariant ends the process; for tests.
     """
 
     name: str
@@ -56,6 +58,7 @@
     max_header_bytes: int = 32 * 1024
     body_timeout: float = 20.0
     stop_timeout: float = 3600.0
+    fatal_invariants: bool = False
 
 
 def address_list(text: str) -> tuple[Address, ...]:
@@ -84,6 +87,13 @@
     return text.strip()
 
 
+def yes_or_no(text: str) -> bool:
+    """Read yes or no."""
+    if text.lower() not in ("yes", "no"):
+        raise ValueError(f"{text!r} is neither yes nor no")
+    return text.lower() == "yes"
+
+
 def positive(kind: Callable) -> Callable:
     """Make a reader of numbers above zero."""
 
@@ -123,6 +133,7 @@
     Option("limits", "max_header_bytes", "max_header_bytes", positive(int), required=False),
     Option("limits", "body_timeout", "body_timeout", positive(float), required=False),
     Option("limits", "stop_timeout", "stop_timeout", positive(float), required=False),
+    Option("invariants", "fatal", "fatal_invariants", yes_or_no, required=False),
 )
 
 
--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -16,7 +16,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
-from papayacourse import logs, web
+from papayacourse import invariants, logs, routes
 from papayacourse.catalog import Catalog, Client
 from papayacourse.config import DaemonConfig
 from papayacourse.cursor import CursorSigner
@@ -62,6 +62,9 @@
         self.idle = asyncio.Event()
         self.idle.set()
         self.metrics = Metrics(config.name)
+        invariants.start(
+            config.fatal_invariants, lambda name: self.metrics.violations.add(1, {"name": name})
+        )
         self.catalog = Catalog()
         self.store = KeyValueStore(config.kvstore, self.metrics.count_platform)
         self.signer = CursorSigner(derived(config.mesh_key, "cursor"))
@@ -106,7 +109,7 @@
     def _listen(self, stack: AsyncExitStack) -> Address:
         config = self.config
         self.server = HTTPServer(
-            Application(web.routes(self), compress_response=False, log_function=lambda _: None),
+            Application(routes.routes(self), compress_response=False, log_function=lambda _: None),
             max_body_size=config.max_body_bytes,
             max_buffer_size=config.max_body_bytes + config.max_header_bytes,
             max_header_size=config.max_header_bytes,
--- a/papayacourse/messages.py
+++ b/papayacourse/messages.py
@@ -39,6 +39,43 @@
     revision: int
 
 
+@frozen
+class ServiceLoad:
+    """How one service stands in one failure domain, as its scheduler sees it.
+
+    Attributes
+    ----------
+    queued : int
+        Requests waiting.
+    expected_wait : float
+        The wait a new request can expect, in seconds.
+    free_tokens : int
+        Memory that admission may still give out, in tokens.
+    """
+
+    team: str
+    service: str
+    queued: int
+    expected_wait: float
+    free_tokens: int
+
+
+@frozen
+class DomainSummary:
+    """What a failure domain tells the others about itself, once a second, between gateways.
+
+    Attributes
+    ----------
+    live : tuple of Hello
+        Its live daemons that stay.
+    """
+
+    domain: str
+    region: str
+    live: tuple[Hello, ...]
+    loads: tuple[ServiceLoad, ...]
+
+
 @frozen
 class Heartbeat:
     """Says once a second that a daemon lives and what it knows.
@@ -51,6 +88,8 @@
         A hash over all (path, revision) pairs in force there.
     hosts_version : int
         The version of the host list it knows.
+    loads : tuple of ServiceLoad
+        The services that it schedules.
     """
 
     name: str
@@ -58,6 +97,7 @@
     leaving: bool
     settings_digest: int
     hosts_version: int
+    loads: tuple[ServiceLoad, ...] = ()
 
 
 @frozen
@@ -241,6 +281,7 @@
     Hello
     | Proof
     | Heartbeat
+    | DomainSummary
     | SettingsDigest
     | SettingsUpdate
     | HostsUpdate
--- /dev/null
+++ b/papayacourse/pages.py
@@ -0,0 +1,50 @@
+"""The handlers for the balancer, for scraping and for operators."""
+
+from papayacourse import metrics
+from papayacourse.exceptions import RequestRefused
+from papayacourse.web import Handler
+
+
+class Health(Handler):
+    """``GET /healthz``: the process answers."""
+
+    def get(self) -> None:
+        """Answer."""
+        self.finish({"status": "ok"})
+
+
+class Ready(Handler):
+    """``GET /readyz``: the balancer may send callers here."""
+
+    def get(self) -> None:
+        """Answer 200, or 503 while starting or stopping."""
+        if not self.daemon.ready:
+            raise RequestRefused(503, "not_ready", "starting or stopping", retry_after=1.0)
+        self.finish({"status": "ready"})
+
+
+class MetricsPage(Handler):
+    """``GET /metrics``: for scraping."""
+
+    def get(self) -> None:
+        """Answer in Prometheus form."""
+        self.set_header("Content-Type", metrics.CONTENT_TYPE)
+        self.finish(self.daemon.metrics.text())
+
+
+class Status(Handler):
+    """``GET /debug/status``: what the daemon thinks, for operators."""
+
+    def get(self) -> None:
+        """Answer with the daemon's status; the mesh key is the operators' key."""
+        if not self.daemon.is_operator(self.request.headers.get("Authorization", "")):
+            raise RequestRefused(401, "bad_key", "operators use the mesh key")
+        self.finish(self.daemon.status())
+
+
+class UnknownPath(Handler):
+    """Any other path."""
+
+    def prepare(self) -> None:
+        """Refuse it."""
+        raise RequestRefused(404, "unknown_path", f"there is nothing at {self.request.path!r}")
--- /dev/null
+++ b/papayacourse/plaincalls.py
@@ -0,0 +1,62 @@
+"""The handler of plain services: calls passed through, and non-repeatable ones recorded."""
+
+from urllib.parse import urlsplit
+
+from papayacourse.catalog import Client
+from papayacourse.exceptions import BackendError, BackendUnreachable, RequestRefused
+from papayacourse.plain import PlainCall, forward_to_any, passed_on
+from papayacourse.records import key_hash
+from papayacourse.settings import ServiceSettings
+from papayacourse.types import HostKind, Ran
+from papayacourse.web import Handler
+
+MAX_KEY_LENGTH = 255  # characters of an Idempotency-Key
+
+
+class Plain(Handler):
+    """``/services/NAME/…``: calls passed through to a plain service."""
+
+    async def _pass(self, name: str) -> None:
+        client = self.client()
+        settings = self.service(client, name, HostKind.PLAIN)
+        split = urlsplit(self.request.uri)
+        path = split.path.removeprefix(f"/services/{name}") or "/"
+        call = PlainCall(
+            self.request.method,
+            path + (f"?{split.query}" if split.query else ""),
+            passed_on(self.request.headers),
+            self.request.body,
+        )
+        with self.daemon.in_progress(client):
+            answer = await self._run(client, name, settings, call, path)
+        self.set_status(answer.status)
+        self.clear_header("Content-Type")
+        for header, value in answer.headers:
+            self.add_header(header, value)
+        self.set_header("X-Request-Id", self.request_id)
+        await self.finish(answer.body if answer.status not in (204, 304) else None)
+
+    async def _run(
+        self, client: Client, name: str, settings: ServiceSettings, call: PlainCall, path: str
+    ):
+        addresses = self.daemon.plain_addresses(client.team, name)
+        if any(pattern.matches(call.method, path) for pattern in settings.non_repeatable):
+            key = self.request.headers.get("Idempotency-Key", "")
+            if not key or len(key) > MAX_KEY_LENGTH:
+                raise RequestRefused(
+                    400,
+                    "key_needed",
+                    f"this call needs an Idempotency-Key, 1 to {MAX_KEY_LENGTH} long",
+                )
+            record = key_hash(client.team, name, client.name, key)
+            return await self.daemon.records.run(
+                client.team, record, call, addresses, settings.call_timeout
+            )
+        try:
+            return await forward_to_any(addresses, call, settings.call_timeout)
+        except BackendUnreachable as error:
+            raise RequestRefused(503, "no_backend", str(error), retry_after=1.0) from error
+        except BackendError as error:
+            raise RequestRefused(502, "answer_lost", str(error), Ran.UNKNOWN) from error
+
+    get = post = put = patch = delete = head = options = _pass
--- /dev/null
+++ b/papayacourse/routes.py
@@ -0,0 +1,21 @@
+"""Which handler serves which path."""
+
+from papayacourse.completions import Completions, Models
+from papayacourse.pages import Health, MetricsPage, Ready, Status, UnknownPath
+from papayacourse.plaincalls import Plain
+
+
+def routes(daemon) -> list[tuple]:
+    """Return the routing table of a daemon."""
+    shared = {"daemon": daemon}
+    return [
+        (r"/v1/chat/completions", Completions, shared | {"is_chat": True}),
+        (r"/v1/completions", Completions, shared | {"is_chat": False}),
+        (r"/v1/models", Models, shared),
+        (r"/services/([^/]+)(?:/.*)?", Plain, shared),
+        (r"/healthz", Health, shared),
+        (r"/readyz", Ready, shared),
+        (r"/metrics", MetricsPage, shared),
+        (r"/debug/status", Status, shared),
+        (r".*", UnknownPath, shared),
+    ]
--- a/papayacourse/settings.py
+++ b/papayacourse/settings.py
@@ -14,6 +14,7 @@
     read_option,
     unknown_options,
     word,
+    yes_or_no,
 )
 from papayacourse.types import Fault, HostKind
 
@@ -139,13 +140,6 @@
 POLICIES = ("predicted", "round-robin", "least-outstanding", "reserve-maximum")
 
 
-def yes_or_no(text: str) -> bool:
-    """Read yes or no."""
-    if text.lower() not in ("yes", "no"):
-        raise ValueError(f"{text!r} is neither yes nor no")
-    return text.lower() == "yes"
-
-
 def names(text: str) -> tuple[str, ...]:
     """Read names or patterns separated by commas."""
     parts = tuple(part.strip() for part in text.split(",") if part.strip())
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -214,6 +214,7 @@
             f"[platform]\nkvstore = {kv}\nhostlist = {hosts}\n"
             f"[mesh]\nkey = {MESH_KEY}\nseeds = {' '.join(seeds)}\n"
             f"[log]\nlevel = {self.log_level}\n"
+            "[invariants]\nfatal = yes\n"
             f"{platform.get('extra', '')}"
         )
         return file
