Refuse bad requests in the daemon's own words, before the body is read

Cause: tornado answers a body over its limit with a bare 400, closes without a word on large headers and slow senders, so a caller could not tell its fault nor whether the work ran.

Change: handlers read the body themselves; the key, the announced length and the headers are checked before the body; 413, 431 and 408 are problem details with ran: no. Tornado's own limits stay at four times the configured ones, as a hard bound on what a connection may hold. Log lines carry the request's id, and frames between daemons carry it on.

Ruled out: raising tornado's limits alone, since then the whole body is held before the refusal.

--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Settings, prompts and a demonstration."""
--- a/papayacourse/completions.py
+++ b/papayacourse/completions.py
@@ -32,7 +32,7 @@
     async def post(self) -> None:
         """Serve one generation."""
         client = self.client()
-        ask = chat.parse_ask(self.request.body, self.is_chat)
+        ask = chat.parse_ask(self.body(), self.is_chat)
         self.wanted = self.service(client, ask.model, HostKind.ENGINE)
         self.task = asyncio.current_task()
         with self.daemon.in_progress(client):
--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -36,7 +36,9 @@
 from papayacourse.version import __version__
 from papayacourse.watch import SettingsWatch
 
-IDLE_CONNECTION_TIMEOUT = 300.0  # seconds
+IDLE_CONNECTION_TIMEOUT = 75.0  # seconds
+HARD_LIMIT_FACTOR = 4
+MIN_BUFFER_BYTES = 256 * 1024
 BALANCER_NOTICE = 0.5  # seconds between turning not ready and refusing new connections
 
 
@@ -110,10 +112,12 @@
         config = self.config
         self.server = HTTPServer(
             Application(routes.routes(self), compress_response=False, log_function=lambda _: None),
-            max_body_size=config.max_body_bytes,
-            max_buffer_size=config.max_body_bytes + config.max_header_bytes,
-            max_header_size=config.max_header_bytes,
-            body_timeout=config.body_timeout,
+            # The handlers refuse in their own words what is over the configured limits; these
+            # only bound what a connection may make the daemon hold before a handler runs.
+            max_body_size=config.max_body_bytes * HARD_LIMIT_FACTOR,
+            max_buffer_size=max(config.max_header_bytes * HARD_LIMIT_FACTOR, MIN_BUFFER_BYTES),
+            max_header_size=config.max_header_bytes * HARD_LIMIT_FACTOR,
+            body_timeout=config.body_timeout * HARD_LIMIT_FACTOR,
             idle_connection_timeout=IDLE_CONNECTION_TIMEOUT,
         )
         sockets = bind_sockets(config.http.port, config.http.host)
--- a/papayacourse/logs.py
+++ b/papayacourse/logs.py
@@ -1,5 +1,6 @@
 """Writes the daemon's log as JSON lines through eliot."""
 
+import contextvars
 import enum
 import sys
 import traceback
@@ -17,6 +18,17 @@
 
 
 threshold = LogLevel.INFO
+bound: contextvars.ContextVar[str] = contextvars.ContextVar("request", default="")
+
+
+def bind(request: str) -> None:
+    """Write a request's id on every later line of this task and those it starts."""
+    bound.set(request)
+
+
+def request() -> str:
+    """Return the request's id that this task works for; empty for none."""
+    return bound.get()
 
 
 def start(level: str, daemon: str) -> None:
@@ -38,6 +50,8 @@
 def write(level: LogLevel, event: str, **fields) -> None:
     """Write one line, unless the level is below the threshold."""
     if level >= threshold:
+        if bound.get():
+            fields.setdefault("request", bound.get())
         eliot.log_message(message_type=event, level=level.name.lower(), **fields)
 
 
--- a/papayacourse/pages.py
+++ b/papayacourse/pages.py
@@ -8,6 +8,8 @@
 class Health(Handler):
     """``GET /healthz``: the process answers."""
 
+    needs_account = False
+
     def get(self) -> None:
         """Answer."""
         self.finish({"status": "ok"})
@@ -16,6 +18,8 @@
 class Ready(Handler):
     """``GET /readyz``: the balancer may send callers here."""
 
+    needs_account = False
+
     def get(self) -> None:
         """Answer 200, or 503 while starting or stopping."""
         if not self.daemon.ready:
@@ -26,6 +30,8 @@
 class MetricsPage(Handler):
     """``GET /metrics``: for scraping."""
 
+    needs_account = False
+
     def get(self) -> None:
         """Answer in Prometheus form."""
         self.set_header("Content-Type", metrics.CONTENT_TYPE)
@@ -35,6 +41,8 @@
 class Status(Handler):
     """``GET /debug/status``: what the daemon thinks, for operators."""
 
+    needs_account = False
+
     def get(self) -> None:
         """Answer with the daemon's status; the mesh key is the operators' key."""
         if not self.daemon.is_operator(self.request.headers.get("Authorization", "")):
--- a/papayacourse/peers.py
+++ b/papayacourse/peers.py
@@ -74,7 +74,7 @@
         answer: asyncio.Future = asyncio.get_running_loop().create_future()
         self.calls[number] = answer
         try:
-            self.send(Frame(number, False, message))
+            self.send(Frame(number, False, message, logs.request()))
             return await asyncio.wait_for(answer, timeout)
         except TimeoutError as error:
             raise PeerTimeout(f"{self.peer.name} did not answer in {timeout} s") from error
@@ -265,6 +265,7 @@
         task.add_done_callback(link.answering.discard)
 
     async def _answer(self, link: Link, frame: Frame) -> None:
+        logs.bind(frame.request)
         try:
             answer = await self.handlers[type(frame.message)](link.peer, frame.message)
         except Exception as error:
@@ -314,7 +315,7 @@
     async def send(self, name: str, message: Message) -> None:
         """Tell a peer something; raises PeerUnreachable when there is no link."""
         link = await self.link_to(name)
-        link.send(Frame(0, False, message))
+        link.send(Frame(0, False, message, logs.request()))
 
 
 async def _binary(connection: Connection) -> bytes:
--- a/papayacourse/plaincalls.py
+++ b/papayacourse/plaincalls.py
@@ -25,7 +25,7 @@
             self.request.method,
             path + (f"?{split.query}" if split.query else ""),
             passed_on(self.request.headers),
-            self.request.body,
+            self.body(),
         )
         with self.daemon.in_progress(client):
             answer = await self._run(client, name, settings, call, path)
--- a/papayacourse/web.py
+++ b/papayacourse/web.py
@@ -3,7 +3,8 @@
 import json
 import secrets
 
-from tornado.web import HTTPError, RequestHandler
+from tornado.ioloop import IOLoop
+from tornado.web import HTTPError, RequestHandler, stream_request_body
 
 from papayacourse import logs, problems
 from papayacourse.catalog import Client, may_use
@@ -12,13 +13,67 @@
 from papayacourse.types import HostKind, Ran
 
 
+@stream_request_body
 class Handler(RequestHandler):
     """What all handlers share: the daemon, the caller's account and the form of errors."""
 
+    needs_account = True
+
     def initialize(self, daemon) -> None:
         """Take the daemon (called by tornado)."""
         self.daemon = daemon
         self.request_id = secrets.token_hex(8)
+        self.parts: list[bytes] = []
+        self.size = 0
+        self.body_deadline = None
+        logs.bind(self.request_id)
+
+    def prepare(self) -> None:
+        """Refuse what can be refused before the body is read (called by tornado)."""
+        config = self.daemon.config
+        if header_bytes(self.request) > config.max_header_bytes:
+            limit = f"the headers are longer than {config.max_header_bytes} bytes"
+            raise RequestRefused(431, "header_too_large", limit)
+        if self.needs_account:
+            self.client()
+        if int(self.request.headers.get("Content-Length", 0)) > config.max_body_bytes:
+            raise self.too_large()
+        self.body_deadline = IOLoop.current().call_later(config.body_timeout, self.too_slow)
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take a piece of the body (called by tornado)."""
+        if self._finished:
+            return
+        self.size += len(chunk)
+        if self.size > self.daemon.config.max_body_bytes:
+            self.refuse(self.too_large())
+            return
+        self.parts.append(chunk)
+
+    def body(self) -> bytes:
+        """Return the whole body; it has come once the handler's method runs."""
+        self.stop_deadline()
+        return b"".join(self.parts)
+
+    def stop_deadline(self) -> None:
+        """Stop waiting for the body."""
+        if self.body_deadline is not None:
+            IOLoop.current().remove_timeout(self.body_deadline)
+            self.body_deadline = None
+
+    def on_finish(self) -> None:
+        """Clean up (called by tornado)."""
+        self.stop_deadline()
+
+    def too_large(self) -> RequestRefused:
+        """Return the refusal of a body over the limit."""
+        limit = f"the body is longer than {self.daemon.config.max_body_bytes} bytes"
+        return RequestRefused(413, "body_too_large", limit)
+
+    def too_slow(self) -> None:
+        """Refuse a request whose body has not come in time."""
+        limit = f"the body did not come within {self.daemon.config.body_timeout} s"
+        self.refuse(RequestRefused(408, "too_slow", limit))
 
     def set_default_headers(self) -> None:
         """Name the server (called by tornado)."""
@@ -51,7 +106,7 @@
     def refuse(self, refused: RequestRefused) -> None:
         """Write a refusal, before anything else has been written."""
         self.daemon.metrics.refusals.add(1, {"reason": refused.reason})
-        logs.info("refused", request=self.request_id, reason=refused.reason, status=refused.status)
+        logs.info("refused", reason=refused.reason, status=refused.status)
         self.set_status(refused.status)
         self.set_header("Content-Type", problems.CONTENT_TYPE)
         if refused.retry_after is not None:
@@ -61,7 +116,13 @@
     def log_exception(self, kind, error, traceback) -> None:
         """Log what nobody expected; refusals are logged where they are written."""
         if not isinstance(error, RequestRefused | HTTPError):
-            logs.failure("handler failed", error, request=self.request_id)
+            logs.failure("handler failed", error)
+
+
+def header_bytes(request) -> int:
+    """Return how long a request's first line and headers are, in bytes."""
+    lines = sum(len(name) + len(value) + 4 for name, value in request.headers.get_all())
+    return lines + len(request.method) + len(request.uri)
 
 
 def as_refusal(error: BaseException | None, status: int) -> RequestRefused:
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field
 
-KEYS = {"organisers": "organisers-key", "depots": "depots-key"}
+KEYS = {"organisers": "organisers-key", "depots": "depots-key", "single": "single-key"}
 LIMIT = 60.0  # seconds
 
 
