Order engines to load what their deployments say, under a lease with a fencing number

Cause: deployments name a model, adapter and version, and nothing brought engines in line with them.

Change: leases.py holds a duty by a key written under a lease; its revision is the fencing number. orders.py, at the one holder, empties an engine of streams (a drain note to its scheduler), fetches within the weight store's rate, confirms the lease by a fresh read, orders, and reads the state back in the next round. Engines that ignore fencing numbers get no order until the previous holder has had its longest pause. Weights at hand are not fetched again.

Found on the way: a drain note lasted past the change, so that in a rolling change of three engines all three were out of service and a request was refused; the holder now ends the note as soon as the engine is in line.

Ruled out: one lease per deployment, since the weight store's budget would then have to be shared.

--- a/papayacourse/catalog.py
+++ b/papayacourse/catalog.py
@@ -143,6 +143,13 @@
         ]
         yield from (setting for _, setting in sorted(found, key=lambda pair: pair[0]))
 
+    def all_deployments(self) -> Iterator[tuple[str, str, DeploymentSettings]]:
+        """Yield every deployment with its team and name, in a fixed order."""
+        for path in sorted(self.in_force, key=str):
+            setting = self.in_force[path]
+            if isinstance(setting, DeploymentSettings):
+                yield path.team, path.name, setting
+
     def account(self, team: str, name: str) -> AccountSettings | None:
         """Return an account's settings."""
         return self.in_force.get(SettingsPath(team, "accounts", name))
--- a/papayacourse/config.py
+++ b/papayacourse/config.py
@@ -27,8 +27,8 @@
         Where to listen for callers and for other daemons.
     kvstore, hostlist : Address
         The platform's key-value service and host list.
-    weightstore : Address or None
-        The platform's weight store, where orders to engines need it.
+    weight_rate : float
+        Fetches per second that the platform's weight store allows, for the whole fleet.
     mesh_key : str
         The secret that daemons prove to each other.
     seeds : tuple of Address
@@ -51,7 +51,7 @@
     kvstore: Address
     hostlist: Address
     mesh_key: str
-    weightstore: Address | None = None
+    weight_rate: float = 1.0
     seeds: tuple[Address, ...] = ()
     log_level: str = "info"
     max_body_bytes: int = 4 * 1024 * 1024
@@ -125,7 +125,7 @@
     Option("listen", "mesh", "mesh", Address.parse),
     Option("platform", "kvstore", "kvstore", Address.parse),
     Option("platform", "hostlist", "hostlist", Address.parse),
-    Option("platform", "weightstore", "weightstore", Address.parse, required=False),
+    Option("platform", "weight_rate", "weight_rate", positive(float), required=False),
     Option("mesh", "key", "mesh_key", secret),
     Option("mesh", "seeds", "seeds", address_list, required=False),
     Option("log", "level", "log_level", log_level, required=False),
--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -23,9 +23,11 @@
 from papayacourse.exceptions import RequestRefused
 from papayacourse.hostlist import HostList
 from papayacourse.kvstore import KeyValueStore
+from papayacourse.leases import Lease
 from papayacourse.membership import Membership
 from papayacourse.messages import Hello
 from papayacourse.metrics import Metrics
+from papayacourse.orders import LEASE_KEY, Orders, WeightBudget
 from papayacourse.pace import TokenClock, token_clock
 from papayacourse.peers import Peers
 from papayacourse.placement import Placement
@@ -89,6 +91,13 @@
             hello, self.peers, self.catalog, HostList(config.hostlist), config.seeds
         )
         self.placement = Placement(self.membership, self.peers, self.scheduler)
+        self.orders = Orders(
+            Lease(self.store, LEASE_KEY, config.name),
+            self.catalog,
+            self.membership,
+            WeightBudget(config.weight_rate),
+            self.placement.drain,
+        )
         mesh = await stack.enter_async_context(self.peers.listening(config.mesh))
         self.peers.hello = Hello(
             config.name, incarnation, config.domain, config.region, str(mesh), b""
@@ -100,6 +109,7 @@
             self.membership.follow_host_list(),
             self.membership.greet_seeds(),
             self.placement.report(),
+            self.orders.run(),
         ):
             self.spawn(work)
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -261,6 +271,7 @@
                 }
                 for (team, service), scheduler in self.schedulers.items()
             ],
+            "orders": self.orders.lease.fence if self.orders.lease.holds() else None,
             "mesh_bytes": self.peers.bytes_total(),
         }
 
--- a/papayacourse/engines.py
+++ b/papayacourse/engines.py
@@ -17,6 +17,7 @@
 CONNECT_TIMEOUT = 1.0  # seconds
 SILENCE_TIMEOUT = 5.0  # seconds without an event before the link counts as stalled
 CONTROL_TIMEOUT = 2.0  # seconds
+ORDER_TIMEOUT = 3.0  # seconds, loading from the weight store included
 MAX_EVENT_BYTES = 256 * 1024
 
 
@@ -53,6 +54,47 @@
     leaving: bool
 
 
+@frozen
+class Wanted:
+    """What an engine has loaded, or must have, and its role."""
+
+    model: str
+    adapter: str
+    version: str
+    role: str
+
+    @property
+    def weights(self) -> str:
+        """Return the name of its weights in the weight store."""
+        return "@".join(part for part in (self.model, self.adapter, self.version) if part)
+
+
+@frozen
+class Order:
+    """An order to load something, with the fencing number of who gives it."""
+
+    fence: int
+    wanted: Wanted
+
+
+@frozen
+class EngineState:
+    """What an engine says of itself when asked, without a lag.
+
+    Attributes
+    ----------
+    weights : frozenset of str
+        The weights it has at hand, loaded or not.
+    running : int
+        Its streams, those that wait included.
+    """
+
+    loaded: Wanted
+    fence: int
+    weights: frozenset[str]
+    running: int
+
+
 def split_events(buffer: bytearray) -> Iterator[bytes]:
     """Take whole server-sent events off the front of a buffer."""
     while True:
@@ -140,12 +182,18 @@
                 yield batch
 
 
-async def control(address: str, method: str, path: str, body: dict | None = None) -> dict:
+async def control(
+    address: str,
+    method: str,
+    path: str,
+    body: dict | None = None,
+    idle_timeout: float = CONTROL_TIMEOUT,
+) -> dict:
     """Make one short call to an engine and return its JSON answer."""
     data = json.dumps(body).encode() if body is not None else b""
     call = HttpCall(
         Address.parse(address), method, path, body=data,
-        connect_timeout=CONNECT_TIMEOUT, idle_timeout=CONTROL_TIMEOUT,
+        connect_timeout=CONNECT_TIMEOUT, idle_timeout=idle_timeout,
     )  # fmt: skip
     async with call:
         answer = await call.read()
@@ -191,3 +239,38 @@
         )
     except (KeyError, TypeError, ValueError) as error:
         raise BackendProtocolError(f"{address}: not a load report") from error
+
+
+def wanted_from(raw: dict) -> Wanted:
+    """Read what an engine has loaded; what it does not name is empty."""
+    return Wanted(*(str(raw.get(name, "")) for name in ("model", "adapter", "version", "role")))
+
+
+async def state(address: str) -> EngineState:
+    """Return what an engine has loaded now, and the highest fencing number it has seen."""
+    raw = await control(address, "GET", "/orders")
+    try:
+        loaded = wanted_from(raw["loaded"])
+        return EngineState(loaded, int(raw["fence"]), frozenset(raw["weights"]), raw["running"])
+    except (KeyError, TypeError, ValueError) as error:
+        raise BackendProtocolError(f"{address}: not an engine's state") from error
+
+
+async def order(address: str, what: Order) -> Wanted:
+    """Give an engine an order; returns what it has loaded afterwards.
+
+    Raises
+    ------
+    BackendRefused
+        With status 412 when the engine has seen a higher fencing number.
+    """
+    wanted = what.wanted
+    load = {
+        "model": wanted.model,
+        "adapter": wanted.adapter,
+        "version": wanted.version,
+        "role": wanted.role,
+    }
+    body = {"fence": what.fence, "load": load}
+    raw = await control(address, "POST", "/orders", body, ORDER_TIMEOUT)
+    return wanted_from(raw.get("loaded", {}))
--- a/papayacourse/messages.py
+++ b/papayacourse/messages.py
@@ -226,6 +226,16 @@
     outcome: str
 
 
+@frozen
+class DrainEngine:
+    """Asks a scheduler to give an engine no new work for so many seconds."""
+
+    team: str
+    service: str
+    engine: str
+    seconds: float
+
+
 @frozen
 class Strike:
     """A request was in flight on an engine that died."""
@@ -292,6 +302,7 @@
     | Queued
     | StreamReport
     | StreamEnded
+    | DrainEngine
     | StrikesUpdate
     | RunOnce
     | CallAnswer
--- a/papayacourse/placement.py
+++ b/papayacourse/placement.py
@@ -7,10 +7,11 @@
 from attrs import define, evolve, field
 
 from papayacourse import logs
-from papayacourse.exceptions import PeerError, RequestRefused
+from papayacourse.exceptions import PeerError, PeerUnreachable, RequestRefused
 from papayacourse.membership import Membership
 from papayacourse.messages import (
     Done,
+    DrainEngine,
     Granted,
     GrantRefused,
     GrantRequest,
@@ -29,6 +30,7 @@
 REASK_INTERVAL = 1.0  # seconds between questions while queued
 REPORT_INTERVAL = 1.0  # seconds
 SCHEDULERS_TRIED = 3
+DRAIN_TIMEOUT = 2.0  # seconds
 IDLE_SCHEDULER = 30.0  # seconds after which a scheduler without the duty is dropped
 
 Place = Granted | Joined
@@ -65,6 +67,7 @@
         self.peers.handlers[GrantRefused] = self.told
         self.peers.handlers[StreamReport] = self.reported
         self.peers.handlers[StreamEnded] = self.noted
+        self.peers.handlers[DrainEngine] = self.drained
 
     # The scheduler's end.
 
@@ -84,6 +87,30 @@
         self.open_scheduler(note.team, note.service).ended(note)
         return Done()
 
+    async def drained(self, _peer: Hello, note: DrainEngine) -> Done:
+        """Give an engine no new work for a time."""
+        self.open_scheduler(note.team, note.service).drain(note.engine, note.seconds)
+        return Done()
+
+    async def drain(
+        self, domain: str, team: str, service: str, engine: str, seconds: float
+    ) -> None:
+        """Ask a domain's scheduler of a service to give an engine no new work.
+
+        Raises
+        ------
+        PeerError
+            When no daemon of that domain could be told.
+        """
+        note = DrainEngine(team, service, engine, seconds)
+        owners = self.membership.owners(duty(team, service), domain)
+        if not owners:
+            raise PeerUnreachable(f"no daemon of {domain} is known to live")
+        if owners[0] == self.membership.me.name:
+            await self.drained(self.membership.me, note)
+        else:
+            await self.peers.call(owners[0], note, DRAIN_TIMEOUT)
+
     async def tell(self, daemon: str, answer: Granted | GrantRefused) -> None:
         """Send a waiting daemon its answer."""
         if daemon == self.membership.me.name:
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -78,6 +78,7 @@
     ledgers: dict[str, EngineLedger] = field(factory=dict)
     missed: dict[str, int] = field(factory=dict)
     leaving: set[str] = field(factory=set)
+    drained_until: dict[str, float] = field(factory=dict)
     grants: int = 0
     recent_wait: float = 0.0
     started: float = 0.0
@@ -187,6 +188,11 @@
             self.missed[note.engine] = self.missed.get(note.engine, 0) + 1
         self.serve_queue()
 
+    def drain(self, engine: str, seconds: float) -> None:
+        """Give an engine no new work for a time."""
+        self.drained_until[engine] = self.clock() + seconds
+        self.refresh()
+
     def serve_queue(self) -> None:
         """Grant what can be granted, and tell the daemons that wait for it."""
         for daemon, granted in self.grant_waiting():
@@ -218,7 +224,8 @@
                     wanted.setdefault(host.name, (host, deployment))
         for name, ledger in self.ledgers.items():
             answers = self.missed.get(name, 0) < UNUSABLE_AFTER
-            ledger.usable = name in wanted and answers and name not in self.leaving
+            stays = name not in self.leaving and self.clock() >= self.drained_until.get(name, 0)
+            ledger.usable = name in wanted and answers and stays
         for name, (host, deployment) in wanted.items():
             self._take_engine(name, host, deployment)
         for name in [n for n, led in self.ledgers.items() if n not in wanted and not led.streams]:
--- a/papayacourse/settings.py
+++ b/papayacourse/settings.py
@@ -105,6 +105,8 @@
 
     Attributes
     ----------
+    model, adapter, version, role : str
+        What its engines are ordered to load and to be; without a model they get no orders.
     backends : tuple of str
         Patterns of the names of the backend servers it may use.
     memory_tokens : int
@@ -126,6 +128,7 @@
     model: str = ""
     adapter: str = ""
     version: str = ""
+    role: str = ""
     priority: int = 0
     memory_tokens: int = 16384
     max_batch: int = 32
@@ -254,6 +257,7 @@
             may_be_left_out("deployment", "model", "model", word),
             may_be_left_out("deployment", "adapter", "adapter", word),
             may_be_left_out("deployment", "version", "version", word),
+            may_be_left_out("deployment", "role", "role", word),
             may_be_left_out("deployment", "priority", "priority", int),
             may_be_left_out("deployment", "memory_tokens", "memory_tokens", positive(int)),
             may_be_left_out("deployment", "max_batch", "max_batch", positive(int)),
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -11,6 +11,7 @@
 import numpy as np
 import xxhash
 from attrs import define, field
+from tornado.httpclient import AsyncHTTPClient
 from tornado.iostream import StreamClosedError
 
 from standins.common import JsonHandler, parser, serve
@@ -72,6 +73,9 @@
     fence: int = 0
     loaded: dict = field(factory=dict)
     orders: list = field(factory=list)
+    weights: set = field(factory=set)
+    stale_orders: int = 0
+    cut_by_orders: int = 0
     work: asyncio.Event = field(factory=asyncio.Event)
     # Switches that make it fail.
     duplicate_every: int = 0
@@ -221,6 +225,8 @@
             "started": self.started,
             "peak_memory": self.peak_memory,
             "leaving": self.leaving,
+            "stale_orders": self.stale_orders,
+            "cut_by_orders": self.cut_by_orders,
         }
 
     def load_lagging(self) -> dict:
@@ -366,23 +372,57 @@
 class Orders(JsonHandler):
     """Orders to load a model, adapter or version, or to change role."""
 
+    def answer(self) -> dict:
+        """Return what is loaded, and what there is to load."""
+        engine = self.standin
+        busy = len(engine.running) + len(engine.waiting)
+        weights = sorted(engine.weights)
+        return {
+            "loaded": engine.loaded,
+            "fence": engine.fence,
+            "weights": weights,
+            "running": busy,
+            "orders": engine.orders,
+        }
+
     def get(self) -> None:
         """Answer with what is loaded and which orders were carried out."""
-        engine = self.standin
-        self.finish({"loaded": engine.loaded, "fence": engine.fence, "orders": engine.orders})
+        self.finish(self.answer())
 
-    def post(self) -> None:
+    async def post(self) -> None:
         """Carry an order out, unless its fencing number is old and that is checked."""
         body = self.body()
         engine = self.standin
         if engine.options.checks_fencing and body["fence"] < engine.fence:
+            engine.stale_orders += 1
             self.set_status(412)
             self.finish({"error": "old fencing number", "fence": engine.fence})
             return
         engine.fence = max(engine.fence, body["fence"])
-        engine.loaded.update(body["load"])
-        engine.orders.append(body | {"at": time.time()})
-        self.finish({"loaded": engine.loaded, "fence": engine.fence})
+        parts = [body["load"].get(name) for name in ("model", "adapter", "version")]
+        name = "@".join(part for part in parts if part)
+        if not await self.fetched(name):
+            self.set_status(503)
+            self.finish({"error": "the weights could not be fetched"})
+            return
+        # Streams that run while weights change would be cut off; tests look at this.
+        engine.cut_by_orders += len(engine.running)
+        engine.loaded = body["load"]
+        engine.orders.append({"fence": body["fence"], "load": body["load"], "at": time.time()})
+        self.finish(self.answer())
+
+    async def fetched(self, name: str) -> bool:
+        """Fetch weights that are not there yet."""
+        engine = self.standin
+        if name in engine.weights:
+            return True
+        if engine.options.weightstore:
+            url = f"http://{engine.options.weightstore}/weights/{name}"
+            answer = await AsyncHTTPClient().fetch(url, raise_error=False)
+            if answer.code != 200:
+                return False
+        engine.weights.add(name)
+        return True
 
 
 class Admin(JsonHandler):
@@ -414,6 +454,7 @@
     options.add_argument("--events-late", type=int, default=4)
     options.add_argument("--events-gap", type=int, default=7)
     options.add_argument("--checks-fencing", action="store_true")
+    options.add_argument("--weightstore", default="")
     options.add_argument("--seed", type=int, default=1)
     parsed = options.parse_args()
     engine = Engine(parsed)
--- a/standins/faultproxy.py
+++ b/standins/faultproxy.py
@@ -26,12 +26,16 @@
         Added one way, in seconds.
     close_after : int
         Close a connection once the target has sent so many bytes; -1 for never.
+    hold_marker : str
+        Hold a connection's pieces to the target from one that contains this text on.
     """
 
     target: str = ""
     mode: str = "pass"
     delay: float = 0.0
     close_after: int = -1
+    hold_marker: str = ""
+    held: int = 0
     bytes_forward: int = 0
     bytes_back: int = 0
     connections: set = field(factory=set)
@@ -68,6 +72,8 @@
             while True:
                 data = await source.read_bytes(CHUNK_BYTES, partial=True)
                 await self.unstalled(back)
+                if not back:
+                    await self.let_through(data)
                 sent += len(data)
                 self.count(len(data), back)
                 await queue.put((loop.time() + self.delay, data))
@@ -87,6 +93,16 @@
             self.switched.clear()
             await self.switched.wait()
 
+    async def let_through(self, data: bytes) -> None:
+        """Hold a piece that carries the marker until the marker is taken away."""
+        marker = self.hold_marker.encode()
+        if not marker or marker not in data:
+            return
+        self.held += 1
+        while self.hold_marker:
+            self.switched.clear()
+            await self.switched.wait()
+
     def count(self, size: int, back: bool) -> None:
         """Count bytes by direction."""
         if back:
@@ -120,7 +136,7 @@
     def get(self) -> None:
         """Answer with the bytes forwarded."""
         proxy = self.standin
-        self.finish({"forward": proxy.bytes_forward, "back": proxy.bytes_back})
+        self.finish({"forward": proxy.bytes_forward, "back": proxy.bytes_back, "held": proxy.held})
 
     def post(self) -> None:
         """Set switches; ``mode: cut`` also closes what is open."""
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -128,6 +128,7 @@
     folder: tempfile.TemporaryDirectory = field(factory=tempfile.TemporaryDirectory)
     hosts: dict[str, dict] = field(factory=dict)
     log_level: str = "info"
+    platform_options: str = ""
     daemon_program: list[str] = field(factory=lambda: [sys.executable, "-m", "papayacourse"])
 
     def __enter__(self) -> "Fleet":
@@ -149,7 +150,7 @@
         """Start a process and wait for its first line."""
         log = self.path / f"{name}.log"
         with log.open("ab") as errors:
-            popen = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=errors)
+            popen = subprocess.Popen(command, bufsize=0, stdout=subprocess.PIPE, stderr=errors)
         process = Process(name, popen, log)
         self.processes[name] = process
         process.ready = process.read_line()
@@ -211,7 +212,7 @@
         file.write_text(
             f"[daemon]\nname = {name}\ndomain = {domain}\nregion = {region}\n"
             "[listen]\nhttp = 127.0.0.1:0\nmesh = 127.0.0.1:0\n"
-            f"[platform]\nkvstore = {kv}\nhostlist = {hosts}\n"
+            f"[platform]\n{self.platform_options}kvstore = {kv}\nhostlist = {hosts}\n"
             f"[mesh]\nkey = {MESH_KEY}\nseeds = {' '.join(seeds)}\n"
             f"[log]\nlevel = {self.log_level}\n"
             "[invariants]\nfatal = yes\n"
--- /dev/null
+++ b/tests/features/orders.feature
@@ -0,0 +1,63 @@
+Feature: Engines are ordered to load what their deployments say, by one holder at a time
+
+  Background:
+    Given a platform with both teams' settings
+    And a weight store that allows 2 fetches a second
+
+  Scenario: A new version is rolled out without cutting streams or exceeding the weight store's rate
+    Given 3 engines "planner" that check fencing numbers
+    And daemons "a, b" in domain "lagos-1" of region "lagos"
+    When the deployment wants version "1" with fencing "yes"
+    Then every engine "planner" has loaded version "1"
+    When account "organisers" starts streaming "plan [len=600]" from "planner" through "a"
+    And the deployment wants version "2" with fencing "yes"
+    Then the answer has 600 tokens of one generation in order
+    And every engine "planner" has loaded version "2"
+    And no stream was cut by an order
+    And the weight store was asked 6 times and its rate was never exceeded
+
+  Scenario: Weights that are there already are not loaded again after a restart of every daemon
+    Given 2 engines "planner" that check fencing numbers
+    And daemons "a, b" in domain "lagos-1" of region "lagos"
+    When the deployment wants version "1" with fencing "yes"
+    Then every engine "planner" has loaded version "1"
+    When the daemons "a, b" are killed and "c, d" take their place
+    Then one of "c, d" holds the orders lease
+    And every engine "planner" was ordered 1 time
+
+  Scenario Outline: A holder paused past its lease does no harm when it wakes
+    Given 2 engines "planner" that <kind> fencing numbers
+    And daemons "a, b, c" in domain "lagos-1" of region "lagos"
+    When the deployment wants version "1" with fencing "<fencing>"
+    Then every engine "planner" has loaded version "1"
+    When the holder of the orders lease is frozen
+    And the deployment wants version "2" with fencing "<fencing>"
+    Then another daemon holds the orders lease
+    And every engine "planner" has loaded version "2"
+    When the frozen daemon goes on
+    Then the fencing numbers of each engine "planner" never went down
+    And every engine "planner" has loaded version "2"
+
+    Examples:
+      | kind   | fencing |
+      | check  | yes     |
+      | ignore | no      |
+
+  Scenario Outline: An order that arrives after its holder lost the lease is refused or put right
+    Given 1 engines "planner" that <kind> fencing numbers behind a proxy
+    And daemons "a, b, c" in domain "lagos-1" of region "lagos"
+    When the deployment wants version "1" with fencing "<fencing>"
+    Then every engine "planner" has loaded version "1"
+    When the next order, of version "2" with fencing "<fencing>", is held on its way
+    And the holder of the orders lease is frozen
+    Then another daemon holds the orders lease
+    When the deployment wants version "3" with fencing "<fencing>"
+    And the way to the engine is free again
+    Then every engine "planner" has loaded version "3"
+    When the frozen daemon goes on
+    Then every engine "planner" has loaded version "3"
+
+    Examples:
+      | kind   | fencing |
+      | check  | yes     |
+      | ignore | no      |
--- a/tests/run.py
+++ b/tests/run.py
@@ -11,6 +11,7 @@
 from attrs import frozen
 
 TESTS = Path(__file__).parent
+OUT = TESTS.parent / "out" / "tests"
 KNOWN_RED = TESTS.parent / "KNOWN-RED.txt"
 AT_ONCE = 3
 FEATURE_LIMIT = 1200  # seconds
@@ -49,6 +50,8 @@
         )
         text = Path(report.name).read_text(encoding="utf-8")
     output = done.stdout + done.stderr
+    OUT.mkdir(parents=True, exist_ok=True)
+    (OUT / f"{file.stem}.log").write_text(output, encoding="utf-8")
     try:
         features = json.loads(text)
     except ValueError:
