--- a/papayacourse/messages.py
+++ b/papayacourse/messages.py
@@ -252,6 +252,13 @@
     strikes: tuple[Strike, ...]
 
 
+@frozen
+class Absolved:
+    """A request that was in flight on an engine that died has since come to its end."""
+
+    fingerprint: str
+
+
 @frozen
 class RunOnce:
     """Asks the daemon that keeps a record's bucket to run a non-repeatable call."""
@@ -304,6 +311,7 @@
     | StreamEnded
     | DrainEngine
     | StrikesUpdate
+    | Absolved
     | RunOnce
     | CallAnswer
     | Done
