--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,9 @@
 test: lint  ## Check format and lint, then run every scenario.
 	$(BIN)/python -m tests.run
 
+soak: $(READY)  ## Run callers, faults and operators at random; SEED=1 SECONDS=120.
+	$(BIN)/python -m tests.soak --seed $(or $(SEED),1) --seconds $(or $(SECONDS),120)
+
 dist: $(READY)  ## Build the one-file program dist/papayacourse.
 	mkdir -p dist
 	$(BIN)/shiv -q -c papayacourse -o dist/papayacourse --compressed . -r requirements.txt
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,444 @@
+"""One long randomised run: callers, faults and operators at once, and every promise checked."""
+
+import argparse
+import json
+import random
+import sys
+import threading
+import time
+from collections import defaultdict
+from pathlib import Path
+
+from attrs import define, field
+
+from standins.fleet import Fleet, FleetError, call, wait_until
+from tests.callers import KEYS, StreamingCaller
+
+EXAMPLES = Path(__file__).parents[1] / "examples"
+SETTINGS_PATHS = 12
+DOMAINS = {"lagos-1": "lagos", "accra-1": "accra"}
+DAEMONS_EACH = 3
+ENGINES_EACH = 3
+LEDGERS_EACH = 2
+STREAMS_AT_ONCE = 8
+REFUNDS_AT_ONCE = 4
+REFUND_SENDS = 3
+RESUMES = 8
+PATIENCE = 25.0  # seconds a caller waits for a piece of its answer
+HEAL_LIMIT = 60.0  # seconds
+RACE_PATH = "/teams/sound-trust/accounts/raced"
+MIN_PAUSE, MAX_PAUSE = 0.5, 2.5  # seconds between faults
+VIOLATED = 70  # exit status of a daemon whose invariant was violated
+
+
+@define
+class Stream:
+    """What one caller of a generation saw."""
+
+    prompt: str
+    length: int
+    texts: list[str] = field(factory=list)
+    outcome: str = "open"
+
+
+@define
+class Refund:
+    """What the senders of one refund were told."""
+
+    key: str
+    answers: list[tuple[int, str, str]] = field(factory=list)
+    lock: threading.Lock = field(factory=threading.Lock)
+
+
+@define(eq=False)
+class Soak:
+    """The run.
+
+    Attributes
+    ----------
+    seed : int
+        Decides the faults, the lengths and the daemons that callers choose.
+    seconds : float
+        How long faults and load go on.
+    """
+
+    fleet: Fleet
+    seed: int
+    seconds: float
+    streams: list[Stream] = field(factory=list)
+    refunds: list[Refund] = field(factory=list)
+    problems: list[str] = field(factory=list)
+    faults: list[str] = field(factory=list)
+    written: list[int] = field(factory=list)
+    stopping: threading.Event = field(factory=threading.Event)
+    daemons: dict[str, str] = field(factory=dict)
+    away: set[str] = field(factory=set)
+
+    # The fleet.
+
+    def start(self) -> None:
+        """Start the platform, the backend servers and the daemons of two domains."""
+        self.fleet.platform(lag=0.5)
+        self.fleet.apply(*map(str, sorted(EXAMPLES.glob("*-*.ini"))))
+        for domain, region in DOMAINS.items():
+            self.start_domain(domain, region)
+        for domain in DOMAINS:
+            names = [name for name, where in self.daemons.items() if where == domain]
+            self.fleet.wait_settled(*names, paths=SETTINGS_PATHS)
+
+    def start_domain(self, domain: str, region: str) -> None:
+        """Start one domain, its way to the key-value service and to one engine proxied."""
+        kv = self.fleet.proxy(f"kv-{domain}", self.fleet.processes["kv"].http)
+        for number in range(ENGINES_EACH):
+            name = f"planner-{domain}-{number}"
+            engine = self.fleet.engine(name, domain, region, "--step", "0.004")
+            proxy = self.fleet.proxy(f"way-{name}", engine.http)
+            self.fleet.list_host(name, "engine", proxy.ready["address"], domain, region)
+        for number in range(LEDGERS_EACH):
+            name = f"ledger-{domain}-{number}"
+            plain = self.fleet.plain(name, domain, region)
+            proxy = self.fleet.proxy(f"way-{name}", plain.http)
+            self.fleet.list_host(name, "plain", proxy.ready["address"], domain, region)
+        for number in range(DAEMONS_EACH):
+            name = f"{domain}-{number}"
+            self.daemons[name] = domain
+            self.fleet.daemon(name, domain, region, kv=kv.ready["address"])
+
+    def restart(self, name: str) -> None:
+        """Start a daemon again under its name."""
+        domain = self.daemons[name]
+        kv = self.fleet.processes[f"kv-{domain}"].ready["address"]
+        seeds = [
+            self.fleet.processes[other].ready["mesh"]
+            for other, where in self.daemons.items()
+            if where == domain and other != name and other not in self.away
+        ]
+        self.fleet.daemon(name, domain, DOMAINS[domain], seeds, kv=kv)
+        self.away.discard(name)
+
+    def pick(self, rng: random.Random) -> str:
+        """Return the address of a daemon that the balancer would choose."""
+        there = sorted(name for name in self.daemons if name not in self.away)
+        return self.fleet.processes[rng.choice(there)].http
+
+    # The callers.
+
+    def stream_for_ever(self, number: int) -> None:
+        """Ask for one plan after another; come back with the cursor when cut off."""
+        rng = random.Random(f"{self.seed} stream {number}")
+        while not self.stopping.is_set():
+            length = rng.choice((5, 40, 150, 400))
+            stream = Stream(f"plan {number} {rng.random()} [len={length}]", length)
+            self.streams.append(stream)
+            self.run_stream(stream, rng)
+
+    def run_stream(self, stream: Stream, rng: random.Random) -> None:
+        """Carry one stream to its end or its error."""
+        cursor = ""
+        for _ in range(RESUMES):
+            caller = StreamingCaller(
+                self.pick(rng), "organisers", "planner", stream.prompt, last_event_id=cursor
+            )
+            caller.run()
+            stream.texts += caller.texts
+            cursor = caller.cursor or cursor
+            if caller.done:
+                stream.outcome = "whole"
+                return
+            if caller.error is not None:
+                stream.outcome = f"{caller.error['reason']} ran {caller.error['ran']}"
+                return
+            if not cursor:
+                stream.outcome = "cut off before the first token"
+                return
+            time.sleep(rng.uniform(0.1, 0.5))
+        stream.outcome = "gave up"
+
+    def refund_for_ever(self, number: int) -> None:
+        """Send one refund after another, each several times, at once or in turn."""
+        rng = random.Random(f"{self.seed} refund {number}")
+        count = 0
+        while not self.stopping.is_set():
+            count += 1
+            refund = Refund(f"refund-{self.seed}-{number}-{count}")
+            self.refunds.append(refund)
+            senders = [
+                threading.Thread(target=self.send_refund, args=(refund, self.pick(rng)))
+                for _ in range(REFUND_SENDS)
+            ]
+            at_once = rng.random() < 0.5
+            for sender in senders:
+                sender.start()
+                if not at_once:
+                    sender.join()
+            for sender in senders:
+                sender.join()
+
+    def send_refund(self, refund: Refund, address: str) -> None:
+        """Send a refund once and keep the answer."""
+        headers = {"Authorization": f"Bearer {KEYS['depots']}", "Idempotency-Key": refund.key}
+        body = {"key": refund.key}
+        path = "/services/deposit-ledger/refunds"
+        try:
+            answer = call(address, "POST", path, body, headers, PATIENCE)
+            told = answer.json
+            row = (answer.status, told.get("ran", "yes"), told.get("key", refund.key))
+        except (OSError, ValueError):
+            row = (0, "unknown", refund.key)
+        with refund.lock:
+            refund.answers.append(row)
+
+    # The operators.
+
+    def race_for_ever(self, number: int) -> None:
+        """Write the same path as the other operators do."""
+        rng = random.Random(f"{self.seed} operator {number}")
+        while not self.stopping.is_set():
+            text = f"[account]\nkey_sha256 = {'ab' * 32}\nshare = {rng.randint(1, 99)}\n"
+            done = self.fleet.settings("set", RACE_PATH, text=text)
+            if done.returncode == 0:
+                self.written.append(int(done.stdout.split()[-1]))
+            self.stopping.wait(rng.uniform(0.2, 1.0))
+
+    # The faults.
+
+    def break_things(self) -> None:
+        """Inject one fault after another until the time is up, then heal."""
+        rng = random.Random(f"{self.seed} faults")
+        kinds = (
+            self.kill_daemon,
+            self.stop_daemon,
+            self.freeze_daemon,
+            self.cut_link,
+            self.stall_link,
+            self.platform_outage,
+            self.lose_answers,
+            self.cut_platform,
+        )
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            kind = rng.choice(kinds)
+            self.faults.append(kind.__name__)
+            kind(rng)
+            time.sleep(rng.uniform(MIN_PAUSE, MAX_PAUSE))
+        self.heal()
+
+    def some_daemon(self, rng: random.Random) -> str:
+        """Return a daemon that is there."""
+        return rng.choice(sorted(name for name in self.daemons if name not in self.away))
+
+    def kill_daemon(self, rng: random.Random) -> None:
+        """Kill a daemon and start it again."""
+        name = self.some_daemon(rng)
+        self.away.add(name)
+        self.check_alive(name)
+        self.fleet.processes[name].kill()
+        self.restart(name)
+
+    def stop_daemon(self, rng: random.Random) -> None:
+        """Stop a daemon gracefully and start it again."""
+        name = self.some_daemon(rng)
+        self.away.add(name)
+        self.check_alive(name)
+        process = self.fleet.processes[name]
+        process.terminate()
+        status = process.wait(HEAL_LIMIT)
+        if status != 0:
+            self.problems.append(f"{name} stopped with status {status}")
+        self.restart(name)
+
+    def freeze_daemon(self, rng: random.Random) -> None:
+        """Freeze a daemon for a while."""
+        process = self.fleet.processes[self.some_daemon(rng)]
+        process.freeze()
+        time.sleep(rng.uniform(0.5, 6.0))
+        process.thaw()
+
+    def some_way(self, rng: random.Random) -> str:
+        """Return a proxy before a backend server."""
+        return rng.choice(sorted(name for name in self.fleet.processes if name.startswith("way-")))
+
+    def cut_link(self, rng: random.Random) -> None:
+        """Close every connection to a backend server once."""
+        name = self.some_way(rng)
+        self.fleet.admin(name, {"mode": "cut"})
+        time.sleep(rng.uniform(0.0, 0.3))
+        self.fleet.admin(name, {"mode": "pass"})
+
+    def stall_link(self, rng: random.Random) -> None:
+        """Hold what a backend server sends for a while."""
+        name = self.some_way(rng)
+        self.fleet.admin(name, {"mode": rng.choice(("stall", "stall-back"))})
+        time.sleep(rng.uniform(0.5, 3.0))
+        self.fleet.admin(name, {"mode": "pass"})
+
+    def platform_outage(self, rng: random.Random) -> None:
+        """Put the key-value service out of service for a while."""
+        self.fleet.admin("kv", {"outage": True})
+        time.sleep(rng.uniform(0.5, 3.0))
+        self.fleet.admin("kv", {"outage": False})
+
+    def lose_answers(self, rng: random.Random) -> None:
+        """Lose the key-value service's next answers, after the writes took effect."""
+        self.fleet.admin("kv", {"lose_answers": rng.randint(1, 4)})
+
+    def cut_platform(self, rng: random.Random) -> None:
+        """Cut one domain off from the key-value service for a while."""
+        name = f"kv-{rng.choice(sorted(DOMAINS))}"
+        self.fleet.admin(name, {"mode": "cut"})
+        time.sleep(rng.uniform(1.0, 4.0))
+        self.fleet.admin(name, {"mode": "pass"})
+
+    def check_alive(self, name: str) -> None:
+        """Note a daemon that has ended by itself."""
+        status = self.fleet.processes[name].popen.poll()
+        if status is not None:
+            word = "violated an invariant" if status == VIOLATED else f"ended with {status}"
+            self.problems.append(f"{name} {word}")
+
+    def heal(self) -> None:
+        """Take every fault away."""
+        for name in self.fleet.processes:
+            if name.startswith(("way-", "kv-")):
+                self.fleet.admin(name, {"mode": "pass"})
+        self.fleet.admin("kv", {"outage": False, "lose_answers": 0})
+
+    # The promises.
+
+    def run(self) -> None:
+        """Run everything, then check."""
+        self.start()
+        work = [
+            threading.Thread(target=self.stream_for_ever, args=(n,)) for n in range(STREAMS_AT_ONCE)
+        ]
+        work += [
+            threading.Thread(target=self.refund_for_ever, args=(n,)) for n in range(REFUNDS_AT_ONCE)
+        ]
+        work += [threading.Thread(target=self.race_for_ever, args=(n,)) for n in range(2)]
+        for thread in work:
+            thread.start()
+        try:
+            self.break_things()
+        finally:
+            self.stopping.set()
+            for thread in work:
+                thread.join()
+        self.check()
+
+    def check(self) -> None:
+        """Check every promise from the callers', the backends' and the operators' records."""
+        for name in self.daemons:
+            self.check_alive(name)
+        for stream in self.streams:
+            self.check_stream(stream)
+        ran = self.times_run()
+        for refund in self.refunds:
+            self.check_refund(refund, ran[refund.key])
+        self.check_settings()
+        self.check_memory()
+
+    def check_stream(self, stream: Stream) -> None:
+        """Each token once, in order, from one generation; whole when the answer ended well."""
+        marks = {text.split(":")[0] for text in stream.texts}
+        offsets = [int(text.split(":")[1]) for text in stream.texts]
+        if len(marks) > 1 or offsets != list(range(len(offsets))):
+            self.problems.append(
+                f"{stream.prompt}: {len(marks)} generations, {len(offsets)} tokens"
+            )
+        if stream.outcome == "whole" and len(offsets) != stream.length:
+            self.problems.append(f"{stream.prompt}: {len(offsets)} tokens of {stream.length}")
+        if stream.outcome == "gave up":
+            self.problems.append(f"{stream.prompt}: no end after {RESUMES} resumes")
+        if stream.outcome.endswith("ran no") and stream.texts:
+            self.problems.append(f"{stream.prompt}: said not run after {len(offsets)} tokens")
+
+    def times_run(self) -> dict[str, int]:
+        """Return how often each key ran, by the backend servers' own counts."""
+        total: dict[str, int] = defaultdict(int)
+        for name in self.fleet.processes:
+            if name.startswith("ledger-"):
+                for key, times in self.fleet.counts(name)["ran"].items():
+                    total[key] += times
+        return total
+
+    def check_refund(self, refund: Refund, times: int) -> None:
+        """At most once; a success means once; not run means not run; the answer is its own."""
+        if times > 1:
+            self.problems.append(f"{refund.key} ran {times} times")
+        if any(status == 200 for status, _, _ in refund.answers) and times != 1:
+            self.problems.append(f"{refund.key} was answered 200 and ran {times} times")
+        if times and all(told == "no" for _, told, _ in refund.answers):
+            self.problems.append(f"{refund.key} ran, and every answer said that it did not")
+        if any(key != refund.key for _, _, key in refund.answers):
+            self.problems.append(f"{refund.key} got another refund's answer")
+
+    def check_settings(self) -> None:
+        """Every daemon has the newest accepted revision in force, within the time promised."""
+        try:
+            wait_until("settings are in force everywhere", self.all_in_force, 14.0)
+        except FleetError as error:
+            self.problems.append(str(error))
+        if len(set(self.written)) != len(self.written):
+            self.problems.append("two writes were given the same revision")
+
+    def all_in_force(self) -> bool:
+        """Tell whether all daemons agree and know the newest write."""
+        states = [self.fleet.status(name)["settings"] for name in self.daemons]
+        newest = max(self.written, default=0)
+        return len({s["digest"] for s in states}) == 1 and all(
+            s["revision"] >= newest for s in states
+        )
+
+    def check_memory(self) -> None:
+        """Engines get their memory back once nobody reads their streams any more."""
+        engines = [name for name in self.fleet.processes if name.startswith("planner-")]
+
+        def idle() -> bool:
+            loads = [self.fleet.counts(name) for name in engines]
+            return all(load["running"] + load["waiting"] == 0 for load in loads)
+
+        try:
+            wait_until("engines are empty again", idle, HEAL_LIMIT)
+        except FleetError as error:
+            self.problems.append(str(error))
+
+    def summary(self) -> dict:
+        """Return what happened, for the report."""
+        outcomes: dict[str, int] = defaultdict(int)
+        for stream in self.streams:
+            outcomes[stream.outcome] += 1
+        told: dict[str, int] = defaultdict(int)
+        for refund in self.refunds:
+            for status, ran, _ in refund.answers:
+                told[f"{status} ran {ran}"] += 1
+        return {
+            "seed": self.seed,
+            "faults": len(self.faults),
+            "streams": dict(outcomes),
+            "refund answers": dict(told),
+            "settings written": len(self.written),
+            "problems": self.problems,
+        }
+
+
+def run(seed: int, seconds: float) -> dict:
+    """Run once and return the summary."""
+    with Fleet() as fleet:
+        soak = Soak(fleet, seed, seconds)
+        soak.run()
+        return soak.summary()
+
+
+def main() -> int:
+    """Run with the seed and time of the command line; returns the exit status."""
+    options = argparse.ArgumentParser(description="a long randomised run")
+    options.add_argument("--seed", type=int, default=1)
+    options.add_argument("--seconds", type=float, default=120.0)
+    parsed = options.parse_args()
+    summary = run(parsed.seed, parsed.seconds)
+    print(json.dumps(summary, indent=2))
+    return 1 if summary["problems"] else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
