Tell a refused connection and a silent link apart; bound what a link holds

Cause: a backend server that is gone (connection refused), one that cannot be reached, and one that began to answer and went silent were the same two errors, so the relay could not end an answer at once when its engine was dead. The link also read into tornado's default buffer of 100 MB, and paid one asyncio.wait_for for each piece.

Change: BackendGone and BackendSilent; a read buffer of 128 KiB, pieces of 16 KiB, a receive buffer of 64 KiB in the kernel, so that a reader who stops reaches the engine early; one watchdog timer for all waits of a call in place of a wait_for for each.

The stand-in fleet read JSON lines through a buffered pipe after select; when a proxy printed both of its lines together, the second stayed in the buffer and the start failed after 20 s (seen in 2 of 5 scenarios run at once). The pipe is unbuffered now.

--- a/papayacourse/exceptions.py
+++ b/papayacourse/exceptions.py
@@ -83,6 +83,10 @@
     """No connection could be made, so nothing was sent."""
 
 
+class BackendGone(BackendUnreachable):
+    """Nobody listens at the backend server's address."""
+
+
 class BackendRefused(BackendError):
     """The backend server answered that it would not do the work.
 
@@ -104,6 +108,10 @@
     """The link broke or stalled after something was sent."""
 
 
+class BackendSilent(BackendLinkLost):
+    """The backend server began its answer and then went silent."""
+
+
 class BackendProtocolError(BackendError):
     """The backend server sent something that does not belong to the request."""
 
--- a/papayacourse/httpcall.py
+++ b/papayacourse/httpcall.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections import deque
 from collections.abc import AsyncIterator
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
@@ -9,13 +10,17 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from papayacourse.exceptions import (
+    BackendGone,
     BackendLinkLost,
     BackendProtocolError,
+    BackendSilent,
     BackendUnreachable,
 )
 from papayacourse.types import Address
 
-CHUNK_BYTES = 64 * 1024
+CHUNK_BYTES = 16 * 1024
+READ_BUFFER_BYTES = 128 * 1024
+RECEIVE_BUFFER_BYTES = 64 * 1024  # in the kernel
 MAX_HEADER_BYTES = 64 * 1024
 MAX_STREAM_BYTES = 1 << 40
 MAX_READ_BYTES = 8 * 1024 * 1024
@@ -44,6 +49,8 @@
 
     Raises
     ------
+    BackendGone
+        When nobody listens at the address; nothing has been sent then.
     BackendUnreachable
         When no connection was made; nothing has been sent then.
     BackendLinkLost
@@ -71,10 +78,19 @@
         self.headers = HTTPHeaders()
         self.finished = False
         self.head: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self.queue: asyncio.Queue[bytes | None] = asyncio.Queue(BUFFERED_CHUNKS)
+        self.pieces: deque[bytes] = deque()
+        self.closed = False
+        self.silent = False
+        self.waiting_since: float | None = None
+        self.arrival: asyncio.Future[None] | None = None
+        self.room: asyncio.Future[None] | None = None
+        self.watchdog: asyncio.TimerHandle | None = None
 
     async def __aenter__(self) -> "HttpCall":
-        self.stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        link = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        # Set before connecting, so that a reader who stops holds the sender up early.
+        link.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self.stream = IOStream(link, max_buffer_size=READ_BUFFER_BYTES, read_chunk_size=CHUNK_BYTES)
         self.stream.set_nodelay(True)
         try:
             await self._connect()
@@ -90,6 +106,8 @@
 
     async def __aexit__(self, kind, error, traceback) -> None:
         self.stream.close()
+        if self.watchdog is not None:
+            self.watchdog.cancel()
         reader = getattr(self, "reader", None)
         if reader is not None and not reader.done():
             reader.cancel()
@@ -102,6 +120,8 @@
         try:
             await asyncio.wait_for(self.stream.connect(target), self.connect_timeout)
         except (TimeoutError, StreamClosedError, OSError) as error:
+            if isinstance(getattr(error, "real_error", error), ConnectionRefusedError):
+                raise BackendGone(f"nobody listens at {self.address}") from error
             raise BackendUnreachable(f"no connection to {self.address}") from error
 
     async def _exchange(self) -> None:
@@ -124,7 +144,8 @@
             pass
         finally:
             self._close_head()
-        await self.queue.put(None)
+            self.closed = True
+            wake(self.arrival)
 
     def _close_head(self) -> None:
         if not self.head.done():
@@ -140,8 +161,12 @@
             self.head.set_result(None)
 
     async def data_received(self, chunk: bytes) -> None:
-        """Take a piece of the body; the connection is not read while the queue is full."""
-        await self.queue.put(chunk)
+        """Take a piece of the body; the connection is not read while enough of them wait."""
+        self.pieces.append(chunk)
+        wake(self.arrival)
+        while len(self.pieces) >= BUFFERED_CHUNKS:
+            self.room = asyncio.get_running_loop().create_future()
+            await self.room
 
     def finish(self) -> None:
         """Note that the whole body has come (called by tornado)."""
@@ -159,17 +184,42 @@
         BackendLinkLost
             When the connection breaks, or stays silent for the idle time-out.
         """
-        while True:
-            try:
-                chunk = await asyncio.wait_for(self.queue.get(), self.idle_timeout)
-            except TimeoutError as error:
-                raise BackendLinkLost(f"{self.address} went silent") from error
-            if chunk is None:
-                break
+        while await self._arrived():
+            chunk = self.pieces.popleft()
+            wake(self.room)
             yield chunk
         if not self.finished:
             raise BackendLinkLost(f"{self.address} closed midway")
 
+    async def _arrived(self) -> bool:
+        """Wait for the next piece; False at the end of the connection."""
+        while not self.pieces and not self.closed:
+            loop = asyncio.get_running_loop()
+            self.arrival = loop.create_future()
+            self.waiting_since = loop.time()
+            if self.watchdog is None:
+                self.watchdog = loop.call_later(self.idle_timeout, self._watch)
+            try:
+                await self.arrival
+            finally:
+                self.waiting_since = None
+            if self.silent:
+                raise BackendSilent(f"{self.address} went silent")
+        return bool(self.pieces)
+
+    def _watch(self) -> None:
+        """See whether the present wait is too long; one timer serves every wait."""
+        loop = asyncio.get_running_loop()
+        self.watchdog = None
+        if self.waiting_since is None:
+            return
+        left = self.waiting_since + self.idle_timeout - loop.time()
+        if left > 0:
+            self.watchdog = loop.call_later(left, self._watch)
+            return
+        self.silent = True
+        wake(self.arrival)
+
     async def read(self, limit: int = MAX_READ_BYTES) -> bytes:
         """Return the whole body, which may not be longer than the limit in bytes."""
         parts: list[bytes] = []
@@ -180,3 +230,9 @@
                 raise BackendProtocolError(f"{self.address} sent more than {limit} bytes")
             parts.append(chunk)
         return b"".join(parts)
+
+
+def wake(future: asyncio.Future[None] | None) -> None:
+    """Let a task go on that may be waiting."""
+    if future is not None and not future.done():
+        future.set_result(None)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -149,7 +149,8 @@
         """Start a process and wait for its first line."""
         log = self.path / f"{name}.log"
         with log.open("ab") as errors:
-            popen = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=errors)
+            # Unbuffered, since a line held in a buffer here would not show in select.
+            popen = subprocess.Popen(command, bufsize=0, stdout=subprocess.PIPE, stderr=errors)
         process = Process(name, popen, log)
         self.processes[name] = process
         process.ready = process.read_line()
@@ -270,6 +271,11 @@
             wait_until(f"{name} has {paths} settings paths", lambda n=name: self._settled(n, paths))
             wait_until(f"{name} sees its peers", lambda n=name: self._sees(n, set(daemons) - {n}))
 
+    def rss(self, name: str) -> int:
+        """Return a process's resident memory in bytes."""
+        pages = Path(f"/proc/{self.processes[name].popen.pid}/statm").read_text().split()[1]
+        return int(pages) * os.sysconf("SC_PAGE_SIZE")
+
     def _settled(self, name: str, paths: int) -> bool:
         return self.status(name)["settings"]["paths"] >= paths
 
