Relay each generation exactly once through every loss; join, hold and cancel

Causes found, each with a scenario: - Tokens were lost: when a gap or a foreign event followed good ones in one piece, their offsets had been counted but they were never passed on. The good part is passed on first now. - A stream could be spliced: an engine restarted under its address, with the same stream id, was resumed as if nothing had happened. The engine's mark of the generation (header X-Generation) is kept by the relay and carried in the signed cursor; another mark, or none, ends the answer. - A dead engine ended the answer only after five tries; a refused connection ends it at once now, while links that fail otherwise are tried for 15 s (2 s before the first token), with jitter. - A link that ended without an end was reopened for ever without a pause. - A start whose answer was lost was sent again and its conflict taken for the engine's loss; it is read from the start now, and its id lets the engine refuse a second arrival. - `ran: no` was said after a start that may have arrived; it is `unknown` now. - A generation that the relay gave up ran on; it is cancelled, tried for 30 s. - Streams of a dead entry daemon left the ledger after 4 s though their memory was taken, and ran to their end. They stay on the ledger until the engine says that they have ended, or nobody has read them for the resume window and they are cancelled.

New: GET /v1/streams with Last-Event-ID alone; a cursor beyond the end is a clear 400; the same Idempotency-Key joins the generation that runs, at any daemon of the domain, and is refused with 422 when the body differs (the stream id is derived from account, service, key and body); a retry budget for each service (retry_share) with jittered pauses; invariants on what is passed on (one generation, in order, nothing after the end); STREAM_MEMORY_BOUND, 672 KiB, the most that one stream takes.

Tried and dropped: five tries with jitter in place of a time limit; they were over in 0.75 s on average, before a cut of 0.5 s had surely healed.

tests/callers.py: wait_tokens now also fails at once when the answer has ended too early, where it waited for its time-out before.

--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -5,6 +5,7 @@
 import hmac
 import json
 import signal
+import socket
 import sys
 import time
 from collections import Counter
@@ -22,6 +23,7 @@
 from papayacourse.cursor import CursorSigner
 from papayacourse.exceptions import RequestRefused
 from papayacourse.hostlist import HostList
+from papayacourse.joins import KeyedRelays
 from papayacourse.kvstore import KeyValueStore
 from papayacourse.membership import Membership
 from papayacourse.messages import Hello
@@ -30,6 +32,7 @@
 from papayacourse.peers import Peers
 from papayacourse.placement import Placement
 from papayacourse.records import Records
+from papayacourse.retries import RetryBudgets
 from papayacourse.scheduler import Scheduler, permitted
 from papayacourse.streams import Relay
 from papayacourse.types import Address, GenerationRequest, HostKind
@@ -37,6 +40,7 @@
 from papayacourse.watch import SettingsWatch
 
 IDLE_CONNECTION_TIMEOUT = 300.0  # seconds
+SEND_BUFFER_BYTES = 64 * 1024  # in the kernel, for each caller
 BALANCER_NOTICE = 0.5  # seconds between turning not ready and refusing new connections
 
 
@@ -68,6 +72,8 @@
         self.catalog = Catalog()
         self.store = KeyValueStore(config.kvstore, self.metrics.count_platform)
         self.signer = CursorSigner(derived(config.mesh_key, "cursor"))
+        self.joins = KeyedRelays()
+        self.retries = RetryBudgets()
         self.records = Records(self.store)
         self.watch = SettingsWatch(self.store, self.catalog)
 
@@ -117,6 +123,9 @@
             idle_connection_timeout=IDLE_CONNECTION_TIMEOUT,
         )
         sockets = bind_sockets(config.http.port, config.http.host)
+        for listener in sockets:
+            # Accepted connections inherit it: what a caller does not read stays with the engine.
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self.server.add_sockets(sockets)
         stack.push_async_callback(self.server.close_all_connections)
         host, port = sockets[0].getsockname()[:2]
@@ -194,10 +203,17 @@
     def hold(self, relay: Relay | None, resume_window: float) -> None:
         """Keep a stream whose caller has gone for the time in which it may come back."""
         if relay is not None:
-            task = asyncio.create_task(relay.abandon(resume_window))
+            relay.held = True
+            task = asyncio.create_task(self._hold(relay, resume_window))
             self.held.add(task)
             task.add_done_callback(self.held.discard)
 
+    async def _hold(self, relay: Relay, resume_window: float) -> None:
+        try:
+            await relay.abandon(resume_window)
+        finally:
+            self.joins.remove(relay)
+
     def plain_addresses(self, team: str, service: str) -> list[str]:
         """Return the addresses of a plain service's backend servers, this domain's first."""
         hosts = [
--- a/papayacourse/cursor.py
+++ b/papayacourse/cursor.py
@@ -18,6 +18,10 @@
     ----------
     account : str
         ``team/account``; nobody else may use the cursor.
+    mark : str
+        The engine's mark of the generation.
+    chat : bool
+        Whether the answer has the form of a chat completion.
     offset : int
         The offset of the next token wanted.
     """
@@ -30,6 +34,9 @@
     prompt_tokens: int
     max_tokens: int
     created: int
+    mark: str
+    chat: bool
+    include_usage: bool
     offset: int = 0
 
 
@@ -54,6 +61,9 @@
             cursor.prompt_tokens,
             cursor.max_tokens,
             cursor.created,
+            cursor.mark,
+            cursor.chat,
+            cursor.include_usage,
         )
         return self.serializer.dumps(fields)
 
--- a/papayacourse/engines.py
+++ b/papayacourse/engines.py
@@ -18,6 +18,7 @@
 SILENCE_TIMEOUT = 5.0  # seconds without an event before the link counts as stalled
 CONTROL_TIMEOUT = 2.0  # seconds
 MAX_EVENT_BYTES = 256 * 1024
+GENERATION_HEADER = "X-Generation"  # the engine's mark of one generation, unlike any other's
 
 
 @frozen
@@ -41,6 +42,15 @@
 EngineEvent = Token | End
 
 
+@frozen
+class StreamInfo:
+    """What an engine says of one generation."""
+
+    readers: int
+    generated: int
+    ended: bool
+
+
 @frozen
 class EngineLoad:
     """What an engine reports about itself, with a lag."""
@@ -130,6 +140,15 @@
     async def __aexit__(self, kind, error, traceback) -> None:
         await self.call.__aexit__(kind, error, traceback)
 
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self.call.__aexit__(None, None, None)
+
+    @property
+    def mark(self) -> str:
+        """Return the engine's mark of the generation; empty when it gives none."""
+        return self.call.headers.get(GENERATION_HEADER, "")
+
     async def batches(self) -> AsyncIterator[list[EngineEvent]]:
         """Yield the events of each piece that the connection delivers."""
         buffer = bytearray()
@@ -168,13 +187,25 @@
     return True
 
 
-async def readers(address: str, stream: str) -> int:
-    """Return how many connections read a generation now; 0 when there is none such."""
+async def state(address: str, stream: str) -> StreamInfo | None:
+    """Return what an engine says of a generation; None when it has none such."""
     try:
         raw = await control(address, "GET", f"/streams/{quote(stream, safe='')}/state")
     except BackendRefused:
-        return 0
-    return int(raw["readers"])
+        return None
+    try:
+        return StreamInfo(int(raw["readers"]), int(raw["generated"]), bool(raw["reason"]))
+    except (KeyError, TypeError, ValueError) as error:
+        raise BackendProtocolError(f"{address}: not a stream's state") from error
+
+
+async def is_read(address: str, stream: str) -> bool:
+    """Tell whether somebody reads a generation now; False when the engine does not say."""
+    try:
+        found = await state(address, stream)
+    except BackendError:
+        return False
+    return found is not None and found.readers > 0
 
 
 async def load(address: str) -> EngineLoad:
--- a/papayacourse/placement.py
+++ b/papayacourse/placement.py
@@ -8,6 +8,7 @@
 
 from papayacourse import logs
 from papayacourse.exceptions import PeerError, RequestRefused
+from papayacourse.joins import key_reused
 from papayacourse.membership import Membership
 from papayacourse.messages import (
     Done,
@@ -188,9 +189,13 @@
 
     def progress(self, generation: GenerationRequest, engine: str, generated: int) -> None:
         """Note how far a stream has come, for the next report."""
-        self.relayed[generation.stream] = StreamState(
-            evolve(generation, prompt=""), engine, generated
-        )
+        before = self.relayed.get(generation.stream)
+        small = before.generation if before is not None else evolve(generation, prompt="")
+        self.relayed[generation.stream] = StreamState(small, engine, generated)
+
+    def forget(self, generation: GenerationRequest) -> None:
+        """Stop reporting a stream that another daemon answers for now."""
+        self.relayed.pop(generation.stream, None)
 
     async def report(self) -> None:
         """Report the streams relayed here to their schedulers, for ever."""
@@ -218,5 +223,7 @@
 
 def refusal(answer: GrantRefused) -> RequestRefused:
     """Turn a scheduler's refusal into the caller's final answer."""
+    if answer.reason == "key_reused":
+        return key_reused()
     status = 429 if answer.reason == "overloaded" else 503
     return RequestRefused(status, answer.reason, answer.detail, retry_after=answer.retry_after)
--- a/papayacourse/routes.py
+++ b/papayacourse/routes.py
@@ -1,6 +1,6 @@
 """Which handler serves which path."""
 
-from papayacourse.completions import Completions, Models
+from papayacourse.completions import Completions, Models, ResumeStream
 from papayacourse.pages import Health, MetricsPage, Ready, Status, UnknownPath
 from papayacourse.plaincalls import Plain
 
@@ -11,6 +11,7 @@
     return [
         (r"/v1/chat/completions", Completions, shared | {"is_chat": True}),
         (r"/v1/completions", Completions, shared | {"is_chat": False}),
+        (r"/v1/streams", ResumeStream, shared),
         (r"/v1/models", Models, shared),
         (r"/services/([^/]+)(?:/.*)?", Plain, shared),
         (r"/healthz", Health, shared),
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -12,6 +12,7 @@
 from papayacourse.catalog import Catalog
 from papayacourse.exceptions import BackendError
 from papayacourse.fairshare import PROMPT_WEIGHT, FairQueue
+from papayacourse.joins import first_id, key_part
 from papayacourse.lengths import LengthModel
 from papayacourse.membership import Membership
 from papayacourse.messages import (
@@ -23,6 +24,7 @@
     StreamEnded,
     StreamReport,
 )
+from papayacourse.orphans import Orphans
 from papayacourse.settings import DeploymentSettings
 from papayacourse.types import Host, HostKind, HostState
 
@@ -83,6 +85,7 @@
     started: float = 0.0
     task: asyncio.Task | None = None
     telling: set[asyncio.Task] = field(factory=set)
+    orphans: Orphans = field(factory=Orphans)
 
     def __attrs_post_init__(self) -> None:
         self.started = self.clock()
@@ -116,9 +119,12 @@
         """Answer a daemon's request for a place; asking again changes nothing."""
         stream = request.generation.stream
         held = self.find(stream)
-        if held is not None and held.name not in request.avoid:
-            kind = Joined if request.join else Granted
-            return kind(stream, held.name, held.address)
+        if request.join:
+            answer = self._join(daemon, stream, request.avoid)
+            if answer is not None:
+                return answer
+        elif held is not None and held.name not in request.avoid:
+            return Granted(stream, held.name, held.address)
         if not self.usable(request.avoid):
             return GrantRefused(stream, "no_engine", "no engine can serve now", MIN_RETRY_AFTER)
         wait = self.expected_wait()
@@ -134,6 +140,21 @@
             self._tell(granted_to, granted)
         return Queued(stream, wait)
 
+    def _join(
+        self, daemon: str, stream: str, avoid: tuple[str, ...]
+    ) -> Granted | Joined | GrantRefused | None:
+        """Answer a request whose key has a stream here already; None when it has not."""
+        for ledger in self.ledgers.values():
+            for name, held in ledger.streams.items():
+                if key_part(name) != key_part(stream) or ledger.name in avoid:
+                    continue
+                if first_id(name) != first_id(stream):
+                    return GrantRefused(stream, "key_reused", "the key is taken", 0.0)
+                if name == stream and held.daemon == daemon:
+                    return Granted(name, ledger.name, ledger.address)
+                return Joined(name, ledger.name, ledger.address)
+        return None
+
     def grant_waiting(self) -> Iterator[tuple[str, Granted]]:
         """Grant places to waiting requests, in order, until none fits."""
         progress = True
@@ -240,10 +261,10 @@
     def expire(self) -> None:
         """Drop streams that nobody reports any more, and refuse those who waited too long."""
         now = self.clock()
-        for ledger in self.ledgers.values():
-            for name, stream in list(ledger.streams.items()):
-                if now - stream.seen_at > GRANT_GRACE:
-                    del ledger.streams[name]
+        settings = self.catalog.service(self.team, self.service)
+        window = settings.resume_window if settings else 0.0
+        for stream in self.orphans.check(list(self.ledgers.values()), now, GRANT_GRACE, window):
+            logs.debug("stream not reported", stream=stream)
         for queue in self.queue.accounts.values():
             for stream, item in list(queue.waiting.items()):
                 if now - item.since > item.request.wait_limit:
--- a/papayacourse/streams.py
+++ b/papayacourse/streams.py
@@ -1,62 +1,53 @@
 """Relays one generation from its engine to its caller, every token once and in order."""
 
 import asyncio
-from collections.abc import AsyncIterator, Iterable, Iterator
+from collections.abc import AsyncIterator
+from contextlib import aclosing
 
 from attrs import define, evolve, field
 
 from papayacourse import engines, logs
-from papayacourse.engines import End, EngineEvent, EngineStream, Token
+from papayacourse.engines import EngineEvent, EngineStream
 from papayacourse.exceptions import (
     BackendError,
+    BackendGone,
     BackendProtocolError,
     BackendRefused,
     BackendUnreachable,
     RequestRefused,
 )
-from papayacourse.messages import GrantRequest
+from papayacourse.httpcall import BUFFERED_CHUNKS, CHUNK_BYTES, READ_BUFFER_BYTES
+from papayacourse.messages import GrantRequest, Joined
+from papayacourse.ordering import (
+    EngineLost,
+    EngineOutOfReach,
+    Position,
+    Trouble,
+    Written,
+    good_part,
+)
+from papayacourse.orphans import cancel_firmly
 from papayacourse.placement import Placement
+from papayacourse.retries import RetryBudget, jittered
 from papayacourse.types import GenerationRequest, Ran
 
-RESUME_TRIES = 5  # in a row, without a token in between
-RESUME_PAUSE = 0.2  # seconds, times the number of the try
+RESUME_LIMIT = 15.0  # seconds in which a link that fails is opened again
+START_LIMIT = 2.0  # seconds, the same before the first token, when another engine can take over
 STARTS = 3  # engines tried before the first token
+JOIN_LIMIT = 30.0  # seconds that a joined request may take to find its engine
+RETRY_AFTER = 1.0  # seconds
+CONFLICT, GONE, BEYOND = 409, 404, 416
 
-
-class EngineLost(BackendError):
-    """The engine no longer has the generation."""
-
-
-@define
-class Position:
-    """Where a relay stands in its stream: the offset of the next token."""
-
-    offset: int = 0
-    ended: bool = False
-
-
-def own_events(events: Iterable[EngineEvent], stream: str) -> Iterator[EngineEvent]:
-    """Pass on a stream's own events; another's means that the connection is crossed."""
-    for event in events:
-        if event.stream != stream:
-            raise BackendProtocolError(f"an event of another stream on the link of {stream}")
-        yield event
-
-
-def in_order(events: Iterable[EngineEvent], position: Position) -> Iterator[EngineEvent]:
-    """Pass on each offset once and in order; duplicates are dropped, a gap is an error."""
-    for event in events:
-        if event.offset > position.offset:
-            raise BackendProtocolError(
-                f"offset {event.offset} came where {position.offset} is next"
-            )
-        match event:
-            case Token(offset=offset) if offset == position.offset:
-                position.offset += 1
-                yield event
-            case End(offset=offset) if offset == position.offset:
-                position.ended = True
-                yield event
+# The most memory that one relayed stream takes, in bytes, however slowly its caller reads: what
+# the engine's link holds unread, and one piece of it parsed and written out in the caller's form
+# (an event of the caller's is at most a few times as long as the engine's).
+CALLER_EXPANSION = 16
+STREAM_MEMORY_BOUND = (
+    READ_BUFFER_BYTES
+    + BUFFERED_CHUNKS * CHUNK_BYTES
+    + engines.MAX_EVENT_BYTES
+    + CALLER_EXPANSION * CHUNK_BYTES
+)
 
 
 @define(eq=False)
@@ -67,18 +58,39 @@
     ----------
     engine, address : str
         Where it runs, once it has been placed.
+    mark : str
+        The engine's mark of the generation, by which a resumed link is known to carry the same.
     position : Position
         The offset of the next token.
+    sent : bool
+        Whether the start may have reached the present engine.
+    maybe_ran : bool
+        Whether any engine may have begun the work.
+    reports : bool
+        Whether this daemon answers for the generation towards the scheduler; one that only reads
+        along does not.
     """
 
     generation: GenerationRequest
     placement: Placement
     wait_limit: float
+    budget: RetryBudget
+    join: bool = False
     engine: str = ""
     address: str = ""
+    mark: str = ""
     position: Position = field(factory=Position)
-    joined: bool = False
-    started: bool = False
+    sent: bool = False
+    maybe_ran: bool = False
+    reports: bool = True
+    held: bool = False
+    written: Written | None = None
+    starts: int = 0
+    failure: RequestRefused | None = None
+    changed: asyncio.Event = field(factory=asyncio.Event)
+    cancelling: set[asyncio.Task] = field(factory=set)
+
+    # Ways to begin.
 
     async def events(self) -> AsyncIterator[list[EngineEvent]]:
         """Place the generation and yield its events, in batches.
@@ -88,94 +100,242 @@
         RequestRefused
             When the answer cannot be given, or not to its end.
         """
-        avoid: tuple[str, ...] = ()
+        self.budget.earn()
+        try:
+            async with aclosing(self._started()) as batches:
+                async for batch in batches:
+                    yield batch
+        except RequestRefused as refused:
+            self.failure = refused
+            raise
+        finally:
+            self._change()
+
+    async def _started(self) -> AsyncIterator[list[EngineEvent]]:
         base = self.generation
-        for number in range(1, STARTS + 1):
+        avoid: tuple[str, ...] = ()
+        while True:
             try:
                 await self._place(avoid)
-                async for batch in self._follow():
-                    yield batch
+                async with aclosing(self._follow()) as batches:
+                    async for batch in batches:
+                        yield batch
                 return
             except EngineLost as error:
-                await self._finish("failed")
-                logs.warning("engine lost", stream=self.generation.stream, why=str(error))
-                if self.position.offset or number == STARTS:
+                await self._give_engine_up(error)
+                if self.position.offset:
                     raise self._broken(error) from error
+                self._pay_for_restart(error)
+                await asyncio.sleep(jittered(self.starts))
                 avoid = (*avoid, self.engine)
                 # Another id, so that a late token of the first cannot be taken for the second's.
-                self.generation = evolve(base, stream=f"{base.stream}.{number}")
+                self.generation = evolve(base, stream=f"{base.stream}.{self.starts + 1}")
+                self.sent, self.mark, self.reports = False, "", True
 
     async def resumed(
-        self, engine: str, address: str, offset: int
+        self, engine: str, address: str, mark: str, offset: int
     ) -> AsyncIterator[list[EngineEvent]]:
         """Go on with a generation that another daemon started, from an offset."""
-        self.engine, self.address = engine, address
+        self.engine, self.address, self.mark = engine, address, mark
         self.position.offset = offset
-        self.started = True
-        self.joined = True
+        self.sent = self.maybe_ran = True
         try:
-            async for batch in self._follow():
-                yield batch
+            async with aclosing(self._follow()) as batches:
+                async for batch in batches:
+                    yield batch
         except EngineLost as error:
-            await self._finish("failed")
+            # It may have another reader; without one, the scheduler finds that nobody reports it.
+            self.placement.forget(self.generation)
             raise self._broken(error) from error
 
+    async def joining(self, first: "Relay") -> AsyncIterator[list[EngineEvent]]:
+        """Read along with a generation that this daemon relays to another caller."""
+        self.reports = False
+        stream = ""
+        while True:
+            await first.placed_after(stream)
+            stream = first.generation.stream
+            self.generation, self.engine = first.generation, first.engine
+            self.address, self.mark = first.address, first.mark
+            self.sent = self.maybe_ran = True
+            try:
+                async with aclosing(self._follow()) as batches:
+                    async for batch in batches:
+                        yield batch
+                return
+            except EngineLost as error:
+                if self.position.offset or first.failure or first.position.ended:
+                    raise self._broken(error) from error
+
+    async def placed_after(self, stream: str) -> None:
+        """Wait until an engine has taken the generation under another id than the one given."""
+        try:
+            async with asyncio.timeout(JOIN_LIMIT):
+                while not self.mark or self.generation.stream == stream:
+                    if self.failure is not None:
+                        raise self.failure
+                    await self.changed.wait()
+        except TimeoutError as error:
+            detail = "the request that runs with this key has not found an engine yet"
+            ran = Ran.UNKNOWN if self.maybe_ran else Ran.NO
+            raise RequestRefused(503, "not_placed", detail, ran, RETRY_AFTER) from error
+
+    def _change(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    # The work.
+
     async def _place(self, avoid: tuple[str, ...]) -> None:
-        place = await self.placement.place(GrantRequest(self.generation, self.wait_limit, avoid))
+        request = GrantRequest(self.generation, self.wait_limit, avoid, self.join)
+        try:
+            place = await self.placement.place(request)
+        except RequestRefused as refused:
+            if self.maybe_ran:
+                refused.ran = Ran.UNKNOWN
+            raise
+        self.starts += 1
         self.engine, self.address = place.engine, place.address
-        self.placement.progress(self.generation, self.engine, 0)
+        if isinstance(place, Joined):
+            # Another daemon starts it; its id may be that of a later start.
+            self.generation = evolve(self.generation, stream=place.stream)
+            self.sent, self.reports = True, False
+        self._progress()
 
     async def _follow(self) -> AsyncIterator[list[EngineEvent]]:
         """Read the engine's stream to its end, over as many links as it takes."""
-        tries = 0
+        trouble = Trouble()
         while not self.position.ended:
-            before = self.position.offset
             try:
-                async for batch in self._read_link():
-                    yield batch
-            except BackendRefused as error:
+                async with aclosing(self._read_link()) as batches:
+                    async for batch in batches:
+                        trouble.over()
+                        yield batch
+            except EngineLost:
+                raise
+            except BackendGone as error:
                 raise EngineLost(f"{self.engine}: {error}") from error
+            except BackendRefused as error:
+                self._refused(error)
+                trouble.note(error)
             except BackendUnreachable as error:
-                if not self.started:
+                if not self.sent:
                     raise EngineLost(f"{self.engine}: {error}") from error
-                tries += 1
-                logs.info("engine unreachable", stream=self.generation.stream, why=str(error))
+                trouble.note(error)
             except BackendError as error:
-                tries = 1 if self.position.offset > before else tries + 1
-                logs.info("engine link lost", stream=self.generation.stream, why=str(error))
+                trouble.note(error)
             if not self.position.ended:
-                if tries >= RESUME_TRIES:
-                    raise EngineLost(f"{self.engine} did not let the stream resume")
-                await asyncio.sleep(RESUME_PAUSE * tries)
+                logs.info("engine link lost", stream=self.generation.stream, why=trouble.why)
+                if trouble.too_long(RESUME_LIMIT if self.position.offset else START_LIMIT):
+                    raise EngineOutOfReach(f"{self.engine}: {trouble.why}")
+                await asyncio.sleep(jittered(trouble.tries))
         await self._finish("finished")
 
+    def _refused(self, error: BackendRefused) -> None:
+        """See what an engine's refusal means for the next try, if there can be one."""
+        match error.status:
+            case status if status == CONFLICT and not self.sent:
+                # It runs there already: an earlier try arrived after all, or this key's first.
+                self.sent = self.maybe_ran = True
+            case status if status == GONE and not self.mark and self.sent:
+                # The start never arrived. Its id lets the engine refuse a second arrival.
+                self.sent = False
+                self.reports = True
+            case status if status == BEYOND:
+                detail = f"offset {self.position.offset} is beyond what has been generated"
+                raise RequestRefused(400, "bad_cursor", detail, Ran.YES) from error
+            case _:
+                raise EngineLost(f"{self.engine}: {error}") from error
+
     async def _read_link(self) -> AsyncIterator[list[EngineEvent]]:
-        resume_at = self.position.offset if self.started else None
-        async with EngineStream(self.address, self.generation, resume_at) as link:
-            self.started = True
-            async for raw in link.batches():
-                batch = list(in_order(own_events(raw, self.generation.stream), self.position))
-                self.placement.progress(self.generation, self.engine, self.position.offset)
-                if batch:
-                    yield batch
+        resume_at = self.position.offset if self.sent else None
+        link = EngineStream(self.address, self.generation, resume_at)
+        try:
+            await link.__aenter__()
+        except (BackendUnreachable, BackendRefused):
+            raise
+        except BackendError:
+            self.sent = self.maybe_ran = True
+            raise
+        async with aclosing(link):
+            self.sent = self.maybe_ran = True
+            self._check_mark(link.mark)
+            async with aclosing(link.batches()) as batches:
+                async for raw in batches:
+                    batch, fault = good_part(raw, self.generation.stream, self.position)
+                    if batch:
+                        self._progress()
+                        self.written.note(link.mark, batch)
+                        yield batch
+                    if fault is not None:
+                        raise fault
+                    if self.position.ended:
+                        return
+            raise BackendProtocolError("the stream stopped without an end")
+
+    def _check_mark(self, mark: str) -> None:
+        """Make sure that a link carries the generation that this relay began with."""
+        known = self.mark or self.position.offset
+        if known and not mark:
+            raise EngineLost(f"{self.engine} does not say which generation it resumed")
+        if known and mark != self.mark:
+            raise EngineLost(f"{self.engine} has another generation under this id")
+        if self.written is None or self.mark != mark:
+            self.written = Written(mark, self.position.offset)
+        if mark and not self.mark:
+            self.mark = mark
+            self._change()
+
+    def _progress(self) -> None:
+        if self.reports:
+            self.placement.progress(self.generation, self.engine, self.position.offset)
+
+    # The end.
 
     async def _finish(self, outcome: str) -> None:
-        await self.placement.end(self.generation, self.engine, self.position.offset, outcome)
+        if self.reports:
+            await self.placement.end(self.generation, self.engine, self.position.offset, outcome)
+
+    async def _give_engine_up(self, error: EngineLost) -> None:
+        """Tell the scheduler, and have whatever still runs there cancelled."""
+        logs.warning("engine lost", stream=self.generation.stream, why=str(error))
+        if not self.reports:
+            return
+        if isinstance(error, EngineOutOfReach):
+            task = asyncio.create_task(cancel_firmly(self.address, self.generation.stream))
+            self.cancelling.add(task)
+            task.add_done_callback(self.cancelling.discard)
+        await self._finish("failed")
+
+    def _pay_for_restart(self, error: EngineLost) -> None:
+        ran = Ran.UNKNOWN if self.maybe_ran else Ran.NO
+        if self.starts >= STARTS:
+            detail = f"{self.starts} engines were lost before the first token"
+            raise RequestRefused(503, "engine_lost", detail, ran, RETRY_AFTER) from error
+        if not self.budget.take():
+            detail = "the engine was lost, and the service's retries are used up"
+            raise RequestRefused(503, "retries_exhausted", detail, ran, RETRY_AFTER) from error
 
     def _broken(self, error: Exception) -> RequestRefused:
-        ran = Ran.UNKNOWN if self.started else Ran.NO
         detail = f"the engine was lost after {self.position.offset} tokens"
-        return RequestRefused(502, "engine_lost", detail, ran, retry_after=1.0)
+        return RequestRefused(502, "engine_lost", detail, Ran.UNKNOWN, RETRY_AFTER)
 
     async def abandon(self, resume_window: float) -> None:
         """Hold the stream for a caller that has gone, then cancel it at the engine."""
-        if not self.engine or self.position.ended:
+        if not self.sent:
+            detail = "the caller that asked first has gone before the request began"
+            self.failure = RequestRefused(503, "not_placed", detail, Ran.NO, RETRY_AFTER)
+            self._change()
+        if not self.reports or not self.sent or self.position.ended:
             return
-        await asyncio.sleep(resume_window)
+        self.held = True
         try:
-            taken_over = await engines.readers(self.address, self.generation.stream) > 0
-        except BackendError:
-            taken_over = False
-        if not taken_over:
-            await engines.cancel(self.address, self.generation.stream)
-        await self._finish("cancelled")
+            await asyncio.sleep(resume_window)
+            if await engines.is_read(self.address, self.generation.stream):
+                # Its reader's daemon answers for it now.
+                self.placement.forget(self.generation)
+                return
+            await cancel_firmly(self.address, self.generation.stream)
+            await self._finish("cancelled")
+        finally:
+            self.held = False
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -236,8 +236,10 @@
     async def send(self, generation: Generation, offset: int) -> None:
         """Send events from an offset to the end."""
         self.set_header("Content-Type", "text/event-stream")
+        self.set_header("X-Generation", generation.mark)
         generation.readers += 1
         try:
+            await self.flush()
             while True:
                 news = generation.news
                 tokens = generation.tokens[offset:]
@@ -306,7 +308,12 @@
             self.set_status(404)
             self.finish({"error": "no such stream"})
             return
-        await self.send(generation, int(self.get_argument("from", "0")))
+        offset = int(self.get_argument("from", "0"))
+        if offset > len(generation.tokens):
+            self.set_status(416)
+            self.finish({"error": "beyond what has been generated"})
+            return
+        await self.send(generation, offset)
 
     def delete(self, stream: str) -> None:
         """Cancel it."""
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -2,7 +2,9 @@
 
 import http.client
 import json
+import socket
 import threading
+import time
 
 from attrs import define, field
 
@@ -20,6 +22,12 @@
         The text of each token event.
     cursor : str
         The id of the last event.
+    method : str
+        ``POST`` to send the request, ``GET`` to resume without a body.
+    receive_buffer : int
+        The size of the kernel's receive buffer in bytes; 0 for the usual.
+    reading : bool
+        Whether it reads its answer; :meth:`read_on` begins to.
     error : dict or None
         The problem details that ended the answer, if any did.
     """
@@ -36,6 +44,13 @@
     error: dict | None = None
     done: bool = False
     broken: str = ""
+    method: str = "POST"
+    receive_buffer: int = 0
+    reading: bool = True
+    answer_id: str = ""
+    ended_at: float = 0.0
+    link: socket.socket | None = None
+    may_read: threading.Event = field(factory=threading.Event)
     thread: threading.Thread | None = None
     arrived: threading.Condition = field(factory=threading.Condition)
 
@@ -51,12 +66,32 @@
             self._run()
         except (OSError, http.client.HTTPException) as error:
             self.broken = repr(error)
+        self.ended_at = time.monotonic()
         with self.arrived:
             self.arrived.notify_all()
 
-    def _run(self) -> None:
+    def read_on(self) -> None:
+        """Begin to read the answer."""
+        self.may_read.set()
+
+    def leave(self) -> None:
+        """Go away in the middle of the answer."""
+        self.link.shutdown(socket.SHUT_RDWR)
+        self.join()
+
+    def _connect(self) -> http.client.HTTPConnection:
         host, _, port = self.address.rpartition(":")
         connection = http.client.HTTPConnection(host, int(port), timeout=LIMIT)
+        self.link = socket.socket()
+        if self.receive_buffer:
+            self.link.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer)
+        self.link.settimeout(LIMIT)
+        self.link.connect((host, int(port)))
+        connection.sock = self.link
+        return connection
+
+    def _run(self) -> None:
+        connection = self._connect()
         body = {
             "model": self.model,
             "messages": [{"role": "user", "content": self.prompt}],
@@ -66,7 +101,12 @@
         headers = {"Authorization": f"Bearer {KEYS[self.account]}"} | self.headers
         if self.last_event_id:
             headers["Last-Event-ID"] = self.last_event_id
-        connection.request("POST", "/v1/chat/completions", json.dumps(body), headers)
+        if self.method == "GET":
+            connection.request("GET", "/v1/streams", headers=headers)
+        else:
+            connection.request("POST", "/v1/chat/completions", json.dumps(body), headers)
+        if not self.reading:
+            self.may_read.wait(LIMIT)
         response = connection.getresponse()
         self.status = response.status
         if response.status != 200:
@@ -89,7 +129,9 @@
         elif event.get("data") == "[DONE]":
             self.done = True
         elif event.get("data"):
-            text = json.loads(event["data"])["choices"][0]["delta"].get("content")
+            chunk = json.loads(event["data"])
+            self.answer_id = chunk["id"]
+            text = chunk["choices"][0]["delta"].get("content")
             self.cursor = event.get("id", self.cursor)
             if text:
                 with self.arrived:
@@ -99,8 +141,9 @@
     def wait_tokens(self, count: int) -> None:
         """Wait until so many tokens have come."""
         with self.arrived:
-            found = self.arrived.wait_for(lambda: len(self.texts) >= count or self.broken, LIMIT)
-        assert found and not self.broken, f"{len(self.texts)} tokens came: {self.broken}"
+            found = self.arrived.wait_for(lambda: len(self.texts) >= count or self.ended_at, LIMIT)
+            came = len(self.texts)
+        assert found and came >= count, f"{came} tokens came: {self.error or self.broken}"
 
     def join(self) -> None:
         """Wait for the end of the answer."""
@@ -108,9 +151,14 @@
         assert not self.thread.is_alive(), "the answer did not end"
 
 
+def marks_of(texts: list[str]) -> set[str]:
+    """Return the generations that tokens come from."""
+    return {text.split(":")[0] for text in texts}
+
+
 def check_whole(texts: list[str], length: int) -> None:
     """Check that tokens are those of one generation, each once and in order."""
-    marks = {text.split(":")[0] for text in texts}
+    marks = marks_of(texts)
     assert len(marks) <= 1, f"tokens of {len(marks)} generations"
     offsets = [int(text.split(":")[1]) for text in texts]
     assert offsets == list(range(length)), f"{len(offsets)} tokens, not 0 to {length - 1} in order"
