--- a/papayacourse/chat.py
+++ b/papayacourse/chat.py
@@ -2,6 +2,7 @@
 
 import json
 import time
+from functools import cached_property
 
 import xxhash
 from attrs import frozen
@@ -13,6 +14,7 @@
 PREFIX_BYTES = 256  # step between the prefixes whose hashes are taken
 MAX_PREFIXES = 64
 DEFAULT_MAX_TOKENS = 4096
+TEXT_MARK = "\0text\0"  # stands for a token's text; no model's name contains it
 
 
 @frozen
@@ -141,7 +143,7 @@
     return tuple(hashes)
 
 
-@frozen
+@frozen(slots=False)
 class Form:
     """Writes the events of one answer in the OpenAI form."""
 
@@ -173,11 +175,18 @@
             "choices": [choice],
         }
 
+    @cached_property
+    def token_frame(self) -> tuple[str, str]:
+        """Return what stands before and after the text in every token's event."""
+        before, _, after = json.dumps(self._chunk(TEXT_MARK, None)).partition(json.dumps(TEXT_MARK))
+        return before, after
+
     def event(self, event: EngineEvent) -> bytes:
         """Return one server-sent event, with the cursor to resume after it."""
         match event:
             case Token(offset=offset, text=text):
-                data = json.dumps(self._chunk(text, None))
+                before, after = self.token_frame
+                data = f"{before}{json.dumps(text)}{after}"
                 return f"id: {self.cursor}~{offset + 1}\ndata: {data}\n\n".encode()
             case End(offset=offset, reason=reason):
                 data = json.dumps(self._chunk("", reason))
