--- a/papayacourse/orders.py
+++ b/papayacourse/orders.py
@@ -170,7 +170,7 @@
 
     async def _state(self, target: Target) -> EngineState | None:
         try:
-            return await engines.state(target.host.address)
+            return await engines.engine_state(target.host.address)
         except BackendError as error:
             logs.debug("engine state not read", engine=target.host.name, why=str(error))
             return None
