Move the exchange of settings out of membership

Cause: membership.py held three jobs; the exchange of settings between peers grows next. Change: settingsync.py holds the exchange; heard() hands it the peer's digest. No behaviour changes.

--- a/papayacourse/membership.py
+++ b/papayacourse/membership.py
@@ -10,15 +10,15 @@
 from papayacourse.catalog import Catalog
 from papayacourse.exceptions import PeerError, PlatformError
 from papayacourse.hostlist import HostList, HostListing
-from papayacourse.messages import Heartbeat, Hello, HostsUpdate, SettingsDigest, SettingsUpdate
+from papayacourse.messages import Heartbeat, Hello, HostsUpdate
 from papayacourse.peers import Peers
 from papayacourse.rendezvous import ranked
+from papayacourse.settingsync import SettingsSync
 from papayacourse.types import Address, Host, HostKind
 
 HEARTBEAT_INTERVAL = 1.0  # seconds
 DEAD_AFTER = 3.0  # seconds without a heartbeat
 HOST_LIST_INTERVAL = 2.0  # seconds
-CALL_TIMEOUT = 2.0  # seconds
 CROSS_LINKS = 2  # daemons of each other domain that one gateway keeps a link to
 GATEWAYS = 2  # daemons of a domain that keep links to another one
 
@@ -58,13 +58,13 @@
     leaving: bool = False
     beating: dict[str, asyncio.Task] = field(factory=dict)
     changed: asyncio.Event = field(factory=asyncio.Event)
+    settings: SettingsSync = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.peers.on_met = self.met
         self.peers.handlers[Heartbeat] = self.heard
         self.peers.handlers[HostsUpdate] = self.take_hosts
-        self.peers.handlers[SettingsDigest] = self.answer_digest
-        self.peers.handlers[SettingsUpdate] = self.take_settings
+        self.settings = SettingsSync(self.peers, self.catalog, self.changed.set)
 
     # Queries.
 
@@ -119,29 +119,7 @@
         if member.leaving != beat.leaving:
             member.leaving = beat.leaving
             self.changed.set()
-        if beat.settings_digest != self.catalog.digest:
-            await self._exchange_settings(peer.name)
-
-    async def _exchange_settings(self, name: str) -> None:
-        """Send what this daemon has; the peer answers with what is newer there."""
-        try:
-            ask = SettingsDigest(self.catalog.versions())
-            answer = await self.peers.call(name, ask, CALL_TIMEOUT)
-        except PeerError as error:
-            logs.debug("settings not exchanged", peer=name, why=str(error))
-            return
-        if isinstance(answer, SettingsUpdate):
-            await self.take_settings(None, answer)
-
-    async def answer_digest(self, _peer: Hello, ask: SettingsDigest) -> SettingsUpdate:
-        """Answer with the settings values that the peer lacks."""
-        return SettingsUpdate(self.catalog.newer_than(ask.versions))
-
-    async def take_settings(self, _peer: Hello | None, update: SettingsUpdate) -> None:
-        """Apply settings values that a peer has sent."""
-        for value in update.values:
-            if self.catalog.apply(value):
-                self.changed.set()
+        await self.settings.compare(peer.name, beat.settings_digest)
 
     async def take_hosts(self, _peer: Hello | None, update: HostsUpdate) -> None:
         """Take a host list that is newer than the one known."""
