Commit settings of many paths by one compare-and-swap; commands, checks, paged exchange

Cause: apply wrote path by path, so a conflict or a stopped operator left half of a file in force; a change had no history; fire ran a command before it refused a misspelt flag; the exchange between peers sent every path's version in one message; deletions were kept for ever. Change: a commit is one value that holds all changes, written by one compare-and-swap; the paths' own keys follow and carry the commit's revision. Ruled out: pending values at each path under a batch id, since a daemon that starts meanwhile sees only the pending value and has to find the one before.

--- a/papayacourse/catalog.py
+++ b/papayacourse/catalog.py
@@ -2,14 +2,16 @@
 
 import hashlib
 import hmac
-from collections.abc import Iterator
+import time
+from collections import defaultdict
+from collections.abc import Callable, Iterator
 from fnmatch import fnmatchcase
 
 import xxhash
 from attrs import define, field, frozen
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
-from papayacourse import logs
+from papayacourse import invariants, logs
 from papayacourse.messages import SettingsValue, SettingsVersion
 from papayacourse.settings import (
     AccountSettings,
@@ -21,6 +23,11 @@
     parse_path,
     parse_setting,
 )
+from papayacourse.types import Fault
+
+BUCKETS = 64
+KEEP_DELETED = 24 * 3600.0  # seconds that a deletion is remembered by its path
+FORGET_INTERVAL = 60.0  # seconds
 
 
 @frozen
@@ -39,113 +46,217 @@
     Attributes
     ----------
     values : dict of str to SettingsValue
-        The highest revision seen of each path, deletions included.
-    in_force : dict of SettingsPath to Setting
-        The last good value of each path that has one.
+        The highest revision seen of each path, recent deletions included.
+    in_force : dict
+        By (team, kind) and name, the last good value of each path that has one.
+    revisions : dict of str to int
+        The revision in force of each path.
     rejected : dict of str to SettingsValue
         Newer values that failed their check, by path.
-    digest : int
-        A hash over all paths and revisions known, to compare with a peer's.
+    last_good : dict of str to SettingsValue
+        What is in force of the rejected paths, for peers that have neither.
+    digests : list of int
+        For each bucket of paths a hash over those with a value and their revisions.
+    complete_to : int
+        Every change up to this revision is known, from the key-value service itself.
+    forgotten_to : int
+        A path not known here has no value at or below this revision. That lets deletions be
+        forgotten: a peer cut off for longer than they are kept cannot bring the values back.
     """
 
+    clock: Callable[[], float] = time.monotonic
     values: dict[str, SettingsValue] = field(factory=dict)
-    in_force: dict[SettingsPath, Setting] = field(factory=dict)
+    in_force: dict[tuple[str, str], dict[str, Setting]] = field(factory=lambda: defaultdict(dict))
+    revisions: dict[str, int] = field(factory=dict)
     rejected: dict[str, SettingsValue] = field(factory=dict)
-    keys: dict[str, Client] = field(factory=dict)
-    digest: int = 0
+    last_good: dict[str, SettingsValue] = field(factory=dict)
+    keys: dict[str, dict[str, Client]] = field(factory=lambda: defaultdict(dict))
+    digests: list[int] = field(factory=lambda: [0] * BUCKETS)
+    deleted_at: dict[str, float] = field(factory=dict)
+    complete_to: int = 0
+    forgotten_to: int = 0
+    forget_at: float = 0.0
+
+    # Commands.
 
-    def apply(self, value: SettingsValue) -> bool:
+    def apply(self, value: SettingsValue, from_platform: bool = False) -> bool:
         """Take a value if it is newer than the one known; True when it was."""
         known = self.values.get(value.path)
         if known is not None and value.revision <= known.revision:
             return False
+        if known is None and not from_platform and value.revision <= self.forgotten_to:
+            return False
         # Kept by exclusive or, so that a change costs the same however many paths there are.
-        self.digest ^= fingerprint(value) ^ (fingerprint(known) if known else 0)
+        self.digests[bucket(value.path)] ^= fingerprint(value) ^ fingerprint(known)
+        if known is not None and known.path not in self.rejected:
+            self.last_good[known.path] = known
         self.values[value.path] = value
-        self._put_in_force(value)
+        self.deleted_at.pop(value.path, None)
+        if value.text is None:
+            self.deleted_at[value.path] = self.clock()
+        self._check(value)
+        if value.path not in self.rejected:
+            self.last_good.pop(value.path, None)
         return True
 
-    def _put_in_force(self, value: SettingsValue) -> None:
+    def take_all(self, paths: set[str], revision: int) -> None:
+        """Note that these are all the paths the platform had at a revision; others are deleted."""
+        for value in list(self.values.values()):
+            gone = value.path not in paths and value.text is not None
+            if gone and value.revision <= revision:
+                self.apply(SettingsValue(value.path, revision, None), from_platform=True)
+
+    def known_to(self, revision: int) -> None:
+        """Note that every change up to a revision is known; forget old deletions."""
+        self.complete_to = max(self.complete_to, revision)
+        if self.clock() < self.forget_at:
+            return
+        self.forget_at = self.clock() + FORGET_INTERVAL
+        before = self.clock() - KEEP_DELETED
+        for path in [path for path, at in self.deleted_at.items() if at < before]:
+            if self.values[path].revision <= self.complete_to:
+                self.forgotten_to = max(self.forgotten_to, self.values[path].revision)
+                del self.values[path], self.deleted_at[path]
+                self.revisions.pop(path, None)
+
+    def restore(self, value: SettingsValue) -> bool:
+        """Put an earlier value in force where a bad one came before any good one was seen."""
+        if value.path not in self.rejected or value.path in self.revisions:
+            return False
+        match parse_path(value.path), parse_setting_of(value):
+            case Success(path), Success(setting):
+                self._put_in_force(path, value.revision, setting)
+                self.last_good[value.path] = value
+                return True
+        return False
+
+    def _check(self, value: SettingsValue) -> None:
+        self.rejected.pop(value.path, None)
         match parse_path(value.path):
             case Success(path):
                 pass
             case Failure(faults):
                 self._reject(value, faults)
                 return
-        self.rejected.pop(value.path, None)
         if value.text is None:
-            self.in_force.pop(path, None)
+            self._put_in_force(path, value.revision, None)
+            return
+        match parse_setting(path, value.text):
+            case Success(setting):
+                self._put_in_force(path, value.revision, setting)
+            case Failure(faults):
+                # The last good value stays in force, for this path alone.
+                self._reject(value, faults)
+
+    def _put_in_force(self, path: SettingsPath, revision: int, setting: Setting | None) -> None:
+        known = self.revisions.get(str(path), 0)
+        if not invariants.check(
+            revision > known, "settings_never_revert", path=str(path), known=known, new=revision
+        ):
+            return
+        named = self.in_force[path.team, path.kind]
+        self._index_keys(path, named.get(path.name), setting)
+        if setting is None:
+            named.pop(path.name, None)
         else:
-            match parse_setting(path, value.text):
-                case Success(setting):
-                    self.in_force[path] = setting
-                case Failure(faults):
-                    # The last good value stays in force, for this path alone.
-                    self._reject(value, faults)
-        if path.kind == "accounts":
-            self._index_keys()
-        logs.info("settings in force", path=value.path, revision=value.revision)
+            named[path.name] = setting
+        self.revisions[str(path)] = revision
+        logs.info("settings in force", path=str(path), revision=revision)
 
     def _reject(self, value: SettingsValue, faults: list) -> None:
         self.rejected[value.path] = value
         logs.error("settings rejected", path=value.path, faults=[str(fault) for fault in faults])
 
-    def _index_keys(self) -> None:
-        self.keys = {
-            digest: Client(path.team, path.name, setting)
-            for path, setting in self.in_force.items()
-            if isinstance(setting, AccountSettings)
-            for digest in setting.key_sha256
-        }
+    def _index_keys(self, path: SettingsPath, old: Setting | None, new: Setting | None) -> None:
+        if isinstance(old, AccountSettings):
+            for digest in old.key_sha256:
+                self.keys[digest].pop(str(path), None)
+                if not self.keys[digest]:
+                    del self.keys[digest]
+        if isinstance(new, AccountSettings):
+            for digest in new.key_sha256:
+                self.keys[digest][str(path)] = Client(path.team, path.name, new)
 
-    def versions(self) -> tuple[SettingsVersion, ...]:
-        """Return every path with its revision."""
-        return tuple(SettingsVersion(value.path, value.revision) for value in self.values.values())
+    # Queries for other daemons.
 
-    def newer_than(self, versions: tuple[SettingsVersion, ...]) -> tuple[SettingsValue, ...]:
-        """Return the values that a peer with these versions lacks."""
+    @property
+    def digest(self) -> int:
+        """Return a hash over all paths that have a value and their revisions."""
+        return xxhash.xxh3_64_intdigest(",".join(map(str, self.digests)).encode())
+
+    def differing(self, digests: tuple[int, ...]) -> tuple[int, ...]:
+        """Return the buckets of paths whose digests differ from a peer's."""
+        return tuple(i for i, mine in enumerate(self.digests) if digests[i : i + 1] != (mine,))
+
+    def versions(self, number: int) -> tuple[SettingsVersion, ...]:
+        """Return every path of a bucket with its revision."""
+        return tuple(
+            SettingsVersion(value.path, value.revision)
+            for value in self.values.values()
+            if bucket(value.path) == number
+        )
+
+    def newer_than(
+        self, number: int, versions: tuple[SettingsVersion, ...]
+    ) -> Iterator[SettingsValue]:
+        """Yield the values of a bucket that a peer with these versions lacks."""
         theirs = {version.path: version.revision for version in versions}
-        return tuple(v for v in self.values.values() if v.revision > theirs.get(v.path, 0))
+        for value in self.values.values():
+            if bucket(value.path) != number or value.revision <= theirs.get(value.path, 0):
+                continue
+            good = self.last_good.get(value.path)
+            if good is not None and good.revision > theirs.get(value.path, 0):
+                yield good
+            yield value
+        for path, revision in theirs.items():
+            if path not in self.values and revision < self.forgotten_to:
+                yield SettingsValue(path, self.forgotten_to, None)
+
+    # Queries about what is in force.
 
     def client(self, key: str) -> Client | None:
         """Return the account that a key belongs to."""
         digest = hashlib.sha256(key.encode()).hexdigest()
-        found = self.keys.get(digest)
-        if found is None:
+        holders = self.keys.get(digest)
+        if not holders:
             return None
+        # Two accounts with one key come only from a write past the checks; every daemon must
+        # then choose the same.
+        found = holders[min(holders)]
         # The look-up is by hash, so its time tells nothing about the key itself.
         matches = [hmac.compare_digest(digest, known) for known in found.settings.key_sha256]
         return found if any(matches) else None
 
     def team_closed(self, team: str) -> bool:
         """Tell whether a team takes no new requests."""
-        setting = self.in_force.get(SettingsPath(team, "team"))
+        setting = self._named(team, "team").get("")
         return isinstance(setting, TeamSettings) and setting.closed
 
     def service(self, team: str, name: str) -> ServiceSettings | None:
         """Return a service's settings."""
-        return self.in_force.get(SettingsPath(team, "services", name))
+        return self._named(team, "services").get(name)
 
     def services(self, team: str) -> Iterator[tuple[str, ServiceSettings]]:
         """Yield a team's services by name."""
-        for path, setting in self.in_force.items():
-            if path.team == team and isinstance(setting, ServiceSettings):
-                yield path.name, setting
+        yield from self._named(team, "services").items()
 
     def deployments(self, team: str, service: str) -> Iterator[DeploymentSettings]:
         """Yield the deployments of a service, in the order of their names."""
-        found = [
-            (path.name, setting)
-            for path, setting in self.in_force.items()
-            if isinstance(setting, DeploymentSettings)
-            and path.team == team
-            and setting.service == service
-        ]
-        yield from (setting for _, setting in sorted(found, key=lambda pair: pair[0]))
+        for _, setting in sorted(self._named(team, "deployments").items()):
+            if setting.service == service:
+                yield setting
 
     def account(self, team: str, name: str) -> AccountSettings | None:
         """Return an account's settings."""
-        return self.in_force.get(SettingsPath(team, "accounts", name))
+        return self._named(team, "accounts").get(name)
+
+    def revision_in_force(self, path: str) -> int:
+        """Return the revision of a path that is in force; 0 when it never had one."""
+        missing = 0 if path in self.values else self.forgotten_to
+        return self.revisions.get(path, missing)
+
+    def _named(self, team: str, kind: str) -> dict[str, Setting]:
+        return self.in_force.get((team, kind), {})
 
 
 def may_use(client: Client, service: str) -> bool:
@@ -153,6 +264,26 @@
     return any(fnmatchcase(service, pattern) for pattern in client.settings.services)
 
 
-def fingerprint(value: SettingsValue) -> int:
-    """Return a hash of a path at a revision."""
+def parse_setting_of(value: SettingsValue) -> Result[Setting, list[Fault]]:
+    """Check the path and the text of a value."""
+    return parse_path(value.path).bind(lambda path: parse_setting(path, value.text or ""))
+
+
+def faults_of(value: SettingsValue) -> list[Fault]:
+    """Return what is wrong with a value."""
+    match parse_setting_of(value):
+        case Failure(faults):
+            return faults
+    return []
+
+
+def bucket(path: str) -> int:
+    """Return the number of the bucket that a path falls in."""
+    return xxhash.xxh3_64_intdigest(path.encode()) % BUCKETS
+
+
+def fingerprint(value: SettingsValue | None) -> int:
+    """Return a hash of a path at a revision; 0 when there is no value."""
+    if value is None or value.text is None:
+        return 0
     return xxhash.xxh3_64_intdigest(f"{value.path} {value.revision}".encode())
--- a/papayacourse/config.py
+++ b/papayacourse/config.py
@@ -1,6 +1,7 @@
 """Reads a daemon's own configuration from its INI file into one checked object."""
 
 import configparser
+import math
 from collections.abc import Callable
 from pathlib import Path
 
@@ -99,8 +100,8 @@
 
     def read(text: str):
         value = kind(text)
-        if value <= 0:
-            raise ValueError(f"{text!r} must be above zero")
+        if not 0 < value < math.inf:
+            raise ValueError(f"{text!r} must be a number above zero")
         return value
 
     return read
@@ -156,7 +157,13 @@
 
 def unknown_options(where: str, ini: IniFile, known: set[tuple[str, str]]) -> list[Fault]:
     """List the options that no reader asked for, since a misspelt one must not pass silently."""
-    return [
+    sections = {section for section, _ in known}
+    empty = [
+        Fault(where, section, "", "unknown section")
+        for section, options in ini.sections.items()
+        if section not in sections and not options
+    ]
+    return empty + [
         Fault(where, section, option, "unknown option")
         for section, options in ini.sections.items()
         for option in options
--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -225,7 +225,7 @@
             "ready": self.ready,
             "in_progress": self.busy.total(),
             "settings": {
-                "paths": len(self.catalog.values),
+                "paths": sum(v.text is not None for v in self.catalog.values.values()),
                 "digest": f"{self.catalog.digest:016x}",
                 "revision": max((v.revision for v in self.catalog.values.values()), default=0),
                 "rejected": sorted(self.catalog.rejected),
--- a/papayacourse/editor.py
+++ b/papayacourse/editor.py
@@ -1,14 +1,48 @@
-"""Changes operators' settings in the key-value service, checked and by compare-and-swap."""
+"""Changes operators' settings in the key-value service, checked and by compare-and-swap.
 
-from attrs import define, frozen
+Every change, of one path or of many, is one commit: a single value, written by one
+compare-and-swap on the commit key, that holds all the changes. From then on it is in force.
+The paths' own keys are written afterwards, by its author or, when that one has stopped halfway,
+by whoever commits next, always before the commit key is written again.
+"""
+
+import secrets
+import time
+from collections.abc import Callable, Mapping, Sequence
+
+from attrs import define, evolve, frozen
 from returns.result import Failure, Success
 
-from papayacourse.exceptions import PlatformAnswerLost, SettingsConflict, SettingsError
-from papayacourse.kvstore import Entry, KeyValueStore, Written
+from papayacourse.commits import (
+    COMMIT_KEY,
+    Commit,
+    CommittedChange,
+    Stored,
+    commit_text,
+    commit_values,
+    read_commit,
+    read_stored,
+    stored_text,
+)
+from papayacourse.exceptions import (
+    PlatformAnswerLost,
+    PlatformError,
+    SettingsConflict,
+    SettingsError,
+    SettingsOutcomeUnknown,
+)
+from papayacourse.history import Revision, note_revision, read_history, remove_history
+from papayacourse.kvstore import Entry, KeyValueStore, Lost, Written
+from papayacourse.messages import SettingsValue
 from papayacourse.settings import ROOT, SettingsPath, parse_path, parse_setting
-from papayacourse.watch import AUTHOR_LINE, settings_value
+from papayacourse.settingschecks import new_faults
+from papayacourse.types import Fault
 
+COMMIT_TRIES = 8
 SWAP_TRIES = 5
+MAX_COMMIT_BYTES = 960 * 1024  # the key-value service holds values up to a megabyte
+MAX_REMOVED = 50  # paths whose keys go with one commit
+KEEP_DELETED = 7 * 24 * 3600.0  # seconds that a deleted path's key stays in the service
 
 
 @frozen
@@ -19,6 +53,63 @@
     text: str | None
 
 
+@frozen
+class Snapshot:
+    """All settings as the key-value service held them at one moment.
+
+    Attributes
+    ----------
+    values : dict of str to SettingsValue
+        By path, the newest commit included, deletions too.
+    keys : dict of str to Entry
+        The paths' own keys.
+    """
+
+    values: dict[str, SettingsValue]
+    keys: dict[str, Entry]
+    commit_entry: Entry
+    commit: Commit | None
+
+    @property
+    def revision(self) -> int:
+        """Return the newest revision of any path."""
+        return max((value.revision for value in self.values.values()), default=0)
+
+    def unwritten(self) -> list[CommittedChange]:
+        """Return the changes of the newest commit that the paths' own keys lack."""
+        if self.commit is None:
+            return []
+        return [
+            change
+            for change in self.commit.changes
+            if self.stored(change.path).value.revision < self.commit_entry.revision
+        ]
+
+    def unremoved(self) -> list[str]:
+        """Return the deleted paths whose keys the newest commit removes and that still stand."""
+        return [
+            path
+            for path in (self.commit.removed if self.commit else ())
+            if path in self.keys
+            and self.keys[path].value is not None
+            and self.stored(path).value.revision < self.commit_entry.revision
+        ]
+
+    def deleted_before(self, at: float) -> list[str]:
+        """Return the paths that were deleted before a time and still have a key."""
+        return [
+            path
+            for path, entry in self.keys.items()
+            if entry.value is not None
+            and self.values[path].text is None
+            and self.stored(path).at < at
+        ]
+
+    def stored(self, path: str) -> Stored:
+        """Return what a path's own key holds."""
+        return read_stored(self.keys.get(path, Entry(path, None, 0)))
+
+
 def checked_path(text: str) -> SettingsPath:
     """Return a path, or raise SettingsError."""
     match parse_path(text):
@@ -45,54 +136,217 @@
 
     store: KeyValueStore
     author: str
+    clock: Callable[[], float] = time.time
 
-    async def get(self, path: str) -> Entry:
-        """Return a path's entry."""
-        return await self.store.get(str(checked_path(path)))
+    # Queries.
 
-    async def list(self, prefix: str = ROOT) -> tuple[Entry, ...]:
+    async def snapshot(self) -> Snapshot:
+        """Read all settings in one call."""
+        listing = await self.store.list(ROOT)
+        keys = {entry.key: entry for entry in listing.entries}
+        commit_entry = keys.pop(COMMIT_KEY, Entry(COMMIT_KEY, None, 0))
+        values = {entry.key: read_stored(entry).value for entry in keys.values()}
+        commit = read_commit(commit_entry)
+        for value in commit_values(commit, commit_entry.revision) if commit else ():
+            if value.path not in values or values[value.path].revision < value.revision:
+                values[value.path] = value
+        return Snapshot(values, keys, commit_entry, commit)
+
+    async def get(self, path: str) -> SettingsValue:
+        """Return a path's newest value; revision 0 when it never had one."""
+        key = str(checked_path(path))
+        return (await self.snapshot()).values.get(key, SettingsValue(key, 0, None))
+
+    async def list(self, prefix: str = ROOT) -> list[SettingsValue]:
         """Return every path under a prefix that has a value."""
-        listing = await self.store.list(prefix)
-        return tuple(entry for entry in listing.entries if entry.value is not None)
+        values = (await self.snapshot()).values
+        return [
+            values[path]
+            for path in sorted(values)
+            if path.startswith(prefix) and values[path].text is not None
+        ]
+
+    async def history(self, path: str) -> Sequence[Revision]:
+        """Return a path's revisions that are still kept, the oldest first."""
+        return await read_history(self.store, str(checked_path(path)))
 
-    async def write(self, change: Change, seen: int | None = None) -> int:
-        """Write one change.
+    # Commands.
+
+    async def write(
+        self, changes: Sequence[Change], seen: int | None = None, force: bool = False
+    ) -> int:
+        """Write changes that come into force together, or none of them.
 
         Parameters
         ----------
-        change : Change
-            What to write.
+        changes : sequence of Change
+            What to write, each path once.
         seen : int, optional
-            The revision that the operator saw; the current one by default.
+            The revision that the operator saw; no path may have changed since. By default what
+            is there when the command starts.
+        force : bool
+            Whether names of services that do not exist are let pass.
 
         Returns
         -------
         int
-            The revision written.
+            The revision of all the changes.
 
         Raises
         ------
         SettingsConflict
-            When the path is no longer at that revision.
+            When somebody else has changed a path since; nothing is written.
+        SettingsError
+            When the changes do not fit the other settings; nothing is written.
+        SettingsOutcomeUnknown
+            When the platform's answer was lost and it could not be asked again.
         """
-        key = str(change.path)
-        value = None if change.text is None else f"{AUTHOR_LINE}{self.author}\n{change.text}"
-        if seen is None:
-            seen = (await self.store.get(key)).revision
+        commit = self._commit(changes)
+        snapshot = await self.snapshot()
+        expected = self._expected(changes, snapshot, seen)
+        maybe_written = False
+        for _ in range(COMMIT_TRIES):
+            try:
+                done = await self._try(commit, expected, snapshot, force, maybe_written)
+                if done is not None:
+                    return done
+                snapshot = await self.snapshot()
+            except PlatformAnswerLost as error:
+                maybe_written = True
+                snapshot = await self._after_lost_answer(error)
+            except PlatformError as error:
+                if maybe_written:
+                    raise SettingsOutcomeUnknown(str(error)) from error
+                raise
+        if maybe_written:
+            raise SettingsOutcomeUnknown(f"no clear answer in {COMMIT_TRIES} tries")
+        raise PlatformError(f"others kept committing in {COMMIT_TRIES} tries; nothing is written")
+
+    async def _after_lost_answer(self, error: PlatformAnswerLost) -> Snapshot:
+        try:
+            return await self.snapshot()
+        except PlatformError as second:
+            raise SettingsOutcomeUnknown(str(error)) from second
+
+    def _commit(self, changes: Sequence[Change]) -> Commit:
+        paths = [str(change.path) for change in changes]
+        twice = sorted({path for path in paths if paths.count(path) > 1})
+        if twice:
+            raise SettingsError([Fault(path, "", "", "given twice") for path in twice])
+        listed = tuple(CommittedChange(str(change.path), change.text) for change in changes)
+        commit = Commit(secrets.token_hex(8), self.author, round(self.clock(), 3), listed)
+        if len(commit_text(commit).encode()) > MAX_COMMIT_BYTES:
+            what = f"longer than {MAX_COMMIT_BYTES} bytes together; apply fewer paths at once"
+            raise SettingsError([Fault("settings", "", "", what)])
+        return commit
+
+    def _expected(
+        self, changes: Sequence[Change], snapshot: Snapshot, seen: int | None
+    ) -> dict[str, int]:
+        """Return the newest revision that each path may have."""
+        revisions = {path: value.revision for path, value in snapshot.values.items()}
+        paths = [str(change.path) for change in changes]
+        return {path: revisions.get(path, 0) if seen is None else seen for path in paths}
+
+    async def _try(
+        self,
+        commit: Commit,
+        expected: Mapping[str, int],
+        snapshot: Snapshot,
+        force: bool,
+        maybe_written: bool,
+    ) -> int | None:
+        """Commit once; None when somebody else came first and it has to be looked at again."""
+        written = await self._found(commit, snapshot) if maybe_written else None
+        if written is None:
+            check_seen(expected, snapshot)
+            check_fit(commit, snapshot, force)
+            await self._settle(snapshot)
+            commit = evolve(commit, removed=self._removable(commit, snapshot))
+            base = snapshot.commit_entry.revision
+            result = await self.store.swap(COMMIT_KEY, commit_text(commit), base)
+            match result:
+                case Written(revision):
+                    written = revision
+                case Lost(current):
+                    found = read_commit(current)
+                    if found is None or found.batch != commit.batch:
+                        return None
+                    written = current.revision
+        await self._finish(commit, written, snapshot)
+        return written
+
+    async def _found(self, commit: Commit, snapshot: Snapshot) -> int | None:
+        """Return the revision of a commit whose answer was lost, if it took effect."""
+        if snapshot.commit is not None and snapshot.commit.batch == commit.batch:
+            return snapshot.commit_entry.revision
+        # Whoever committed after it has written its history first.
+        for revision in await read_history(self.store, commit.changes[0].path):
+            if revision.batch == commit.batch:
+                return revision.revision
+        return None
+
+    async def _finish(self, commit: Commit, revision: int, before: Snapshot) -> None:
+        """Write the paths' own keys; it is in force already, so a failure here is harmless."""
+        entry = Entry(COMMIT_KEY, commit_text(commit), revision)
+        try:
+            await self._settle(evolve(before, commit=commit, commit_entry=entry))
+        except PlatformError:
+            # The next commit finishes it.
+            return
+
+    async def _settle(self, snapshot: Snapshot) -> None:
+        """Write the newest commit into the paths' own keys and their histories."""
+        revision = snapshot.commit_entry.revision
+        for change in snapshot.unwritten():
+            await note_revision(self.store, snapshot.commit, revision, change)
+            text = stored_text(snapshot.commit, revision, change)
+            await self._store(snapshot.keys.get(change.path), change.path, text, revision)
+        for path in snapshot.unremoved():
+            await self._remove(snapshot.keys[path], revision)
+
+    async def _store(self, known: Entry | None, path: str, text: str, revision: int) -> None:
+        expected = known.revision if known else 0
         for _ in range(SWAP_TRIES):
             try:
-                result = await self.store.swap(key, value, seen)
+                result = await self.store.swap(path, text, expected)
             except PlatformAnswerLost:
-                current = await self.store.get(key)
-                if current.value == value and current.revision > seen:
-                    return current.revision
                 continue
             if isinstance(result, Written):
-                return result.revision
-            raise conflict(key, seen, result.current)
-        raise PlatformAnswerLost(f"{key}: no answer in {SWAP_TRIES} tries")
+                return
+            current = result.current
+            if read_stored(current).value.revision >= revision:
+                return
+            expected = current.revision
+        raise PlatformAnswerLost(f"{path}: no answer in {SWAP_TRIES} tries")
+
+    def _removable(self, commit: Commit, snapshot: Snapshot) -> tuple[str, ...]:
+        changed = {change.path for change in commit.changes}
+        old = snapshot.deleted_before(self.clock() - KEEP_DELETED)
+        return tuple(path for path in old if path not in changed)[:MAX_REMOVED]
+
+    async def _remove(self, known: Entry, revision: int) -> None:
+        # Part of a commit, so that it cannot come after a later commit that writes the path
+        # again: the key's revision would then be above that commit's, and hide it.
+        await remove_history(self.store, known.key, revision)
+        try:
+            await self.store.swap(known.key, None, known.revision)
+        except PlatformAnswerLost:
+            await self.store.swap(known.key, None, known.revision)
+
+
+def check_seen(expected: Mapping[str, int], snapshot: Snapshot) -> None:
+    """Raise SettingsConflict when a path has changed since the operator saw it."""
+    for path, seen in expected.items():
+        current = snapshot.values.get(path)
+        if current is not None and current.revision > seen:
+            raise SettingsConflict(path, seen, current.revision, current.author)
 
 
-def conflict(key: str, seen: int, current: Entry) -> SettingsConflict:
-    """Describe who was first."""
-    return SettingsConflict(key, seen, current.revision, settings_value(current).author)
+def check_fit(commit: Commit, snapshot: Snapshot, force: bool) -> None:
+    """Raise SettingsError when a commit does not fit the other settings."""
+    after = dict(snapshot.values)
+    after |= {value.path: value for value in commit_values(commit, 0)}
+    faults = new_faults(snapshot.values, after, force)
+    if faults:
+        raise SettingsError(faults)
--- a/papayacourse/exceptions.py
+++ b/papayacourse/exceptions.py
@@ -47,6 +47,18 @@
         self.author = author
 
 
+class NotInForce(PapayacourseError):
+    """A change of settings is written, but not yet in force at every live daemon."""
+
+
+class UsageError(PapayacourseError):
+    """A command line cannot be understood."""
+
+
+class SettingsOutcomeUnknown(PapayacourseError):
+    """A change of settings may or may not have been written; reading them tells."""
+
+
 class PlatformError(PapayacourseError):
     """The platform's key-value service or host list refused or failed a call."""
 
--- a/papayacourse/messages.py
+++ b/papayacourse/messages.py
@@ -100,10 +100,31 @@
     loads: tuple[ServiceLoad, ...] = ()
 
 
+@frozen
+class SettingsSummary:
+    """Asks a peer whose digest differs in which buckets of paths it differs.
+
+    Attributes
+    ----------
+    digests : tuple of int
+        One hash for each bucket, over the (path, revision) pairs with a value there.
+    """
+
+    digests: tuple[int, ...]
+
+
+@frozen
+class SettingsBuckets:
+    """Names the buckets of paths that differ; answers a SettingsSummary."""
+
+    numbers: tuple[int, ...]
+
+
 @frozen
 class SettingsDigest:
-    """Asks a peer whose digest differs for the values that are newer there."""
+    """Asks a peer for the values of one bucket of paths that are newer there."""
 
+    bucket: int
     versions: tuple[SettingsVersion, ...]
 
 
@@ -119,9 +140,16 @@
 
 @frozen
 class SettingsUpdate:
-    """Hands newer settings values to a peer."""
+    """Hands newer settings values to a peer.
+
+    Attributes
+    ----------
+    more : bool
+        Whether there are more than fit in one message; ask again for those.
+    """
 
     values: tuple[SettingsValue, ...]
+    more: bool = False
 
 
 @frozen
@@ -282,6 +310,8 @@
     | Proof
     | Heartbeat
     | DomainSummary
+    | SettingsSummary
+    | SettingsBuckets
     | SettingsDigest
     | SettingsUpdate
     | HostsUpdate
--- a/papayacourse/pages.py
+++ b/papayacourse/pages.py
@@ -1,6 +1,7 @@
 """The handlers for the balancer, for scraping and for operators."""
 
 from papayacourse import metrics
+from papayacourse.catalog import Catalog, faults_of
 from papayacourse.exceptions import RequestRefused
 from papayacourse.web import Handler
 
@@ -42,6 +43,30 @@
         self.finish(self.daemon.status())
 
 
+class SettingsInForce(Handler):
+    """``GET /debug/settings``: the revision in force of each path, for operators."""
+
+    def get(self) -> None:
+        """Answer for the paths that the query names, or for all."""
+        if not self.daemon.is_operator(self.request.headers.get("Authorization", "")):
+            raise RequestRefused(401, "bad_key", "operators use the mesh key")
+        catalog = self.daemon.catalog
+        paths = self.get_query_arguments("path") or sorted(catalog.values)
+        self.finish({"paths": {path: path_status(catalog, path) for path in paths}})
+
+
+def path_status(catalog: Catalog, path: str) -> dict:
+    """Return what a catalog has for one path."""
+    known, rejected = catalog.values.get(path), catalog.rejected.get(path)
+    return {
+        "revision": catalog.revision_in_force(path),
+        "newest": known.revision if known else 0,
+        "author": known.author if known else "",
+        "deleted": known is not None and known.text is None,
+        "rejected": [str(fault) for fault in faults_of(rejected)] if rejected else [],
+    }
+
+
 class UnknownPath(Handler):
     """Any other path."""
 
--- a/papayacourse/routes.py
+++ b/papayacourse/routes.py
@@ -1,7 +1,7 @@
 """Which handler serves which path."""
 
 from papayacourse.completions import Completions, Models
-from papayacourse.pages import Health, MetricsPage, Ready, Status, UnknownPath
+from papayacourse.pages import Health, MetricsPage, Ready, SettingsInForce, Status, UnknownPath
 from papayacourse.plaincalls import Plain
 
 
@@ -17,5 +17,6 @@
         (r"/readyz", Ready, shared),
         (r"/metrics", MetricsPage, shared),
         (r"/debug/status", Status, shared),
+        (r"/debug/settings", SettingsInForce, shared),
         (r".*", UnknownPath, shared),
     ]
--- a/papayacourse/settingsfile.py
+++ b/papayacourse/settingsfile.py
@@ -23,6 +23,8 @@
     except (configparser.Error, OSError, UnicodeDecodeError) as error:
         raise SettingsError([Fault(file, "", "", " ".join(str(error).split()))]) from error
     changes, faults = [], []
+    if parser.defaults():
+        faults.append(Fault(file, parser.default_section, "", "a section is a path"))
     for section in parser.sections():
         try:
             changes.append(checked(section, section_text(section, dict(parser[section]))))
@@ -38,3 +40,10 @@
     lines = [f"[{KINDS[checked_path(path).kind].section}]"]
     lines += [f"{name} = {value}".replace("\n", "\n    ") for name, value in options.items()]
     return "\n".join(lines) + "\n"
+
+
+def changed_state(path: str, text: str, state: str) -> str:
+    """Return a team's INI text with another state, its other options kept."""
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.read_string(text)
+    return section_text(path, dict(parser["team"]) | {"state": state})
--- a/papayacourse/types.py
+++ b/papayacourse/types.py
@@ -66,7 +66,7 @@
 
     def __str__(self) -> str:
         spot = f"[{self.section}] {self.option}".strip() if self.section else self.option
-        return f"{self.where}: {spot}: {self.what}"
+        return ": ".join(part for part in (self.where, spot, self.what) if part)
 
 
 @frozen
