Scenarios for a bad value without history and for an earlier value put back; size figures

Two mechanisms first passed while switched off: lower revisions, and keeping the last good value; the scenarios added here are those that notice.

--- a/bench/settings.py
+++ b/bench/settings.py
@@ -1,14 +1,17 @@
 """Measures how long a change of settings takes to be in force at the last daemon."""
 
 import asyncio
+import hashlib
 import json
 import statistics
 import time
 from pathlib import Path
 
+from papayacourse.catalog import BUCKETS, Catalog
 from papayacourse.editor import Editor, checked
 from papayacourse.exceptions import BackendError
 from papayacourse.kvstore import KeyValueStore
+from papayacourse.messages import Frame, SettingsDigest, SettingsSummary, SettingsValue, encode
 from papayacourse.rollout import ask_daemon
 from papayacourse.types import Address
 from standins.fleet import MESH_KEY, Fleet, wait_until
@@ -18,6 +21,7 @@
 PATH = "/teams/sound-trust/services/planner"
 DAEMONS_PER_DOMAIN = 4
 CHANGES = 20
+ACCOUNTS = 2200
 LIMIT = 60.0  # seconds
 POLL_INTERVAL = 0.02  # seconds
 PAUSE = 1.3  # seconds between changes, so that they do not fall in step with the watches
@@ -59,6 +63,30 @@
     }
 
 
+def measure_size() -> dict:
+    """Return what settings of the target size cost one daemon, without a network."""
+    catalog = Catalog()
+    started = time.process_time()
+    for number in range(ACCOUNTS):
+        digest = hashlib.sha256(str(number).encode()).hexdigest()
+        text = f"[account]\nkey_sha256 = {digest}\nservices = planner, hiredesk\nshare = 2\n"
+        path = f"/teams/sound-trust/accounts/account-{number:04d}"
+        catalog.apply(SettingsValue(path, number + 1, text, "bench"))
+    seconds = time.process_time() - started
+    every = tuple(version for number in range(BUCKETS) for version in catalog.versions(number))
+    return {
+        "apply_all_cpu_s": round(seconds, 3),
+        "frame_of_all_versions_bytes": size(SettingsDigest(0, every)),
+        "frame_of_bucket_digests_bytes": size(SettingsSummary(tuple(catalog.digests))),
+        "frame_of_one_bucket_bytes": size(SettingsDigest(0, catalog.versions(0))),
+    }
+
+
+def size(message) -> int:
+    """Return the bytes of a message's frame."""
+    return len(encode(Frame(1, False, message)))
+
+
 def start(fleet: Fleet) -> list[str]:
     """Start two domains; the second reaches the platform through proxies."""
     fleet.platform()
@@ -93,7 +121,7 @@
         for kind in ("kv", "hosts"):
             fleet.admin(f"{kind}-proxy", {"mode": "cut"})
         figures["one_domain_cut_off"] = measure(fleet, names, CHANGES)
-    print(json.dumps(figures, indent=2))
+    print(json.dumps(figures | {"at_2200_accounts": measure_size()}, indent=2))
 
 
 if __name__ == "__main__":
--- a/tests/features/settings.feature
+++ b/tests/features/settings.feature
@@ -83,6 +83,23 @@
     When daemons "b" start in domain "lagos-1" of region "lagos"
     Then daemon "b" shows the path as rejected with the earlier revision in force
 
+  Scenario: A bad value leaves the last good one in force where the platform has no history of it
+    Given daemons "a" in domain "lagos-1" of region "lagos"
+    And the history of the planner is gone from the platform
+    When somebody writes "[service]\nkind = nonsense" directly to "/teams/sound-trust/services/planner"
+    Then daemon "a" shows the path as rejected with the earlier revision in force
+    When daemon "b" starts in domain "lagos-1" with a dead platform and "a" as its seed
+    Then daemon "b" shows the path as rejected with the earlier revision in force
+
+  Scenario: An earlier value put back past the commands is not applied, nor by a later daemon
+    Given daemons "a" in domain "lagos-1" of region "lagos"
+    When operator "ada" sets the planner's wait limit to 48
+    And somebody puts the planner's first value back as the key-value service held it
+    And operator "ada" sets the ledger's call timeout to 18
+    Then the change is in force at "a" within 14 seconds
+    When daemons "b" start in domain "lagos-1" of region "lagos"
+    Then the planner's wait limit of 48 is in force at "a, b"
+
   Scenario: Closing a team finishes its requests and touches nobody else
     Given 1 engines "planner" in domain "lagos-1" of region "lagos"
     And 1 engines "papaya" in domain "lagos-1" of region "lagos"
--- a/tests/features/steps/settings_steps.py
+++ b/tests/features/steps/settings_steps.py
@@ -7,9 +7,17 @@
 from behave import given, then, when
 
 from papayacourse.catalog import KEEP_DELETED, Catalog, bucket
-from papayacourse.commits import COMMIT_KEY, Commit, CommittedChange, commit_text, read_stored
+from papayacourse.commits import (
+    COMMIT_KEY,
+    Commit,
+    CommittedChange,
+    commit_text,
+    read_stored,
+    stored_text,
+)
 from papayacourse.editor import Editor, checked
-from papayacourse.kvstore import KeyValueStore
+from papayacourse.history import remove_history
+from papayacourse.kvstore import KeyValueStore, Written
 from papayacourse.messages import MAX_FRAME_BYTES, Frame, SettingsValue, encode
 from papayacourse.settingsync import first_page
 from papayacourse.types import Address
@@ -269,6 +277,40 @@
     assert made <= daemons * (elapsed / WATCH_PAUSE + 2), f"{made} watches in {elapsed} s"
 
 
+@given("the history of the planner is gone from the platform")
+def remove_planner_history(context):
+    asyncio.run(remove_history(store(context), PLANNER, 1 << 60))
+    assert history(context.fleet, PLANNER) == []
+
+
+@when("somebody puts the planner's first value back as the key-value service held it")
+def put_back(context):
+    kv = store(context)
+    first, context.second = history(context.fleet, PLANNER)
+    change = CommittedChange(PLANNER, first["text"])
+    commit = Commit(first["batch"], first["author"], first["at"], (change,))
+
+    async def write():
+        current = await kv.get(PLANNER)
+        return await kv.swap(
+            PLANNER, stored_text(commit, first["revision"], change), current.revision
+        )
+
+    assert isinstance(asyncio.run(write()), Written)
+
+
+@then('the planner\'s wait limit of 48 is in force at "{names}"')
+def planner_in_force(context, names):
+    for name in names_in(names):
+        wait_until(
+            f"{name} has the newer revision in force",
+            lambda n=name: (
+                paths_at(context.fleet, n).get(PLANNER, {}).get("revision")
+                == context.second["revision"]
+            ),
+        )
+
+
 # What daemons have.
 
 
@@ -407,11 +449,10 @@
     catalog = Catalog(clock)
     for value in (OLD, DELETED, LATER):
         catalog.apply(value, from_platform=from_platform)
-    if from_platform:
-        catalog.known_to(9)
+    complete_to = LATER.revision if from_platform else OLD.revision
+    catalog.known_to(complete_to)
     clock.now = KEEP_DELETED * 2
-    if from_platform:
-        catalog.known_to(9)
+    catalog.known_to(complete_to)
     return catalog
 
 
