Answer 503, not 401, before the settings are known

Cause: a daemon that had started without the platform and without a peer told callers with a good key that the key is not known. Change: a catalog is informed once the platform or an informed peer has told it everything; before that /readyz is 503 and callers get 503 no_settings, ran no, Retry-After. Also exit 5 and 6 proved.

--- a/papayacourse/catalog.py
+++ b/papayacourse/catalog.py
@@ -57,6 +57,8 @@
         What is in force of the rejected paths, for peers that have neither.
     digests : list of int
         For each bucket of paths a hash over those with a value and their revisions.
+    informed : bool
+        Whether the platform or a peer has told everything it knew at least once.
     complete_to : int
         Every change up to this revision is known, from the key-value service itself.
     forgotten_to : int
@@ -73,6 +75,7 @@
     keys: dict[str, dict[str, Client]] = field(factory=lambda: defaultdict(dict))
     digests: list[int] = field(factory=lambda: [0] * BUCKETS)
     deleted_at: dict[str, float] = field(factory=dict)
+    informed: bool = False
     complete_to: int = 0
     forgotten_to: int = 0
     forget_at: float = 0.0
@@ -105,6 +108,7 @@
             gone = value.path not in paths and value.text is not None
             if gone and value.revision <= revision:
                 self.apply(SettingsValue(value.path, revision, None), from_platform=True)
+        self.informed = True
 
     def known_to(self, revision: int) -> None:
         """Note that every change up to a revision is known; forget old deletions."""
--- a/papayacourse/messages.py
+++ b/papayacourse/messages.py
@@ -115,9 +115,16 @@
 
 @frozen
 class SettingsBuckets:
-    """Names the buckets of paths that differ; answers a SettingsSummary."""
+    """Names the buckets of paths that differ; answers a SettingsSummary.
+
+    Attributes
+    ----------
+    informed : bool
+        Whether the peer has itself been told all settings at least once.
+    """
 
     numbers: tuple[int, ...]
+    informed: bool
 
 
 @frozen
--- a/papayacourse/settingsync.py
+++ b/papayacourse/settingsync.py
@@ -67,6 +67,7 @@
             raise PeerError(f"{peer} answered a summary with {type(answer).__name__}")
         for number in answer.numbers[:BUCKETS]:
             await self._fetch_bucket(peer, number)
+        self.catalog.informed = self.catalog.informed or answer.informed
 
     async def _fetch_bucket(self, peer: str, number: int) -> None:
         for _ in range(MAX_PAGES):
@@ -85,7 +86,7 @@
 
     async def answer_summary(self, _peer: Hello, ask: SettingsSummary) -> SettingsBuckets:
         """Answer with the buckets of paths that differ."""
-        return SettingsBuckets(self.catalog.differing(ask.digests))
+        return SettingsBuckets(self.catalog.differing(ask.digests), self.catalog.informed)
 
     async def answer_digest(self, _peer: Hello, ask: SettingsDigest) -> SettingsUpdate:
         """Answer with the settings values that the peer lacks, as many as fit."""
--- a/papayacourse/web.py
+++ b/papayacourse/web.py
@@ -26,6 +26,8 @@
 
     def client(self) -> Client:
         """Return the caller's account, or refuse the request."""
+        if not self.daemon.catalog.informed:
+            raise RequestRefused(503, "no_settings", "no settings known yet", retry_after=1.0)
         scheme, _, key = self.request.headers.get("Authorization", "").partition(" ")
         found = self.daemon.catalog.client(key.strip()) if scheme.lower() == "bearer" else None
         if found is None:
--- a/tests/features/command_line.feature
+++ b/tests/features/command_line.feature
@@ -44,3 +44,12 @@
   Scenario: Every option and every command has its place in the documents
     Then docs/SETTINGS.md names every option of the daemon's file and of every settings path
     And docs/COMMANDS.md names every command and every exit status
+
+  Scenario: A change during an outage exits 5, and one whose outcome cannot be known exits 6
+    Given a platform with both teams' settings
+    When operator "ada" changes the planner while the key-value service is out
+    Then the command fails with status 5 and says "out of service"
+    And the settings are as they were
+    When operator "ada" changes the planner and the platform goes with the answer
+    Then the command fails with status 6 and says "no answer"
+    And the change was written all the same
--- a/tests/features/settings.feature
+++ b/tests/features/settings.feature
@@ -156,3 +156,9 @@
     Then the key of "/teams/sound-trust/accounts/organisers" is gone
     When operator "ada" makes the organisers' account anew
     Then the change is in force at "a" within 14 seconds
+
+  Scenario: A daemon that knows no settings yet refuses nobody for good
+    When daemon "b" starts in domain "lagos-1" with a dead platform and no seed
+    Then "b" is not ready, and account "organisers" is told to ask again
+    When the dead platform comes to life
+    Then "b" is ready and knows account "organisers" within 14 seconds
--- a/tests/features/steps/command_steps.py
+++ b/tests/features/steps/command_steps.py
@@ -1,19 +1,27 @@
 """Steps that call the program's command line."""
 
+import contextlib
 import hashlib
+import io
 import json
 import re
 import shlex
+import subprocess
 
 from behave import given, then, when
 
 from papayacourse import invocation
 from papayacourse.cmdline import Commands
 from papayacourse.config import OPTIONS
+from papayacourse.editor import Editor, checked
+from papayacourse.exceptions import PlatformAnswerLost, PlatformUnavailable
+from papayacourse.kvstore import KeyValueStore
 from papayacourse.settings import KINDS
 from papayacourse.settingscommands import SettingsCommands
 from papayacourse.statuscommands import DebugCommands
+from papayacourse.types import Address
 from standins.fleet import MESH_KEY
+from tests.operators import PLANNER, entries, service_text
 
 FAULTY = """[daemon]
 name = x
@@ -99,3 +107,45 @@
     assert len(commands) > 15 and not missing, missing
     statuses = [value for name, value in vars(invocation).items() if name.startswith("EXIT_")]
     assert statuses and all(f"| {value} |" in text for value in statuses), statuses
+
+
+class VanishingStore(KeyValueStore):
+    """A platform that goes out of service between a write and its answer."""
+
+    gone = False
+
+    async def list(self, prefix):
+        """Read, unless it has gone."""
+        if self.gone:
+            raise PlatformUnavailable("key-value service: out of service")
+        return await super().list(prefix)
+
+    async def swap(self, key, value, expected, lease=None):
+        """Write, and go."""
+        await super().swap(key, value, expected, lease)
+        self.gone = True
+        raise PlatformAnswerLost("key-value service: no answer")
+
+
+@when('operator "{author}" changes the planner while the key-value service is out')
+def change_in_outage(context, author):
+    context.before = entries(context.fleet)
+    context.fleet.admin("kv", {"outage": True})
+    context.done = context.fleet.settings("set", PLANNER, text=service_text(80))
+    context.fleet.admin("kv", {"outage": False})
+
+
+@when('operator "{author}" changes the planner and the platform goes with the answer')
+def change_and_vanish(context, author):
+    store = VanishingStore(Address.parse(context.fleet.processes["kv"].http))
+    change = checked(PLANNER, service_text(81))
+    errors = io.StringIO()
+    with contextlib.redirect_stderr(errors):
+        work = invocation.Invocation(lambda: Editor(store, author).write([change]))
+        status = invocation.run(work)
+    context.done = subprocess.CompletedProcess("set", status, "", errors.getvalue())
+
+
+@then("the change was written all the same")
+def written_all_the_same(context):
+    assert entries(context.fleet)[PLANNER]["text"] == service_text(81)
--- a/tests/features/steps/settings_steps.py
+++ b/tests/features/steps/settings_steps.py
@@ -482,6 +482,40 @@
     fleet.daemon(name, domain, "lagos", seeds, kv=address, hosts=address)
 
 
+@when('daemon "{name}" starts in domain "{domain}" with a dead platform and no seed')
+def start_alone(context, name, domain):
+    fleet = context.fleet
+    address = fleet.proxy("dead", fleet.processes["kv"].http).ready["address"]
+    fleet.admin("dead", {"mode": "cut"})
+    fleet.daemon(name, domain, "lagos", kv=address)
+
+
+def models(context, account, name):
+    """Ask a daemon for the models of an account."""
+    headers = {"Authorization": f"Bearer {KEYS[account]}"}
+    return call(context.fleet.processes[name].http, "GET", "/v1/models", headers=headers)
+
+
+@then('"{name}" is not ready, and account "{account}" is told to ask again')
+def not_ready(context, name, account):
+    assert call(context.fleet.processes[name].http, "GET", "/readyz").status == 503
+    answer = models(context, account, name)
+    assert answer.status == 503 and int(answer.headers["Retry-After"]) >= 1, answer
+    assert answer.json["reason"] == "no_settings" and answer.json["ran"] == "no", answer
+
+
+@when("the dead platform comes to life")
+def comes_to_life(context):
+    context.fleet.admin("dead", {"mode": "pass"})
+
+
+@then('"{name}" is ready and knows account "{account}" within {limit:d} seconds')
+def gets_ready(context, name, account, limit):
+    address = context.fleet.processes[name].http
+    wait_until("ready", lambda: call(address, "GET", "/readyz").status == 200, limit)
+    assert models(context, account, name).status == 200
+
+
 @then('daemon "{name}" has the same settings in force as daemon "{other}"')
 def same_settings(context, name, other):
     def same():
