--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Tools that measure."""
+"""Tools that measure papayacourse on loopback."""
