Keep records of non-repeatable calls as append-only bucket logs

Cause: each call cost two swaps of one of 256 buckets that held whole answers for ever: no coalescing, no retention, a value that grew past its limit, a lost answer to an intent that was never settled, and an uncertain intent that blocked its key for ever. Ruled out: fixed buckets rewritten whole (the value's megabyte caps retention and each swap rewrites it all); buckets by time (a repeat would have to read every one of them). Change: a bucket is a log of segments, appended to by one compare-and-swap in flight; sealed segments become tombstones after the retention. A lost answer is settled by the same swap again. An intent over ten seconds old is not sent but released. Calls go to the bucket's daemon, and run where they came in when it does not answer. Repeatable calls are retried for idempotent methods within a budget, and an answer that names another request is not passed on.

--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -26,9 +26,11 @@
 from papayacourse.membership import Membership
 from papayacourse.messages import Hello
 from papayacourse.metrics import Metrics
+from papayacourse.once import OnceRouter
 from papayacourse.pace import TokenClock, token_clock
 from papayacourse.peers import Peers
 from papayacourse.placement import Placement
+from papayacourse.plain import RetryBudget
 from papayacourse.records import Records
 from papayacourse.scheduler import Scheduler, permitted
 from papayacourse.streams import Relay
@@ -69,6 +71,7 @@
         self.store = KeyValueStore(config.kvstore, self.metrics.count_platform)
         self.signer = CursorSigner(derived(config.mesh_key, "cursor"))
         self.records = Records(self.store)
+        self.retry_budgets: dict[tuple[str, str], RetryBudget] = {}
         self.watch = SettingsWatch(self.store, self.catalog)
 
     async def run(self) -> None:
@@ -87,6 +90,7 @@
             hello, self.peers, self.catalog, HostList(config.hostlist), config.seeds
         )
         self.placement = Placement(self.membership, self.peers, self.scheduler)
+        self.once = OnceRouter(self.records, self.membership, self.peers, self)
         mesh = await stack.enter_async_context(self.peers.listening(config.mesh))
         self.peers.hello = Hello(
             config.name, incarnation, config.domain, config.region, str(mesh), b""
@@ -177,6 +181,22 @@
             if not self.busy.total():
                 self.idle.set()
 
+    @contextmanager
+    def working(self, duty: str) -> Iterator[None]:
+        """Count work for another daemon, which a planned stop finishes first."""
+        self.busy[duty] += 1
+        self.idle.clear()
+        try:
+            yield
+        finally:
+            self.busy[duty] -= 1
+            if not self.busy.total():
+                self.idle.set()
+
+    def retry_budget(self, team: str, service: str) -> RetryBudget:
+        """Return the retry budget of a plain service's calls."""
+        return self.retry_budgets.setdefault((team, service), RetryBudget())
+
     def scheduler(self, team: str, service: str) -> Scheduler:
         """Return this daemon's scheduler of a service, started if need be."""
         key = (team, service)
--- a/papayacourse/exceptions.py
+++ b/papayacourse/exceptions.py
@@ -59,6 +59,10 @@
     """A call reached the platform, perhaps, but its answer did not come back."""
 
 
+class BucketFull(PapayacourseError):
+    """A bucket of records has no room for another intent within its retention."""
+
+
 class PeerError(PapayacourseError):
     """A call to another daemon failed."""
 
--- a/papayacourse/httpcall.py
+++ b/papayacourse/httpcall.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
@@ -41,6 +41,8 @@
         The request body.
     connect_timeout, idle_timeout : float
         The longest wait for the connection, and for the next piece of the answer, in seconds.
+    before_send : callable, optional
+        Called once connected, before anything is sent; what it raises ends the call unsent.
 
     Raises
     ------
@@ -59,6 +61,7 @@
         body: bytes = b"",
         connect_timeout: float = 1.0,
         idle_timeout: float = 10.0,
+        before_send: Callable[[], None] = lambda: None,
     ):
         self.address = address
         self.method = method
@@ -67,6 +70,7 @@
         self.body = body
         self.connect_timeout = connect_timeout
         self.idle_timeout = idle_timeout
+        self.before_send = before_send
         self.status = 0
         self.headers = HTTPHeaders()
         self.finished = False
@@ -78,6 +82,7 @@
         self.stream.set_nodelay(True)
         try:
             await self._connect()
+            self.before_send()
             self.reader = asyncio.ensure_future(self._exchange())
             await asyncio.wait_for(asyncio.shield(self.head), self.idle_timeout)
         except TimeoutError as error:
--- a/papayacourse/kvstore.py
+++ b/papayacourse/kvstore.py
@@ -10,7 +10,6 @@
     BackendError,
     BackendUnreachable,
     PlatformAnswerLost,
-    PlatformError,
     PlatformUnavailable,
 )
 from papayacourse.httpcall import HttpCall
@@ -18,6 +17,7 @@
 
 CALL_TIMEOUT = 3.0  # seconds
 CONNECT_TIMEOUT = 1.0  # seconds
+NOT_DONE = frozenset({400, 404, 405, 410, 413, 429, 503})  # statuses that say so
 WATCH_SLACK = 5.0  # seconds past the watch's own time
 MAX_LIST_BYTES = 64 * 1024 * 1024
 
@@ -168,11 +168,16 @@
         return self._answer(kind, call.status, answer)
 
     def _answer(self, kind: str, status: int, answer: bytes) -> dict:
-        if status == 503:
+        if status in NOT_DONE:
             self.count(kind, "unavailable")
-            raise PlatformUnavailable("key-value service: out of service")
-        if status != 200:
-            self.count(kind, "refused")
-            raise PlatformError(f"key-value service: status {status}")
+            raise PlatformUnavailable(f"key-value service: status {status}")
+        try:
+            if status != 200:
+                raise ValueError(f"status {status}")
+            found = json.loads(answer)
+        except ValueError as error:
+            # Whatever this is, it does not say that nothing was written.
+            self.count(kind, "lost")
+            raise PlatformAnswerLost(f"key-value service: {error}") from error
         self.count(kind, "ok")
-        return json.loads(answer)
+        return found
--- a/papayacourse/messages.py
+++ b/papayacourse/messages.py
@@ -265,6 +265,17 @@
     body: bytes
 
 
+@frozen
+class CallRefused:
+    """The final answer to a call that was not served; the fields of a RequestRefused."""
+
+    status: int
+    reason: str
+    detail: str
+    ran: str
+    retry_after: float | None
+
+
 @frozen
 class Done:
     """An answer that carries nothing."""
@@ -295,6 +306,7 @@
     | StrikesUpdate
     | RunOnce
     | CallAnswer
+    | CallRefused
     | Done
     | CallFailed
 )
--- /dev/null
+++ b/papayacourse/once.py
@@ -0,0 +1,146 @@
+"""Sends non-repeatable calls to the daemon that gathers their bucket's updates.
+
+The routing only makes writes fewer. Any daemon may run any call: the swap of its intent decides.
+"""
+
+import asyncio
+from typing import Protocol
+
+from attrs import define, frozen
+
+from papayacourse.buckets import bucket_of, bucket_prefix, key_hash
+from papayacourse.exceptions import PeerError, RequestRefused
+from papayacourse.membership import Membership
+from papayacourse.messages import CallAnswer, CallRefused, Hello, RunOnce
+from papayacourse.peers import Peers
+from papayacourse.plain import PlainCall
+from papayacourse.records import Records
+from papayacourse.settings import ServiceSettings
+from papayacourse.types import Ran
+
+MAX_ROUTED_BYTES = 256 * 1024  # of a call's body; a longer one runs where it came in
+MAX_ROUTED_ANSWER = 1024 * 1024  # bytes
+ANSWER_SLACK = 5.0  # seconds past the call's own time-out, for the records' writes
+LIVENESS_POLL = 0.25  # seconds
+
+
+@frozen
+class CallerKey:
+    """An Idempotency-Key and whose it is."""
+
+    team: str
+    service: str
+    account: str
+    key: str
+
+
+class Here(Protocol):
+    """What the daemon tells about services."""
+
+    def plain_addresses(self, team: str, service: str) -> list[str]:
+        """Return the addresses of a plain service's backend servers."""
+
+    def working(self, duty: str):
+        """Count work for another daemon."""
+
+
+@define(eq=False)
+class OnceRouter:
+    """Runs non-repeatable calls here or at the daemon of their bucket."""
+
+    records: Records
+    membership: Membership
+    peers: Peers
+    here: Here
+
+    def __attrs_post_init__(self) -> None:
+        self.peers.handlers[RunOnce] = self.answer
+
+    async def run(self, key: CallerKey, call: PlainCall) -> CallAnswer:
+        """Run a call at most once, wherever it is sent to.
+
+        Raises
+        ------
+        RequestRefused
+            With ``ran`` as far as it can be proved.
+        """
+        self.records.check_age(key.key)
+        owner = self.owner(key)
+        if owner is not None and len(call.body) <= MAX_ROUTED_BYTES:
+            answer = await self._ask(owner, key, call)
+            match answer:
+                case CallAnswer():
+                    return answer
+                case CallRefused():
+                    raise RequestRefused(
+                        answer.status,
+                        answer.reason,
+                        answer.detail,
+                        Ran(answer.ran),
+                        answer.retry_after,
+                    )
+        # The owner may have run it, or may do so yet when it is thawed: the record tells.
+        return await self.run_here(key, call)
+
+    def owner(self, key: CallerKey) -> str | None:
+        """Return the other daemon that should run a call, or None for this one."""
+        bucket = bucket_of(key_hash(key.team, key.service, key.account, key.key))
+        owners = self.membership.owners(bucket_prefix(key.team, bucket))
+        return owners[0] if owners and owners[0] != self.membership.me.name else None
+
+    async def _ask(
+        self, owner: str, key: CallerKey, call: PlainCall
+    ) -> CallAnswer | CallRefused | None:
+        """Ask the owner; None when it does not answer."""
+        message = RunOnce(
+            key.team, key.service, key.account, key.key,
+            call.method, call.path, call.headers, call.body,
+        )  # fmt: skip
+        limit = self._settings(key).call_timeout + ANSWER_SLACK
+        asked = asyncio.ensure_future(self.peers.call(owner, message, limit))
+        try:
+            while not asked.done() and self.membership.is_alive(owner):
+                await asyncio.wait([asked], timeout=LIVENESS_POLL)
+            answer = await asked if asked.done() else None
+        except PeerError:
+            return None
+        finally:
+            asked.cancel()
+        return answer if isinstance(answer, CallAnswer | CallRefused) else None
+
+    def _settings(self, key: CallerKey) -> ServiceSettings:
+        settings = self.membership.catalog.service(key.team, key.service)
+        if settings is None:
+            raise RequestRefused(404, "unknown_model", f"there is no service {key.service!r}")
+        return settings
+
+    async def run_here(self, key: CallerKey, call: PlainCall) -> CallAnswer:
+        """Run a call at this daemon."""
+        settings = self._settings(key)
+        return await self.records.run(
+            key.team,
+            key_hash(key.team, key.service, key.account, key.key),
+            call,
+            self.here.plain_addresses(key.team, key.service),
+            settings,
+        )
+
+    async def answer(self, _peer: Hello, ask: RunOnce) -> CallAnswer | CallRefused:
+        """Run a call for another daemon."""
+        key = CallerKey(ask.team, ask.service, ask.account, ask.key)
+        call = PlainCall(ask.method, ask.path, ask.headers, ask.body)
+        try:
+            with self.here.working("records"):
+                answer = await self.run_here(key, call)
+        except RequestRefused as refused:
+            return CallRefused(
+                refused.status,
+                refused.reason,
+                str(refused),
+                str(refused.ran),
+                refused.retry_after,
+            )
+        if len(answer.body) > MAX_ROUTED_ANSWER:
+            detail = f"it ran with status {answer.status}; its answer is too long to be passed on"
+            return CallRefused(502, "answer_too_long", detail, str(Ran.YES), None)
+        return answer
--- a/papayacourse/plain.py
+++ b/papayacourse/plain.py
@@ -1,15 +1,26 @@
 """Passes a call through to a plain service, with its method, headers and body."""
 
-from attrs import frozen
+import asyncio
+from collections.abc import Callable
+
+from attrs import define, frozen
 from tornado.httputil import HTTPHeaders
 
-from papayacourse.exceptions import BackendError, BackendUnreachable
+from papayacourse.exceptions import (
+    BackendError,
+    BackendLinkLost,
+    BackendProtocolError,
+    BackendUnreachable,
+)
 from papayacourse.httpcall import HttpCall
 from papayacourse.messages import CallAnswer
 from papayacourse.types import Address
 
 CONNECT_TIMEOUT = 1.0  # seconds
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
+RETRY_BURST = 10.0  # retries
+IDEMPOTENT = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
+REQUEST_ID = "x-request-id"
 
 # These belong to one connection, or to the caller's account here, and are not passed on.
 HOP_HEADERS = frozenset(
@@ -44,9 +55,28 @@
     return tuple((name, v) for name, v in headers.get_all() if name.lower() not in HOP_HEADERS)
 
 
-async def forward(address: str, call: PlainCall, timeout: float) -> CallAnswer:
+def check_nothing() -> None:
+    """Let every call be sent."""
+
+
+def has_expected_id(call: PlainCall, answer: HTTPHeaders) -> bool:
+    """Tell whether an answer that names its request names this one."""
+    sent = [value for name, value in call.headers if name.lower() == REQUEST_ID]
+    return not sent or answer.get(REQUEST_ID, sent[0]) == sent[0]
+
+
+async def forward(
+    address: str, call: PlainCall, timeout: float, before_send: Callable[[], None] = check_nothing
+) -> CallAnswer:
     """Make the call and return the whole answer.
 
+    Parameters
+    ----------
+    timeout : float
+        The longest the call may take, in seconds.
+    before_send : callable
+        Called once connected; raises BackendUnreachable when the call may not be sent any more.
+
     Raises
     ------
     BackendUnreachable
@@ -59,19 +89,77 @@
         headers.add(name, value)
     exchange = HttpCall(
         Address.parse(address), call.method, call.path, headers, call.body,
-        connect_timeout=CONNECT_TIMEOUT, idle_timeout=timeout,
+        connect_timeout=CONNECT_TIMEOUT, idle_timeout=timeout, before_send=before_send,
     )  # fmt: skip
-    async with exchange:
-        body = await exchange.read(MAX_ANSWER_BYTES)
+    try:
+        async with asyncio.timeout(timeout), exchange:
+            body = await exchange.read(MAX_ANSWER_BYTES)
+    except TimeoutError as error:
+        raise BackendLinkLost(f"{address} did not answer in {timeout} s") from error
+    if not has_expected_id(call, exchange.headers):
+        raise BackendProtocolError(f"{address} sent the answer to another request")
     return CallAnswer(exchange.status, passed_on(exchange.headers), body)
 
 
-async def forward_to_any(addresses: list[str], call: PlainCall, timeout: float) -> CallAnswer:
+async def forward_to_any(
+    addresses: list[str],
+    call: PlainCall,
+    timeout: float,
+    before_send: Callable[[], None] = check_nothing,
+) -> CallAnswer:
     """Make the call at the first address that can be connected to."""
     last: BackendError = BackendUnreachable("no backend server is in service")
     for address in addresses:
         try:
-            return await forward(address, call, timeout)
+            return await forward(address, call, timeout, before_send)
         except BackendUnreachable as error:
             last = error
     raise last
+
+
+@define
+class RetryBudget:
+    """Lets retries be a fraction of the calls, and a few more at the start.
+
+    Attributes
+    ----------
+    left : float
+        Retries that may be made now.
+    """
+
+    left: float = RETRY_BURST
+
+    def earn(self, share: float) -> None:
+        """Count a call, which earns a fraction of a retry."""
+        self.left = min(RETRY_BURST, self.left + share)
+
+    def spend(self) -> bool:
+        """Take one retry; False when there is none."""
+        if self.left < 1:
+            return False
+        self.left -= 1
+        return True
+
+
+async def forward_repeatable(
+    addresses: list[str], call: PlainCall, timeout: float, budget: RetryBudget
+) -> CallAnswer:
+    """Make a call that may run twice if its method is idempotent.
+
+    One that may have been sent is made again, at the next address, only if HTTP calls its method
+    idempotent and the budget allows it.
+    """
+    last: BackendError = BackendUnreachable("no backend server is in service")
+    may_have_run: BackendError | None = None
+    for address in addresses:
+        if may_have_run and not budget.spend():
+            break
+        try:
+            return await forward(address, call, timeout)
+        except BackendUnreachable as error:
+            last = error
+        except BackendLinkLost as error:
+            may_have_run = error
+            if call.method not in IDEMPOTENT:
+                break
+    raise may_have_run or last
--- a/papayacourse/plaincalls.py
+++ b/papayacourse/plaincalls.py
@@ -4,8 +4,9 @@
 
 from papayacourse.catalog import Client
 from papayacourse.exceptions import BackendError, BackendUnreachable, RequestRefused
-from papayacourse.plain import PlainCall, forward_to_any, passed_on
-from papayacourse.records import key_hash
+from papayacourse.messages import CallAnswer
+from papayacourse.once import CallerKey
+from papayacourse.plain import REQUEST_ID, PlainCall, forward_repeatable, passed_on
 from papayacourse.settings import ServiceSettings
 from papayacourse.types import HostKind, Ran
 from papayacourse.web import Handler
@@ -21,12 +22,11 @@
         settings = self.service(client, name, HostKind.PLAIN)
         split = urlsplit(self.request.uri)
         path = split.path.removeprefix(f"/services/{name}") or "/"
-        call = PlainCall(
-            self.request.method,
-            path + (f"?{split.query}" if split.query else ""),
-            passed_on(self.request.headers),
-            self.request.body,
-        )
+        headers = passed_on(self.request.headers)
+        if REQUEST_ID not in self.request.headers:
+            headers += ((REQUEST_ID, self.request_id),)
+        target = path + (f"?{split.query}" if split.query else "")
+        call = PlainCall(self.request.method, target, headers, self.request.body)
         with self.daemon.in_progress(client):
             answer = await self._run(client, name, settings, call, path)
         self.set_status(answer.status)
@@ -38,8 +38,7 @@
 
     async def _run(
         self, client: Client, name: str, settings: ServiceSettings, call: PlainCall, path: str
-    ):
-        addresses = self.daemon.plain_addresses(client.team, name)
+    ) -> CallAnswer:
         if any(pattern.matches(call.method, path) for pattern in settings.non_repeatable):
             key = self.request.headers.get("Idempotency-Key", "")
             if not key or len(key) > MAX_KEY_LENGTH:
@@ -48,12 +47,17 @@
                     "key_needed",
                     f"this call needs an Idempotency-Key, 1 to {MAX_KEY_LENGTH} long",
                 )
-            record = key_hash(client.team, name, client.name, key)
-            return await self.daemon.records.run(
-                client.team, record, call, addresses, settings.call_timeout
-            )
+            return await self.daemon.once.run(CallerKey(client.team, name, client.name, key), call)
+        return await self._run_repeatable(client, name, settings, call)
+
+    async def _run_repeatable(
+        self, client: Client, name: str, settings: ServiceSettings, call: PlainCall
+    ) -> CallAnswer:
+        budget = self.daemon.retry_budget(client.team, name)
+        budget.earn(settings.retry_share)
+        addresses = self.daemon.plain_addresses(client.team, name)
         try:
-            return await forward_to_any(addresses, call, settings.call_timeout)
+            return await forward_repeatable(addresses, call, settings.call_timeout, budget)
         except BackendUnreachable as error:
             raise RequestRefused(503, "no_backend", str(error), retry_after=1.0) from error
         except BackendError as error:
--- a/papayacourse/records.py
+++ b/papayacourse/records.py
@@ -1,108 +1,155 @@
-"""Keeps non-repeatable calls from running twice, through records in the key-value service."""
+"""Keeps non-repeatable calls from running twice, through records in the key-value service.
+
+An intent is written before a call is sent, and its outcome afterwards. Only the writer of an intent
+may release it, when nothing was sent; nobody takes one over. Outcomes are kept for the service's
+``record_retention``; after that a tombstone of the key refuses it for ``buckets.FORGET_AFTER``. A
+key that carries a time (UUIDv7) older than that, less a day for clocks that are wrong, is refused
+whatever is known of it.
+"""
 
 import asyncio
-import base64
 import hashlib
-import json
 import secrets
 import time
+import uuid
+from collections.abc import Callable
 
 import cbor2
-from attrs import define, evolve, field, frozen
-
-from papayacourse import logs
+from attrs import define, field, frozen
+
+from papayacourse import invariants, logs
+from papayacourse.buckets import (
+    FORGET_AFTER,
+    MAX_KEPT_ANSWER,
+    Intent,
+    Outcome,
+    Record,
+    Release,
+    Tombstone,
+    bucket_of,
+    bucket_prefix,
+)
+from papayacourse.bucketwriter import BucketWriter
 from papayacourse.exceptions import (
     BackendError,
     BackendUnreachable,
+    BucketFull,
     PlatformAnswerLost,
     PlatformError,
     RequestRefused,
 )
-from papayacourse.kvstore import Entry, KeyValueStore, Written
+from papayacourse.kvstore import KeyValueStore
 from papayacourse.messages import CallAnswer
 from papayacourse.plain import PlainCall, forward_to_any
+from papayacourse.settings import ServiceSettings
 from papayacourse.types import Ran
 
-BUCKETS = 256
-SWAP_TRIES = 20
-SWAP_PAUSE = 0.02  # seconds, times the number of the try
 RETRY_AFTER = 2.0  # seconds
+MAX_INTENT_AGE = 10.0  # seconds from the start of an intent's write to the send
+OUTCOME_WAIT = 2.0  # seconds that a repeat waits for the outcome of the first
+OUTCOME_POLL = 0.25  # seconds
+PERSIST_LIMIT = 600.0  # seconds
+PERSIST_PAUSE = 1.0  # seconds, doubled after each failure
+MAX_PERSIST_PAUSE = 10.0  # seconds
+KEY_CLOCK_SKEW = 86400.0  # seconds that a key's own time may be wrong
+IDLE_LIMIT = 60.0  # seconds without use after which a bucket is dropped from memory
+NONCE_BYTES = 8
+REQUEST_BYTES = 8
+UUID_TIME_SHIFT = 80  # bits below the milliseconds of a UUIDv7
 
 
 @frozen
-class Record:
-    """What is known of one non-repeatable call.
+class IntentClock:
+    """When an intent began to be written, on both clocks.
 
-    Attributes
-    ----------
-    nonce : str
-        Chosen by the daemon that wrote the intent; proves whose it is.
-    request : str
-        A hash of the call, so that a key is not used for two different ones.
-    answer : CallAnswer or None
-        The outcome, once there is one.
+    The monotonic clock may stand still while a virtual machine is suspended; the wall clock may be
+    set back.
     """
 
-    nonce: str
-    request: str
-    created: float
-    answer: CallAnswer | None = None
-
+    monotonic: float = field(factory=time.monotonic)
+    wall: float = field(factory=time.time)
 
-Bucket = dict[str, Record]
+    def check(self) -> None:
+        """Raise BackendUnreachable when the intent is too old for its call to be sent."""
+        age = max(time.monotonic() - self.monotonic, time.time() - self.wall)
+        if age > MAX_INTENT_AGE:
+            raise BackendUnreachable(f"not sent: its intent is {age:.0f} s old")
 
 
-def key_hash(team: str, service: str, account: str, key: str) -> str:
-    """Return what a record is kept under."""
-    return hashlib.sha256(json.dumps([team, service, account, key]).encode()).hexdigest()
-
-
-def request_hash(call: PlainCall) -> str:
+def request_hash(call: PlainCall) -> bytes:
     """Return a hash of what a call asks for."""
-    return hashlib.sha256(cbor2.dumps([call.method, call.path, call.body])).hexdigest()
-
-
-def bucket_key(team: str, record: str) -> str:
-    """Return the key-value key of the bucket that holds a record."""
-    return f"/records/{team}/{int(record[:8], 16) % BUCKETS:03d}"
-
-
-def pack_record(record: Record) -> list:
-    """Write one record as a row."""
-    answer = record.answer and [record.answer.status, record.answer.headers, record.answer.body]
-    return [record.nonce, record.request, record.created, answer]
+    whole = cbor2.dumps([call.method, call.path, call.body])
+    return hashlib.sha256(whole).digest()[:REQUEST_BYTES]
 
 
-def pack(bucket: Bucket) -> str:
-    """Write a bucket as text for the key-value service."""
-    rows = {name: pack_record(record) for name, record in bucket.items()}
-    return base64.b64encode(cbor2.dumps(rows)).decode()
+def outcome_of(intent: Intent, answer: CallAnswer) -> Outcome:
+    """Return what is kept of an answer."""
+    size = len(answer.body) + sum(len(name) + len(value) for name, value in answer.headers)
+    if size > MAX_KEPT_ANSWER:
+        return Outcome(intent.key, intent.nonce, answer.status)
+    return Outcome(intent.key, intent.nonce, answer.status, answer.headers, answer.body)
 
 
-def unpack(entry: Entry) -> Bucket:
-    """Read a bucket; one never written is empty."""
-    if entry.value is None:
-        return {}
-    bucket = {}
-    for name, (nonce, request, created, answer) in cbor2.loads(
-        base64.b64decode(entry.value)
-    ).items():
-        if answer is not None:
-            status, headers, body = answer
-            answer = CallAnswer(status, tuple((k, v) for k, v in headers), body)
-        bucket[name] = Record(nonce, request, created, answer)
-    return bucket
+def key_time(key: str) -> float | None:
+    """Return the time that a UUIDv7 key carries, in seconds of the epoch."""
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    return (parsed.int >> UUID_TIME_SHIFT) / 1000 if parsed.version == 7 else None
 
 
 @define(eq=False)
 class Records:
-    """Runs non-repeatable calls at most once."""
+    """Runs non-repeatable calls at most once.
+
+    Attributes
+    ----------
+    running : set of bytes
+        The nonces of the calls that this daemon has in progress.
+    """
 
     store: KeyValueStore
-    lock: asyncio.Lock = field(factory=asyncio.Lock)
+    writers: dict[str, BucketWriter] = field(factory=dict)
+    running: set[bytes] = field(factory=set)
+    persisting: set[asyncio.Task] = field(factory=set)
+
+    # Queries.
+
+    def describe(self, team: str, key: bytes) -> dict:
+        """Return what this daemon knows of a key, for operators."""
+        writer = self.writers.get(bucket_prefix(team, bucket_of(key)))
+        found = writer.find(key) if writer else None
+        match found:
+            case Record(intent=intent, outcome=outcome):
+                state = "outcome" if outcome else "intent"
+                status = outcome.status if outcome else None
+                return {"state": state, "created": intent.created, "status": status}
+            case Tombstone(ran=ran):
+                return {"state": "tombstone", "ran": str(Ran.YES if ran else Ran.UNKNOWN)}
+        return {"state": "none"}
+
+    def check_age(self, key: str) -> None:
+        """Refuse a key whose own time is before anything that is still remembered."""
+        made = key_time(key)
+        if made is None:
+            return
+        if made < time.time() - FORGET_AFTER + KEY_CLOCK_SKEW:
+            detail = "the Idempotency-Key is older than any record; it is never run"
+            raise RequestRefused(409, "key_expired", detail, Ran.UNKNOWN)
+        if made > time.time() + KEY_CLOCK_SKEW:
+            detail = "the Idempotency-Key carries a time that is still to come"
+            raise RequestRefused(400, "key_in_future", detail)
+
+    # Commands.
 
     async def run(
-        self, team: str, record: str, call: PlainCall, addresses: list[str], timeout: float
+        self,
+        team: str,
+        key: bytes,
+        call: PlainCall,
+        addresses: list[str],
+        settings: ServiceSettings,
     ) -> CallAnswer:
         """Run a call unless its record says that it ran, or may have.
 
@@ -111,72 +158,141 @@
         RequestRefused
             With ``ran`` as far as it can be proved.
         """
-        mine = Record(secrets.token_hex(8), request_hash(call), time.time())
-        key = bucket_key(team, record)
-        found = await self._intend(key, record, mine)
-        if found.nonce != mine.nonce:
-            return self._earlier(found, mine)
+        writer = self._writer(bucket_prefix(team, bucket_of(key)))
+        clock = IntentClock()
+        expires = clock.wall + settings.record_retention
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        mine = Intent(key, nonce, request_hash(call), clock.wall, expires)
+        self.running.add(nonce)
+        try:
+            found = await self._intend(writer, mine)
+            if isinstance(found, Record) and found.intent == mine:
+                invariants.check(found.outcome is None, "own_intent_is_open", key=key.hex())
+                return await self._send(writer, mine, call, addresses, settings, clock.check)
+        finally:
+            self.running.discard(nonce)
+        return await self._earlier(writer, found, mine)
+
+    async def _send(
+        self,
+        writer: BucketWriter,
+        mine: Intent,
+        call: PlainCall,
+        addresses: list[str],
+        settings: ServiceSettings,
+        may_send: Callable[[], None],
+    ) -> CallAnswer:
         try:
-            answer = await forward_to_any(addresses, call, timeout)
+            answer = await forward_to_any(addresses, call, settings.call_timeout, may_send)
         except BackendUnreachable as error:
-            await self._release(key, record, mine)
+            await self._persist(writer, Release(mine.key, mine.nonce))
             raise RequestRefused(503, "no_backend", str(error), retry_after=RETRY_AFTER) from error
         except BackendError as error:
             raise RequestRefused(502, "answer_lost", str(error), Ran.UNKNOWN) from error
-        await self._conclude(key, record, evolve(mine, answer=answer))
+        await self._persist(writer, outcome_of(mine, answer))
         return answer
 
-    def _earlier(self, found: Record, mine: Record) -> CallAnswer:
-        if found.request != mine.request:
-            raise RequestRefused(422, "key_reused", "the Idempotency-Key was used for another call")
-        if found.answer is None:
-            detail = "a call with this Idempotency-Key is in progress or its outcome is unknown"
-            raise RequestRefused(409, "in_progress", detail, Ran.UNKNOWN, RETRY_AFTER)
-        return found.answer
-
-    async def _intend(self, key: str, record: str, mine: Record) -> Record:
-        """Write the intent; returns the record in force, ours or an earlier one."""
+    async def _intend(self, writer: BucketWriter, mine: Intent) -> Record | Tombstone | None:
+        """Write the intent; returns what is in force, ours or an earlier one."""
         try:
-            return await self._update(key, record, lambda old: old or mine)
+            return await writer.append(mine)
+        except BucketFull as error:
+            detail = "there is no room to record another non-repeatable call"
+            raise RequestRefused(503, "records_full", detail, retry_after=60.0) from error
+        except PlatformAnswerLost as error:
+            # Nothing is sent, so if the intent stands after all it must not block the key.
+            self._persist_later(writer, Release(mine.key, mine.nonce))
+            raise self._platform_down() from error
         except PlatformError as error:
-            raise RequestRefused(
-                503,
-                "platform_down",
-                "the key-value service cannot be asked",
-                retry_after=RETRY_AFTER,
-            ) from error
+            raise self._platform_down() from error
 
-    async def _release(self, key: str, record: str, mine: Record) -> None:
-        def release(old: Record | None) -> Record | None:
-            return None if old is not None and old.nonce == mine.nonce else old
+    def _platform_down(self) -> RequestRefused:
+        detail = "the key-value service cannot be asked"
+        return RequestRefused(503, "platform_down", detail, retry_after=RETRY_AFTER)
 
+    async def _earlier(
+        self, writer: BucketWriter, found: Record | Tombstone | None, mine: Intent
+    ) -> CallAnswer:
+        """Answer from what an earlier call with the key has left."""
+        deadline = time.monotonic() + OUTCOME_WAIT
+        while self._may_yet_come(found, mine) and time.monotonic() < deadline:
+            await asyncio.sleep(OUTCOME_POLL)
+            if found.intent.nonce not in self.running:
+                try:
+                    await writer.refresh()
+                except PlatformError:
+                    break
+            found = writer.find(mine.key)
+        match found:
+            case Tombstone(ran=ran):
+                raise expired(ran)
+            case Record(intent=intent, outcome=outcome):
+                if intent.request != mine.request:
+                    detail = "the Idempotency-Key was used for another call"
+                    raise RequestRefused(422, "key_reused", detail)
+                if intent.expires < mine.created:
+                    raise expired(outcome is not None)
+                return kept_answer(outcome)
+        detail = "an earlier call with this Idempotency-Key was given up unsent; send it again"
+        raise RequestRefused(409, "released", detail, retry_after=RETRY_AFTER)
+
+    def _may_yet_come(self, found: Record | Tombstone | None, mine: Intent) -> bool:
+        """Tell whether an outcome is missing that a call of this request may still bring."""
+        return (
+            isinstance(found, Record)
+            and found.outcome is None
+            and found.intent.request == mine.request
+        )
+
+    async def _persist(self, writer: BucketWriter, row: Outcome | Release) -> None:
+        """Write what became of an intent; later, if it cannot be written now."""
         try:
-            await self._update(key, record, release)
-        except PlatformError as error:
-            logs.error("intent not released", record=record, why=str(error))
-
-    async def _conclude(self, key: str, record: str, done: Record) -> None:
-        try:
-            await self._update(key, record, lambda old: done)
+            await writer.append(row)
         except PlatformError as error:
-            logs.error("outcome not recorded", record=record, why=str(error))
-
-    async def _update(self, key: str, record: str, change) -> Record | None:
-        """Change one record by compare-and-swap; returns the record in force."""
-        for number in range(1, SWAP_TRIES + 1):
-            entry = await self.store.get(key)
-            bucket = unpack(entry)
-            new = change(bucket.get(record))
-            if new == bucket.get(record):
-                return new
-            changed = {name: r for name, r in bucket.items() if name != record}
-            if new is not None:
-                changed[record] = new
+            logs.warning("record not written yet", bucket=writer.prefix, why=str(error))
+            self._persist_later(writer, row)
+
+    def _persist_later(self, writer: BucketWriter, row: Outcome | Release) -> None:
+        task = asyncio.create_task(self._keep_trying(writer, row))
+        self.persisting.add(task)
+        task.add_done_callback(self.persisting.discard)
+
+    async def _keep_trying(self, writer: BucketWriter, row: Outcome | Release) -> None:
+        deadline = time.monotonic() + PERSIST_LIMIT
+        pause = PERSIST_PAUSE
+        while time.monotonic() < deadline:
+            await asyncio.sleep(pause)
+            pause = min(MAX_PERSIST_PAUSE, 2 * pause)
             try:
-                if isinstance(await self.store.swap(key, pack(changed), entry.revision), Written):
-                    return new
-            except PlatformAnswerLost:
-                # It may have been written: the next read finds our nonce there, or not.
-                pass
-            await asyncio.sleep(SWAP_PAUSE * number)
-        raise PlatformError(f"{key} could not be changed in {SWAP_TRIES} tries")
+                await writer.append(row)
+                return
+            except PlatformError as error:
+                logs.debug("record not written", bucket=writer.prefix, why=str(error))
+        logs.error("record given up", bucket=writer.prefix, row=type(row).__name__)
+
+    def _writer(self, prefix: str) -> BucketWriter:
+        """Return a bucket's writer; drops those not used for some time."""
+        now = time.monotonic()
+        for name, writer in list(self.writers.items()):
+            if writer.idle and now - writer.last_used > IDLE_LIMIT:
+                del self.writers[name]
+        if prefix not in self.writers:
+            self.writers[prefix] = BucketWriter(self.store, prefix)
+        return self.writers[prefix]
+
+
+def expired(ran: bool) -> RequestRefused:
+    """Return the answer to a key whose outcome is no longer kept."""
+    detail = "an earlier call used this Idempotency-Key; its answer is no longer kept"
+    return RequestRefused(409, "outcome_expired", detail, Ran.YES if ran else Ran.UNKNOWN)
+
+
+def kept_answer(outcome: Outcome | None) -> CallAnswer:
+    """Return the answer that a record keeps, or refuse with what it does tell."""
+    if outcome is None:
+        detail = "a call with this Idempotency-Key is in progress or its outcome is unknown"
+        raise RequestRefused(409, "in_progress", detail, Ran.UNKNOWN, RETRY_AFTER)
+    if outcome.body is None:
+        detail = f"the call ran with status {outcome.status}; its answer was too long to keep"
+        raise RequestRefused(409, "answer_not_kept", detail, Ran.YES)
+    return CallAnswer(outcome.status, outcome.headers, outcome.body)
--- a/papayacourse/settings.py
+++ b/papayacourse/settings.py
@@ -63,6 +63,8 @@
         The longest a plain call may take, in seconds.
     retry_share : float
         Retries allowed as a fraction of requests.
+    record_retention : float
+        How long the outcome of a non-repeatable call is kept, in seconds.
     """
 
     kind: HostKind
@@ -72,6 +74,7 @@
     resume_window: float = 30.0
     call_timeout: float = 30.0
     retry_share: float = 0.1
+    record_retention: float = 4 * 3600.0
 
 
 @frozen
@@ -232,6 +235,7 @@
             may_be_left_out("service", "resume_window", "resume_window", positive(float)),
             may_be_left_out("service", "call_timeout", "call_timeout", positive(float)),
             may_be_left_out("service", "retry_share", "retry_share", fraction),
+            may_be_left_out("service", "record_retention", "record_retention", positive(float)),
         ),
     ),
     "accounts": Kind(
--- a/standins/kvservice.py
+++ b/standins/kvservice.py
@@ -35,6 +35,16 @@
     delay: float = 0.0
     lose_answers: int = 0
     lose_prefix: str = ""
+    lose_skip: int = 0
+    hold_prefix: str = "/records"
+    hold_skip: int = 0
+    hold_before: float = 0.0
+    hold_after: float = 0.0
+
+    async def hold(self, key: str, seconds: float) -> None:
+        """Keep a swap waiting, when a test asked for that."""
+        if seconds and key.startswith(self.hold_prefix) and self.hold_skip <= 0:
+            await asyncio.sleep(seconds)
 
     def current(self, key: str) -> dict:
         """Return a key's entry."""
@@ -132,6 +142,7 @@
         """Swap; the answer may be lost after the write, when a test asked for that."""
         body = self.body()
         kv, key = self.standin, body["key"]
+        await kv.hold(key, kv.hold_before)
         current = kv.current(key)
         if body["value"] is not None and len(body["value"].encode()) > MAX_VALUE_BYTES:
             self.set_status(413)
@@ -148,7 +159,14 @@
         written = await kv.write(key, body["value"])
         if lease is not None:
             lease.keys.add(key)
+        await kv.hold(key, kv.hold_after)
+        if key.startswith(kv.hold_prefix):
+            kv.hold_skip -= 1
         if kv.lose_answers and key.startswith(kv.lose_prefix):
+            if kv.lose_skip > 0:
+                kv.lose_skip -= 1
+                self.finish({"swapped": True, "revision": written["revision"]})
+                return
             kv.lose_answers -= 1
             self.request.connection.stream.close()
             return
@@ -194,7 +212,7 @@
         self.finish({"counts": dict(self.standin.counts), "revision": self.standin.revision})
 
     def post(self) -> None:
-        """Set switches: outage, delay, lose_answers, lose_prefix."""
+        """Set switches: outage, delay, lose_answers, lose_prefix, lose_skip, hold_…."""
         for name, value in self.body().items():
             setattr(self.standin, name, value)
         self.finish({})
--- a/standins/plainservice.py
+++ b/standins/plainservice.py
@@ -16,6 +16,9 @@
     ran: Counter = field(factory=Counter)
     calls: int = 0
     delay: float = 0.0
+    delay_before: float = 0.0
+    answer_id: str = ""
+    padding: int = 0
     close_before: int = 0
     close_after: int = 0
 
@@ -30,6 +33,8 @@
             service.close_before -= 1
             self.request.connection.stream.close()
             return
+        if service.delay_before:
+            await asyncio.sleep(service.delay_before)
         service.calls += 1
         if key:
             service.ran[key] += 1
@@ -40,6 +45,8 @@
             self.request.connection.stream.close()
             return
         self.set_header("X-Backend", service.name)
+        if service.answer_id:
+            self.set_header("X-Request-Id", service.answer_id)
         self.finish(
             {
                 "method": self.request.method,
@@ -47,6 +54,7 @@
                 "key": key,
                 "times": service.ran[key],
                 "body": self.request.body.decode(errors="replace"),
+                "padding": "p" * service.padding,
             }
         )
 
@@ -61,7 +69,7 @@
         self.finish({"ran": dict(self.standin.ran), "calls": self.standin.calls})
 
     def post(self) -> None:
-        """Set switches: delay, close_before, close_after."""
+        """Set switches: delay, delay_before, close_before, close_after, answer_id, padding."""
         for name, value in self.body().items():
             setattr(self.standin, name, value)
         self.finish({})
