--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tools that measure papayacourse with real processes on loopback."""
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -149,7 +149,7 @@
         """Start a process and wait for its first line."""
         log = self.path / f"{name}.log"
         with log.open("ab") as errors:
-            popen = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=errors)
+            popen = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=errors, bufsize=0)
         process = Process(name, popen, log)
         self.processes[name] = process
         process.ready = process.read_line()
--- a/standins/kvservice.py
+++ b/standins/kvservice.py
@@ -38,13 +38,18 @@
     lose_skip: int = 0
     hold_prefix: str = "/records"
     hold_skip: int = 0
-    hold_before: float = 0.0
-    hold_after: float = 0.0
+    hold_before: bool = False
+    hold_after: bool = False
+    holding: int = 0
 
-    async def hold(self, key: str, seconds: float) -> None:
-        """Keep a swap waiting, when a test asked for that."""
-        if seconds and key.startswith(self.hold_prefix) and self.hold_skip <= 0:
-            await asyncio.sleep(seconds)
+    async def hold(self, key: str, switch: str) -> None:
+        """Keep a swap waiting for as long as a switch is set."""
+        if self.hold_skip > 0 or not key.startswith(self.hold_prefix):
+            return
+        self.holding += 1
+        async with self.changed:
+            await self.changed.wait_for(lambda: not getattr(self, switch))
+        self.holding -= 1
 
     def current(self, key: str) -> dict:
         """Return a key's entry."""
@@ -142,7 +147,7 @@
         """Swap; the answer may be lost after the write, when a test asked for that."""
         body = self.body()
         kv, key = self.standin, body["key"]
-        await kv.hold(key, kv.hold_before)
+        await kv.hold(key, "hold_before")
         current = kv.current(key)
         if body["value"] is not None and len(body["value"].encode()) > MAX_VALUE_BYTES:
             self.set_status(413)
@@ -159,7 +164,7 @@
         written = await kv.write(key, body["value"])
         if lease is not None:
             lease.keys.add(key)
-        await kv.hold(key, kv.hold_after)
+        await kv.hold(key, "hold_after")
         if key.startswith(kv.hold_prefix):
             kv.hold_skip -= 1
         if kv.lose_answers and key.startswith(kv.lose_prefix):
@@ -209,12 +214,15 @@
 
     def get(self) -> None:
         """Answer with the number of calls of each kind."""
-        self.finish({"counts": dict(self.standin.counts), "revision": self.standin.revision})
+        kv = self.standin
+        self.finish({"counts": dict(kv.counts), "revision": kv.revision, "holding": kv.holding})
 
-    def post(self) -> None:
+    async def post(self) -> None:
         """Set switches: outage, delay, lose_answers, lose_prefix, lose_skip, hold_…."""
         for name, value in self.body().items():
             setattr(self.standin, name, value)
+        async with self.standin.changed:
+            self.standin.changed.notify_all()
         self.finish({})
 
 
--- a/standins/plainservice.py
+++ b/standins/plainservice.py
@@ -16,12 +16,22 @@
     ran: Counter = field(factory=Counter)
     calls: int = 0
     delay: float = 0.0
-    delay_before: float = 0.0
+    hold_before: bool = False
+    hold_after: bool = False
+    holding: int = 0
+    switched: asyncio.Condition = field(factory=asyncio.Condition)
     answer_id: str = ""
     padding: int = 0
     close_before: int = 0
     close_after: int = 0
 
+    async def hold(self, switch: str) -> None:
+        """Keep a call waiting for as long as a switch is set."""
+        self.holding += 1
+        async with self.switched:
+            await self.switched.wait_for(lambda: not getattr(self, switch))
+        self.holding -= 1
+
 
 class Run(JsonHandler):
     """Any call: it runs, and says so."""
@@ -33,11 +43,11 @@
             service.close_before -= 1
             self.request.connection.stream.close()
             return
-        if service.delay_before:
-            await asyncio.sleep(service.delay_before)
+        await service.hold("hold_before")
         service.calls += 1
         if key:
             service.ran[key] += 1
+        await service.hold("hold_after")
         if service.delay:
             await asyncio.sleep(service.delay)
         if service.close_after:
@@ -66,12 +76,20 @@
 
     def get(self) -> None:
         """Answer with how often each key ran."""
-        self.finish({"ran": dict(self.standin.ran), "calls": self.standin.calls})
+        self.finish(
+            {
+                "ran": dict(self.standin.ran),
+                "calls": self.standin.calls,
+                "holding": self.standin.holding,
+            }
+        )
 
-    def post(self) -> None:
-        """Set switches: delay, delay_before, close_before, close_after, answer_id, padding."""
+    async def post(self) -> None:
+        """Set switches: any field of the service."""
         for name, value in self.body().items():
             setattr(self.standin, name, value)
+        async with self.standin.switched:
+            self.standin.switched.notify_all()
         self.finish({})
 
 
--- /dev/null
+++ b/tests/features/notrun.feature
@@ -0,0 +1,97 @@
+Feature: What a failed plain call says of whether it ran is true
+
+  Background:
+    Given a platform with both teams' settings
+    And a plain service "ledger-1" behind a proxy in domain "accra-1"
+    And daemons "a" in domain "accra-1" of region "accra"
+
+  Scenario: Without a key
+    When refund "" is posted through "a"
+    Then the last answer is 400 "key_needed" with ran "no"
+    And nothing ran
+
+  Scenario: With a key used for another body
+    When refund "r-1" is posted through "a"
+    And refund "r-1" is posted through "a" with another body
+    Then the last answer is 422 "key_reused" with ran "no"
+    And refund "r-1" ran 1 time
+
+  Scenario: With a key whose time is still to come
+    When refund "0fff0000-0000-7000-8000-000000000001" is posted through "a"
+    Then the last answer is 400 "key_in_future" with ran "no"
+    And nothing ran
+
+  Scenario: While the key-value service is down
+    Given the key-value service is down
+    When refund "r-1" is posted through "a"
+    Then the last answer is 503 "platform_down" with ran "no"
+    And the last answer says when to ask again
+    And nothing ran
+    When a balance is looked up with "GET"
+    Then the last answer is 200
+
+  Scenario: After no backend server took the connection, the same key runs
+    Given the plain service is listed at an address that refuses connections
+    When refund "r-1" is posted through "a"
+    Then the last answer is 503 "no_backend" with ran "no"
+    When a balance is looked up with "GET"
+    Then the last answer is 503 "no_backend" with ran "no"
+    And nothing ran
+    When the plain service is listed again
+    Then refund "r-1" succeeds through "a" in the end
+    And refund "r-1" ran 1 time
+
+  Scenario: With the connection closed before the answer
+    Given plain services close 1 calls after they ran
+    When refund "r-1" is posted through "a"
+    Then the last answer is 502 "answer_lost" with ran "unknown"
+    When refund "r-1" is posted through "a"
+    Then the last answer is 409 "in_progress" with ran "unknown"
+    And refund "r-1" ran 1 time
+
+  Scenario: With the connection closed before it ran
+    Given plain services close 1 calls before they run
+    When refund "r-1" is posted through "a"
+    Then the last answer is 502 "answer_lost" with ran "unknown"
+    And nothing ran
+
+  Scenario: With an answer that never comes
+    Given plain calls may take 1 seconds
+    And plain services take 3 seconds to answer
+    When refund "r-1" is posted through "a"
+    Then the last answer is 502 "answer_lost" with ran "unknown"
+    When a balance is looked up with "GET"
+    Then the last answer is 502 "answer_lost" with ran "unknown"
+
+  Scenario: With the answer to another request
+    Given plain services answer with the id "other"
+    When refund "r-1" is posted through "a"
+    Then the last answer is 502 "answer_lost" with ran "unknown"
+
+  Scenario: With an answer too long to be kept
+    Given plain services answer with 5000 bytes more
+    When refund "r-1" is posted through "a"
+    Then the last answer is 200
+    When refund "r-1" is posted through "a"
+    Then the last answer is 409 "answer_not_kept" with ran "yes"
+    And refund "r-1" ran 1 time
+
+  Scenario Outline: A repeatable <method> whose answer is lost is made again only if HTTP allows it
+    Given a second plain service "ledger-2"
+    And plain service "ledger-1" alone closes 1 calls after they ran
+    When a balance is looked up with "<method>"
+    Then the last answer is <status>
+    And <calls> calls ran
+
+    Examples:
+      | method | status | calls |
+      | GET    | 200    | 2     |
+      | PUT    | 200    | 2     |
+      | POST   | 502    | 1     |
+      | PATCH  | 502    | 1     |
+
+  Scenario: Retries of repeatable calls stop when the budget is spent
+    Given a second plain service "ledger-2"
+    And plain services close 1000 calls after they ran
+    When 100 balances are looked up
+    Then at most 120 calls ran
--- /dev/null
+++ b/tests/refunds.py
@@ -0,0 +1,72 @@
+"""Refunds as the tests post them, and what the plain services say of them."""
+
+import http.client
+import json
+import threading
+
+from attrs import define, field
+
+from standins.fleet import Answer, Fleet, call
+from tests.callers import KEYS
+
+PATH = "/services/deposit-ledger/refunds"
+LIMIT = 60.0  # seconds
+
+
+def post(address: str, key: str, body: dict | None = None, limit: float = LIMIT) -> Answer:
+    """Post a refund; its body names its key unless it is given."""
+    headers = {"Authorization": f"Bearer {KEYS['depots']}", "X-Request-Id": f"id-{key}"}
+    if key:
+        headers["Idempotency-Key"] = key
+    return call(address, "POST", PATH, body or {"refund": key}, headers, limit)
+
+
+def times_run(fleet: Fleet, key: str) -> int:
+    """Return how often a key ran, by the plain services' own counts."""
+    plain = [name for name in fleet.processes if name.startswith("ledger")]
+    return sum(fleet.counts(name)["ran"].get(key, 0) for name in plain)
+
+
+@define(eq=False)
+class Refund:
+    """A refund posted in a thread of its own.
+
+    Attributes
+    ----------
+    answer : Answer or None
+        None while it runs, and when its connection broke.
+    """
+
+    address: str
+    key: str
+    answer: Answer | None = None
+    broken: str = ""
+    thread: threading.Thread | None = field(default=None, init=False)
+
+    def start(self) -> "Refund":
+        """Begin to post."""
+        self.thread = threading.Thread(target=self._run, daemon=True)
+        self.thread.start()
+        return self
+
+    def _run(self) -> None:
+        try:
+            self.answer = post(self.address, self.key)
+        except (OSError, http.client.HTTPException) as error:
+            self.broken = repr(error)
+
+    def join(self) -> "Refund":
+        """Wait for the answer or the end of the connection."""
+        self.thread.join(LIMIT)
+        assert not self.thread.is_alive(), f"{self.key} got no answer"
+        return self
+
+
+def check_answer(key: str, answer: Answer) -> None:
+    """Check that a success is the key's own, and that a refusal says whether it ran."""
+    if answer.status == 200:
+        found = answer.json
+        assert found["key"] == key and json.loads(found["body"]) == {"refund": key}, found
+        assert found["times"] == 1, found
+    else:
+        assert answer.json["ran"] in ("no", "yes", "unknown"), answer.body
