--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -29,6 +29,7 @@
 from papayacourse.membership import Membership
 from papayacourse.messages import Hello
 from papayacourse.metrics import Metrics
+from papayacourse.once import OnceRouter
 from papayacourse.orders import LEASE_KEY, Orders, WeightBudget
 from papayacourse.pace import TokenClock, token_clock
 from papayacourse.peers import Peers
@@ -104,6 +105,7 @@
             WeightBudget(config.weight_rate),
             self.placement.drain,
         )
+        self.once = OnceRouter(self.records, self.membership, self.peers, self)
         mesh = await stack.enter_async_context(self.peers.listening(config.mesh))
         self.peers.hello = Hello(
             config.name, incarnation, config.domain, config.region, str(mesh), b""
@@ -200,6 +202,18 @@
             if not self.busy.total():
                 self.idle.set()
 
+    @contextmanager
+    def working(self, duty: str) -> Iterator[None]:
+        """Count work for another daemon, which a planned stop finishes first."""
+        self.busy[duty] += 1
+        self.idle.clear()
+        try:
+            yield
+        finally:
+            self.busy[duty] -= 1
+            if not self.busy.total():
+                self.idle.set()
+
     def scheduler(self, team: str, service: str) -> Scheduler:
         """Return this daemon's scheduler of a service, started if need be."""
         key = (team, service)
--- a/standins/kvservice.py
+++ b/standins/kvservice.py
@@ -36,6 +36,21 @@
     lose_answers: int = 0
     lose_prefix: str = ""
     compacted: int = 0
+    lose_skip: int = 0
+    hold_prefix: str = "/records"
+    hold_skip: int = 0
+    hold_before: bool = False
+    hold_after: bool = False
+    holding: int = 0
+
+    async def hold(self, key: str, switch: str) -> None:
+        """Keep a swap waiting for as long as a switch is set."""
+        if self.hold_skip > 0 or not key.startswith(self.hold_prefix):
+            return
+        self.holding += 1
+        async with self.changed:
+            await self.changed.wait_for(lambda: not getattr(self, switch))
+        self.holding -= 1
 
     def current(self, key: str) -> dict:
         """Return a key's entry."""
@@ -144,6 +159,7 @@
         """Swap; the answer may be lost after the write, when a test asked for that."""
         body = self.body()
         kv, key = self.standin, body["key"]
+        await kv.hold(key, "hold_before")
         current = kv.current(key)
         if body["value"] is not None and len(body["value"].encode()) > MAX_VALUE_BYTES:
             self.set_status(413)
@@ -160,7 +176,14 @@
         written = await kv.write(key, body["value"])
         if lease is not None:
             lease.keys.add(key)
+        await kv.hold(key, "hold_after")
+        if key.startswith(kv.hold_prefix):
+            kv.hold_skip -= 1
         if kv.lose_answers and key.startswith(kv.lose_prefix):
+            if kv.lose_skip > 0:
+                kv.lose_skip -= 1
+                self.finish({"swapped": True, "revision": written["revision"]})
+                return
             kv.lose_answers -= 1
             self.request.connection.stream.close()
             return
@@ -203,15 +226,18 @@
 
     def get(self) -> None:
         """Answer with the number of calls of each kind."""
-        self.finish({"counts": dict(self.standin.counts), "revision": self.standin.revision})
+        kv = self.standin
+        self.finish({"counts": dict(kv.counts), "revision": kv.revision, "holding": kv.holding})
 
-    def post(self) -> None:
-        """Set switches: outage, delay, lose_answers, lose_prefix; compact keys away."""
+    async def post(self) -> None:
+        """Set switches: outage, delay, lose_answers, lose_prefix, hold_…; compact keys away."""
         switches = self.body()
         if "compact" in switches:
             self.standin.compact(switches.pop("compact"))
         for name, value in switches.items():
             setattr(self.standin, name, value)
+        async with self.standin.changed:
+            self.standin.changed.notify_all()
         self.finish({})
 
 
