Let the fleet put daemons behind proxies, and see late peers

Cause: Fleet.proxy waited 20 s for its second line and failed, since select looked at the pipe while the line was already in Python's buffer. A peer not yet known to a daemon counted as one of another domain, so wait_settled returned before two daemons of one domain had met. Change: the pipe is unbuffered; the domain comes from the fleet's own list. A cut of the proxy can spare sources, so that a domain is cut off from others and not from itself. Daemons can be given a mesh address and listen options. A scenario that froze a daemon right after its start met an unknown peer before.

--- a/standins/faultproxy.py
+++ b/standins/faultproxy.py
@@ -22,6 +22,8 @@
     mode : str
         ``pass``, ``cut`` (refuse and close), ``stall`` (hold everything), ``stall-back`` (hold
         only what the target sends).
+    spared : list of str
+        Source addresses that a cut does not touch.
     delay : float
         Added one way, in seconds.
     close_after : int
@@ -30,6 +32,7 @@
 
     target: str = ""
     mode: str = "pass"
+    spared: list = field(factory=list)
     delay: float = 0.0
     close_after: int = -1
     bytes_forward: int = 0
@@ -42,7 +45,8 @@
 
     async def handle_stream(self, stream, address) -> None:
         """Forward one connection."""
-        if self.mode == "cut":
+        source = address[0]
+        if self.mode == "cut" and source not in self.spared:
             stream.close()
             return
         host, _, port = self.target.rpartition(":")
@@ -51,9 +55,9 @@
         except OSError:
             stream.close()
             return
-        pair = (stream, onward)
+        pair = (stream, onward, source)
         self.connections.add(pair)
-        for one in pair:
+        for one in (stream, onward):
             one.set_nodelay(True)
         await asyncio.gather(self.pump(stream, onward, False), self.pump(onward, stream, True))
         self.connections.discard(pair)
@@ -109,9 +113,10 @@
 
     def cut_all(self) -> None:
         """Close every connection."""
-        for pair in list(self.connections):
-            for stream in pair:
+        for stream, onward, source in list(self.connections):
+            if source not in self.spared:
                 stream.close()
+                onward.close()
 
 
 class Admin(JsonHandler):
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -149,7 +149,8 @@
         """Start a process and wait for its first line."""
         log = self.path / f"{name}.log"
         with log.open("ab") as errors:
-            popen = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=errors)
+            # Unbuffered, so that select tells of every line that has not been read.
+            popen = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=errors, bufsize=0)
         process = Process(name, popen, log)
         self.processes[name] = process
         process.ready = process.read_line()
@@ -210,7 +211,8 @@
         file = self.path / f"{name}.ini"
         file.write_text(
             f"[daemon]\nname = {name}\ndomain = {domain}\nregion = {region}\n"
-            "[listen]\nhttp = 127.0.0.1:0\nmesh = 127.0.0.1:0\n"
+            f"[listen]\nhttp = 127.0.0.1:0\nmesh = {platform.get('ip', '127.0.0.1')}:0\n"
+            f"{platform.get('listen', '')}"
             f"[platform]\nkvstore = {kv}\nhostlist = {hosts}\n"
             f"[mesh]\nkey = {MESH_KEY}\nseeds = {' '.join(seeds)}\n"
             f"[log]\nlevel = {self.log_level}\n"
@@ -276,5 +278,5 @@
     def _sees(self, name: str, others: set[str]) -> bool:
         mine = self.status(name)
         alive = {peer["name"] for peer in mine["peers"] if peer["alive"]}
-        domains = {peer["name"]: peer["domain"] for peer in mine["peers"]}
-        return all(other in alive for other in others if domains.get(other) == mine["domain"])
+        domain = mine["domain"]
+        return all(other in alive for other in others if self.hosts[other]["domain"] == domain)
