--- a/papayacourse/config.py
+++ b/papayacourse/config.py
@@ -39,6 +39,11 @@
         The longest a caller may take to send its request, in seconds.
     stop_timeout : float
         The longest a graceful stop waits for requests in progress, in seconds.
+    stop_notice : float
+        How long a stop still accepts connections after turning not ready, so that the balancer
+        can notice, in seconds.
+    advertise_mesh : Address or None
+        Where other daemons reach the mesh listener, when that is not the address it is bound to.
     fatal_invariants : bool
         Whether a violated invariant ends the process; for tests.
     """
@@ -58,6 +63,8 @@
     max_header_bytes: int = 32 * 1024
     body_timeout: float = 20.0
     stop_timeout: float = 3600.0
+    stop_notice: float = 2.0
+    advertise_mesh: Address | None = None
     fatal_invariants: bool = False
 
 
@@ -123,6 +130,7 @@
     Option("daemon", "region", "region", word),
     Option("listen", "http", "http", Address.parse),
     Option("listen", "mesh", "mesh", Address.parse),
+    Option("listen", "advertise_mesh", "advertise_mesh", Address.parse, required=False),
     Option("platform", "kvstore", "kvstore", Address.parse),
     Option("platform", "hostlist", "hostlist", Address.parse),
     Option("platform", "weightstore", "weightstore", Address.parse, required=False),
@@ -133,6 +141,7 @@
     Option("limits", "max_header_bytes", "max_header_bytes", positive(int), required=False),
     Option("limits", "body_timeout", "body_timeout", positive(float), required=False),
     Option("limits", "stop_timeout", "stop_timeout", positive(float), required=False),
+    Option("limits", "stop_notice", "stop_notice", positive(float), required=False),
     Option("invariants", "fatal", "fatal_invariants", yes_or_no, required=False),
 )
 
--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -4,7 +4,6 @@
 import hashlib
 import hmac
 import json
-import signal
 import sys
 import time
 from collections import Counter
@@ -12,7 +11,6 @@
 from contextlib import AsyncExitStack, contextmanager
 
 from attrs import define, field
-from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
@@ -20,9 +18,13 @@
 from papayacourse.catalog import Catalog, Client
 from papayacourse.config import DaemonConfig
 from papayacourse.cursor import CursorSigner
+from papayacourse.duties import Duties
 from papayacourse.exceptions import RequestRefused
+from papayacourse.gateways import Gateways
 from papayacourse.hostlist import HostList
 from papayacourse.kvstore import KeyValueStore
+from papayacourse.lifecycle import Lifecycle
+from papayacourse.listener import Listener
 from papayacourse.membership import Membership
 from papayacourse.messages import Hello
 from papayacourse.metrics import Metrics
@@ -32,12 +34,12 @@
 from papayacourse.records import Records
 from papayacourse.scheduler import Scheduler, permitted
 from papayacourse.streams import Relay
+from papayacourse.tasks import cancel_all
 from papayacourse.types import Address, GenerationRequest, HostKind
 from papayacourse.version import __version__
 from papayacourse.watch import SettingsWatch
 
 IDLE_CONNECTION_TIMEOUT = 300.0  # seconds
-BALANCER_NOTICE = 0.5  # seconds between turning not ready and refusing new connections
 
 
 def derived(key: str, use: str) -> str:
@@ -51,14 +53,13 @@
 
     config: DaemonConfig
     ready: bool = False
-    stopping: asyncio.Event = field(factory=asyncio.Event)
     busy: Counter = field(factory=Counter)
-    schedulers: dict[tuple[str, str], Scheduler] = field(factory=dict)
     tasks: set[asyncio.Task] = field(factory=set)
     held: set[asyncio.Task] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         config = self.config
+        self.lifecycle = Lifecycle(self)
         self.idle = asyncio.Event()
         self.idle.set()
         self.metrics = Metrics(config.name)
@@ -71,12 +72,12 @@
         self.records = Records(self.store)
         self.watch = SettingsWatch(self.store, self.catalog)
 
-    async def run(self) -> None:
-        """Serve until told to stop, then finish what is in progress."""
+    async def run(self) -> int:
+        """Serve until told to stop, then finish what is in progress; returns the exit status."""
         async with AsyncExitStack() as stack:
             await self._open(stack)
-            await self.stopping.wait()
-            await self._drain()
+            await self.lifecycle.stopping.wait()
+            return await self.lifecycle.drain()
 
     async def _open(self, stack: AsyncExitStack) -> None:
         config = self.config
@@ -86,29 +87,36 @@
         self.membership = Membership(
             hello, self.peers, self.catalog, HostList(config.hostlist), config.seeds
         )
-        self.placement = Placement(self.membership, self.peers, self.scheduler)
+        self.membership.informed = self.informed
+        self.gateways = Gateways(self.membership, self.peers)
+        self.duties = Duties(self.membership, self._make_scheduler)
+        self.placement = Placement(self.membership, self.peers, self.duties)
         mesh = await stack.enter_async_context(self.peers.listening(config.mesh))
+        advertised = str(config.advertise_mesh or mesh)
         self.peers.hello = Hello(
-            config.name, incarnation, config.domain, config.region, str(mesh), b""
+            config.name, incarnation, config.domain, config.region, advertised, b""
         )
         http = self._listen(stack)
         stack.push_async_callback(self._stop_tasks)
         for work in (
             self.watch.run(),
-            self.membership.follow_host_list(),
+            self.peers.tend(),
+            self.membership.host_sync.follow(),
+            self.membership.tend(),
+            self.gateways.run(),
+            self.duties.tend(),
             self.membership.greet_seeds(),
             self.placement.report(),
         ):
             self.spawn(work)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            asyncio.get_running_loop().add_signal_handler(number, self.stopping.set)
+        self.lifecycle.listen_for_signals()
         self.ready = True
         logs.info("ready", http=str(http), mesh=str(mesh), version=__version__)
         print(json.dumps({"ready": config.name, "http": str(http), "mesh": str(mesh)}), flush=True)
 
     def _listen(self, stack: AsyncExitStack) -> Address:
         config = self.config
-        self.server = HTTPServer(
+        self.server = Listener(
             Application(routes.routes(self), compress_response=False, log_function=lambda _: None),
             max_body_size=config.max_body_bytes,
             max_buffer_size=config.max_body_bytes + config.max_header_bytes,
@@ -122,6 +130,11 @@
         host, port = sockets[0].getsockname()[:2]
         return Address(host, port)
 
+    def informed(self) -> bool:
+        """Tell whether settings and hosts are known, from the platform or from a peer."""
+        settings_known = self.watch.revision > 0 or bool(self.catalog.values)
+        return settings_known and self.membership.host_sync.known
+
     def spawn(self, work) -> asyncio.Task:
         """Run something for as long as the daemon runs; its failure is logged."""
         task = asyncio.create_task(work)
@@ -135,25 +148,9 @@
             logs.failure("task failed", task.exception())
 
     async def _stop_tasks(self) -> None:
-        for scheduler in self.schedulers.values():
-            await scheduler.__aexit__(None, None, None)
+        await self.duties.close()
         waiting = [*self.tasks, *self.held, *self.membership.beating.values()]
-        for task in waiting:
-            task.cancel()
-        await asyncio.gather(*waiting, return_exceptions=True)
-
-    async def _drain(self) -> None:
-        """Leave: not ready first, duties to the others, requests to their end."""
-        self.ready = False
-        logs.info("stopping", in_progress=self.busy.total())
-        await self.membership.leave()
-        await asyncio.sleep(BALANCER_NOTICE)
-        self.server.stop()
-        try:
-            await asyncio.wait_for(self.idle.wait(), self.config.stop_timeout)
-        except TimeoutError:
-            logs.error("stopped before every request had ended", cut_off=self.busy.total())
-        logs.info("stopped")
+        await cancel_all(waiting)
 
     # What the handlers use.
 
@@ -177,20 +174,18 @@
             if not self.busy.total():
                 self.idle.set()
 
-    def scheduler(self, team: str, service: str) -> Scheduler:
-        """Return this daemon's scheduler of a service, started if need be."""
-        key = (team, service)
-        if key not in self.schedulers:
-            scheduler = Scheduler(team, service, self.catalog, self.membership, self.placement.tell)
-            scheduler.task = asyncio.create_task(scheduler.run())
-            self.schedulers[key] = scheduler
-            logs.info("scheduling", team=team, service=service)
-        return self.schedulers[key]
+    def _make_scheduler(self, team: str, service: str) -> Scheduler:
+        return Scheduler(team, service, self.catalog, self.membership, self.placement.tell)
 
     def token_clock(self, generation: GenerationRequest) -> TokenClock:
         """Return a clock for the tokens of one generation."""
         return token_clock(self.metrics, generation)
 
+    @property
+    def stopping(self) -> bool:
+        """Tell whether the daemon has been told to stop."""
+        return self.lifecycle.stopping.is_set()
+
     def hold(self, relay: Relay | None, resume_window: float) -> None:
         """Keep a stream whose caller has gone for the time in which it may come back."""
         if relay is not None:
@@ -235,7 +230,7 @@
                     "name": m.name,
                     "domain": m.domain,
                     "alive": self.membership.is_alive(m.name),
-                    "leaving": m.leaving,
+                    "leaving": m.leaving or m.listed_leaving,
                 }
                 for m in self.membership.members.values()
             ],
@@ -255,9 +250,35 @@
                         for ledger in scheduler.ledgers.values()
                     ],
                 }
-                for (team, service), scheduler in self.schedulers.items()
+                for (team, service), scheduler in self.duties.schedulers.items()
             ],
             "mesh_bytes": self.peers.bytes_total(),
+            "mesh": {
+                "frames": self.peers.frames_total(),
+                "links": len(self.peers.all_links()),
+                "dials": self.peers.dials,
+                "accepted": self.peers.accepted,
+            },
+            "hosts": {
+                "version": self.membership.hosts.version,
+                "reads": self.membership.host_sync.reads,
+            },
+            "domains": [
+                {
+                    "name": domain,
+                    "live": sorted(self.membership.live(domain)),
+                    "loads": [
+                        {
+                            "team": load.team,
+                            "service": load.service,
+                            "queued": load.queued,
+                            "free_tokens": load.free_tokens,
+                        }
+                        for load in self.gateways.loads(domain)
+                    ],
+                }
+                for domain in sorted(self.membership.domains())
+            ],
         }
 
 
@@ -265,8 +286,7 @@
     """Run a daemon; returns its exit status."""
     logs.start(config.log_level, config.name)
     try:
-        asyncio.run(Daemon(config).run())
+        return asyncio.run(Daemon(config).run())
     except OSError as error:
         print(f"papayacourse: cannot start: {error}", file=sys.stderr)
         return 1
-    return 0
--- /dev/null
+++ b/papayacourse/duties.py
@@ -0,0 +1,109 @@
+"""The schedulers that this daemon holds: opened on demand, handed over, dropped when idle."""
+
+import asyncio
+import time
+from collections.abc import Callable, Iterator
+
+from attrs import define, field
+
+from papayacourse import logs
+from papayacourse.membership import Membership
+from papayacourse.messages import NotScheduler, ServiceLoad
+from papayacourse.scheduler import Scheduler
+
+IDLE_SCHEDULER = 30.0  # seconds after which a scheduler without the duty is dropped
+TEND_INTERVAL = 1.0  # seconds
+
+Key = tuple[str, str]
+
+
+def duty(team: str, service: str) -> str:
+    """Name the duty of scheduling a service, for rendezvous hashing."""
+    return f"scheduler/{team}/{service}"
+
+
+@define(eq=False)
+class Duties:
+    """The schedulers of this daemon.
+
+    Attributes
+    ----------
+    make : callable
+        Returns a new scheduler of a (team, service), not yet running.
+    used : dict of (str, str) to float
+        When each was last owned or busy, in seconds of the monotonic clock.
+    """
+
+    membership: Membership
+    make: Callable[[str, str], Scheduler]
+    clock: Callable[[], float] = time.monotonic
+    schedulers: dict[Key, Scheduler] = field(factory=dict)
+    used: dict[Key, float] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.membership.loads_here = self.loads
+
+    # Queries.
+
+    def loads(self) -> tuple[ServiceLoad, ...]:
+        """Return the loads of the services whose duty is held here."""
+        return tuple(
+            scheduler.load()
+            for key, scheduler in self.schedulers.items()
+            if self.membership.owns(duty(*key))
+        )
+
+    def may_hand_over(self) -> bool:
+        """Tell whether this daemon takes no duties and another one can."""
+        return not self.membership.takes_duties() and bool(self.membership.live())
+
+    def _queued(self) -> Iterator[tuple[Scheduler, str, str]]:
+        """Yield each waiting request: its scheduler, its daemon and its stream."""
+        for scheduler in self.schedulers.values():
+            for account in scheduler.queue.accounts.values():
+                for stream, item in account.waiting.items():
+                    yield scheduler, item.daemon, stream
+
+    # Commands.
+
+    def open(self, team: str, service: str) -> Scheduler:
+        """Return the scheduler of a service, started if need be."""
+        key = (team, service)
+        if key not in self.schedulers:
+            scheduler = self.make(team, service)
+            scheduler.task = asyncio.create_task(scheduler.run())
+            self.schedulers[key] = scheduler
+            logs.info("scheduling", team=team, service=service)
+        self.used[key] = self.clock()
+        return self.schedulers[key]
+
+    def hand_over(self) -> int:
+        """Send every waiting request to the next owner; returns how many there were."""
+        if not self.may_hand_over():
+            return 0
+        queued = list(self._queued())
+        for scheduler, daemon, stream in queued:
+            scheduler.queue.discard(stream)
+            scheduler.tell_later(daemon, NotScheduler(stream))
+        return len(queued)
+
+    async def tend(self) -> None:
+        """Hand over what waits when told to leave, and drop idle schedulers, for ever."""
+        while True:
+            await asyncio.sleep(TEND_INTERVAL)
+            self.hand_over()
+            for key, scheduler in list(self.schedulers.items()):
+                busy = len(scheduler.queue) or any(
+                    led.streams for led in scheduler.ledgers.values()
+                )
+                if busy or self.membership.owns(duty(*key)):
+                    self.used[key] = self.clock()
+                elif self.clock() - self.used[key] > IDLE_SCHEDULER:
+                    del self.schedulers[key], self.used[key]
+                    await scheduler.__aexit__(None, None, None)
+                    logs.info("no longer scheduling", team=key[0], service=key[1])
+
+    async def close(self) -> None:
+        """Stop every scheduler."""
+        for scheduler in self.schedulers.values():
+            await scheduler.__aexit__(None, None, None)
--- /dev/null
+++ b/papayacourse/handshake.py
@@ -0,0 +1,64 @@
+"""Opens a link: both sides say who they are and prove that they know the mesh key."""
+
+import hmac
+import secrets
+
+from attrs import evolve
+from websockets.asyncio.connection import Connection
+
+from papayacourse.exceptions import MalformedMessage
+from papayacourse.messages import Frame, Hello, Proof, decode, encode
+
+NONCE_BYTES = 16
+
+
+def prove(key: str, challenge: bytes, name: str, side: str) -> bytes:
+    """Answer a challenge with the mesh key.
+
+    The side (``dialled`` or ``listened``) is signed too, so that an answer cannot be sent back to
+    the one who asked.
+    """
+    return hmac.digest(key.encode(), challenge + f"|{name}|{side}".encode(), "sha256")
+
+
+async def read_binary(connection: Connection) -> bytes:
+    """Return the next frame; raises MalformedMessage when it is text."""
+    data = await connection.recv()
+    if not isinstance(data, bytes):
+        raise MalformedMessage("a text frame where only binary ones are expected")
+    return data
+
+
+async def shake_hands(connection: Connection, hello: Hello, key: str, side: str) -> Hello:
+    """Return who stands at the other end.
+
+    Parameters
+    ----------
+    connection : Connection
+        A connection on which nothing has been sent.
+    hello : Hello
+        Who this daemon is; a fresh challenge is added.
+    key : str
+        The mesh key.
+    side : str
+        ``dialled`` or ``listened``, from this daemon's point of view.
+
+    Raises
+    ------
+    MalformedMessage
+        When the other end does not speak the protocol or does not know the key.
+    """
+    other_side = "listened" if side == "dialled" else "dialled"
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    mine = evolve(hello, nonce=nonce)
+    await connection.send(encode(Frame(0, False, mine)))
+    peer = decode(await read_binary(connection)).message
+    if not isinstance(peer, Hello):
+        raise MalformedMessage("a link must open with Hello")
+    answer = prove(key, peer.nonce, mine.name, side)
+    await connection.send(encode(Frame(0, False, Proof(answer))))
+    proof = decode(await read_binary(connection)).message
+    wanted = prove(key, nonce, peer.name, other_side)
+    if not isinstance(proof, Proof) or not hmac.compare_digest(proof.digest, wanted):
+        raise MalformedMessage(f"{peer.name} does not know the mesh key")
+    return peer
--- a/papayacourse/hostlist.py
+++ b/papayacourse/hostlist.py
@@ -26,18 +26,30 @@
 
     def __init__(self, address: Address):
         self.address = address
-
-    async def get(self) -> HostListing:
-        """Return the list; raises PlatformUnavailable when it cannot be had."""
-        call = HttpCall(self.address, "GET", "/hosts", idle_timeout=CALL_TIMEOUT)
+        self.etag = ""
+
+    async def get(self) -> HostListing | None:
+        """Return the list, or None when it is the one returned last.
+
+        Raises
+        ------
+        PlatformUnavailable
+            When it cannot be had.
+        """
+        headers = {"If-None-Match": self.etag} if self.etag else {}
+        call = HttpCall(self.address, "GET", "/hosts", headers, idle_timeout=CALL_TIMEOUT)
         try:
             async with call:
                 answer = await call.read()
         except BackendError as error:
             raise PlatformUnavailable(f"host list: {error}") from error
+        if call.status == 304:
+            return None
         if call.status != 200:
             raise PlatformUnavailable(f"host list: status {call.status}")
         try:
-            return structure(json.loads(answer), HostListing)
+            listing = structure(json.loads(answer), HostListing)
         except (ValueError, BaseValidationError) as error:
             raise PlatformError(f"host list: not a host list: {error}") from error
+        self.etag = call.headers.get("Etag", "")
+        return listing
--- /dev/null
+++ b/papayacourse/link.py
@@ -0,0 +1,82 @@
+"""One connection to one peer: frames out through a bounded outbox, answers matched to calls."""
+
+import asyncio
+import itertools
+import time
+
+from attrs import define, field
+from websockets.asyncio.connection import Connection
+
+from papayacourse.exceptions import PeerTimeout, PeerUnreachable
+from papayacourse.messages import Frame, Hello, Message, encode
+
+MAX_OUTBOX = 4096  # frames waiting to be written, per link
+MAX_OUTBOX_BYTES = 8 * 1024 * 1024
+
+
+@define(eq=False)
+class Link:
+    """One connection to one peer.
+
+    Attributes
+    ----------
+    dialler : str
+        The name of the side that opened it.
+    last_heard : float
+        When the last frame came, in seconds of the monotonic clock.
+    """
+
+    peer: Hello
+    connection: Connection
+    dialler: str
+    last_heard: float = field(factory=time.monotonic)
+    calls: dict[int, asyncio.Future] = field(factory=dict)
+    outbox: asyncio.Queue[bytes] = field(factory=lambda: asyncio.Queue(MAX_OUTBOX))
+    outbox_bytes: int = 0
+    numbers: itertools.count = field(factory=lambda: itertools.count(1))
+    answering: set[asyncio.Task] = field(factory=set)
+    bytes_out: int = 0
+    bytes_in: int = 0
+    frames_out: int = 0
+    frames_in: int = 0
+
+    def silent_for(self) -> float:
+        """Return how long nothing has come, in seconds."""
+        return time.monotonic() - self.last_heard
+
+    def send(self, frame: Frame) -> None:
+        """Put a frame in the outbox; raises PeerUnreachable when it is full."""
+        data = encode(frame)
+        if self.outbox.full() or self.outbox_bytes + len(data) > MAX_OUTBOX_BYTES:
+            raise PeerUnreachable(f"{self.peer.name} does not take its messages")
+        self.outbox_bytes += len(data)
+        self.outbox.put_nowait(data)
+
+    async def call(self, message: Message, timeout: float) -> Message:
+        """Send a message and wait for its answer."""
+        number = next(self.numbers)
+        answer: asyncio.Future = asyncio.get_running_loop().create_future()
+        self.calls[number] = answer
+        try:
+            self.send(Frame(number, False, message))
+            async with asyncio.timeout(timeout):
+                return await answer
+        except TimeoutError as error:
+            raise PeerTimeout(f"{self.peer.name} did not answer in {timeout:.1f} s") from error
+        finally:
+            self.calls.pop(number, None)
+
+    async def write(self) -> None:
+        """Write frames from the outbox for as long as the link lasts."""
+        while True:
+            data = await self.outbox.get()
+            await self.connection.send(data)
+            self.outbox_bytes -= len(data)
+            self.bytes_out += len(data)
+            self.frames_out += 1
+
+    def lose(self) -> None:
+        """Fail everything that waits for this link."""
+        for answer in self.calls.values():
+            if not answer.done():
+                answer.set_exception(PeerTimeout(f"the link to {self.peer.name} was lost"))
--- a/papayacourse/membership.py
+++ b/papayacourse/membership.py
@@ -1,6 +1,7 @@
 """Who is there: the platform's lagging list joined with heartbeats between daemons."""
 
 import asyncio
+import random
 import time
 from collections.abc import Callable, Iterator
 
@@ -8,31 +9,63 @@
 
 from papayacourse import logs
 from papayacourse.catalog import Catalog
-from papayacourse.exceptions import PeerError, PlatformError
+from papayacourse.exceptions import PeerError
 from papayacourse.hostlist import HostList, HostListing
-from papayacourse.messages import Heartbeat, Hello, HostsUpdate, SettingsDigest, SettingsUpdate
+from papayacourse.hostsync import HostSync
+from papayacourse.loads import significant_change
+from papayacourse.messages import (
+    Beat,
+    Heartbeat,
+    Hello,
+    ServiceLoad,
+    SettingsDigest,
+    SettingsUpdate,
+)
 from papayacourse.peers import Peers
 from papayacourse.rendezvous import ranked
-from papayacourse.types import Address, Host, HostKind
+from papayacourse.types import Address, Host, HostKind, HostState
 
 HEARTBEAT_INTERVAL = 1.0  # seconds
+FULL_HEARTBEAT_INTERVAL = 10.0  # seconds after which a heartbeat is sent in full, changed or not
 DEAD_AFTER = 3.0  # seconds without a heartbeat
-HOST_LIST_INTERVAL = 2.0  # seconds
+FORGET_AFTER = 60.0  # seconds after which a dead daemon that is not listed is forgotten
 CALL_TIMEOUT = 2.0  # seconds
+MAX_SEED_PAUSE = 10.0  # seconds between tries to reach a seed
 CROSS_LINKS = 2  # daemons of each other domain that one gateway keeps a link to
 GATEWAYS = 2  # daemons of a domain that keep links to another one
 
+NEVER = float("-inf")
+
 
 @define
 class Member:
-    """A daemon that has been heard of."""
+    """A daemon that has been heard of.
+
+    Attributes
+    ----------
+    last_heard, suspected : float
+        When it was heard, and when it last failed to answer a call in time, in seconds of the
+        monotonic clock.
+    beat : Heartbeat or None
+        Its last heartbeat in full.
+    listed : bool
+        Whether the newest host list has it.
+    listed_leaving : bool
+        Whether that list says that it has been told to leave.
+    """
 
     name: str
     domain: str
     region: str
     incarnation: int = 0
-    last_heard: float = float("-inf")
+    last_heard: float = NEVER
+    suspected: float = NEVER
     leaving: bool = False
+    beat: Heartbeat | None = None
+    known_since: float = field(factory=time.monotonic)
+    listed: bool = False
+    listed_leaving: bool = False
+    listed_mesh: str = ""
 
 
 @define(eq=False)
@@ -43,8 +76,12 @@
     ----------
     members : dict of str to Member
         Every other daemon known, alive or not.
-    hosts : HostListing
-        The newest host list seen, from the platform or from a peer.
+    loads_here : callable
+        Returns the loads of the services that this daemon schedules.
+    informed : callable
+        Tells whether this daemon knows enough to take duties: settings and hosts.
+    remote_live : callable
+        Returns the live daemons of another domain, as its own gateways tell.
     """
 
     me: Hello
@@ -54,36 +91,66 @@
     seeds: tuple[Address, ...] = ()
     clock: Callable[[], float] = time.monotonic
     members: dict[str, Member] = field(factory=dict)
-    hosts: HostListing = field(factory=lambda: HostListing(0, ()))
     leaving: bool = False
+    listed_leaving: bool = False
     beating: dict[str, asyncio.Task] = field(factory=dict)
     changed: asyncio.Event = field(factory=asyncio.Event)
+    loads_here: Callable[[], tuple[ServiceLoad, ...]] = tuple
+    informed: Callable[[], bool] = lambda: True
+    remote_live: Callable[[str], list[str]] = lambda _domain: []
+    host_sync: HostSync = field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self.host_sync = HostSync(
+            self.me.name, self.peers, self.host_list, self.live, self._hosts_changed
+        )
         self.peers.on_met = self.met
         self.peers.handlers[Heartbeat] = self.heard
-        self.peers.handlers[HostsUpdate] = self.take_hosts
+        self.peers.handlers[Beat] = self.heard_again
         self.peers.handlers[SettingsDigest] = self.answer_digest
         self.peers.handlers[SettingsUpdate] = self.take_settings
 
     # Queries.
 
+    @property
+    def hosts(self) -> HostListing:
+        """Return the newest host list seen, from the platform or from a peer."""
+        return self.host_sync.listing
+
     def is_alive(self, name: str) -> bool:
         """Tell whether a daemon has been heard lately."""
         if name == self.me.name:
             return True
         member = self.members.get(name)
-        return member is not None and self.clock() - member.last_heard < DEAD_AFTER
+        if member is None:
+            return False
+        heard = self.clock() - member.last_heard < DEAD_AFTER
+        if member.domain != self.me.domain:
+            return heard or name in self.remote_live(member.domain)
+        return heard and member.last_heard > member.suspected
+
+    def stays(self, member: Member) -> bool:
+        """Tell whether a daemon may be given duties: nobody has said that it leaves."""
+        return not member.leaving and not member.listed_leaving
 
     def live(self, domain: str | None = None) -> list[str]:
         """Return the daemons of a domain that live and stay; this one's domain by default."""
         domain = domain or self.me.domain
-        found = [m.name for m in self.members.values() if m.domain == domain and not m.leaving]
+        found = [m.name for m in self.members.values() if m.domain == domain and self.stays(m)]
         found = [name for name in found if self.is_alive(name)]
-        if domain == self.me.domain and not self.leaving:
+        if domain == self.me.domain and self.takes_duties():
             found.append(self.me.name)
         return found
 
+    def takes_duties(self) -> bool:
+        """Tell whether this daemon may be given duties."""
+        return not self.leaving and not self.listed_leaving and self.informed()
+
+    def domains(self) -> dict[str, str]:
+        """Return every domain known, this one's included, each with its region."""
+        known = {member.domain: member.region for member in self.members.values()}
+        return known | {self.me.domain: self.me.region}
+
     def owners(self, duty: str, domain: str | None = None) -> list[str]:
         """Return the live daemons of a domain in the order in which they should hold a duty."""
         return ranked(duty, self.live(domain))
@@ -96,18 +163,55 @@
         """Yield the backend servers of a kind that the newest host list has."""
         return (host for host in self.hosts.hosts if host.kind == kind)
 
+    def linked(self, domain: str) -> list[str]:
+        """Return the daemons of another domain that this one keeps a link to, if it is a gateway.
+
+        Both domains compute the same pairs from what they know; a difference only costs a link.
+        """
+        pair = "/".join(sorted((self.me.domain, domain)))
+        mine = {*self.live(), self.me.name} - ({self.me.name} if self.leaving else set())
+        if self.me.name not in ranked(f"gateway/{pair}", mine)[:GATEWAYS]:
+            return []
+        theirs = [m.name for m in self.members.values() if m.domain == domain and self.stays(m)]
+        theirs = self.live(domain) or [n for n in theirs if not self._failed(n)] or theirs
+        return ranked(f"gateway/{pair}", theirs)[:CROSS_LINKS]
+
+    def _failed(self, name: str) -> bool:
+        return self.peers.addresses.get(name) in self.peers.backoffs
+
     # Commands.
 
     def met(self, hello: Hello) -> None:
         """Note a daemon whose link has just come up."""
         known = self.members.get(hello.name)
-        if known is None or hello.incarnation >= known.incarnation:
-            now = self.clock()
+        now = self.clock()
+        # A replaced host's clock may be behind, so an older number counts once the newer is dead.
+        if known is None or hello.incarnation >= known.incarnation or not self.is_alive(hello.name):
+            member = Member(hello.name, hello.domain, hello.region, hello.incarnation, now)
+            if known is not None:
+                member.listed, member.listed_mesh = known.listed, known.listed_mesh
+                member.listed_leaving = known.listed_leaving
+                if known.incarnation == hello.incarnation:
+                    member.leaving, member.beat = known.leaving, known.beat
+            self.members[hello.name] = member
+            self.peers.addresses[hello.name] = Address.parse(hello.mesh)
+            self._keep_beating(hello.name)
+            self.changed.set()
+
+    def learn(self, hello: Hello) -> None:
+        """Note a daemon that another one has told of."""
+        if hello.name != self.me.name and hello.name not in self.members:
             self.members[hello.name] = Member(
-                hello.name, hello.domain, hello.region, hello.incarnation, now
+                hello.name, hello.domain, hello.region, hello.incarnation
             )
+        if hello.name != self.me.name and hello.name not in self.peers.links:
             self.peers.addresses[hello.name] = Address.parse(hello.mesh)
-            self._keep_beating(hello.name)
+
+    def suspect(self, name: str) -> None:
+        """Take a daemon that did not answer in time for dead until it is heard again."""
+        member = self.members.get(name)
+        if member is not None:
+            member.suspected = self.clock()
             self.changed.set()
 
     async def heard(self, peer: Hello, beat: Heartbeat) -> None:
@@ -116,12 +220,20 @@
         if member is None or beat.incarnation < member.incarnation:
             return
         member.last_heard = self.clock()
+        member.beat = beat
         if member.leaving != beat.leaving:
             member.leaving = beat.leaving
             self.changed.set()
+        self.host_sync.peer_has(peer.name, beat.hosts_version)
         if beat.settings_digest != self.catalog.digest:
             await self._exchange_settings(peer.name)
 
+    async def heard_again(self, peer: Hello, _beat: Beat) -> None:
+        """Note that a peer's last full heartbeat still holds."""
+        member = self.members.get(peer.name)
+        if member is not None and member.beat is not None:
+            await self.heard(peer, member.beat)
+
     async def _exchange_settings(self, name: str) -> None:
         """Send what this daemon has; the peer answers with what is newer there."""
         try:
@@ -143,20 +255,27 @@
             if self.catalog.apply(value):
                 self.changed.set()
 
-    async def take_hosts(self, _peer: Hello | None, update: HostsUpdate) -> None:
-        """Take a host list that is newer than the one known."""
-        if update.version <= self.hosts.version:
-            return
-        self.hosts = HostListing(update.version, update.hosts)
-        for host in update.hosts:
-            if host.kind == HostKind.ENTRY and host.name != self.me.name and host.mesh:
-                self.peers.addresses[host.name] = Address.parse(host.mesh)
-                self._note_listed(host)
+    def _hosts_changed(self) -> None:
+        """Join the newest host list with the members."""
+        entries = {h.name: h for h in self.hosts.hosts if h.kind == HostKind.ENTRY and h.mesh}
+        mine = entries.pop(self.me.name, None)
+        self.listed_leaving = mine is not None and mine.state == HostState.LEAVING
+        for member in self.members.values():
+            if member.name not in entries:
+                member.listed = member.listed_leaving = False
+        for host in entries.values():
+            self._note_listed(host)
         self.changed.set()
 
     def _note_listed(self, host: Host) -> None:
-        if host.name not in self.members:
-            self.members[host.name] = Member(host.name, host.domain, host.region)
+        member = self.members.setdefault(host.name, Member(host.name, host.domain, host.region))
+        member.listed = True
+        member.listed_leaving = host.state == HostState.LEAVING
+        if member.listed_mesh != host.mesh:
+            member.listed_mesh = host.mesh
+            # The list lags: what a live daemon said itself is newer.
+            if not self.is_alive(host.name):
+                self.peers.addresses[host.name] = Address.parse(host.mesh)
         self._keep_beating(host.name)
 
     def _keep_beating(self, name: str) -> None:
@@ -166,33 +285,71 @@
     def _needs_link(self, name: str) -> bool:
         """Tell whether this daemon keeps a link to a peer: all of its domain, a few elsewhere."""
         member = self.members[name]
-        if member.domain == self.me.domain:
-            return True
-        mine = [m.name for m in self.members.values() if m.domain == self.me.domain]
-        theirs = [m.name for m in self.members.values() if m.domain == member.domain]
-        pair = f"gateway/{self.me.domain}/{member.domain}"
-        is_gateway = self.me.name in ranked(pair, [*mine, self.me.name])[:GATEWAYS]
-        return is_gateway and name in ranked(pair, theirs)[:CROSS_LINKS]
+        return member.domain == self.me.domain or name in self.linked(member.domain)
+
+    async def tend(self) -> None:
+        """Forget daemons long gone, and keep the links that are needed, for ever."""
+        while True:
+            await asyncio.sleep(HEARTBEAT_INTERVAL)
+            for member in list(self.members.values()):
+                if self._is_gone(member):
+                    del self.members[member.name]
+                    self.peers.addresses.pop(member.name, None)
+                    logs.info("daemon forgotten", daemon=member.name)
+            linked = {n for d in self.domains() if d != self.me.domain for n in self.linked(d)}
+            for name, member in self.members.items():
+                if member.domain == self.me.domain or name in linked:
+                    self._keep_beating(name)
+
+    def _is_gone(self, member: Member) -> bool:
+        if member.listed or self.is_alive(member.name):
+            return False
+        return self.clock() - max(member.last_heard, member.known_since) > FORGET_AFTER
 
     async def _beat(self, name: str) -> None:
         """Send one peer a heartbeat each second, for as long as it is listed."""
+        sent: Heartbeat | None = None
+        link, sent_at = None, NEVER
         try:
             while name in self.members and self._needs_link(name):
+                beat = self._heartbeat()
+                full = sent is None or link is not self.peers.links.get(name)
+                full = full or self.clock() - sent_at > FULL_HEARTBEAT_INTERVAL
+                full = full or self._differs(sent, beat)
                 try:
-                    await self.peers.send(name, self._heartbeat())
+                    await self.peers.send(name, beat if full else Beat())
                 except PeerError as error:
                     logs.debug("heartbeat not sent", peer=name, why=str(error))
-                await asyncio.sleep(HEARTBEAT_INTERVAL)
+                    self._try_other_address(name)
+                else:
+                    link = self.peers.links.get(name)
+                    sent, sent_at = (beat, self.clock()) if full else (sent, sent_at)
+                await asyncio.sleep(HEARTBEAT_INTERVAL * random.uniform(0.9, 1.1))
         finally:
             self.beating.pop(name, None)
 
+    def _differs(self, sent: Heartbeat, beat: Heartbeat) -> bool:
+        same = (sent.leaving, sent.settings_digest, sent.hosts_version) == (
+            beat.leaving,
+            beat.settings_digest,
+            beat.hosts_version,
+        )
+        return not same or significant_change(sent.loads, beat.loads)
+
+    def _try_other_address(self, name: str) -> None:
+        """Take the listed address of a daemon that does not answer at the one it gave."""
+        member = self.members.get(name)
+        if member is not None and member.listed_mesh and not self.is_alive(name):
+            self.peers.addresses[name] = Address.parse(member.listed_mesh)
+
     def _heartbeat(self) -> Heartbeat:
         return Heartbeat(
             self.me.name,
             self.me.incarnation,
-            self.leaving,
+            not self.takes_duties(),
             self.catalog.digest,
             self.hosts.version,
+            self.loads_here(),
         )
 
     async def leave(self) -> None:
@@ -204,29 +361,10 @@
             except PeerError as error:
                 logs.debug("leaving note not sent", peer=name, why=str(error))
 
-    async def follow_host_list(self) -> None:
-        """Read the platform's list for ever, and hand each new version to the peers."""
-        while True:
-            try:
-                listing = await self.host_list.get()
-                if listing.version > self.hosts.version:
-                    await self.take_hosts(None, HostsUpdate(listing.version, listing.hosts))
-                    await self._spread_hosts()
-            except PlatformError as error:
-                logs.warning("host list not read", why=str(error))
-            await asyncio.sleep(HOST_LIST_INTERVAL)
-
-    async def _spread_hosts(self) -> None:
-        update = HostsUpdate(self.hosts.version, self.hosts.hosts)
-        for name in list(self.peers.links):
-            try:
-                await self.peers.send(name, update)
-            except PeerError as error:
-                logs.debug("host list not sent", peer=name, why=str(error))
-
     async def greet_seeds(self) -> None:
         """Dial the seed addresses until each has answered once."""
         waiting = set(self.seeds)
+        pause = HEARTBEAT_INTERVAL
         while waiting:
             for seed in list(waiting):
                 try:
@@ -234,4 +372,5 @@
                     waiting.discard(seed)
                 except PeerError as error:
                     logs.debug("seed not reached", seed=str(seed), why=str(error))
-            await asyncio.sleep(HEARTBEAT_INTERVAL)
+            await asyncio.sleep(pause * random.uniform(0.5, 1.5))
+            pause = min(MAX_SEED_PAUSE, pause * 2)
--- a/papayacourse/messages.py
+++ b/papayacourse/messages.py
@@ -83,7 +83,7 @@
     Attributes
     ----------
     leaving : bool
-        Whether it has been told to stop and takes no new duty.
+        Whether it takes no duty: it has been told to stop, or does not know enough yet.
     settings_digest : int
         A hash over all (path, revision) pairs in force there.
     hosts_version : int
@@ -100,6 +100,33 @@
     loads: tuple[ServiceLoad, ...] = ()
 
 
+@frozen
+class Beat:
+    """Says that a daemon lives and that its last Heartbeat still holds."""
+
+
+@frozen
+class DomainLoads:
+    """Loads of a failure domain that have changed since what was last sent on this link."""
+
+    domain: str
+    loads: tuple[ServiceLoad, ...]
+
+
+@frozen
+class HostsAsk:
+    """Asks a peer for its host list, when that is newer than this version."""
+
+    version: int
+
+
+@frozen
+class NotScheduler:
+    """Hands the duty over: ask the next owner; it also ends a wait in the queue."""
+
+    stream: str
+
+
 @frozen
 class SettingsDigest:
     """Asks a peer whose digest differs for the values that are newer there."""
@@ -281,6 +308,10 @@
     Hello
     | Proof
     | Heartbeat
+    | Beat
+    | DomainLoads
+    | HostsAsk
+    | NotScheduler
     | DomainSummary
     | SettingsDigest
     | SettingsUpdate
--- a/papayacourse/pages.py
+++ b/papayacourse/pages.py
@@ -18,7 +18,7 @@
 
     def get(self) -> None:
         """Answer 200, or 503 while starting or stopping."""
-        if not self.daemon.ready:
+        if not self.daemon.ready or not self.daemon.informed():
             raise RequestRefused(503, "not_ready", "starting or stopping", retry_after=1.0)
         self.finish({"status": "ready"})
 
--- a/papayacourse/peers.py
+++ b/papayacourse/peers.py
@@ -1,20 +1,23 @@
 """Links to other daemons: websockets that carry typed messages, one task for each connection."""
 
 import asyncio
-import hmac
-import itertools
-import secrets
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from ipaddress import ip_address
 
-from attrs import define, evolve, field
+from attrs import define, field
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection
 from websockets.asyncio.server import Server, serve
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
+from websockets.frames import CloseCode
 
 from papayacourse import logs
-from papayacourse.exceptions import MalformedMessage, PeerError, PeerTimeout, PeerUnreachable
+from papayacourse.backoff import Backoff
+from papayacourse.exceptions import MalformedMessage, PeerError, PeerUnreachable
+from papayacourse.handshake import read_binary, shake_hands
+from papayacourse.link import Link
 from papayacourse.messages import (
     MAX_FRAME_BYTES,
     CallFailed,
@@ -22,10 +25,9 @@
     Frame,
     Hello,
     Message,
-    Proof,
     decode,
-    encode,
 )
+from papayacourse.tasks import cancel_all
 from papayacourse.types import Address
 
 CONNECT_TIMEOUT = 1.0  # seconds
@@ -33,70 +35,13 @@
 CLOSE_TIMEOUT = 0.5  # seconds
 MAX_FRAMES_WAITING = 64  # frames read but not yet handled, per link
 MAX_CALLS_IN_PROGRESS = 4096  # calls from one peer
-MAX_OUTBOX = 4096  # frames waiting to be written, per link
-NONCE_BYTES = 16
+LINK_SILENCE = 5.0  # seconds without a frame after which a link is closed
+LINK_STALE = 3.0  # seconds without a frame after which another link is preferred
+TEND_INTERVAL = 1.0  # seconds
 
 Handler = Callable[[Hello, Message], Awaitable[Message | None]]
 
 
-def prove(key: str, challenge: bytes, name: str, side: str) -> bytes:
-    """Answer a challenge with the mesh key.
-
-    The side (``dialled`` or ``listened``) is signed too, so that an answer cannot be sent back to
-    the one who asked.
-    """
-    return hmac.digest(key.encode(), challenge + f"|{name}|{side}".encode(), "sha256")
-
-
-@define(eq=False)
-class Link:
-    """One connection to one peer."""
-
-    peer: Hello
-    connection: Connection
-    calls: dict[int, asyncio.Future] = field(factory=dict)
-    outbox: asyncio.Queue[bytes] = field(factory=lambda: asyncio.Queue(MAX_OUTBOX))
-    numbers: itertools.count = field(factory=lambda: itertools.count(1))
-    answering: set[asyncio.Task] = field(factory=set)
-    bytes_out: int = 0
-    bytes_in: int = 0
-
-    def send(self, frame: Frame) -> None:
-        """Put a frame in the outbox; raises PeerUnreachable when it is full."""
-        try:
-            self.outbox.put_nowait(encode(frame))
-        except asyncio.QueueFull as error:
-            raise PeerUnreachable(f"{self.peer.name} does not take its messages") from error
-
-    async def call(self, message: Message, timeout: float) -> Message:
-        """Send a message and wait for its answer."""
-        number = next(self.numbers)
-        answer: asyncio.Future = asyncio.get_running_loop().create_future()
-        self.calls[number] = answer
-        try:
-            self.send(Frame(number, False, message))
-            return await asyncio.wait_for(answer, timeout)
-        except TimeoutError as error:
-            raise PeerTimeout(f"{self.peer.name} did not answer in {timeout} s") from error
-        finally:
-            self.calls.pop(number, None)
-
-    async def write(self) -> None:
-        """Write frames from the outbox for as long as the link lasts."""
-        while True:
-            data = await self.outbox.get()
-            await self.connection.send(data)
-            self.bytes_out += len(data)
-
-    def lose(self) -> None:
-        """Fail everything that waits for this link."""
-        for answer in self.calls.values():
-            if not answer.done():
-                answer.set_exception(PeerTimeout(f"the link to {self.peer.name} was lost"))
-        for task in self.answering:
-            task.cancel()
-
-
 @define(eq=False)
 class Peers:
     """Every link of this daemon.
@@ -111,23 +56,49 @@
         What to do with each kind of message; returns the answer, or None.
     on_met : callable
         Called with a peer's Hello once its link stands.
+    on_lost : callable
+        Called with a peer's name once its last link has ended.
+    links : dict of str to Link
+        The link to use for each peer.
+    open_links : dict of str to set of Link
+        Every link; two daemons that dial each other at once have two for a while.
+    source : (str, int) or None
+        The local address to dial from: the listener's own, on a host that has several.
+    dials, accepted : int
+        Connections tried and taken since the start.
     """
 
     hello: Hello
     key: str
     handlers: dict[type, Handler] = field(factory=dict)
     on_met: Callable[[Hello], None] = lambda _hello: None
+    on_lost: Callable[[str], None] = lambda _name: None
     links: dict[str, Link] = field(factory=dict)
+    open_links: dict[str, set[Link]] = field(factory=dict)
+    backoffs: dict[Address, Backoff] = field(factory=dict)
     addresses: dict[str, Address] = field(factory=dict)
     dialling: dict[str, asyncio.Task] = field(factory=dict)
     tasks: set[asyncio.Task] = field(factory=set)
     server: Server | None = None
+    source: tuple[str, int] | None = None
     bytes_closed_links: int = 0
+    frames_closed_links: int = 0
+    dials: int = 0
+    accepted: int = 0
+
+    def all_links(self) -> list[Link]:
+        """Return every open link, those not preferred included."""
+        return [link for links in self.open_links.values() for link in links]
 
     def bytes_total(self) -> int:
         """Return the payload bytes sent and received over all links since the start."""
-        open_links = sum(link.bytes_in + link.bytes_out for link in self.links.values())
-        return open_links + self.bytes_closed_links
+        now = sum(link.bytes_in + link.bytes_out for link in self.all_links())
+        return now + self.bytes_closed_links
+
+    def frames_total(self) -> int:
+        """Return the frames sent and received over all links since the start."""
+        now = sum(link.frames_in + link.frames_out for link in self.all_links())
+        return now + self.frames_closed_links
 
     @asynccontextmanager
     async def listening(self, address: Address) -> AsyncIterator[Address]:
@@ -143,17 +114,17 @@
             ping_interval=None,
         ) as self.server:
             host, port = self.server.sockets[0].getsockname()[:2]
+            self.source = None if ip_address(host).is_unspecified else (host, 0)
             try:
                 yield Address(host, port)
             finally:
                 await self._close_all()
 
     async def _close_all(self) -> None:
-        for task in list(self.tasks):
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await cancel_all(list(self.tasks))
 
     async def _accept(self, connection: Connection) -> None:
+        self.accepted += 1
         task = asyncio.current_task()
         self.tasks.add(task)
         try:
@@ -170,6 +141,7 @@
         return await met
 
     async def _dial(self, address: Address, met: asyncio.Future[Hello]) -> None:
+        self.dials += 1
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 connection = await connect(
@@ -180,6 +152,7 @@
                     compression=None,
                     ping_interval=None,
                     proxy=None,
+                    local_addr=self.source,
                 )
         except (OSError, TimeoutError, InvalidHandshake) as error:
             met.set_exception(PeerUnreachable(f"no link to {address}: {error}"))
@@ -197,12 +170,13 @@
         """Carry one link from its handshake to its end."""
         try:
             async with asyncio.timeout(HANDSHAKE_TIMEOUT):
-                peer = await self._handshake(connection, side)
+                peer = await shake_hands(connection, self.hello, self.key, side)
         except (MalformedMessage, TimeoutError, ConnectionClosed) as error:
-            logs.warning("link refused", remote=str(connection.remote_address), why=str(error))
+            why = str(error) or type(error).__name__
+            logs.error("link refused", remote=str(connection.remote_address), why=why)
             return
-        link = Link(peer, connection)
-        self.links[peer.name] = link
+        link = Link(peer, connection, self.hello.name if side == "dialled" else peer.name)
+        self._add(link)
         self.on_met(peer)
         if met is not None and not met.done():
             met.set_result(peer)
@@ -211,39 +185,80 @@
             await self._read(link)
         except MalformedMessage as error:
             logs.error("link closed", peer=peer.name, why=str(error))
-        except ConnectionClosed:
-            logs.debug("link closed", peer=peer.name)
+        except ConnectionClosed as error:
+            self._log_closed(peer, error)
         finally:
             writer.cancel()
-            await asyncio.gather(writer, return_exceptions=True)
             self._forget(link)
+            await asyncio.gather(writer, return_exceptions=True)
+
+    def _log_closed(self, peer: Hello, error: ConnectionClosed) -> None:
+        refused = error.sent is not None and error.sent.code == CloseCode.MESSAGE_TOO_BIG
+        log = logs.error if refused else logs.debug
+        log("link closed", peer=peer.name, why=str(error))
+
+    def _add(self, link: Link) -> None:
+        name = link.peer.name
+        self.open_links.setdefault(name, set()).add(link)
+        for other in self.open_links[name]:
+            if other.peer.incarnation < link.peer.incarnation:
+                # The process at its other end is gone: what waits for it need not wait longer.
+                other.lose()
+                self._close(other)
+        self._prefer(name)
+
+    def _prefer(self, name: str) -> None:
+        """Choose the link to send on, alike at both ends when both have the same two."""
+        links = self.open_links.get(name)
+        if not links:
+            self.open_links.pop(name, None)
+            self.links.pop(name, None)
+            return
+        self.links[name] = max(
+            links,
+            key=lambda link: (
+                link.peer.incarnation,
+                link.silent_for() < LINK_STALE,
+                link.dialler == min(self.hello.name, name),
+                link.last_heard,
+            ),
+        )
 
     def _forget(self, link: Link) -> None:
         link.lose()
         self.bytes_closed_links += link.bytes_in + link.bytes_out
-        if self.links.get(link.peer.name) is link:
-            del self.links[link.peer.name]
-
-    async def _handshake(self, connection: Connection, side: str) -> Hello:
-        other_side = "listened" if side == "dialled" else "dialled"
-        nonce = secrets.token_bytes(NONCE_BYTES)
-        mine = evolve(self.hello, nonce=nonce)
-        await connection.send(encode(Frame(0, False, mine)))
-        peer = decode(await _binary(connection)).message
-        if not isinstance(peer, Hello):
-            raise MalformedMessage("a link must open with Hello")
-        answer = prove(self.key, peer.nonce, mine.name, side)
-        await connection.send(encode(Frame(0, False, Proof(answer))))
-        proof = decode(await _binary(connection)).message
-        wanted = prove(self.key, nonce, peer.name, other_side)
-        if not isinstance(proof, Proof) or not hmac.compare_digest(proof.digest, wanted):
-            raise MalformedMessage(f"{peer.name} does not know the mesh key")
-        return peer
+        self.frames_closed_links += link.frames_in + link.frames_out
+        self.open_links.get(link.peer.name, set()).discard(link)
+        self._prefer(link.peer.name)
+        if link.peer.name not in self.links:
+            self.on_lost(link.peer.name)
+
+    def _close(self, link: Link) -> None:
+        # Closing waits for the other side, which may be frozen, so it has a task of its own.
+        task = asyncio.create_task(link.connection.close())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def tend(self) -> None:
+        """Close links on which nothing comes any more, for ever."""
+        while True:
+            await asyncio.sleep(TEND_INTERVAL)
+            for link in self.all_links():
+                if link.silent_for() > LINK_SILENCE:
+                    link.lose()
+                    self._close(link)
+            for name in list(self.open_links):
+                self._prefer(name)
+            known = set(self.addresses.values())
+            for address in [a for a in self.backoffs if a not in known]:
+                del self.backoffs[address]
 
     async def _read(self, link: Link) -> None:
         while True:
-            data = await _binary(link.connection)
+            data = await read_binary(link.connection)
+            link.last_heard = time.monotonic()
             link.bytes_in += len(data)
+            link.frames_in += 1
             frame = decode(data)
             if frame.is_answer:
                 waiting = link.calls.get(frame.call)
@@ -257,8 +272,7 @@
 
     def _handle(self, link: Link, frame: Frame) -> None:
         if len(link.answering) >= MAX_CALLS_IN_PROGRESS:
-            if frame.call:
-                link.send(Frame(frame.call, True, CallFailed("too many calls in progress")))
+            self._reply(link, frame, CallFailed("too many calls in progress"))
             return
         task = asyncio.create_task(self._answer(link, frame))
         link.answering.add(task)
@@ -270,14 +284,24 @@
         except Exception as error:
             logs.error("message failed", peer=link.peer.name, why=repr(error))
             answer = CallFailed(type(error).__name__)
-        if frame.call:
-            try:
-                link.send(Frame(frame.call, True, answer or Done()))
-            except PeerUnreachable as error:
-                logs.warning("answer dropped", peer=link.peer.name, why=str(error))
+        self._reply(link, frame, answer or Done())
+
+    def _reply(self, link: Link, frame: Frame, answer: Message) -> None:
+        if not frame.call:
+            return
+        try:
+            link.send(Frame(frame.call, True, answer))
+        except PeerUnreachable as error:
+            logs.warning("answer dropped", peer=link.peer.name, why=str(error))
 
     async def link_to(self, name: str) -> Link:
-        """Return the link to a peer, opening one where there is none."""
+        """Return the link to a peer, opening one where there is none.
+
+        Raises
+        ------
+        PeerUnreachable
+            When there is none, at once while its address is left alone after a failure.
+        """
         if name in self.links:
             return self.links[name]
         address = self.addresses.get(name)
@@ -285,16 +309,33 @@
             raise PeerUnreachable(f"no address known for {name}")
         task = self.dialling.get(name)
         if task is None:
-            task = asyncio.ensure_future(self.dial(address))
+            backoff = self.backoffs.get(address)
+            if backoff is not None and time.monotonic() < backoff.until:
+                raise PeerUnreachable(f"{name} did not answer at {address} a moment ago")
+            task = asyncio.ensure_future(self._dial_again(address))
             self.dialling[name] = task
-            task.add_done_callback(lambda _: self.dialling.pop(name, None))
+            task.add_done_callback(lambda done: self._dialled(name, done))
         met = await asyncio.shield(task)
         if met.name != name or name not in self.links:
             raise PeerUnreachable(f"{address} is {met.name}, not {name}")
         return self.links[name]
 
+    async def _dial_again(self, address: Address) -> Hello:
+        try:
+            met = await self.dial(address)
+        except PeerUnreachable:
+            self.backoffs.setdefault(address, Backoff()).fail()
+            raise
+        self.backoffs.pop(address, None)
+        return met
+
+    def _dialled(self, name: str, task: asyncio.Task) -> None:
+        self.dialling.pop(name, None)
+        if not task.cancelled():
+            task.exception()  # Whoever waited has it; nobody may have.
+
     async def call(self, name: str, message: Message, timeout: float) -> Message:
-        """Ask a peer something.
+        """Ask a peer something; the timeout, in seconds, covers opening a link too.
 
         Raises
         ------
@@ -305,8 +346,13 @@
         PeerError
             When it said that it failed.
         """
-        link = await self.link_to(name)
-        answer = await link.call(message, timeout)
+        deadline = time.monotonic() + timeout
+        try:
+            async with asyncio.timeout(timeout):
+                link = await self.link_to(name)
+        except TimeoutError as error:
+            raise PeerUnreachable(f"no link to {name} in {timeout:.1f} s") from error
+        answer = await link.call(message, max(0.0, deadline - time.monotonic()))
         if isinstance(answer, CallFailed):
             raise PeerError(f"{name}: {answer.detail}")
         return answer
@@ -315,10 +361,3 @@
         """Tell a peer something; raises PeerUnreachable when there is no link."""
         link = await self.link_to(name)
         link.send(Frame(0, False, message))
-
-
-async def _binary(connection: Connection) -> bytes:
-    data = await connection.recv()
-    if not isinstance(data, bytes):
-        raise MalformedMessage("a text frame where only binary ones are expected")
-    return data
--- a/papayacourse/placement.py
+++ b/papayacourse/placement.py
@@ -4,9 +4,10 @@
 import time
 from collections.abc import Callable
 
-from attrs import define, evolve, field
+from attrs import define, evolve, field, frozen
 
 from papayacourse import logs
+from papayacourse.duties import Duties, duty
 from papayacourse.exceptions import PeerError, RequestRefused
 from papayacourse.membership import Membership
 from papayacourse.messages import (
@@ -16,28 +17,29 @@
     GrantRequest,
     Hello,
     Joined,
+    NotScheduler,
     Queued,
     StreamEnded,
     StreamReport,
     StreamState,
 )
 from papayacourse.peers import Peers
-from papayacourse.scheduler import Scheduler
 from papayacourse.types import GenerationRequest
 
 ACK_TIMEOUT = 0.4  # seconds a scheduler may take to say anything
 REASK_INTERVAL = 1.0  # seconds between questions while queued
 REPORT_INTERVAL = 1.0  # seconds
 SCHEDULERS_TRIED = 3
-IDLE_SCHEDULER = 30.0  # seconds after which a scheduler without the duty is dropped
 
 Place = Granted | Joined
-OpenScheduler = Callable[[str, str], Scheduler]
 
 
-def duty(team: str, service: str) -> str:
-    """Name the duty of scheduling a service, for rendezvous hashing."""
-    return f"scheduler/{team}/{service}"
+@frozen
+class Asked:
+    """Whom a place was asked of last, and for what."""
+
+    owner: str
+    generation: GenerationRequest
 
 
 @define(eq=False)
@@ -46,23 +48,30 @@
 
     Attributes
     ----------
-    open_scheduler : callable
-        Returns this daemon's scheduler of a (team, service), started if need be.
+    duties : Duties
+        This daemon's schedulers.
     relayed : dict of str to StreamState
         The streams that this daemon relays, by stream id.
+    waiting : dict of str to Future
+        What a scheduler says of each request that waits in its queue, by stream id.
+    asked_of : dict of str to Asked
+        Whom each of them was asked of last.
     """
 
     membership: Membership
     peers: Peers
-    open_scheduler: OpenScheduler
+    duties: Duties
     clock: Callable[[], float] = time.monotonic
     relayed: dict[str, StreamState] = field(factory=dict)
     waiting: dict[str, asyncio.Future] = field(factory=dict)
+    asked_of: dict[str, Asked] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.peers.handlers[GrantRequest] = self.asked
         self.peers.handlers[Granted] = self.told
         self.peers.handlers[GrantRefused] = self.told
+        self.peers.handlers[NotScheduler] = self.told
+        self.peers.on_lost = self.lost
         self.peers.handlers[StreamReport] = self.reported
         self.peers.handlers[StreamEnded] = self.noted
 
@@ -70,21 +79,23 @@
 
     async def asked(
         self, peer: Hello, request: GrantRequest
-    ) -> Granted | Joined | Queued | GrantRefused:
+    ) -> Granted | Joined | Queued | GrantRefused | NotScheduler:
         """Answer a request for a place."""
         generation = request.generation
-        return self.open_scheduler(generation.team, generation.service).ask(peer.name, request)
+        if peer.name != self.membership.me.name and self.duties.may_hand_over():
+            return NotScheduler(generation.stream)
+        return self.duties.open(generation.team, generation.service).ask(peer.name, request)
 
     async def reported(self, _peer: Hello, report: StreamReport) -> None:
         """Take a report of the streams that a daemon relays."""
-        self.open_scheduler(report.team, report.service).report(report)
+        self.duties.open(report.team, report.service).report(report)
 
     async def noted(self, _peer: Hello, note: StreamEnded) -> Done:
         """Take the news that a stream has ended."""
-        self.open_scheduler(note.team, note.service).ended(note)
+        self.duties.open(note.team, note.service).ended(note)
         return Done()
 
-    async def tell(self, daemon: str, answer: Granted | GrantRefused) -> None:
+    async def tell(self, daemon: str, answer: Granted | GrantRefused | NotScheduler) -> None:
         """Send a waiting daemon its answer."""
         if daemon == self.membership.me.name:
             await self.told(self.membership.me, answer)
@@ -97,11 +108,27 @@
 
     # The entry daemon's end.
 
-    async def told(self, _peer: Hello, answer: Granted | GrantRefused) -> None:
+    def lost(self, name: str) -> None:
+        """Ask again at once for what waits at a daemon whose link has ended."""
+        for stream in [s for s, a in self.asked_of.items() if a.owner == name]:
+            future = self.waiting.get(stream)
+            if future is not None and not future.done():
+                future.set_result(NotScheduler(stream))
+
+    async def told(self, peer: Hello, answer: Granted | GrantRefused | NotScheduler) -> None:
         """Take an answer that was waited for."""
         future = self.waiting.get(answer.stream)
-        if future is not None and not future.done():
-            future.set_result(answer)
+        if future is None or future.done():
+            return
+        asked = self.asked_of.get(answer.stream)
+        stale = asked is not None and asked.owner != peer.name
+        if stale and not isinstance(answer, Granted):
+            # A scheduler that was taken for dead has woken; the next one has the say.
+            return
+        future.set_result(answer)
+        if stale:
+            note = ended(asked.generation, "", 0, "never_started")
+            await self._note(asked.owner, note)
 
     async def place(self, request: GrantRequest) -> Place:
         """Wait for a place.
@@ -119,6 +146,9 @@
                 answer = await self._ask(request)
                 if isinstance(answer, Queued):
                     answer = await self._wait(stream)
+                if isinstance(answer, NotScheduler):
+                    # The duty has moved; the next owner is asked at once.
+                    self.waiting[stream] = asyncio.get_running_loop().create_future()
                 match answer:
                     case Granted() | Joined():
                         return answer
@@ -133,8 +163,9 @@
             raise
         finally:
             del self.waiting[stream]
+            self.asked_of.pop(stream, None)
 
-    async def _wait(self, stream: str) -> Granted | GrantRefused | None:
+    async def _wait(self, stream: str) -> Granted | GrantRefused | NotScheduler | None:
         try:
             return await asyncio.wait_for(asyncio.shield(self.waiting[stream]), REASK_INTERVAL)
         except TimeoutError:
@@ -150,13 +181,20 @@
         )
         owners = self.membership.owners(duty(generation.team, generation.service))
         for owner in owners[:SCHEDULERS_TRIED]:
+            self.asked_of[generation.stream] = Asked(owner, small.generation)
             if owner == self.membership.me.name:
                 break
             try:
-                return await self.peers.call(owner, small, ACK_TIMEOUT)
+                answer = await self.peers.call(owner, small, ACK_TIMEOUT)
             except PeerError as error:
                 logs.warning("scheduler silent", daemon=owner, why=str(error))
-        return await self.asked(self.membership.me, small)
+                self.membership.suspect(owner)
+                continue
+            if not isinstance(answer, NotScheduler):
+                return answer
+        me = self.membership.me
+        self.asked_of[generation.stream] = Asked(me.name, small.generation)
+        return await self.asked(me, small)
 
     async def give_back(self, generation: GenerationRequest) -> None:
         """Give up a place, or the wait for one."""
@@ -167,24 +205,19 @@
     ) -> None:
         """Tell the scheduler that a stream has ended, and how."""
         self.relayed.pop(generation.stream, None)
-        note = StreamEnded(
-            generation.team,
-            generation.service,
-            generation.stream,
-            engine,
-            generation.account,
-            generated,
-            outcome,
-        )
         owners = self.membership.owners(duty(generation.team, generation.service))
-        if not owners or owners[0] == self.membership.me.name:
+        owner = owners[0] if owners else self.membership.me.name
+        await self._note(owner, ended(generation, engine, generated, outcome))
+
+    async def _note(self, owner: str, note: StreamEnded) -> None:
+        if owner == self.membership.me.name:
             await self.noted(self.membership.me, note)
             return
         try:
-            await self.peers.send(owners[0], note)
+            await self.peers.send(owner, note)
         except PeerError as error:
             # The place lapses by itself, since nobody reports the stream any more.
-            logs.debug("end of stream not noted", daemon=owners[0], why=str(error))
+            logs.debug("end of stream not noted", daemon=owner, why=str(error))
 
     def progress(self, generation: GenerationRequest, engine: str, generated: int) -> None:
         """Note how far a stream has come, for the next report."""
@@ -216,6 +249,19 @@
             logs.debug("streams not reported", daemon=owners[0], why=str(error))
 
 
+def ended(generation: GenerationRequest, engine: str, generated: int, outcome: str) -> StreamEnded:
+    """Return the note that a stream has ended."""
+    return StreamEnded(
+        generation.team,
+        generation.service,
+        generation.stream,
+        engine,
+        generation.account,
+        generated,
+        outcome,
+    )
+
+
 def refusal(answer: GrantRefused) -> RequestRefused:
     """Turn a scheduler's refusal into the caller's final answer."""
     status = 429 if answer.reason == "overloaded" else 503
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -19,11 +19,14 @@
     GrantRefused,
     GrantRequest,
     Joined,
+    NotScheduler,
     Queued,
+    ServiceLoad,
     StreamEnded,
     StreamReport,
 )
 from papayacourse.settings import DeploymentSettings
+from papayacourse.tasks import cancel_all
 from papayacourse.types import Host, HostKind, HostState
 
 POLL_INTERVAL = 0.5  # seconds between load reports
@@ -36,7 +39,7 @@
 MAX_QUEUE = 10_000  # requests
 
 Answer = Granted | Joined | Queued | GrantRefused
-Tell = Callable[[str, Granted | GrantRefused], Awaitable[None]]
+Tell = Callable[[str, Granted | GrantRefused | NotScheduler], Awaitable[None]]
 
 
 @define
@@ -93,8 +96,7 @@
         return self
 
     async def __aexit__(self, kind, error, traceback) -> None:
-        self.task.cancel()
-        await asyncio.gather(self.task, *self.telling, return_exceptions=True)
+        await cancel_all([self.task, *self.telling])
 
     # Queries.
 
@@ -110,6 +112,13 @@
         """Estimate how long a new request waits, in seconds."""
         return self.recent_wait if len(self.queue) else 0.0
 
+    def load(self) -> ServiceLoad:
+        """Return how the service stands in this domain."""
+        free = sum(led.budget - led.tokens for led in self.ledgers.values() if led.usable)
+        return ServiceLoad(
+            self.team, self.service, len(self.queue), self.expected_wait(), max(0, int(free))
+        )
+
     # Commands.
 
     def ask(self, daemon: str, request: GrantRequest) -> Answer:
@@ -131,7 +140,7 @@
         for granted_to, granted in self.grant_waiting():
             if granted.stream == stream:
                 return granted
-            self._tell(granted_to, granted)
+            self.tell_later(granted_to, granted)
         return Queued(stream, wait)
 
     def grant_waiting(self) -> Iterator[tuple[str, Granted]]:
@@ -167,7 +176,8 @@
         settings = self.catalog.account(self.team, account)
         self.queue.charge(priority, account, tokens, settings.share if settings else 1.0)
 
-    def _tell(self, daemon: str, answer: Granted | GrantRefused) -> None:
+    def tell_later(self, daemon: str, answer: Granted | GrantRefused | NotScheduler) -> None:
+        """Send a daemon an answer, without waiting for that."""
         task = asyncio.create_task(self.tell(daemon, answer))
         self.telling.add(task)
         task.add_done_callback(self.telling.discard)
@@ -190,7 +200,7 @@
     def serve_queue(self) -> None:
         """Grant what can be granted, and tell the daemons that wait for it."""
         for daemon, granted in self.grant_waiting():
-            self._tell(daemon, granted)
+            self.tell_later(daemon, granted)
 
     def report(self, report: StreamReport) -> None:
         """Bring the ledger in line with what one daemon says it relays."""
@@ -250,7 +260,7 @@
                     del queue.waiting[stream]
                     detail = "no place came free in time"
                     refused = GrantRefused(stream, "overloaded", detail, MIN_RETRY_AFTER)
-                    self._tell(item.daemon, refused)
+                    self.tell_later(item.daemon, refused)
 
     async def run(self) -> None:
         """Poll the engines and serve the queue for as long as the duty is held."""
--- a/papayacourse/web.py
+++ b/papayacourse/web.py
@@ -23,6 +23,17 @@
     def set_default_headers(self) -> None:
         """Name the server (called by tornado)."""
         self.set_header("Server", "papayacourse")
+        self.say_last()
+
+    def prepare(self) -> None:
+        """Say before the answer whether it is the connection's last (called by tornado)."""
+        self.say_last()
+
+    def say_last(self) -> None:
+        """Tell a caller who keeps its connection that a stop is about to close it."""
+        daemon = getattr(self, "daemon", None)  # Absent when tornado sets up a handler.
+        if daemon is not None and daemon.stopping:
+            self.set_header("Connection", "close")
 
     def client(self) -> Client:
         """Return the caller's account, or refuse the request."""
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -15,7 +15,7 @@
 
 def after_scenario(context, scenario) -> None:
     """End the fleet's processes; show the daemons' logs when something failed."""
-    if scenario.status == "failed":
+    if scenario.status in ("failed", "error"):
         for file in sorted(context.fleet.path.glob("*.log")):
             text = file.read_text(errors="replace")
             if text.strip():
--- /dev/null
+++ b/tests/features/membership.feature
@@ -0,0 +1,60 @@
+Feature: Daemons know who is there, and links survive what they meet
+
+  Background:
+    Given a platform with both teams' settings
+
+  Scenario: A daemon restarted under its name is met at its new address while the list still lags
+    Given 1 engines "planner" in domain "lagos-1" of region "lagos"
+    And daemons "a, b, c" in domain "lagos-1" of region "lagos"
+    When the host list lags by 600 seconds
+    And daemon "b" is killed
+    Then "a, c" take "b" for dead within 5 seconds
+    When daemon "b" is started again
+    Then "a, c" see "b" alive
+    And every daemon of "a, b, c" has one link to each other one
+    And 2 plans are whole through each of "a, b, c"
+
+  Scenario: Daemons that dial each other at once keep one link
+    Given daemons "a" in domain "lagos-1" of region "lagos"
+    And daemons "b, c, d" that all dial each other in domain "lagos-1" of region "lagos"
+    Then every daemon of "a, b, c, d" has one link to each other one
+    When 7 seconds pass
+    Then every daemon of "a, b, c, d" has one link to each other one
+
+  Scenario: A frozen daemon is dead in seconds, and alive again once it is thawed
+    Given daemons "a, b" in domain "lagos-1" of region "lagos"
+    When daemon "b" is frozen
+    Then "a" take "b" for dead within 5 seconds
+    And "a" has no link to "b" any more
+    When daemon "b" is thawed
+    Then "a" see "b" alive
+    And every daemon of "a, b" has one link to each other one
+
+  Scenario: A daemon started while the host list is down learns it from its peers
+    Given 1 engines "planner" in domain "lagos-1" of region "lagos"
+    And daemons "a" in domain "lagos-1" of region "lagos"
+    And daemon "a" knows 1 engines
+    When the host list goes down
+    And daemon "b" is started with "a" as its seed
+    Then 2 plans are whole through each of "b"
+
+  Scenario: A daemon that is gone for long and no longer listed is forgotten
+    Given daemons "a, b" in domain "lagos-1" of region "lagos"
+    When daemon "b" is killed
+    And host "b" is taken off the list
+    Then "a" has forgotten "b" within 75 seconds
+
+  Scenario: What comes from a foreigner or in a wrong form closes that link alone
+    Given 1 engines "planner" in domain "lagos-1" of region "lagos"
+    And daemons "a, b" in domain "lagos-1" of region "lagos"
+    When links are opened to "a" that send
+      | sends                |
+      | a wrong proof        |
+      | a malformed frame    |
+      | an unknown message   |
+      | an oversized frame   |
+      | a text frame         |
+      | a wrong field        |
+    Then each of those links was closed and logged as an error by "a"
+    And every daemon of "a, b" has one link to each other one
+    And 2 plans are whole through each of "a, b"
--- /dev/null
+++ b/tests/features/steps/stopping_steps.py
@@ -0,0 +1,271 @@
+"""Steps about planned stops."""
+
+import http.client
+import json
+import socket
+import time
+
+from behave import given, then, when
+
+from standins.fleet import wait_until
+from tests.balancer import Workload, is_ready
+from tests.callers import KEYS, StreamingCaller, check_whole
+
+STOP_LIMIT = 90.0  # seconds
+WINDOW_SERVICE = """[/teams/sound-trust/services/planner]
+kind = model
+max_output_tokens = 20000
+wait_limit = 30
+resume_window = {seconds}
+"""
+
+
+def names_in(text):
+    """Split names."""
+    return [name.strip() for name in text.split(",")]
+
+
+def scheduling(context, daemons):
+    """Return the daemon that schedules the planner."""
+
+    def schedules(name):
+        rows = context.fleet.status(name)["schedulers"]
+        return any(row["service"] == "planner" for row in rows)
+
+    found = [name for name in daemons if schedules(name)]
+    assert len(found) == 1, f"{found} schedule the planner"
+    return found[0]
+
+
+def running(context):
+    """Return the daemons that run."""
+    hosts = context.fleet.hosts.items()
+    names = [name for name, host in hosts if host["kind"] == "entry"]
+    return [name for name in names if context.fleet.processes[name].popen.poll() is None]
+
+
+@given(
+    'daemon "{name}" in domain "{domain}" of region "{region}" stops within '
+    "{seconds:d} seconds at most"
+)
+def daemon_with_stop_timeout(context, name, domain, region, seconds):
+    extra = f"[limits]\nstop_timeout = {seconds}\n"
+    context.fleet.daemon(name, domain, region, extra=extra)
+    context.fleet.wait_settled(name, paths=12)
+
+
+@when('{count:d} callers work through whichever of "{names}" is ready')
+def start_workload(context, count, names):
+    context.workload = Workload(context.fleet, names_in(names)).start(count)
+    wait_until("the callers are served", lambda: context.workload.whole >= count)
+
+
+@when('daemons "{names}" are restarted in turn')
+def restart_in_turn(context, names):
+    context.exits = []
+    for name in names_in(names):
+        process = context.fleet.processes[name]
+        process.terminate()
+        context.exits.append(process.wait(STOP_LIMIT))
+        process.popen.stdout.close()
+        host = context.fleet.hosts[name]
+        context.fleet.daemon(name, host["domain"], host["region"])
+        wait_until(f"{name} is ready", lambda n=name: is_ready(context.fleet.processes[n].http))
+        context.fleet.wait_settled(*names_in(names), paths=12)
+
+
+@when("the callers finish")
+def callers_finish(context):
+    context.workload.stop()
+
+
+@then("no caller has met an error")
+def no_errors(context):
+    assert not context.workload.wrong, context.workload.wrong
+    print(f"{context.workload.whole} plans, {len(context.workload.refunds)} refunds")
+
+
+@then("each refund answered has run 1 time")
+def refunds_once(context):
+    ran = context.fleet.counts("ledger-lagos-1-0")["ran"]
+    assert context.workload.refunds
+    assert set(ran.values()) == {1}, ran
+    assert set(context.workload.refunds) == set(ran)
+
+
+@then("every stop ended with status 0")
+def stops_ended_well(context):
+    assert set(context.exits) == {0}, context.exits
+
+
+@given("the planner's resume window is {seconds:d} seconds")
+def short_window(context, seconds):
+    file = context.fleet.path / "window.ini"
+    file.write_text(WINDOW_SERVICE.format(seconds=seconds))
+    context.fleet.apply(str(file))
+
+
+@when(
+    "{count:d} plans of {length:d} tokens wait for engines through a daemon that does not schedule"
+)
+def plans_wait(context, count, length):
+    daemons = running(context)
+    first = StreamingCaller(
+        context.fleet.processes[daemons[0]].http, "organisers", "planner", "plan [len=20]"
+    ).start()
+    first.join()
+    context.scheduler = scheduling(context, daemons)
+    entry = next(name for name in daemons if name != context.scheduler)
+    context.plan_length = length
+    context.plans = [
+        StreamingCaller(
+            context.fleet.processes[entry].http, "organisers", "planner", f"plan [len={length}]"
+        ).start()
+        for _ in range(count)
+    ]
+    # All must have asked, or a late one would be taken for one that moved.
+    wait_until("all have asked", lambda: asked(context, context.scheduler) >= count)
+    assert queued(context, context.scheduler) >= 5
+
+
+def queued(context, daemon):
+    """Return how many requests wait at a daemon's schedulers."""
+    return sum(row["queued"] for row in context.fleet.status(daemon)["schedulers"])
+
+
+def asked(context, daemon):
+    """Return how many requests wait at or have been granted by a daemon's schedulers."""
+    rows = context.fleet.status(daemon)["schedulers"]
+    granted = sum(engine["streams"] for row in rows for engine in row["engines"])
+    return granted + queued(context, daemon)
+
+
+def started(context):
+    """Return how many generations the engines have started."""
+    names = [n for n, host in context.fleet.hosts.items() if host["kind"] == "engine"]
+    return sum(context.fleet.counts(name)["started"] for name in names)
+
+
+@when("the scheduling daemon is asked to stop")
+def stop_scheduler(context):
+    others = [name for name in running(context) if name != context.scheduler]
+    context.fleet.processes[context.scheduler].terminate()
+    began = time.monotonic()
+    wait_until("another one has requests", lambda: any(queued(context, n) for n in others))
+    context.hand_over_time = time.monotonic() - began
+
+
+@then("another daemon had the queued requests within {seconds:g} seconds")
+def queued_elsewhere(context, seconds):
+    print(f"another daemon had queued requests after {context.hand_over_time:.2f} s")
+    assert context.hand_over_time < seconds, f"after {context.hand_over_time:.2f} s"
+
+
+@when('"{daemon}" is no longer ready')
+def no_longer_ready(context, daemon):
+    address = context.fleet.processes[daemon].http
+    wait_until(f"{daemon} is not ready", lambda: not is_ready(address))
+
+
+def mark_disturbance(context):
+    """Note when a scheduler was disturbed, and when the next generation started after that."""
+    began, before = time.monotonic(), started(context)
+    wait_until("grants flow again", lambda: started(context) > before)
+    context.grant_gap = time.monotonic() - began
+
+
+@then("all {count:d} plans are whole")
+def all_plans_whole(context, count):
+    assert len(context.plans) == count
+    for plan in context.plans:
+        plan.join()
+        assert not plan.broken and plan.error is None and plan.done, (plan.broken, plan.error)
+    for plan in context.plans:
+        check_whole(plan.texts, context.plan_length)
+
+
+@then("grants flowed again within {seconds:g} seconds")
+def grants_flowed(context, seconds):
+    print(f"grants flowed again after {context.grant_gap:.2f} s")
+    assert context.grant_gap < seconds, f"after {context.grant_gap:.2f} s"
+
+
+@then("the stopped daemon exits with status 0")
+def stopped_daemon_exits(context):
+    assert context.fleet.processes[context.scheduler].wait(STOP_LIMIT) == 0
+
+
+def connect(context, daemon):
+    """Open a connection that is kept."""
+    host, _, port = context.fleet.processes[daemon].http.rpartition(":")
+    return http.client.HTTPConnection(host, int(port), timeout=30)
+
+
+@when('a caller of "{daemon}" keeps its connection and another lets one idle')
+def keep_connection(context, daemon):
+    context.kept, context.idle = connect(context, daemon), connect(context, daemon)
+    for connection in (context.kept, context.idle):
+        assert ask_health(connection).getheader("Connection") != "close"
+
+
+def ask_health(connection):
+    """Make one short request on a kept connection."""
+    connection.request("GET", "/healthz")
+    answer = connection.getresponse()
+    answer.read()
+    return answer
+
+
+@then('"{daemon}" is not ready and answers the kept connection with "Connection: close"')
+def told_of_close(context, daemon):
+    wait_until(f"{daemon} is not ready", lambda: not is_ready(context.fleet.processes[daemon].http))
+    answer = ask_health(context.kept)
+    assert answer.status == 200 and answer.getheader("Connection") == "close", answer.getheaders()
+
+
+@then("the idle connection is closed while the stream goes on")
+def idle_closed(context):
+    context.idle.sock.settimeout(10)
+    assert context.idle.sock.recv(1) == b""
+    assert not context.caller.done
+
+
+@then('the log of "{daemon}" says "{text}"')
+def log_says(context, daemon, text):
+    log = context.fleet.path / f"{daemon}.log"
+    wait_until(f"{daemon} logs {text!r}", lambda: text in log.read_text(), 10)
+
+
+@when('a caller of "{daemon}" starts a plan of {length:d} tokens and goes away')
+def caller_goes(context, daemon, length):
+    host, _, port = context.fleet.processes[daemon].http.rpartition(":")
+    body = json.dumps(
+        {
+            "model": "planner",
+            "messages": [{"role": "user", "content": f"plan [len={length}]"}],
+            "stream": True,
+            "max_tokens": 20000,
+        }
+    )
+    head = (
+        f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n"
+        f"Authorization: Bearer {KEYS['organisers']}\r\n\r\n"
+    )
+    with socket.create_connection((host, int(port))) as connection:
+        connection.sendall((head + body).encode())
+        assert connection.recv(100).startswith(b"HTTP/1.1 200")
+    wait_until("the stream is held", lambda: context.fleet.status(daemon)["in_progress"] == 0)
+
+
+@then("no engine runs anything")
+def engines_idle(context):
+    names = [n for n, host in context.fleet.hosts.items() if host["kind"] == "engine"]
+    assert all(context.fleet.counts(name)["running"] == 0 for name in names)
+
+
+@then("the stopped daemon handed queued requests over")
+def handed_over(context):
+    log = (context.fleet.path / f"{context.scheduler}.log").read_text().splitlines()
+    rows = [json.loads(line) for line in log if "duties handed over" in line]
+    assert rows and rows[-1]["queued"] > 0, rows
+    print(f"{rows[-1]['queued']} requests handed over in {rows[-1]['seconds']:.4f} s")
