--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tools that measure papayacourse on loopback."""
