Let the leaving scenario by the engine's own notice fail

Cause: the engine stand-in refuses work once it leaves, so its own count could not show whether it was sent any; with the load report's notice ignored the scenario still passed. Change: a switch lets it take work while it says that it leaves. Seen: 5 plans started at the leaver with the notice ignored; 0 with it.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -79,6 +79,7 @@
     foreign_at: int = -1
     close_at: int = -1
     refuse: bool = False
+    accepts_when_leaving: bool = False
     stall: float = 0.0
 
     @property
@@ -285,7 +286,8 @@
     async def post(self) -> None:
         """Start it and stream it."""
         body = self.body()
-        if self.standin.refuse or self.standin.leaving:
+        turned_away = self.standin.leaving and not self.standin.accepts_when_leaving
+        if self.standin.refuse or turned_away:
             self.set_status(503)
             self.finish({"error": "takes no work"})
             return
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -34,7 +34,8 @@
         case "by the host list":
             list_as_leaving(context, name)
         case "by its own notice":
-            context.fleet.admin(name, {"leaving": True})
+            # It still takes work, so that its count shows whether it is sent any.
+            context.fleet.admin(name, {"leaving": True, "accepts_when_leaving": True})
         case "by an operator's word":
             file = context.fleet.path / "leaving.ini"
             file.write_text(LEAVING_DEPLOYMENT.format(name=name))
