--- a/papayacourse/web.py
+++ b/papayacourse/web.py
@@ -30,6 +30,7 @@
 
     def prepare(self) -> None:
         """Refuse what can be refused before the body is read (called by tornado)."""
+        self.say_last()
         config = self.daemon.config
         if header_bytes(self.request) > config.max_header_bytes:
             limit = f"the headers are longer than {config.max_header_bytes} bytes"
@@ -78,6 +79,13 @@
     def set_default_headers(self) -> None:
         """Name the server (called by tornado)."""
         self.set_header("Server", "papayacourse")
+        self.say_last()
+
+    def say_last(self) -> None:
+        """Tell a caller who keeps its connection that a stop is about to close it."""
+        daemon = getattr(self, "daemon", None)  # Absent when tornado sets up a handler.
+        if daemon is not None and daemon.stopping:
+            self.set_header("Connection", "close")
 
     def client(self) -> Client:
         """Return the caller's account, or refuse the request."""
--- a/tests/features/command_line.feature
+++ b/tests/features/command_line.feature
@@ -25,7 +25,7 @@
 
   Scenario: A platform that cannot be asked exits 5
     When the program is called with "settings list --platform=127.0.0.1:1"
-    Then the command fails with status 5 and says "no connection"
+    Then the command fails with status 5 and says "nobody listens"
 
   Scenario: Every fault of a configuration is a line of its own, before any port opens
     Given a configuration file with four faults
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -45,6 +45,16 @@
     context.fleet.processes[name].kill()
 
 
+@when('daemon "{name}" is frozen')
+def freeze(context, name):
+    context.fleet.processes[name].freeze()
+
+
+@when('daemon "{name}" is thawed')
+def thaw(context, name):
+    context.fleet.processes[name].thaw()
+
+
 @then('daemon "{name}" exits with status {status:d}')
 def exits_with(context, name, status):
     assert context.fleet.processes[name].wait() == status
