--- a/papayacourse/catalog.py
+++ b/papayacourse/catalog.py
@@ -252,10 +252,10 @@
 
     def all_deployments(self) -> Iterator[tuple[str, str, DeploymentSettings]]:
         """Yield every deployment with its team and name, in a fixed order."""
-        for path in sorted(self.in_force, key=str):
-            setting = self.in_force[path]
-            if isinstance(setting, DeploymentSettings):
-                yield path.team, path.name, setting
+        for team, kind in sorted(self.in_force):
+            if kind == "deployments":
+                for name, setting in sorted(self.in_force[team, kind].items()):
+                    yield team, name, setting
 
     def account(self, team: str, name: str) -> AccountSettings | None:
         """Return an account's settings."""
--- a/papayacourse/exceptions.py
+++ b/papayacourse/exceptions.py
@@ -67,6 +67,10 @@
     """The platform could not be asked; nothing was changed there."""
 
 
+class PlatformCompacted(PlatformError):
+    """The revision that a watch starts from has been forgotten; everything must be read anew."""
+
+
 class PlatformAnswerLost(PlatformError):
     """A call reached the platform, perhaps, but its answer did not come back."""
 
--- a/papayacourse/kvstore.py
+++ b/papayacourse/kvstore.py
@@ -10,6 +10,7 @@
     BackendError,
     BackendUnreachable,
     PlatformAnswerLost,
+    PlatformCompacted,
     PlatformUnavailable,
 )
 from papayacourse.httpcall import HttpCall
@@ -17,6 +18,7 @@
 
 CALL_TIMEOUT = 3.0  # seconds
 CONNECT_TIMEOUT = 1.0  # seconds
+COMPACTED = 410
 NOT_DONE = frozenset({400, 404, 405, 410, 413, 429, 503})  # statuses that say so
 WATCH_SLACK = 5.0  # seconds past the watch's own time
 MAX_LIST_BYTES = 64 * 1024 * 1024
@@ -168,6 +170,9 @@
         return self._answer(kind, call.status, answer)
 
     def _answer(self, kind: str, status: int, answer: bytes) -> dict:
+        if kind == "watch" and status == COMPACTED:
+            self.count(kind, "compacted")
+            raise PlatformCompacted("key-value service: the watched revision is forgotten")
         if status in NOT_DONE:
             self.count(kind, "unavailable")
             why = "out of service" if status == 503 else f"status {status}"
--- a/papayacourse/watch.py
+++ b/papayacourse/watch.py
@@ -7,7 +7,7 @@
 from papayacourse import logs
 from papayacourse.catalog import Catalog
 from papayacourse.commits import settings_values
-from papayacourse.exceptions import PlatformAnswerLost, PlatformError, PlatformUnavailable
+from papayacourse.exceptions import PlatformCompacted, PlatformError
 from papayacourse.history import read_history
 from papayacourse.kvstore import KeyValueStore, Listing
 from papayacourse.messages import SettingsValue
@@ -42,8 +42,7 @@
                 await self._follow()
                 await asyncio.sleep(WATCH_PAUSE)
             except PlatformError as error:
-                if not isinstance(error, PlatformUnavailable | PlatformAnswerLost):
-                    # Such as a revision that the service has compacted away.
+                if isinstance(error, PlatformCompacted):
                     self.revision = 0
                 logs.warning("settings not watched", why=str(error))
                 await asyncio.sleep(RETRY_PAUSE)
--- a/tests/features/steps/crossed_steps.py
+++ b/tests/features/steps/crossed_steps.py
@@ -30,7 +30,7 @@
 async def with_link(work):
     """Run some work on a link that is being read."""
     connection = WrittenConnection()
-    link = Link(ME, connection)
+    link = Link(ME, connection, ME.name)
     reader = asyncio.create_task(Peers(ME, "key")._read(link))
     try:
         return await work(link, connection)
