Stop requests that crash engines, and run suspects apart

Cause: a request that crashes the engine it runs on was started again elsewhere, before its first token by the relay and after it by its caller, and took down one engine after another.

Schedulers put suspects apart from each other. An engine that was to leave strikes nobody.

--- a/papayacourse/completions.py
+++ b/papayacourse/completions.py
@@ -13,6 +13,7 @@
 from papayacourse.cursor import Cursor
 from papayacourse.engines import End, Token
 from papayacourse.exceptions import RequestRefused
+from papayacourse.quarantine import fingerprint
 from papayacourse.settings import ServiceSettings
 from papayacourse.streams import Relay
 from papayacourse.types import GenerationRequest, HostKind
@@ -61,6 +62,7 @@
             cursor.prompt_tokens,
             cursor.max_tokens,
             client.settings.priority,
+            fingerprint=cursor.fingerprint,
         )
         self.relay = self._relay(generation)
         self.resumable = True
@@ -80,7 +82,14 @@
         budget = self.daemon.retries.of(
             generation.team, generation.service, self.wanted.retry_share
         )
-        return Relay(generation, self.daemon.placement, self.wanted.wait_limit, budget, join)
+        return Relay(
+            generation,
+            self.daemon.placement,
+            self.wanted.wait_limit,
+            budget,
+            self.daemon.quarantine,
+            join,
+        )
 
     def _cursor(self, form: chat.Form) -> str:
         relay, generation = self.relay, self.relay.generation
@@ -97,6 +106,7 @@
                 relay.mark,
                 form.chat,
                 form.include_usage,
+                generation.fingerprint,
             )
         )
 
@@ -200,6 +210,7 @@
             max_tokens=longest,
             priority=client.settings.priority,
             prefixes=chat.prefix_hashes(ask.prompt),
+            fingerprint=fingerprint(client.team, ask.model, ask.prompt),
             seed=ask.seed,
         )
 
--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -36,6 +36,7 @@
 from papayacourse.pace import TokenClock, token_clock
 from papayacourse.peers import Peers
 from papayacourse.placement import Placement
+from papayacourse.quarantine import Quarantine
 from papayacourse.records import Records
 from papayacourse.retries import RetryBudgets
 from papayacourse.scheduler import Scheduler, permitted
@@ -99,6 +100,8 @@
             hello, self.peers, self.catalog, HostList(config.hostlist), config.seeds
         )
         self.membership.informed = self.informed
+        self.quarantine = Quarantine(self.peers, lambda: self.metrics.quarantines.add(1))
+        self.peers.on_met = self._met
         self.gateways = Gateways(self.membership, self.peers)
         self.duties = Duties(self.membership, self._make_scheduler)
         self.placement = Placement(self.membership, self.peers, self.duties)
@@ -210,8 +213,14 @@
             if not self.busy.total():
                 self.idle.set()
 
+    def _met(self, hello: Hello) -> None:
+        self.membership.met(hello)
+        self.spawn(self.quarantine.greet(hello.name))
+
     def _make_scheduler(self, team: str, service: str) -> Scheduler:
-        return Scheduler(team, service, self.catalog, self.membership, self.placement.tell)
+        scheduler = Scheduler(team, service, self.catalog, self.membership, self.placement.tell)
+        scheduler.is_suspect = self.quarantine.is_suspect
+        return scheduler
 
     def token_clock(self, generation: GenerationRequest) -> TokenClock:
         """Return a clock for the tokens of one generation."""
--- a/papayacourse/cursor.py
+++ b/papayacourse/cursor.py
@@ -37,6 +37,7 @@
     mark: str
     chat: bool
     include_usage: bool
+    fingerprint: str
     offset: int = 0
 
 
@@ -64,6 +65,7 @@
             cursor.mark,
             cursor.chat,
             cursor.include_usage,
+            cursor.fingerprint,
         )
         return self.serializer.dumps(fields)
 
--- a/papayacourse/membership.py
+++ b/papayacourse/membership.py
@@ -110,6 +110,12 @@
         """Return the newest host list seen, from the platform or from a peer."""
         return self.host_sync.listing
 
+    def is_leaving(self, backend: str) -> bool:
+        """Tell whether the newest host list says that a backend server is to leave."""
+        return any(
+            host.name == backend and host.state == HostState.LEAVING for host in self.hosts.hosts
+        )
+
     def is_alive(self, name: str) -> bool:
         """Tell whether a daemon has been heard lately."""
         if name == self.me.name:
--- a/papayacourse/ordering.py
+++ b/papayacourse/ordering.py
@@ -17,6 +17,10 @@
     """The engine no longer has the generation, or not to its end."""
 
 
+class EngineDied(EngineLost):
+    """The engine has ended, or has started anew and forgotten the generation."""
+
+
 class EngineOutOfReach(EngineLost):
     """The engine's links fail; it may still run the generation."""
 
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -70,6 +70,8 @@
         Sends a daemon a grant that it has been waiting for.
     ledgers : dict of str to EngineLedger
         By engine name.
+    is_suspect : callable
+        Tells by a request's fingerprint whether an engine has died while it ran.
     """
 
     team: str
@@ -90,6 +92,7 @@
     task: asyncio.Task | None = None
     telling: set[asyncio.Task] = field(factory=set)
     orphans: Orphans = field(factory=Orphans)
+    is_suspect: Callable[[str], bool] = lambda _fingerprint: False
 
     def __attrs_post_init__(self) -> None:
         self.started = self.clock()
@@ -108,6 +111,22 @@
         """Return the engines that may get work, except those to avoid."""
         return [led for led in self.ledgers.values() if led.usable and led.name not in avoid]
 
+    def apart(self, fingerprint: str, ledgers: list[EngineLedger]) -> list[EngineLedger]:
+        """Return the engines on which a request may run, given the suspects that run there.
+
+        Suspects run apart, so that an engine's death strikes only one of them again; the same
+        suspect does not run twice at once.
+        """
+        if not self.is_suspect(fingerprint):
+            return ledgers
+        running = {
+            led.name: [s.generation.fingerprint for s in led.streams.values()]
+            for led in self.ledgers.values()
+        }
+        if any(fingerprint in there for there in running.values()):
+            return []
+        return [led for led in ledgers if not any(map(self.is_suspect, running[led.name]))]
+
     def find(self, stream: str) -> EngineLedger | None:
         """Return the engine that a stream has been granted."""
         return next((led for led in self.ledgers.values() if stream in led.streams), None)
@@ -180,7 +199,7 @@
     def _try_grant(self, stream: str, item: Waiting) -> Granted | None:
         generation = item.request.generation
         candidate = Stream(generation, item.daemon, seen_at=self.clock())
-        ledgers = self.usable(item.request.avoid)
+        ledgers = self.apart(generation.fingerprint, self.usable(item.request.avoid))
         ledger = choose(ledgers, candidate, self.lengths, self.grants)
         if ledger is None:
             return None
--- a/papayacourse/streams.py
+++ b/papayacourse/streams.py
@@ -19,6 +19,7 @@
 from papayacourse.httpcall import BUFFERED_CHUNKS, CHUNK_BYTES, READ_BUFFER_BYTES
 from papayacourse.messages import GrantRequest, Joined
 from papayacourse.ordering import (
+    EngineDied,
     EngineLost,
     EngineOutOfReach,
     Position,
@@ -28,6 +29,7 @@
 )
 from papayacourse.orphans import cancel_firmly
 from papayacourse.placement import Placement
+from papayacourse.quarantine import Quarantine
 from papayacourse.retries import RetryBudget, jittered
 from papayacourse.types import GenerationRequest, Ran
 
@@ -75,6 +77,7 @@
     placement: Placement
     wait_limit: float
     budget: RetryBudget
+    quarantine: Quarantine
     join: bool = False
     engine: str = ""
     address: str = ""
@@ -115,6 +118,7 @@
         base = self.generation
         avoid: tuple[str, ...] = ()
         while True:
+            self._check_quarantine()
             try:
                 await self._place(avoid)
                 async with aclosing(self._follow()) as batches:
@@ -146,6 +150,7 @@
         except EngineLost as error:
             # It may have another reader; without one, the scheduler finds that nobody reports it.
             self.placement.forget(self.generation)
+            await self._strike(error)
             raise self._broken(error) from error
 
     async def joining(self, first: "Relay") -> AsyncIterator[list[EngineEvent]]:
@@ -186,6 +191,13 @@
 
     # The work.
 
+    def _check_quarantine(self) -> None:
+        try:
+            self.quarantine.check(self.generation.fingerprint)
+        except RequestRefused as refused:
+            refused.ran = Ran.UNKNOWN if self.maybe_ran else Ran.NO
+            raise
+
     async def _place(self, avoid: tuple[str, ...]) -> None:
         request = GrantRequest(self.generation, self.wait_limit, avoid, self.join)
         try:
@@ -214,7 +226,8 @@
             except EngineLost:
                 raise
             except BackendGone as error:
-                raise EngineLost(f"{self.engine}: {error}") from error
+                kind = EngineDied if self.sent else EngineLost
+                raise kind(f"{self.engine}: {error}") from error
             except BackendRefused as error:
                 self._refused(error)
                 trouble.note(error)
@@ -230,6 +243,7 @@
                     raise EngineOutOfReach(f"{self.engine}: {trouble.why}")
                 await asyncio.sleep(jittered(trouble.tries))
         await self._finish("finished")
+        await self.quarantine.absolve(self.generation.fingerprint)
 
     def _refused(self, error: BackendRefused) -> None:
         """See what an engine's refusal means for the next try, if there can be one."""
@@ -244,6 +258,8 @@
             case status if status == BEYOND:
                 detail = f"offset {self.position.offset} is beyond what has been generated"
                 raise RequestRefused(400, "bad_cursor", detail, Ran.YES) from error
+            case status if status == GONE and self.mark:
+                raise EngineDied(f"{self.engine}: {error}") from error
             case _:
                 raise EngineLost(f"{self.engine}: {error}") from error
 
@@ -279,7 +295,7 @@
         if known and not mark:
             raise EngineLost(f"{self.engine} does not say which generation it resumed")
         if known and mark != self.mark:
-            raise EngineLost(f"{self.engine} has another generation under this id")
+            raise EngineDied(f"{self.engine} has another generation under this id")
         if self.written is None or self.mark != mark:
             self.written = Written(mark, self.position.offset)
         if mark and not self.mark:
@@ -301,12 +317,19 @@
         logs.warning("engine lost", stream=self.generation.stream, why=str(error))
         if not self.reports:
             return
+        await self._strike(error)
         if isinstance(error, EngineOutOfReach):
             task = asyncio.create_task(cancel_firmly(self.address, self.generation.stream))
             self.cancelling.add(task)
             task.add_done_callback(self.cancelling.discard)
         await self._finish("failed")
 
+    async def _strike(self, error: EngineLost) -> None:
+        """Count an engine's death against the request, unless the engine was to leave anyway."""
+        leaving = self.placement.membership.is_leaving(self.engine)
+        if isinstance(error, EngineDied) and not leaving and self.generation.fingerprint:
+            await self.quarantine.strike(self.generation.fingerprint, self.engine)
+
     def _pay_for_restart(self, error: EngineLost) -> None:
         ran = Ran.UNKNOWN if self.maybe_ran else Ran.NO
         if self.starts >= STARTS:
--- a/papayacourse/types.py
+++ b/papayacourse/types.py
@@ -107,6 +107,8 @@
         The longest output wanted, in tokens.
     prefixes : tuple of int
         Hashes of growing prefixes of the prompt, for cache affinity.
+    fingerprint : str
+        What the request is recognised by when it is sent again.
     """
 
     stream: str
@@ -118,4 +120,5 @@
     max_tokens: int
     priority: int
     prefixes: tuple[int, ...] = ()
+    fingerprint: str = ""
     seed: int | None = None
--- /dev/null
+++ b/tests/features/quarantine.feature
@@ -0,0 +1,36 @@
+Feature: A request that crashes engines is stopped, and its neighbours are served
+
+  Background:
+    Given a platform with both teams' settings
+
+  Scenario Outline: It takes down two engines at most, however many daemons it is sent to
+    Given 5 engines "planner" in domain "lagos-1" of region "lagos"
+    And daemons "<daemons>" in domain "lagos-1" of region "lagos"
+    When a caller sends "plan [crash=<after>] [len=50]" 7 times in turn through "<daemons>"
+    Then 2 engines "planner" have died
+    And the last answers are 422 "quarantined" with ran "no" and Retry-After
+    When account "organisers" streams "plan [len=60]" from "planner" through "a"
+    Then the answer has 60 tokens of one generation in order
+
+    Examples:
+      | daemons             | after |
+      | a                   | 3     |
+      | a                   | 0     |
+      | a, b, c, d, e, f, g | 3     |
+
+  Scenario: Neighbours on a crashed engine are served when they ask again
+    Given 3 engines "planner" in domain "lagos-1" of region "lagos"
+    And daemons "a, b" in domain "lagos-1" of region "lagos"
+    When 12 callers stream "neighbour [len=500]" from "planner" through "a" until whole
+    And a caller sends "plan [crash=60] [len=90]" 4 times in turn through "a, b"
+    Then every neighbour has 500 tokens of one generation in order in the end
+    And 2 engines "planner" have died
+
+  Scenario: A daemon that starts later knows what is in quarantine
+    Given 5 engines "planner" in domain "lagos-1" of region "lagos"
+    And daemons "a" in domain "lagos-1" of region "lagos"
+    When a caller sends "plan [crash=3] [len=50]" 3 times in turn through "a"
+    And daemons "b" in domain "lagos-1" of region "lagos" start
+    And a caller sends "plan [crash=3] [len=50]" 1 times in turn through "b"
+    Then 2 engines "planner" have died
+    And the last answers are 422 "quarantined" with ran "no" and Retry-After
--- /dev/null
+++ b/tests/features/steps/quarantine_steps.py
@@ -0,0 +1,88 @@
+"""Steps about requests that crash engines."""
+
+import threading
+
+from behave import then, when
+
+from standins.fleet import call, wait_until
+from tests.callers import KEYS, StreamingCaller, check_whole
+from tests.features.steps.fleet_steps import start_daemons
+
+ASKS = 6  # times that a neighbour asks before it gives up
+
+
+@when('a caller sends "{prompt}" {times:d} times in turn through "{daemons}"')
+def send_in_turn(context, prompt, times, daemons):
+    names = daemons.split(", ")
+    body = {"model": "planner", "messages": [{"role": "user", "content": prompt}]}
+    headers = {"Authorization": f"Bearer {KEYS['organisers']}"}
+    context.answers = []
+    for number in range(times):
+        address = context.fleet.processes[names[number % len(names)]].http
+        answer = call(address, "POST", "/v1/chat/completions", body, headers, 60.0)
+        assert answer.status >= 400, answer.body
+        context.answers.append(answer)
+
+
+@then('{count:d} engines "{name}" have died')
+def engines_died(context, count, name):
+    def dead() -> int:
+        found = [key for key in context.fleet.processes if key.startswith(f"{name}-")]
+        return sum(context.fleet.processes[key].popen.poll() is not None for key in found)
+
+    wait_until(f"{count} engines have died", lambda: dead() >= count)
+    assert dead() == count, f"{dead()} engines died"
+
+
+@then('the last answers are 422 "{reason}" with ran "{ran}" and Retry-After')
+def last_refused(context, reason, ran):
+    last = context.answers[-1]
+    assert (last.status, last.json["reason"], last.json["ran"]) == (422, reason, ran), last.json
+    assert int(last.headers["Retry-After"]) >= 1
+
+
+@when('daemons "{names}" in domain "{domain}" of region "{region}" start')
+def more_daemons(context, names, domain, region):
+    start_daemons(context, names, domain, region)
+    for name in names.split(", "):
+        wait_until(
+            f"{name} is ready",
+            lambda n=name: call(context.fleet.processes[n].http, "GET", "/readyz").status == 200,
+        )
+
+
+@when('{count:d} callers stream "{prompt}" from "{model}" through "{daemon}" until whole')
+def neighbours_stream(context, count, prompt, model, daemon):
+    address = context.fleet.processes[daemon].http
+    context.neighbours = [
+        StreamingCaller(address, "organisers", model, f"{prompt} number {number}")
+        for number in range(count)
+    ]
+    context.neighbour_threads = [
+        threading.Thread(target=ask_until_whole, args=(context.neighbours, number))
+        for number in range(count)
+    ]
+    for thread in context.neighbour_threads:
+        thread.start()
+    for number in range(count):
+        context.neighbours[number].wait_tokens(1)
+
+
+def ask_until_whole(callers: list[StreamingCaller], number: int) -> None:
+    """Ask again, as a new request, whenever the answer was cut off by a typed error."""
+    for _ in range(ASKS):
+        callers[number].run()
+        last = callers[number]
+        if last.done:
+            return
+        assert last.error is not None, last.broken
+        callers[number] = StreamingCaller(last.address, last.account, last.model, last.prompt)
+
+
+@then("every neighbour has {count:d} tokens of one generation in order in the end")
+def neighbours_whole(context, count):
+    for thread in context.neighbour_threads:
+        thread.join()
+    for neighbour in context.neighbours:
+        assert neighbour.done, neighbour.error
+        check_whole(neighbour.texts, count)
