Count queue waits, retries and resumes; say 422 of a request that took two engines down

Cause: the instruments stood and nothing wrote to three of them. A scenario whose request kills two engines expected 503, the answer before the quarantine; it still must say ran: unknown.

Change: the relay's token clock records the wait for an engine and counts starts anew and links opened again. That scenario expects 422 with Retry-After and ran: unknown, as strict as before.

--- a/papayacourse/completions.py
+++ b/papayacourse/completions.py
@@ -88,6 +88,7 @@
             self.wanted.wait_limit,
             budget,
             self.daemon.quarantine,
+            self.daemon.token_clock(generation),
             join,
         )
 
@@ -111,7 +112,6 @@
         )
 
     async def _stream(self, events, form: chat.Form) -> None:
-        clock = self.daemon.token_clock(self.relay.generation)
         begun = False
         try:
             async for batch in events:
@@ -124,7 +124,7 @@
                 self.write(b"".join(map(form.event, batch)))
                 # Waiting here is the back-pressure: the engine's link is not read meanwhile.
                 await self.flush()
-                clock.batch(batch)
+                self.relay.clock.batch(batch)
         except RequestRefused as refused:
             if not begun:
                 raise
@@ -136,11 +136,10 @@
         return evolve(form, stream=self.relay.generation.stream, cursor=self._cursor(form))
 
     async def _whole(self, events, form: chat.Form) -> None:
-        clock = self.daemon.token_clock(self.relay.generation)
         parts: list[str] = []
         reason = ""
         async for batch in events:
-            clock.batch(batch)
+            self.relay.clock.batch(batch)
             for event in batch:
                 match event:
                     case Token(text=text):
--- a/papayacourse/pace.py
+++ b/papayacourse/pace.py
@@ -32,6 +32,18 @@
     def __attrs_post_init__(self) -> None:
         self.asked = self.clock()
 
+    def placed(self) -> None:
+        """Record how long the request waited for an engine."""
+        self.metrics.queue_wait.record(self.clock() - self.asked, self.attributes)
+
+    def retried(self) -> None:
+        """Count a start on another engine."""
+        self.metrics.retries.add(1, self.attributes)
+
+    def resumed(self) -> None:
+        """Count a link to the engine that had to be opened again."""
+        self.metrics.resumes.add(1, self.attributes)
+
     def batch(self, events: list[EngineEvent]) -> None:
         """Count a batch of events that has been written to the caller."""
         now = self.clock()
--- a/papayacourse/problems.py
+++ b/papayacourse/problems.py
@@ -15,7 +15,7 @@
     408: "Request too slow",
     409: "Conflict",
     413: "Body too large",
-    422: "Key used for another call",
+    422: "Cannot be processed",
     429: "Overloaded",
     431: "Header too large",
     500: "Internal error",
--- a/papayacourse/streams.py
+++ b/papayacourse/streams.py
@@ -28,6 +28,7 @@
     good_part,
 )
 from papayacourse.orphans import cancel_firmly
+from papayacourse.pace import TokenClock
 from papayacourse.placement import Placement
 from papayacourse.quarantine import Quarantine
 from papayacourse.retries import RetryBudget, jittered
@@ -78,6 +79,7 @@
     wait_limit: float
     budget: RetryBudget
     quarantine: Quarantine
+    clock: TokenClock
     join: bool = False
     engine: str = ""
     address: str = ""
@@ -130,6 +132,7 @@
                 if self.position.offset:
                     raise self._broken(error) from error
                 self._pay_for_restart(error)
+                self.clock.retried()
                 await asyncio.sleep(jittered(self.starts))
                 avoid = (*avoid, self.engine)
                 # Another id, so that a late token of the first cannot be taken for the second's.
@@ -206,6 +209,8 @@
             if self.maybe_ran:
                 refused.ran = Ran.UNKNOWN
             raise
+        if not self.starts:
+            self.clock.placed()
         self.starts += 1
         self.engine, self.address = place.engine, place.address
         if isinstance(place, Joined):
@@ -239,6 +244,7 @@
                 trouble.note(error)
             if not self.position.ended:
                 logs.info("engine link lost", stream=self.generation.stream, why=trouble.why)
+                self.clock.resumed()
                 if trouble.too_long(RESUME_LIMIT if self.position.offset else START_LIMIT):
                     raise EngineOutOfReach(f"{self.engine}: {trouble.why}")
                 await asyncio.sleep(jittered(trouble.tries))
