--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,9 @@
 test: lint  ## Check format and lint, then run every scenario.
 	$(BIN)/python -m tests.run
 
+bench: $(READY)  ## Compare the policies under load on real daemons and stand-in engines.
+	$(BIN)/python -m bench.load
+
 dist: $(READY)  ## Build the one-file program dist/papayacourse.
 	mkdir -p dist
 	$(BIN)/shiv -q -c papayacourse -o dist/papayacourse --compressed . -r requirements.txt
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the decisions under load with real daemons and stand-in engines."""
