Decide on a forecast that is kept, on honest waits, and on who was served

Cause: a grant predicted every stream on every engine anew. The queue put a request to its end whenever its daemon asked again, once a second; the expected wait was a mean of past waits, so a burst was let in and refused only when its limit had passed; one silent engine held up every load report and every grant; and a failing load report alone made an engine unusable.

The mean output is charged to an account at the grant and settled at the end. A wait is what goes before a request by the rate at which places come free; a refusal is given at once, with a reservation for its account at the time that Retry-After tells. Nothing passes a request for longer than half of its limit. An engine that preempts gets nothing until it has recovered, and memory that no stream explains counts as taken. The engines' late cache events and the requests routed give hints which engine holds a prefix. A new scheduler hears from every daemon at once, also that there is nothing; a stand-in for a silent one gives out 1/n of each engine. Accounts and engines that are gone are forgotten. Requests may be placed in another failure domain where that saves more than the link costs; the loads of the others are not wired to it yet. New policy mean-length, to compare with.

--- a/papayacourse/admission.py
+++ b/papayacourse/admission.py
@@ -3,164 +3,96 @@
 from collections.abc import Iterable
 
 import numpy as np
-from attrs import define, field, frozen
 
+from papayacourse.ledger import FIRST_PACE, EngineLedger, Stream, bring_up_to_date, forecasts
 from papayacourse.lengths import LengthModel
-from papayacourse.types import GenerationRequest
+from papayacourse.policies import (
+    LeastOutstanding,
+    MeanLength,
+    Predicted,
+    ReserveMaximum,
+    RoundRobin,
+)
+from papayacourse.prefixes import PrefixIndex
 
-# How far ahead memory is predicted, in decode steps. Beyond the horizon streams that end make
-# room for those that grow, or the queue stops admitting in time.
-HORIZON = np.array([1, 16, 32, 64, 128, 256, 512, 1024, 2048, 4096])
-SPREAD = 1.0  # standard deviations kept above the mean
-
-
-@frozen
-class Predicted:
-    """Admit while the predicted peak of memory stays under the engine's memory."""
-
-
-@frozen
-class RoundRobin:
-    """Admit on the engines in turn, up to the batch limit."""
-
-
-@frozen
-class LeastOutstanding:
-    """Admit on the engine with the fewest streams, up to the batch limit."""
-
-
-@frozen
-class ReserveMaximum:
-    """Admit while every stream could grow to the longest output it asked for."""
-
-
-Policy = Predicted | RoundRobin | LeastOutstanding | ReserveMaximum
-
-POLICIES: dict[str, Policy] = {
-    "predicted": Predicted(),
-    "round-robin": RoundRobin(),
-    "least-outstanding": LeastOutstanding(),
-    "reserve-maximum": ReserveMaximum(),
-}
-
-
-@define
-class Stream:
-    """One generation on an engine, as the scheduler knows it.
-
-    Attributes
-    ----------
-    generated : int
-        Output tokens so far.
-    daemon : str
-        The entry daemon that relays it.
-    seen_at : float
-        When it was granted or last reported, in seconds of the monotonic clock.
-    """
-
-    generation: GenerationRequest
-    daemon: str
-    generated: int = 0
-    seen_at: float = 0.0
-
-    @property
-    def tokens(self) -> int:
-        """Return the memory it takes now, in tokens."""
-        return self.generation.prompt_tokens + self.generated
-
-
-@define
-class EngineLedger:
-    """What has been promised on one engine.
-
-    Attributes
-    ----------
-    memory_tokens : int
-        The engine's memory.
-    max_batch : int
-        The most streams at once.
-    margin : float
-        The fraction of memory kept free.
-    share : float
-        The part of the engine that may be given out; below 1 while a new scheduler learns.
-    """
-
-    name: str
-    address: str
-    memory_tokens: int
-    max_batch: int
-    margin: float
-    policy: Policy
-    share: float = 1.0
-    usable: bool = True
-    foreign_tokens: int = 0
-    streams: dict[str, Stream] = field(factory=dict)
-
-    @property
-    def budget(self) -> float:
-        """Return the memory that admission may plan with, in tokens."""
-        return self.memory_tokens * (1 - self.margin) * self.share
-
-    @property
-    def tokens(self) -> int:
-        """Return the memory its streams take now, in tokens."""
-        return sum(stream.tokens for stream in self.streams.values()) + self.foreign_tokens
 
+def reserved(streams: Iterable[Stream]) -> int:
+    """Return the memory that streams take if each grows to its longest, in tokens."""
+    return sum(s.generation.prompt_tokens + s.generation.max_tokens for s in streams)
 
-def predicted_peak(streams: Iterable[Stream], lengths: LengthModel) -> float:
-    """Predict the highest memory use of an engine over the horizon.
 
-    Each stream holds its prompt and output until it ends, so its expected memory ``t`` steps
-    ahead is its size then, times the probability that it still runs.
+def mean_memory(streams: Iterable[Stream], mean: float) -> float:
+    """Return the memory that streams take if each grows to the mean length, in tokens."""
+    return sum(s.generation.prompt_tokens + max(s.generated, mean) for s in streams)
 
-    Parameters
-    ----------
-    streams : iterable of Stream
-        The streams on the engine, the candidate included.
-    lengths : LengthModel
-        What is known about output lengths.
 
-    Returns
-    -------
-    float
-        The largest mean plus spread over the horizon, in tokens.
-    """
-    mean = np.zeros(len(HORIZON))
-    variance = np.zeros(len(HORIZON))
-    for stream in streams:
-        alive = lengths.of(stream.generation.account).remaining(stream.generated, HORIZON)
-        alive = np.where(stream.generated + HORIZON > stream.generation.max_tokens, 0.0, alive)
-        size = stream.tokens + HORIZON
-        mean += alive * size
-        variance += alive * (1 - alive) * size * size
-    return float(np.max(mean + SPREAD * np.sqrt(variance)))
+def batch_limit(ledger: EngineLedger) -> int:
+    """Return the most streams that may run on an engine at once."""
+    limit = ledger.max_batch
+    if isinstance(ledger.policy, Predicted) and ledger.decode_batch:
+        limit = min(limit, ledger.decode_batch)
+    return max(1, int(limit * ledger.share))
 
 
-def reserved(streams: Iterable[Stream]) -> int:
-    """Return the memory that streams take if each grows to its longest, in tokens."""
-    return sum(s.generation.prompt_tokens + s.generation.max_tokens for s in streams)
+def may_take(ledger: EngineLedger) -> bool:
+    """Tell whether an engine takes streams at all, whatever their size."""
+    if isinstance(ledger.policy, Predicted) and ledger.held:
+        return False
+    return ledger.usable and len(ledger.streams) < batch_limit(ledger)
+
+
+def peaks(
+    ledgers: list[EngineLedger], candidate: Stream, lengths: LengthModel, now: float
+) -> np.ndarray:
+    """Predict the highest memory use of each engine with one more stream, in tokens."""
+    candidate.forecast = forecasts([candidate], lengths, now, FIRST_PACE)[0]
+    together = [bring_up_to_date(ledger, lengths, now) for ledger in ledgers]
+    mean = np.stack([forecast.mean for forecast in together]) + candidate.forecast.mean
+    variance = np.stack([f.variance for f in together]) + candidate.forecast.variance
+    foreign = np.array([ledger.foreign_tokens for ledger in ledgers])
+    spread = np.array([ledger.spread for ledger in ledgers])[:, None]
+    return np.max(mean + spread * np.sqrt(variance), axis=1) + foreign
+
+
+def fitting(
+    ledgers: list[EngineLedger], candidate: Stream, lengths: LengthModel, now: float
+) -> list[EngineLedger]:
+    """Return the engines on which one more stream may start under their policy."""
+    open_ledgers = [ledger for ledger in ledgers if may_take(ledger)]
+    if not open_ledgers:
+        return []
+    match open_ledgers[0].policy:
+        case Predicted():
+            found = peaks(open_ledgers, candidate, lengths, now)
+            return [
+                ledger
+                for ledger, peak in zip(open_ledgers, found, strict=True)
+                if peak <= ledger.budget or not ledger.streams
+            ]
+        case ReserveMaximum() | MeanLength():
+            return [led for led in open_ledgers if reserve_fits(led, candidate, lengths)]
+        case RoundRobin() | LeastOutstanding():
+            return open_ledgers
 
 
-def fits(ledger: EngineLedger, candidate: Stream, lengths: LengthModel) -> bool:
-    """Tell whether one more stream may start on an engine under its policy."""
-    if not ledger.usable or len(ledger.streams) >= max(1, int(ledger.max_batch * ledger.share)):
-        return False
-    if not ledger.streams:
-        return candidate.tokens < ledger.memory_tokens
+def reserve_fits(ledger: EngineLedger, candidate: Stream, lengths: LengthModel) -> bool:
+    """Tell whether a stream fits when each is given one length in advance."""
     together = [*ledger.streams.values(), candidate]
     match ledger.policy:
-        case Predicted():
-            now = sum(stream.tokens for stream in together) + ledger.foreign_tokens
-            peak = predicted_peak(together, lengths) + ledger.foreign_tokens
-            return max(now, peak) <= ledger.budget
-        case ReserveMaximum():
-            return reserved(together) <= ledger.memory_tokens * ledger.share
-        case RoundRobin() | LeastOutstanding():
-            return True
+        case MeanLength():
+            wanted = mean_memory(together, lengths.service.mean())
+        case _:
+            wanted = reserved(together)
+    return not ledger.streams or wanted <= ledger.memory_tokens * ledger.share
 
 
 def choose(
-    ledgers: list[EngineLedger], candidate: Stream, lengths: LengthModel, turn: int
+    ledgers: list[EngineLedger],
+    candidate: Stream,
+    lengths: LengthModel,
+    turn: int,
+    now: float = 0.0,
+    prefixes: PrefixIndex | None = None,
 ) -> EngineLedger | None:
     """Choose the engine for a stream, or None when it must wait.
 
@@ -174,14 +106,37 @@
         What is known about output lengths.
     turn : int
         Counts grants, for the policy that goes round.
+    now : float
+        Seconds of the monotonic clock.
+    prefixes : PrefixIndex, optional
+        Which engine probably holds which prefix.
     """
-    fitting = [ledger for ledger in ledgers if fits(ledger, candidate, lengths)]
-    if not fitting:
+    found = fitting(ledgers, candidate, lengths, now)
+    if not found:
         return None
-    match fitting[0].policy:
+    match found[0].policy:
         case RoundRobin():
-            return fitting[turn % len(fitting)]
+            return found[turn % len(found)]
         case LeastOutstanding():
-            return min(fitting, key=lambda ledger: len(ledger.streams))
-        case Predicted() | ReserveMaximum():
-            return min(fitting, key=lambda ledger: ledger.tokens / ledger.memory_tokens)
+            return min(found, key=lambda ledger: len(ledger.streams))
+        case Predicted():
+            return nearest(found, candidate, now, prefixes)
+        case ReserveMaximum() | MeanLength():
+            return min(found, key=lambda ledger: ledger.tokens / ledger.memory_tokens)
+
+
+def nearest(
+    ledgers: list[EngineLedger], candidate: Stream, now: float, prefixes: PrefixIndex | None
+) -> EngineLedger:
+    """Return the emptiest engine, or one not much fuller that holds more of the prompt."""
+    fullness = {
+        ledger.name: (ledger.forecast.mean[0] + ledger.foreign_tokens) / ledger.memory_tokens
+        for ledger in ledgers
+    }
+    least = min(fullness.values())
+    wanted = candidate.generation.prefixes
+    if prefixes is None or not wanted:
+        return min(ledgers, key=lambda ledger: fullness[ledger.name])
+    near = [ledger for ledger in ledgers if fullness[ledger.name] <= least + ledger.affinity_bound]
+    held = {ledger.name: prefixes.held(ledger.name, wanted, now) for ledger in near}
+    return min(near, key=lambda ledger: (-held[ledger.name], fullness[ledger.name]))
--- a/papayacourse/catalog.py
+++ b/papayacourse/catalog.py
@@ -21,6 +21,7 @@
     parse_path,
     parse_setting,
 )
+from papayacourse.types import HostKind
 
 
 @frozen
@@ -132,6 +133,12 @@
             if path.team == team and isinstance(setting, ServiceSettings):
                 yield path.name, setting
 
+    def model_services(self) -> Iterator[tuple[str, str]]:
+        """Yield every model service as (team, service)."""
+        for path, setting in self.in_force.items():
+            if isinstance(setting, ServiceSettings) and setting.kind == HostKind.ENGINE:
+                yield path.team, path.name
+
     def deployments(self, team: str, service: str) -> Iterator[DeploymentSettings]:
         """Yield the deployments of a service, in the order of their names."""
         found = [
@@ -147,6 +154,10 @@
         """Return an account's settings."""
         return self.in_force.get(SettingsPath(team, "accounts", name))
 
+    def account_names(self, team: str) -> set[str]:
+        """Return the names of a team's accounts."""
+        return {p.name for p in self.in_force if p.team == team and p.kind == "accounts"}
+
 
 def may_use(client: Client, service: str) -> bool:
     """Tell whether an account may use a service."""
--- a/papayacourse/engines.py
+++ b/papayacourse/engines.py
@@ -191,3 +191,31 @@
         )
     except (KeyError, TypeError, ValueError) as error:
         raise BackendProtocolError(f"{address}: not a load report") from error
+
+
+@frozen
+class CacheEvent:
+    """A prompt prefix that an engine has stored in its cache, or removed from it."""
+
+    prefix: int
+    stored: bool
+
+
+@frozen
+class CacheEvents:
+    """Some of an engine's cache events, and the number of the last."""
+
+    events: tuple[CacheEvent, ...]
+    last: int
+
+
+async def cache_events(address: str, after: int) -> CacheEvents:
+    """Return an engine's cache events after a number."""
+    raw = await control(address, "GET", f"/events?after={after}")
+    try:
+        events = tuple(
+            CacheEvent(int(event["prefix"]), event["kind"] == "stored") for event in raw["events"]
+        )
+        return CacheEvents(events, int(raw["last"]))
+    except (KeyError, TypeError, ValueError) as error:
+        raise BackendProtocolError(f"{address}: not cache events") from error
--- a/papayacourse/fairshare.py
+++ b/papayacourse/fairshare.py
@@ -1,6 +1,6 @@
 """Orders waiting requests by priority, then by the tokens each account has been served."""
 
-import itertools
+import math
 from collections.abc import Iterator
 
 from attrs import define, field
@@ -16,9 +16,12 @@
     ----------
     served : float
         Virtual tokens: tokens served, divided by the account's share.
+    share : float
+        The account's weight.
     """
 
     served: float = 0.0
+    share: float = 1.0
     waiting: dict[str, object] = field(factory=dict)
 
 
@@ -30,38 +33,103 @@
     ----------
     accounts : dict of (int, str) to AccountQueue
         By priority and account.
+    floors : dict of int to float
+        By priority: the least that a busy account has been served, in virtual tokens.
+    keys : dict of str to (int, str)
+        Where each waiting request waits, by stream.
     """
 
     accounts: dict[tuple[int, str], AccountQueue] = field(factory=dict)
-    floor: float = 0.0
-    numbers: itertools.count = field(factory=itertools.count)
+    floors: dict[int, float] = field(factory=dict)
+    keys: dict[str, tuple[int, str]] = field(factory=dict)
 
     def __len__(self) -> int:
-        return sum(len(account.waiting) for account in self.accounts.values())
+        return len(self.keys)
+
+    def __contains__(self, stream: str) -> bool:
+        return stream in self.keys
+
+    # Queries.
+
+    def ahead(self, priority: int, account: str, cost: float) -> int:
+        """Return how many requests go before a new one of an account, as far as is known now.
+
+        Parameters
+        ----------
+        cost : float
+            What serving one request costs, in tokens.
+        """
+        own = self.accounts.get((priority, account), AccountQueue(self.floors.get(priority, 0.0)))
+        served = max(own.served, self.floors.get(priority, 0.0))
+        turn = served + len(own.waiting) * cost / own.share
+        count = len(own.waiting)
+        for (level, name), queue in self.accounts.items():
+            if level > priority:
+                count += len(queue.waiting)
+            elif level == priority and name != account:
+                sooner = math.ceil((turn - queue.served) * queue.share / max(cost, 1.0))
+                count += min(len(queue.waiting), max(0, sooner))
+        return count
+
+    def busy_accounts(self) -> int:
+        """Return how many accounts have requests waiting."""
+        return sum(1 for queue in self.accounts.values() if queue.waiting)
+
+    def items(self) -> Iterator[tuple[str, object]]:
+        """Yield every waiting request with its stream."""
+        for queue in self.accounts.values():
+            yield from queue.waiting.items()
+
+    def in_order(self) -> Iterator[tuple[str, object]]:
+        """Yield the head of each account's queue, the one to be served next first."""
+        busy = [(key, queue) for key, queue in self.accounts.items() if queue.waiting]
+        busy.sort(key=lambda pair: (-pair[0][0], pair[1].served))
+        for _, queue in busy:
+            yield next(iter(queue.waiting.items()))
+
+    # Commands.
 
-    def add(self, stream: str, priority: int, account: str, item: object) -> None:
-        """Put a request at the end of its account's queue."""
+    def add(
+        self, stream: str, priority: int, account: str, item: object, first: bool = False
+    ) -> None:
+        """Put a request at the end of its account's queue, or at its head."""
         queue = self.accounts.setdefault((priority, account), AccountQueue())
         if not queue.waiting:
             # An account that was idle must not come back with a credit that starves the rest.
-            queue.served = max(queue.served, self.floor)
-        queue.waiting[stream] = item
+            queue.served = max(queue.served, self.floors.get(priority, 0.0))
+        self.keys[stream] = (priority, account)
+        if first:
+            queue.waiting = {stream: item, **queue.waiting}
+        else:
+            queue.waiting[stream] = item
 
     def discard(self, stream: str) -> None:
         """Take a request out, wherever it waits."""
-        for queue in self.accounts.values():
-            queue.waiting.pop(stream, None)
+        key = self.keys.pop(stream, None)
+        if key is not None:
+            self._raise_floor(key[0])
+            self.accounts[key].waiting.pop(stream, None)
+
+    def _raise_floor(self, priority: int) -> None:
+        served = [q.served for (p, _), q in self.accounts.items() if p == priority and q.waiting]
+        if served:
+            self.floors[priority] = max(self.floors.get(priority, 0.0), min(served))
 
     def charge(self, priority: int, account: str, tokens: float, share: float) -> None:
-        """Count tokens served to an account."""
-        queue = self.accounts.setdefault((priority, account), AccountQueue(self.floor))
+        """Count tokens served to an account; less than none gives back what it did not use."""
+        floor = self.floors.get(priority, 0.0)
+        queue = self.accounts.setdefault((priority, account), AccountQueue(floor))
+        queue.share = share
         queue.served += tokens / share
 
-    def in_order(self) -> Iterator[tuple[str, object]]:
-        """Yield the head of each account's queue, the one to be served next first."""
-        busy = [(key, queue) for key, queue in self.accounts.items() if queue.waiting]
-        busy.sort(key=lambda pair: (-pair[0][0], pair[1].served))
-        if busy:
-            self.floor = max(self.floor, min(queue.served for _, queue in busy))
-        for _, queue in busy:
-            yield next(iter(queue.waiting.items()))
+    def forget_idle(self) -> None:
+        """Drop the accounts whose past no longer matters, so that deleted ones go."""
+        for (priority, account), queue in list(self.accounts.items()):
+            if not queue.waiting and queue.served <= self.floors.get(priority, 0.0):
+                del self.accounts[priority, account]
+
+    def keep(self, accounts: set[str]) -> None:
+        """Forget the accounts that are no longer there, once nothing of theirs waits."""
+        for (priority, account), queue in list(self.accounts.items()):
+            if account not in accounts and not queue.waiting:
+                del self.accounts[priority, account]
--- a/papayacourse/lengths.py
+++ b/papayacourse/lengths.py
@@ -15,6 +15,9 @@
 ).astype(np.int64)
 
 
+TAIL_EDGES = np.append(EDGES, MAX_TOKENS * 2)
+
+
 def log_uniform() -> np.ndarray:
     """Return the prior: every octave of lengths equally likely."""
     return np.full(len(EDGES), PRIOR_WEIGHT / len(EDGES))
@@ -31,43 +34,70 @@
     """
 
     counts: np.ndarray = field(factory=log_uniform)
+    cached_tail: np.ndarray | None = None
 
     def add(self, length: int) -> None:
         """Count a finished output, in tokens."""
         self.counts *= FORGETTING
         self.counts[np.searchsorted(EDGES, max(length, 1), side="right") - 1] += 1.0
+        self.cached_tail = None
+
+    @property
+    def tail(self) -> np.ndarray:
+        """Return the probability that an output is longer than each of ``TAIL_EDGES``."""
+        if self.cached_tail is None:
+            tail = np.append(np.cumsum(self.counts[::-1])[::-1], 0.0)
+            self.cached_tail = tail / tail[0]
+        return self.cached_tail
+
+    def mean(self) -> float:
+        """Return the mean output length, in tokens."""
+        return float(self.counts @ EDGES / self.counts.sum())
+
+
+def survival(tails: np.ndarray, lengths: np.ndarray) -> np.ndarray:
+    """Return the probabilities that outputs are longer than given lengths.
+
+    Parameters
+    ----------
+    tails : ndarray, shape (n, len(TAIL_EDGES))
+        The tail of the histogram that predicts each output.
+    lengths : ndarray of float, shape (n, m)
+        Lengths, in tokens.
+
+    Returns
+    -------
+    ndarray of float, shape (n, m)
+        Probabilities, interpolated within a bin.
+    """
+    bins = np.clip(np.searchsorted(TAIL_EDGES, lengths, side="right") - 1, 0, len(EDGES) - 1)
+    low, high = TAIL_EDGES[bins], TAIL_EDGES[bins + 1]
+    part = np.clip((lengths - low) / (high - low), 0.0, 1.0)
+    above, below = np.take_along_axis(tails, bins, 1), np.take_along_axis(tails, bins + 1, 1)
+    return above + (below - above) * part
 
-    def survival(self, lengths: np.ndarray) -> np.ndarray:
-        """Return the probability that an output is longer than each length.
-
-        Parameters
-        ----------
-        lengths : ndarray of int, any shape
-            Lengths, in tokens.
-
-        Returns
-        -------
-        ndarray of float, same shape
-            Probabilities, interpolated within a bin.
-        """
-        tail = np.append(np.cumsum(self.counts[::-1])[::-1], 0.0)
-        edges = np.append(EDGES, MAX_TOKENS * 2)
-        return np.interp(lengths, edges, tail / tail[0])
-
-    def remaining(self, generated: int, ahead: np.ndarray) -> np.ndarray:
-        """Return the probability that an output goes on for more than so many tokens.
-
-        Parameters
-        ----------
-        generated : int
-            Tokens generated already.
-        ahead : ndarray of int, shape (n,)
-            Numbers of further tokens.
-        """
-        survived = self.survival(np.array([generated]))[0]
-        if survived <= 0:
-            return np.zeros(len(ahead))
-        return np.minimum(self.survival(generated + ahead) / survived, 1.0)
+
+def remaining(tails: np.ndarray, generated: np.ndarray, ahead: np.ndarray) -> np.ndarray:
+    """Return the probabilities that outputs go on for more than so many tokens.
+
+    Parameters
+    ----------
+    tails : ndarray, shape (n, len(TAIL_EDGES))
+        The tail of the histogram that predicts each output.
+    generated : ndarray, shape (n,)
+        Tokens generated already.
+    ahead : ndarray, shape (m,)
+        Numbers of further tokens.
+
+    Returns
+    -------
+    ndarray of float, shape (n, m)
+        Conditional probabilities; 0 where no output is known to be as long as that.
+    """
+    steps = np.concatenate(([0], ahead))
+    alive = survival(tails, generated[:, None] + steps[None, :])
+    survived = alive[:, :1]
+    return np.where(survived > 0, alive[:, 1:] / np.where(survived > 0, survived, 1.0), 0.0)
 
 
 @define
@@ -94,3 +124,8 @@
             shape = self.service.counts / self.service.counts.sum() * PRIOR_WEIGHT
             self.accounts[account] = LengthHistogram(shape)
         return self.accounts[account]
+
+    def keep(self, accounts: set[str]) -> None:
+        """Forget the accounts that are no longer there."""
+        for name in self.accounts.keys() - accounts:
+            del self.accounts[name]
--- a/papayacourse/messages.py
+++ b/papayacourse/messages.py
@@ -141,7 +141,8 @@
     generation : GenerationRequest
         The request, with an empty prompt: the scheduler needs only its size and prefixes.
     wait_limit : float
-        The longest wait that makes sense to the caller, in seconds.
+        The longest wait that makes sense to the caller, in seconds; 0 asks for a place now or not
+        at all.
     avoid : tuple of str
         Engines that have already failed this request.
     """
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -1,17 +1,20 @@
 """Grants places on the engines of one service in this failure domain."""
 
 import asyncio
+import math
 import time
 from collections.abc import Awaitable, Callable, Iterator
 from fnmatch import fnmatchcase
 
 from attrs import define, field
 
-from papayacourse import engines, logs
-from papayacourse.admission import POLICIES, EngineLedger, Stream, choose
+from papayacourse import invariants
+from papayacourse.admission import choose
 from papayacourse.catalog import Catalog
-from papayacourse.exceptions import BackendError
+from papayacourse.duties import scheduling as duty
+from papayacourse.enginewatch import POLL_INTERVAL, EngineWatch
 from papayacourse.fairshare import PROMPT_WEIGHT, FairQueue
+from papayacourse.ledger import EngineLedger, Stream, put, take_off
 from papayacourse.lengths import LengthModel
 from papayacourse.membership import Membership
 from papayacourse.messages import (
@@ -20,18 +23,25 @@
     GrantRequest,
     Joined,
     Queued,
+    ServiceLoad,
     StreamEnded,
     StreamReport,
+    StreamState,
 )
+from papayacourse.policies import POLICIES
+from papayacourse.prefixes import PrefixIndex
+from papayacourse.reservations import Reservations
 from papayacourse.settings import DeploymentSettings
 from papayacourse.types import Host, HostKind, HostState
+from papayacourse.waits import PlaceRate
 
-POLL_INTERVAL = 0.5  # seconds between load reports
-UNUSABLE_AFTER = 3  # load reports missed in a row
 GRANT_GRACE = 4.0  # seconds a granted stream may go unreported
 LEARNING_TIME = 2.0  # seconds in which a new scheduler hears of the streams there are
 LEARNING_SHARE = 0.5  # part of each engine that it gives out meanwhile
-PACE = 0.044  # seconds between tokens, to estimate how fast places come free
+WAIT_SAFETY = 0.8  # part of the wait limit that an estimated wait may take
+BYPASS_LIMIT = 0.5  # part of the wait limit after which nothing smaller goes before a request
+PACE_WEIGHT = 0.05  # of one report of a stream's progress
+PACE_RANGE = (0.001, 1.0)  # seconds between tokens that can be believed
 MIN_RETRY_AFTER = 1.0  # seconds
 MAX_QUEUE = 10_000  # requests
 
@@ -55,7 +65,7 @@
     return named and not leaving and host.state == HostState.LIVE
 
 
-@define(eq=False)
+@define(eq=False, slots=False)
 class Scheduler:
     """The queue and the ledger of one service.
 
@@ -76,16 +86,18 @@
     lengths: LengthModel = field(factory=LengthModel)
     queue: FairQueue = field(factory=FairQueue)
     ledgers: dict[str, EngineLedger] = field(factory=dict)
-    missed: dict[str, int] = field(factory=dict)
-    leaving: set[str] = field(factory=set)
+    prefixes: PrefixIndex = field(factory=PrefixIndex)
+    reservations: Reservations = field(factory=Reservations)
+    places: PlaceRate = field(factory=PlaceRate)
+    heard_from: set[str] = field(factory=set)
     grants: int = 0
-    recent_wait: float = 0.0
     started: float = 0.0
     task: asyncio.Task | None = None
     telling: set[asyncio.Task] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         self.started = self.clock()
+        self.watch = EngineWatch(self.prefixes, self.clock)
         self.refresh()
 
     async def __aenter__(self) -> "Scheduler":
@@ -94,6 +106,7 @@
 
     async def __aexit__(self, kind, error, traceback) -> None:
         self.task.cancel()
+        await self.watch.close()
         await asyncio.gather(self.task, *self.telling, return_exceptions=True)
 
     # Queries.
@@ -106,34 +119,83 @@
         """Return the engine that a stream has been granted."""
         return next((led for led in self.ledgers.values() if stream in led.streams), None)
 
-    def expected_wait(self) -> float:
-        """Estimate how long a new request waits, in seconds."""
-        return self.recent_wait if len(self.queue) else 0.0
+    def learning(self) -> bool:
+        """Tell whether streams may be running that this scheduler has not heard of yet."""
+        if self.clock() - self.started >= LEARNING_TIME:
+            return False
+        return not self.heard_from.issuperset(self.membership.live())
+
+    def part(self) -> float:
+        """Return the part of each engine that this scheduler may give out."""
+        if not self.membership.owns(duty(self.team, self.service)):
+            # It stands in for a scheduler that does not answer, and others may do so as well.
+            return 1 / max(1, len(self.membership.live()))
+        return LEARNING_SHARE if self.learning() else 1.0
+
+    def share(self, account: str) -> float:
+        """Return an account's weight."""
+        settings = self.catalog.account(self.team, account)
+        return settings.share if settings else 1.0
+
+    def expected_wait(self, priority: int = 0, account: str = "") -> float:
+        """Estimate how long a new request of an account waits, in seconds."""
+        if not len(self.queue):
+            return 0.0
+        now = self.clock()
+        running = sum(len(ledger.streams) for ledger in self.ledgers.values())
+        rate = self.places.per_second(running, now)
+        if not rate:
+            return 0.0
+        ahead = self.queue.ahead(priority, account, self.places.tokens)
+        ahead += self.reservations.expected(account, now, ahead / rate)
+        return (ahead + 1) / rate
+
+    def load(self) -> ServiceLoad:
+        """Return how the service stands here, for the other failure domains."""
+        ledgers = self.usable(())
+        wait = self.expected_wait() if ledgers else math.inf
+        free = sum(max(0.0, ledger.budget - ledger.tokens) for ledger in ledgers)
+        return ServiceLoad(self.team, self.service, len(self.queue), wait, int(free))
 
     # Commands.
 
     def ask(self, daemon: str, request: GrantRequest) -> Answer:
         """Answer a daemon's request for a place; asking again changes nothing."""
-        stream = request.generation.stream
+        generation = request.generation
+        stream = generation.stream
         held = self.find(stream)
         if held is not None and held.name not in request.avoid:
             kind = Joined if request.join else Granted
             return kind(stream, held.name, held.address)
         if not self.usable(request.avoid):
             return GrantRefused(stream, "no_engine", "no engine can serve now", MIN_RETRY_AFTER)
-        wait = self.expected_wait()
-        if wait > request.wait_limit or len(self.queue) >= MAX_QUEUE:
-            return GrantRefused(stream, "overloaded", "the queue is too long", wait)
-        generation = request.generation
+        wait = self.expected_wait(generation.priority, generation.account)
+        if stream in self.queue:
+            return Queued(stream, wait)
         item = Waiting(daemon, request, self.clock())
-        self.queue.discard(stream)
-        self.queue.add(stream, generation.priority, generation.account, item)
+        returns = self.reservations.redeem(generation.account, item.since)
+        self.queue.add(stream, generation.priority, generation.account, item, first=returns)
         for granted_to, granted in self.grant_waiting():
             if granted.stream == stream:
                 return granted
             self._tell(granted_to, granted)
+        if request.wait_limit <= 0:
+            self.queue.discard(stream)
+            return GrantRefused(stream, "overloaded", "no place is free now", MIN_RETRY_AFTER)
+        full = len(self.queue) > MAX_QUEUE
+        if full or (wait > request.wait_limit * WAIT_SAFETY and not returns):
+            self.queue.discard(stream)
+            return self._refuse(request, "the queue is too long", wait)
         return Queued(stream, wait)
 
+    def _refuse(self, request: GrantRequest, detail: str, wait: float) -> GrantRefused:
+        generation = request.generation
+        now = self.clock()
+        excess = wait - request.wait_limit * WAIT_SAFETY
+        rate = self.places.of_account(generation.account, now)
+        again = self.reservations.book(generation.account, now, excess, rate)
+        return GrantRefused(generation.stream, "overloaded", detail, again)
+
     def grant_waiting(self) -> Iterator[tuple[str, Granted]]:
         """Grant places to waiting requests, in order, until none fits."""
         progress = True
@@ -145,27 +207,47 @@
                     yield item.daemon, granted
                     progress = True
                     break
+                if self._goes_first(item):
+                    return
+
+    def _goes_first(self, item: Waiting) -> bool:
+        """Tell whether a request has been passed long enough by those that fit better."""
+        waited = self.clock() - item.since
+        can_be_served = bool(self.usable(item.request.avoid))
+        return can_be_served and waited > item.request.wait_limit * BYPASS_LIMIT
 
     def _try_grant(self, stream: str, item: Waiting) -> Granted | None:
         generation = item.request.generation
-        candidate = Stream(generation, item.daemon, seen_at=self.clock())
+        now = self.clock()
+        candidate = Stream(generation, item.daemon, seen_at=now, granted_at=now)
         ledgers = self.usable(item.request.avoid)
-        ledger = choose(ledgers, candidate, self.lengths, self.grants)
+        ledger = choose(ledgers, candidate, self.lengths, self.grants, now, self.prefixes)
         if ledger is None:
             return None
         self.queue.discard(stream)
-        ledger.streams[stream] = candidate
+        self._put(ledger, candidate)
         self.grants += 1
-        self._charge(
-            generation.priority, generation.account, generation.prompt_tokens * PROMPT_WEIGHT
-        )
-        waited = self.clock() - item.since
-        self.recent_wait += (waited - self.recent_wait) * 0.1
+        self.prefixes.note(ledger.name, generation.prefixes, now)
+        self.places.note_grant(generation.account, now)
+        # Charged in advance, or the accounts' order would be as old as the last reports.
+        candidate.charged = min(self.places.tokens, generation.max_tokens)
+        cost = generation.prompt_tokens * PROMPT_WEIGHT + candidate.charged
+        self._charge(generation.priority, generation.account, cost)
         return Granted(stream, ledger.name, ledger.address)
 
+    def _put(self, ledger: EngineLedger, stream: Stream) -> None:
+        name = stream.generation.stream
+        found = self.find(name)
+        if found is not None:
+            take_off(found, name)
+        put(ledger, stream)
+        held = sum(name in other.streams for other in self.ledgers.values())
+        invariants.check(held == 1, "a stream is on one ledger", stream=name, ledgers=held)
+        invariants.check(name not in self.queue, "granted streams do not wait", stream=name)
+        invariants.check(ledger.tokens >= 0, "promised memory is not negative", engine=ledger.name)
+
     def _charge(self, priority: int, account: str, tokens: float) -> None:
-        settings = self.catalog.account(self.team, account)
-        self.queue.charge(priority, account, tokens, settings.share if settings else 1.0)
+        self.queue.charge(priority, account, tokens, self.share(account))
 
     def _tell(self, daemon: str, answer: Granted | GrantRefused) -> None:
         task = asyncio.create_task(self.tell(daemon, answer))
@@ -177,14 +259,14 @@
         self.queue.discard(note.stream)
         ledger = self.find(note.stream)
         if ledger is not None:
-            stream = ledger.streams.pop(note.stream)
+            stream = take_off(ledger, note.stream)
             if note.outcome == "finished":
+                self.places.note_end(self.clock() - stream.granted_at, note.generated)
                 self.lengths.add(note.account, note.generated)
-            self._charge(
-                stream.generation.priority, note.account, note.generated - stream.generated
-            )
+            unpaid = note.generated - stream.charged
+            self._charge(stream.generation.priority, note.account, unpaid)
         if note.outcome == "failed" and note.engine in self.ledgers:
-            self.missed[note.engine] = self.missed.get(note.engine, 0) + 1
+            self.watch.failed(note.engine)
         self.serve_queue()
 
     def serve_queue(self) -> None:
@@ -194,20 +276,29 @@
 
     def report(self, report: StreamReport) -> None:
         """Bring the ledger in line with what one daemon says it relays."""
-        now = self.clock()
+        self.heard_from.add(report.daemon)
         for state in report.streams:
-            generation = state.generation
             ledger = self.ledgers.get(state.engine)
-            if ledger is None:
-                continue
-            stream = ledger.streams.get(generation.stream)
-            if stream is None:
-                stream = ledger.streams[generation.stream] = Stream(generation, report.daemon)
-            self._charge(
-                generation.priority, generation.account, state.generated - stream.generated
-            )
-            stream.generated = max(stream.generated, state.generated)
-            stream.seen_at = now
+            if ledger is not None:
+                self._take_state(ledger, state, report.daemon)
+
+    def _take_state(self, ledger: EngineLedger, state: StreamState, daemon: str) -> None:
+        now, generation = self.clock(), state.generation
+        stream = ledger.streams.get(generation.stream)
+        if stream is None:
+            stream = Stream(generation, daemon, granted_at=now)
+            self._put(ledger, stream)
+        elif state.generated > stream.generated > 0:
+            self.watch.progressed(ledger.name)
+            pace = (now - stream.seen_at) / (state.generated - stream.generated)
+            pace = min(max(pace, PACE_RANGE[0]), PACE_RANGE[1])
+            ledger.pace += (pace - ledger.pace) * PACE_WEIGHT
+        if state.generated > stream.charged:
+            unpaid = state.generated - stream.charged
+            self._charge(generation.priority, generation.account, unpaid)
+            stream.charged = state.generated
+        stream.generated = max(stream.generated, state.generated)
+        stream.seen_at = now
 
     def refresh(self) -> None:
         """Bring the list of engines in line with the settings and the host list."""
@@ -217,12 +308,21 @@
                 if host.domain == self.membership.me.domain and permitted(host, deployment):
                     wanted.setdefault(host.name, (host, deployment))
         for name, ledger in self.ledgers.items():
-            answers = self.missed.get(name, 0) < UNUSABLE_AFTER
-            ledger.usable = name in wanted and answers and name not in self.leaving
+            ledger.usable = name in wanted and self.watch.answers(name)
         for name, (host, deployment) in wanted.items():
             self._take_engine(name, host, deployment)
         for name in [n for n, led in self.ledgers.items() if n not in wanted and not led.streams]:
             del self.ledgers[name]
+        self._forget()
+
+    def _forget(self) -> None:
+        accounts = self.catalog.account_names(self.team)
+        self.queue.forget_idle()
+        self.queue.keep(accounts)
+        self.lengths.keep(accounts)
+        self.reservations.expire(self.clock())
+        self.watch.keep(self.ledgers)
+        self.prefixes.keep(self.ledgers)
 
     def _take_engine(self, name: str, host: Host, deployment: DeploymentSettings) -> None:
         ledger = self.ledgers.get(name)
@@ -234,8 +334,10 @@
         ledger.max_batch = deployment.max_batch
         ledger.margin = deployment.memory_margin
         ledger.policy = POLICIES[deployment.policy]
-        learning = self.clock() - self.started < LEARNING_TIME
-        ledger.share = LEARNING_SHARE if learning else 1.0
+        ledger.decode_batch = deployment.decode_batch
+        ledger.spread = deployment.memory_spread
+        ledger.affinity_bound = deployment.affinity_bound
+        ledger.share = self.part()
 
     def expire(self) -> None:
         """Drop streams that nobody reports any more, and refuse those who waited too long."""
@@ -243,36 +345,18 @@
         for ledger in self.ledgers.values():
             for name, stream in list(ledger.streams.items()):
                 if now - stream.seen_at > GRANT_GRACE:
-                    del ledger.streams[name]
-        for queue in self.queue.accounts.values():
-            for stream, item in list(queue.waiting.items()):
-                if now - item.since > item.request.wait_limit:
-                    del queue.waiting[stream]
-                    detail = "no place came free in time"
-                    refused = GrantRefused(stream, "overloaded", detail, MIN_RETRY_AFTER)
-                    self._tell(item.daemon, refused)
+                    take_off(ledger, name)
+        for stream, item in list(self.queue.items()):
+            if now - item.since > item.request.wait_limit:
+                self.queue.discard(stream)
+                refused = self._refuse(item.request, "no place came free in time", 0.0)
+                self._tell(item.daemon, refused)
 
     async def run(self) -> None:
         """Poll the engines and serve the queue for as long as the duty is held."""
         while True:
             self.refresh()
-            polls = [self._poll(ledger) for ledger in self.ledgers.values()]
-            await asyncio.gather(*polls)
+            self.watch.poll(self.ledgers.values())
             self.expire()
             self.serve_queue()
             await asyncio.sleep(POLL_INTERVAL)
-
-    async def _poll(self, ledger: EngineLedger) -> None:
-        try:
-            load = await engines.load(ledger.address)
-        except BackendError as error:
-            self.missed[ledger.name] = self.missed.get(ledger.name, 0) + 1
-            if self.missed[ledger.name] == UNUSABLE_AFTER:
-                logs.warning("engine unusable", engine=ledger.name, why=str(error))
-            return
-        self.missed[ledger.name] = 0
-        if load.leaving:
-            self.leaving.add(ledger.name)
-            ledger.usable = False
-        else:
-            self.leaving.discard(ledger.name)
--- a/papayacourse/settings.py
+++ b/papayacourse/settings.py
@@ -63,6 +63,9 @@
         The longest a plain call may take, in seconds.
     retry_share : float
         Retries allowed as a fraction of requests.
+    spill_same_region, spill_other_region : float
+        The expected wait that another failure domain, of this region or of another, must save
+        before a request is sent there, in seconds.
     """
 
     kind: HostKind
@@ -72,6 +75,8 @@
     resume_window: float = 30.0
     call_timeout: float = 30.0
     retry_share: float = 0.1
+    spill_same_region: float = 1.0
+    spill_other_region: float = 5.0
 
 
 @frozen
@@ -113,6 +118,14 @@
         The most decodes at once on one engine.
     memory_margin : float
         The fraction of memory kept free when admitting.
+    memory_spread : float
+        Standard deviations kept above the mean when memory is predicted.
+    affinity_bound : float
+        How much fuller than the emptiest an engine may be and still get a request whose prefix it
+        holds, as a fraction of its memory; 0 leaves prefixes out of account.
+    decode_batch : int
+        The most decodes at once under the predicted policy, so that tokens keep their pace; 0
+        leaves it to ``max_batch``.
     policy : str
         The admission policy's name.
     checks_fencing : bool
@@ -130,6 +143,9 @@
     memory_tokens: int = 16384
     max_batch: int = 32
     memory_margin: float = 0.1
+    memory_spread: float = 1.0
+    affinity_bound: float = 0.2
+    decode_batch: int = 0
     policy: str = "predicted"
     checks_fencing: bool = False
     leaving: tuple[str, ...] = ()
@@ -137,7 +153,7 @@
 
 Setting = TeamSettings | ServiceSettings | AccountSettings | DeploymentSettings
 
-POLICIES = ("predicted", "round-robin", "least-outstanding", "reserve-maximum")
+POLICIES = ("predicted", "round-robin", "least-outstanding", "reserve-maximum", "mean-length")
 
 
 def names(text: str) -> tuple[str, ...]:
@@ -198,6 +214,14 @@
     return value
 
 
+def not_negative(text: str) -> float:
+    """Read a number that is not below 0."""
+    value = float(text)
+    if not 0 <= value < float("inf"):
+        raise ValueError(f"{text!r} is not a number from 0 up")
+    return value
+
+
 def team_state(text: str) -> bool:
     """Read a team's state; True when it is closed."""
     if text not in ("open", "closed"):
@@ -232,6 +256,8 @@
             may_be_left_out("service", "resume_window", "resume_window", positive(float)),
             may_be_left_out("service", "call_timeout", "call_timeout", positive(float)),
             may_be_left_out("service", "retry_share", "retry_share", fraction),
+            may_be_left_out("service", "spill_same_region", "spill_same_region", positive(float)),
+            may_be_left_out("service", "spill_other_region", "spill_other_region", positive(float)),
         ),
     ),
     "accounts": Kind(
@@ -258,6 +284,9 @@
             may_be_left_out("deployment", "memory_tokens", "memory_tokens", positive(int)),
             may_be_left_out("deployment", "max_batch", "max_batch", positive(int)),
             may_be_left_out("deployment", "memory_margin", "memory_margin", fraction),
+            may_be_left_out("deployment", "memory_spread", "memory_spread", not_negative),
+            may_be_left_out("deployment", "affinity_bound", "affinity_bound", fraction),
+            may_be_left_out("deployment", "decode_batch", "decode_batch", positive(int)),
             may_be_left_out("deployment", "policy", "policy", policy_name),
             may_be_left_out("deployment", "checks_fencing", "checks_fencing", yes_or_no),
             may_be_left_out("deployment", "leaving", "leaving", optional_names),
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -79,6 +79,7 @@
     foreign_at: int = -1
     close_at: int = -1
     refuse: bool = False
+    mute: bool = False
     stall: float = 0.0
 
     @property
@@ -344,6 +345,10 @@
 
     def get(self) -> None:
         """Answer with the load of a while ago."""
+        if self.standin.mute:
+            self.set_status(503)
+            self.finish({"error": "no report"})
+            return
         self.finish(self.standin.load_lagging())
 
 
