Prove the scheduler's decisions on real daemons and engines

The first form of the priority scenario passed without priority, since fair share alone put the account that had been served less first; the account now asks for more than its fair share.

--- /dev/null
+++ b/tests/features/scheduling.feature
@@ -0,0 +1,65 @@
+Feature: Each request gets the right engine, now or later, or an honest refusal at once
+
+  Scenario: A large account's backlog does not hold back a small account
+    Given a planner service with a batch of 2 for accounts "large, small"
+    And 1 scheduled engine with memory 4000
+    And daemons "a, b" that schedule
+    When account "large" sends 24 streams of 60 tokens through "a"
+    And account "small" sends 1 stream of 60 tokens through "b"
+    Then at most 10 streams of "large" end before the last of "small"
+
+  Scenario: A higher priority goes before a waiting backlog
+    Given a planner service with a batch of 2 for accounts "large, urgent:5"
+    And 1 scheduled engine with memory 4000
+    And daemons "a, b" that schedule
+    When account "urgent" sends 2 streams of 60 tokens through "b"
+    And account "large" sends 24 streams of 60 tokens through "a"
+    And account "urgent" sends 16 streams of 60 tokens through "b"
+    Then at most 10 streams of "large" end before the last of "urgent"
+
+  Scenario: A request that would wait too long is refused at once, and may come back as told
+    Given a planner service with a batch of 2 and a wait of 2 seconds for accounts "large"
+    And 1 scheduled engine with memory 4000
+    And daemons "a, b" that schedule
+    When account "large" sends 6 streams of 40 tokens through "a"
+    And every stream has ended
+    And account "large" sends 40 streams of 40 tokens through "a"
+    And every stream has ended
+    Then some were refused, nearly all in less than half of the wait, with a Retry-After
+    And most of those refused are served when they come back as told
+
+  Scenario Outline: Streams that outgrow an engine's memory are preempted, or were not let in
+    Given a planner service with policy "<policy>" for accounts "large"
+    And 1 scheduled engine with memory 1500
+    And daemons "a, b" that schedule
+    When account "large" sends 3 streams of 200 tokens through "a"
+    And every stream has ended
+    And account "large" sends 20 streams of 200 tokens through "a"
+    And every stream has ended
+    Then the engine preempted <preemptions>
+
+    Examples:
+      | policy            | preemptions      |
+      | least-outstanding | at least 5 times |
+      | predicted         | at most 1 time   |
+
+  Scenario: A new scheduler knows the streams of the one that was killed
+    Given a planner service with a batch of 6 for accounts "large"
+    And 1 scheduled engine with memory 40000
+    And daemons "a, b, c" that schedule
+    When account "large" sends 6 streams of 1500 tokens through one that does not schedule
+    And the scheduler is killed
+    Then another scheduler has 6 streams on its ledger
+    When account "large" sends 3 streams of 20 tokens through one that does not schedule
+    Then the engine never runs more than 6 at once until those 6 have ended
+
+  Scenario: A prompt goes back to the engine that holds its prefix
+    Given a planner service with a batch of 8 for accounts "large"
+    And 2 scheduled engines with memory 4000
+    And daemons "a, b" that schedule
+    When account "large" sends 1 stream of 150 tokens through "a"
+    And account "large" streams a long prompt through "a"
+    And every stream has ended
+    And account "large" streams a long prompt through "b"
+    And account "large" streams a long prompt through "a"
+    Then one engine ran every long prompt
