--- a/bench/load.py
+++ b/bench/load.py
@@ -104,18 +104,18 @@
 def run_shape(plan: Plan) -> dict:
     """Run every cell of a shape; the policies take turns within each seed and load."""
     shape = SHAPES[plan.shape]
-    for line in plan.options:
-        shape = shape.with_option(line)
+    shape = shape.with_options(plan.options)
     cells = []
     with Site(shape) as site:
         capacity = plan.capacity or measure_capacity(site, shape)
         for seed in plan.seeds:
             for load in plan.loads:
-                every = load in FULL_LOADS
+                every = load in FULL_LOADS or plan.policies != POLICIES
                 policies = [p for p in plan.policies if every or p in FEW_POLICIES]
                 turn = seed % len(policies)
                 for policy in policies[turn:] + policies[:turn]:
-                    site.apply(shape, policy)
+                    name, *options = policy.split("+")
+                    site.apply(shape.with_options(options), name)
                     offered = capacity * load
                     cell = run_cell(site, policy, load, seed, offered, plan.measured)
                     cells.append(asyncio.run(cell).as_dict())
@@ -130,7 +130,9 @@
     parser.add_argument("--shapes", default=",".join(SHAPES))
     parser.add_argument("--loads", default=",".join(map(str, LOADS)))
     parser.add_argument("--seeds", default="1,2,3")
-    parser.add_argument("--policies", default=",".join(POLICIES))
+    parser.add_argument(
+        "--policies", default=",".join(POLICIES), help="such as predicted+memory_margin=0.2"
+    )
     parser.add_argument("--measured", type=float, default=MEASURED, help="seconds of each cell")
     parser.add_argument("--capacity", type=float, default=0.0, help="tokens/s; 0 measures it")
     parser.add_argument("--option", action="append", default=[], help="a line of the deployment")
--- a/bench/shapes.py
+++ b/bench/shapes.py
@@ -1,7 +1,7 @@
 """The deployments that the bench loads: engines, accounts and the lengths of their outputs."""
 
 import hashlib
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from attrs import evolve, frozen
 
@@ -32,10 +32,17 @@
 
 @frozen
 class Account:
-    """A client account and its part of the requests."""
+    """A client account and its part of the requests.
+
+    Attributes
+    ----------
+    burst : float
+        The mean number of requests that it sends at a time.
+    """
 
     name: str
     part: float
+    burst: float = 1.0
 
     @property
     def key(self) -> str:
@@ -76,11 +83,10 @@
         """Return the longest output that callers ask for, in tokens."""
         return max(work.longest for work in self.classes)
 
-    def with_option(self, line: str) -> "Shape":
-        """Return the shape with one more line of settings, in place of one of that name."""
-        name = line.partition("=")[0].strip()
-        kept = [old for old in self.options if old.partition("=")[0].strip() != name]
-        return evolve(self, options=(*kept, line))
+    def with_options(self, lines: Iterable[str]) -> "Shape":
+        """Return the shape with more lines of settings, in place of those of the same name."""
+        found = {line.partition("=")[0].strip(): line for line in (*self.options, *lines)}
+        return evolve(self, options=tuple(found.values()))
 
     def settings(self, policy: str) -> Iterator[str]:
         """Yield the lines of its settings under a policy."""
@@ -96,6 +102,7 @@
 
 
 LARGE_PARTS = (0.3, 0.2, 0.15)
+LARGE_BURST = 5.0  # requests that a large account sends at a time, on average
 SMALL_ACCOUNTS = 7
 
 
@@ -103,11 +110,15 @@
     """Return ten accounts, three of them large."""
     small = (1 - sum(LARGE_PARTS)) / SMALL_ACCOUNTS
     parts = [*LARGE_PARTS, *[small] * SMALL_ACCOUNTS]
-    return tuple(Account(f"{prefix}-{number}", part) for number, part in enumerate(parts, 1))
+    bursts = [LARGE_BURST] * len(LARGE_PARTS) + [1.0] * SMALL_ACCOUNTS
+    return tuple(
+        Account(f"{prefix}-{number}", part, burst)
+        for number, (part, burst) in enumerate(zip(parts, bursts, strict=True), 1)
+    )
 
 
 ENGINE_OPTIONS = (
-    "--step", "0.018", "--step-per-stream", "0.0004", "--prefill-per-token", "0.0002",
+    "--step", "0.020", "--step-per-stream", "0.0002", "--prefill-per-token", "0.0002",
     "--cache-tokens", "768", "--lag", "0.5",
 )  # fmt: skip
 
--- a/bench/trace.py
+++ b/bench/trace.py
@@ -29,7 +29,7 @@
 
 
 def arrivals(shape: Shape, tokens_per_second: float, seconds: float, seed: int) -> list[Arrival]:
-    """Return Poisson arrivals that together ask for so many output tokens a second.
+    """Return bursts at Poisson instants that together ask for so many output tokens a second.
 
     Parameters
     ----------
@@ -43,10 +43,14 @@
     rng = np.random.default_rng(seed)
     times, total = [], 0
     made = []
+    # Accounts are picked by burst, so that each has its part of the requests.
+    weights = np.array([account.part / account.burst for account in shape.accounts])
     while total < tokens_per_second * seconds:
-        made.append(draw(shape, rng, len(made)))
-        times.append(rng.exponential())
-        total += made[-1].length
+        account = shape.accounts[rng.choice(len(weights), p=weights / weights.sum())]
+        for number in range(rng.geometric(1 / account.burst)):
+            made.append(draw(shape, account, rng, len(made)))
+            times.append(0.0 if number else rng.exponential())
+            total += made[-1].length
     scale = seconds / sum(times)
     later = [
         evolve(arrival, at=float(at) * scale)
@@ -55,10 +59,9 @@
     return in_flight(later, rng, tokens_per_second) + later
 
 
-def draw(shape: Shape, rng: np.random.Generator, number: int) -> Arrival:
+def draw(shape: Shape, account: Account, rng: np.random.Generator, number: int) -> Arrival:
     """Draw one request."""
     work = shape.classes[rng.choice(len(shape.classes), p=[c.part for c in shape.classes])]
-    account = shape.accounts[rng.choice(len(shape.accounts), p=[a.part for a in shape.accounts])]
     length = int(np.clip(work.median * rng.lognormal(0, work.sigma), 1, work.longest))
     prefix = f"{account.name} {work.name} ".ljust(PREFIX_BYTES, ".")
     own = "x" * int(rng.integers(0, MAX_OWN_BYTES))
