--- a/papayacourse/rendezvous.py
+++ b/papayacourse/rendezvous.py
@@ -32,3 +32,8 @@
     """Return the best candidate for a key, or None when there are none."""
     order = ranked(key, names)
     return order[0] if order else None
+
+
+def scheduling_duty(team: str, service: str) -> str:
+    """Name the duty of scheduling a service."""
+    return f"scheduler/{team}/{service}"
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -11,7 +11,6 @@
 from papayacourse import invariants
 from papayacourse.admission import choose
 from papayacourse.catalog import Catalog
-from papayacourse.duties import scheduling as duty
 from papayacourse.enginewatch import POLL_INTERVAL, EngineWatch
 from papayacourse.fairshare import PROMPT_WEIGHT, FairQueue
 from papayacourse.ledger import EngineLedger, Stream, put, take_off
@@ -30,6 +29,7 @@
 )
 from papayacourse.policies import POLICIES
 from papayacourse.prefixes import PrefixIndex
+from papayacourse.rendezvous import scheduling_duty
 from papayacourse.reservations import Reservations
 from papayacourse.settings import DeploymentSettings
 from papayacourse.types import Host, HostKind, HostState
@@ -127,7 +127,7 @@
 
     def part(self) -> float:
         """Return the part of each engine that this scheduler may give out."""
-        if not self.membership.owns(duty(self.team, self.service)):
+        if not self.membership.owns(scheduling_duty(self.team, self.service)):
             # It stands in for a scheduler that does not answer, and others may do so as well.
             return 1 / max(1, len(self.membership.live()))
         return LEARNING_SHARE if self.learning() else 1.0
@@ -178,7 +178,7 @@
         for granted_to, granted in self.grant_waiting():
             if granted.stream == stream:
                 return granted
-            self._tell(granted_to, granted)
+            self.tell_later(granted_to, granted)
         if request.wait_limit <= 0:
             self.queue.discard(stream)
             return GrantRefused(stream, "overloaded", "no place is free now", MIN_RETRY_AFTER)
@@ -249,7 +249,8 @@
     def _charge(self, priority: int, account: str, tokens: float) -> None:
         self.queue.charge(priority, account, tokens, self.share(account))
 
-    def _tell(self, daemon: str, answer: Granted | GrantRefused) -> None:
+    def tell_later(self, daemon: str, answer: Granted | GrantRefused) -> None:
+        """Send a daemon an answer, without waiting for that."""
         task = asyncio.create_task(self.tell(daemon, answer))
         self.telling.add(task)
         task.add_done_callback(self.telling.discard)
@@ -272,7 +273,7 @@
     def serve_queue(self) -> None:
         """Grant what can be granted, and tell the daemons that wait for it."""
         for daemon, granted in self.grant_waiting():
-            self._tell(daemon, granted)
+            self.tell_later(daemon, granted)
 
     def report(self, report: StreamReport) -> None:
         """Bring the ledger in line with what one daemon says it relays."""
@@ -350,7 +351,7 @@
             if now - item.since > item.request.wait_limit:
                 self.queue.discard(stream)
                 refused = self._refuse(item.request, "no place came free in time", 0.0)
-                self._tell(item.daemon, refused)
+                self.tell_later(item.daemon, refused)
 
     async def run(self) -> None:
         """Poll the engines and serve the queue for as long as the duty is held."""
--- a/papayacourse/spill.py
+++ b/papayacourse/spill.py
@@ -1,11 +1,30 @@
 """Chooses another failure domain for a request whose wait here costs more than the link there."""
 
-from collections.abc import Iterable
+import math
+from collections.abc import Callable, Iterable
 
-from attrs import frozen
+from attrs import define, evolve, frozen
 
+from papayacourse import logs
+from papayacourse.exceptions import PeerError
+from papayacourse.membership import Membership
+from papayacourse.messages import (
+    Granted,
+    GrantRefused,
+    GrantRequest,
+    Joined,
+    Queued,
+    ServiceLoad,
+)
+from papayacourse.peers import Peers
+from papayacourse.rendezvous import scheduling_duty
 from papayacourse.settings import ServiceSettings
 
+ANSWER_TIMEOUT = 0.4  # seconds that another domain's scheduler may take
+DOMAINS_TRIED = 2  # other failure domains asked for one request
+
+Answer = Granted | Joined | Queued | GrantRefused
+
 
 @frozen
 class Elsewhere:
@@ -45,3 +64,79 @@
         if other.expected_wait + price(service, same_region) < wait:
             found.append((not same_region, other.expected_wait, other.domain))
     return [domain for _, _, domain in sorted(found)]
+
+
+def waits(answer: Answer, wait_limit: float) -> float:
+    """Return the wait that a scheduler's answer means, in seconds."""
+    match answer:
+        case Queued(expected_wait=wait):
+            return wait
+        case GrantRefused(reason="no_engine"):
+            return math.inf
+        case GrantRefused(reason="overloaded"):
+            return wait_limit
+        case _:
+            return 0.0
+
+
+def no_load(_domain: str, _team: str, _service: str) -> ServiceLoad | None:
+    """Know of no other failure domain."""
+    return None
+
+
+@frozen
+class PlacedElsewhere:
+    """A place in another failure domain."""
+
+    domain: str
+    granted: Granted
+
+
+@define(eq=False)
+class Spill:
+    """Asks other failure domains for a place now.
+
+    Attributes
+    ----------
+    loads : callable
+        Returns how a service stands elsewhere, by domain, team and service; None if unknown.
+    """
+
+    membership: Membership
+    peers: Peers
+    loads: Callable[[str, str, str], ServiceLoad | None] = no_load
+
+    async def place(self, request: GrantRequest, wait: float) -> PlacedElsewhere | None:
+        """Return a place in another failure domain, if one is worth its price and free now."""
+        now_or_never = evolve(request, wait_limit=0.0)
+        for domain in self._worth_asking(request, wait)[:DOMAINS_TRIED]:
+            answer = await self._ask(domain, now_or_never)
+            if isinstance(answer, Granted):
+                return PlacedElsewhere(domain, answer)
+        return None
+
+    def _worth_asking(self, request: GrantRequest, wait: float) -> list[str]:
+        me, generation = self.membership.me, request.generation
+        service = self.membership.catalog.service(generation.team, generation.service)
+        if service is None or wait <= 0:
+            return []
+        regions = {m.domain: m.region for m in self.membership.members.values()}
+        others = []
+        for domain in regions.keys() - {me.domain}:
+            load = self.loads(domain, generation.team, generation.service)
+            if load is not None:
+                others.append(Elsewhere(domain, regions[domain], load.expected_wait))
+        return worth_asking(wait, me.region, others, service)
+
+    async def _ask(self, domain: str, request: GrantRequest) -> Answer | None:
+        generation = request.generation
+        duty = scheduling_duty(generation.team, generation.service)
+        owners = self.membership.owners(duty, domain)
+        if not owners:
+            return None
+        try:
+            return await self.peers.call(owners[0], request, ANSWER_TIMEOUT)
+        except PeerError as error:
+            # It may have been granted all the same; nobody reports it, so it lapses there.
+            logs.info("other domain silent", daemon=owners[0], why=str(error))
+            return None
