--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -23,9 +23,11 @@
 from papayacourse.exceptions import RequestRefused
 from papayacourse.hostlist import HostList
 from papayacourse.kvstore import KeyValueStore
+from papayacourse.leases import Lease
 from papayacourse.membership import Membership
 from papayacourse.messages import Hello
 from papayacourse.metrics import Metrics
+from papayacourse.orders import LEASE_KEY, Orders, WeightBudget
 from papayacourse.pace import TokenClock, token_clock
 from papayacourse.peers import Peers
 from papayacourse.placement import Placement
@@ -36,7 +38,9 @@
 from papayacourse.version import __version__
 from papayacourse.watch import SettingsWatch
 
-IDLE_CONNECTION_TIMEOUT = 300.0  # seconds
+IDLE_CONNECTION_TIMEOUT = 75.0  # seconds
+HARD_LIMIT_FACTOR = 4
+MIN_BUFFER_BYTES = 256 * 1024
 BALANCER_NOTICE = 0.5  # seconds between turning not ready and refusing new connections
 
 
@@ -87,6 +91,13 @@
             hello, self.peers, self.catalog, HostList(config.hostlist), config.seeds
         )
         self.placement = Placement(self.membership, self.peers, self.scheduler)
+        self.orders = Orders(
+            Lease(self.store, LEASE_KEY, config.name),
+            self.catalog,
+            self.membership,
+            WeightBudget(config.weight_rate),
+            self.placement.drain,
+        )
         mesh = await stack.enter_async_context(self.peers.listening(config.mesh))
         self.peers.hello = Hello(
             config.name, incarnation, config.domain, config.region, str(mesh), b""
@@ -98,6 +109,7 @@
             self.membership.follow_host_list(),
             self.membership.greet_seeds(),
             self.placement.report(),
+            self.orders.run(),
         ):
             self.spawn(work)
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -110,10 +122,12 @@
         config = self.config
         self.server = HTTPServer(
             Application(routes.routes(self), compress_response=False, log_function=lambda _: None),
-            max_body_size=config.max_body_bytes,
-            max_buffer_size=config.max_body_bytes + config.max_header_bytes,
-            max_header_size=config.max_header_bytes,
-            body_timeout=config.body_timeout,
+            # The handlers refuse in their own words what is over the configured limits; these
+            # only bound what a connection may make the daemon hold before a handler runs.
+            max_body_size=config.max_body_bytes * HARD_LIMIT_FACTOR,
+            max_buffer_size=max(config.max_header_bytes * HARD_LIMIT_FACTOR, MIN_BUFFER_BYTES),
+            max_header_size=config.max_header_bytes * HARD_LIMIT_FACTOR,
+            body_timeout=config.body_timeout * HARD_LIMIT_FACTOR,
             idle_connection_timeout=IDLE_CONNECTION_TIMEOUT,
         )
         sockets = bind_sockets(config.http.port, config.http.host)
@@ -257,6 +271,7 @@
                 }
                 for (team, service), scheduler in self.schedulers.items()
             ],
+            "orders": self.orders.lease.fence if self.orders.lease.holds() else None,
             "mesh_bytes": self.peers.bytes_total(),
         }
 
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -90,6 +90,7 @@
     reservations: Reservations = field(factory=Reservations)
     places: PlaceRate = field(factory=PlaceRate)
     heard_from: set[str] = field(factory=set)
+    drained_until: dict[str, float] = field(factory=dict)
     grants: int = 0
     started: float = 0.0
     task: asyncio.Task | None = None
@@ -270,6 +271,11 @@
             self.watch.failed(note.engine)
         self.serve_queue()
 
+    def drain(self, engine: str, seconds: float) -> None:
+        """Give an engine no new work for a time."""
+        self.drained_until[engine] = self.clock() + seconds
+        self.refresh()
+
     def serve_queue(self) -> None:
         """Grant what can be granted, and tell the daemons that wait for it."""
         for daemon, granted in self.grant_waiting():
@@ -309,7 +315,8 @@
                 if host.domain == self.membership.me.domain and permitted(host, deployment):
                     wanted.setdefault(host.name, (host, deployment))
         for name, ledger in self.ledgers.items():
-            ledger.usable = name in wanted and self.watch.answers(name)
+            stays = self.clock() >= self.drained_until.get(name, 0.0)
+            ledger.usable = name in wanted and stays and self.watch.answers(name)
         for name, (host, deployment) in wanted.items():
             self._take_engine(name, host, deployment)
         for name in [n for n, led in self.ledgers.items() if n not in wanted and not led.streams]:
