--- a/bench/shapes.py
+++ b/bench/shapes.py
@@ -88,14 +88,17 @@
         found = {line.partition("=")[0].strip(): line for line in (*self.options, *lines)}
         return evolve(self, options=tuple(found.values()))
 
-    def settings(self, policy: str) -> Iterator[str]:
-        """Yield the lines of its settings under a policy."""
+    def deployment(self, policy: str) -> Iterator[str]:
+        """Yield the lines of its deployment's settings under a policy."""
+        yield from (f"[/teams/{self.team}/deployments/{self.service}]", f"service = {self.service}")
+        yield from (f"backends = {self.service}-*", f"memory_tokens = {self.memory}")
+        yield from (f"max_batch = {self.max_batch}", f"policy = {policy}", *self.options)
+
+    def settings(self) -> Iterator[str]:
+        """Yield the lines of its other settings."""
         root = f"/teams/{self.team}"
         yield from (f"[{root}]", "state = open", f"[{root}/services/{self.service}]")
         yield from ("kind = model", f"wait_limit = {self.wait_limit}", "resume_window = 0.1")
-        yield from (f"[{root}/deployments/{self.service}]", f"service = {self.service}")
-        yield from (f"backends = {self.service}-*", f"memory_tokens = {self.memory}")
-        yield from (f"max_batch = {self.max_batch}", f"policy = {policy}", *self.options)
         for account in self.accounts:
             digest = hashlib.sha256(account.key.encode()).hexdigest()
             yield from (f"[{root}/accounts/{account.name}]", f"key_sha256 = {digest}")
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -38,7 +38,7 @@
 GRANT_GRACE = 4.0  # seconds a granted stream may go unreported
 LEARNING_TIME = 2.0  # seconds in which a new scheduler hears of the streams there are
 LEARNING_SHARE = 0.5  # part of each engine that it gives out meanwhile
-WAIT_SAFETY = 0.8  # part of the wait limit that an estimated wait may take
+WAIT_SAFETY = 0.6  # part of the wait limit that an estimated wait may take
 BYPASS_LIMIT = 0.5  # part of the wait limit after which nothing smaller goes before a request
 PACE_WEIGHT = 0.05  # of one report of a stream's progress
 PACE_RANGE = (0.001, 1.0)  # seconds between tokens that can be believed
--- a/papayacourse/waits.py
+++ b/papayacourse/waits.py
@@ -43,7 +43,9 @@
     def per_second(self, running: int, now: float) -> float:
         """Return the places that come free each second while so many streams run; 0 if unknown."""
         by_residence = running / self.residence if self.residence else 0.0
-        return max(by_residence, self._lately(now, None))
+        lately = self._lately(now, None)
+        # The lower of the two: a wait that is underrated ends in a refusal after the whole limit.
+        return min(by_residence, lately) or max(by_residence, lately)
 
     def of_account(self, account: str, now: float) -> float:
         """Return the places that an account was granted each second lately."""
