--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measures the decisions under load with real daemons and stand-in engines."""
+"""Tools that measure real daemons and stand-in engines."""
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -8,11 +8,12 @@
 
 from attrs import define, field
 
-from papayacourse import invariants
+from papayacourse import invariants, logs
 from papayacourse.admission import choose
 from papayacourse.catalog import Catalog
 from papayacourse.enginewatch import POLL_INTERVAL, EngineWatch
 from papayacourse.fairshare import PROMPT_WEIGHT, FairQueue
+from papayacourse.joins import first_id, key_part
 from papayacourse.ledger import EngineLedger, Stream, put, take_off
 from papayacourse.lengths import LengthModel
 from papayacourse.membership import Membership
@@ -27,6 +28,7 @@
     StreamReport,
     StreamState,
 )
+from papayacourse.orphans import Orphans
 from papayacourse.policies import POLICIES
 from papayacourse.prefixes import PrefixIndex
 from papayacourse.rendezvous import scheduling_duty
@@ -95,6 +97,7 @@
     started: float = 0.0
     task: asyncio.Task | None = None
     telling: set[asyncio.Task] = field(factory=set)
+    orphans: Orphans = field(factory=Orphans)
 
     def __attrs_post_init__(self) -> None:
         self.started = self.clock()
@@ -165,9 +168,12 @@
         generation = request.generation
         stream = generation.stream
         held = self.find(stream)
-        if held is not None and held.name not in request.avoid:
-            kind = Joined if request.join else Granted
-            return kind(stream, held.name, held.address)
+        if request.join:
+            answer = self._join(daemon, stream, request.avoid)
+            if answer is not None:
+                return answer
+        elif held is not None and held.name not in request.avoid:
+            return Granted(stream, held.name, held.address)
         if not self.usable(request.avoid):
             return GrantRefused(stream, "no_engine", "no engine can serve now", MIN_RETRY_AFTER)
         wait = self.expected_wait(generation.priority, generation.account)
@@ -197,6 +203,21 @@
         again = self.reservations.book(generation.account, now, excess, rate)
         return GrantRefused(generation.stream, "overloaded", detail, again)
 
+    def _join(
+        self, daemon: str, stream: str, avoid: tuple[str, ...]
+    ) -> Granted | Joined | GrantRefused | None:
+        """Answer a request whose key has a stream here already; None when it has not."""
+        for ledger in self.ledgers.values():
+            for name, held in ledger.streams.items():
+                if key_part(name) != key_part(stream) or ledger.name in avoid:
+                    continue
+                if first_id(name) != first_id(stream):
+                    return GrantRefused(stream, "key_reused", "the key is taken", 0.0)
+                if name == stream and held.daemon == daemon:
+                    return Granted(name, ledger.name, ledger.address)
+                return Joined(name, ledger.name, ledger.address)
+        return None
+
     def grant_waiting(self) -> Iterator[tuple[str, Granted]]:
         """Grant places to waiting requests, in order, until none fits."""
         progress = True
@@ -350,10 +371,10 @@
     def expire(self) -> None:
         """Drop streams that nobody reports any more, and refuse those who waited too long."""
         now = self.clock()
-        for ledger in self.ledgers.values():
-            for name, stream in list(ledger.streams.items()):
-                if now - stream.seen_at > GRANT_GRACE:
-                    take_off(ledger, name)
+        settings = self.catalog.service(self.team, self.service)
+        window = settings.resume_window if settings else 0.0
+        for stream in self.orphans.check(list(self.ledgers.values()), now, GRANT_GRACE, window):
+            logs.debug("stream not reported", stream=stream)
         for stream, item in list(self.queue.items()):
             if now - item.since > item.request.wait_limit:
                 self.queue.discard(stream)
