--- a/papayacourse/messages.py
+++ b/papayacourse/messages.py
@@ -318,6 +318,17 @@
     body: bytes
 
 
+@frozen
+class CallRefused:
+    """The final answer to a call that was not served; the fields of a RequestRefused."""
+
+    status: int
+    reason: str
+    detail: str
+    ran: str
+    retry_after: float | None
+
+
 @frozen
 class Done:
     """An answer that carries nothing."""
@@ -352,6 +363,7 @@
     | Absolved
     | RunOnce
     | CallAnswer
+    | CallRefused
     | Done
     | CallFailed
 )
--- a/papayacourse/settings.py
+++ b/papayacourse/settings.py
@@ -66,6 +66,8 @@
     spill_same_region, spill_other_region : float
         The expected wait that another failure domain, of this region or of another, must save
         before a request is sent there, in seconds.
+    record_retention : float
+        How long the outcome of a non-repeatable call is kept, in seconds.
     """
 
     kind: HostKind
@@ -77,6 +79,7 @@
     retry_share: float = 0.1
     spill_same_region: float = 1.0
     spill_other_region: float = 5.0
+    record_retention: float = 4 * 3600.0
 
 
 @frozen
@@ -261,6 +264,7 @@
             may_be_left_out("service", "retry_share", "retry_share", fraction),
             may_be_left_out("service", "spill_same_region", "spill_same_region", positive(float)),
             may_be_left_out("service", "spill_other_region", "spill_other_region", positive(float)),
+            may_be_left_out("service", "record_retention", "record_retention", positive(float)),
         ),
     ),
     "accounts": Kind(
