End every caller of a bench cell; save each cell as it ends

One cancellation in a few hundred was swallowed by asyncio.wait_for of Python 3.11, and the cell then waited up to a minute for the rest of a stream: 6 cells took 5 minutes. Recovery is now the last second that was not normal, since the first two calm seconds may come before the effect.

--- a/bench/load.py
+++ b/bench/load.py
@@ -16,7 +16,7 @@
 from bench.measures import Cell, histogram, percentiles, times_of
 from bench.shapes import POLICIES, SHAPES, Shape
 from bench.site import Site
-from bench.table import rows
+from bench.table import account_rows, rows
 from bench.trace import arrivals
 
 WARM_UP = 4.0  # seconds before the measures begin
@@ -43,6 +43,7 @@
     measured: float
     capacity: float
     options: tuple[str, ...]
+    folder: Path
 
 
 def cpu_time() -> float:
@@ -136,6 +137,8 @@
                     offered = capacity * load
                     cell = run_cell(site, policy, load, seed, offered, plan.measured)
                     cells.append(asyncio.run(cell).as_dict())
+                    partial = {"shape": shape.name, "capacity": capacity, "cells": cells}
+                    (plan.folder / f"{shape.name}.json").write_text(json.dumps([partial]))
                     print(shape.name, seed, load, policy, file=sys.stderr, flush=True)
                     site.drain()
     return {"shape": shape.name, "capacity": capacity, "cells": cells}
@@ -164,17 +167,26 @@
     loads = FULL_LOADS if wanted.quick else tuple(map(float, wanted.loads.split(",")))
     seeds = (1,) if wanted.quick else tuple(map(int, wanted.seeds.split(",")))
     policies = tuple(wanted.policies.split(","))
+    folder = Path(wanted.out)
+    folder.mkdir(parents=True, exist_ok=True)
     plans = [
-        Plan(name, loads, seeds, policies, wanted.measured, wanted.capacity, tuple(wanted.option))
+        Plan(
+            name,
+            loads,
+            seeds,
+            policies,
+            wanted.measured,
+            wanted.capacity,
+            tuple(wanted.option),
+            folder,
+        )
         for name in wanted.shapes.split(",")
     ]
     with ProcessPoolExecutor(len(plans)) as pool:
         found = list(pool.map(run_shape, plans))
-    folder = Path(wanted.out)
-    folder.mkdir(parents=True, exist_ok=True)
     (folder / "load.json").write_text(json.dumps(found, indent=1))
     for result in found:
-        print("\n".join(rows(result)))
+        print("\n".join((*rows(result), *account_rows(result))))
 
 
 if __name__ == "__main__":
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -23,7 +23,7 @@
 BEFORE = 10.0  # seconds of load before the failure
 NORMAL_FROM = 5.0  # seconds from which the load counts as settled
 AFTER = 15.0  # seconds of load after it
-CALM = 2  # seconds in a row that must be normal
+CALM = 2  # seconds at the end that must be normal
 FIRST_TOKEN_FACTOR = 2.0  # of the median before, up to which a second is normal
 
 
@@ -113,16 +113,15 @@
 
 
 def recovered(seconds: list[Second], struck: int) -> int | None:
-    """Return the seconds until stall and first token are normal and stay so for a while."""
+    """Return the seconds after which stall and first token stay normal; None if they do not."""
     normal = seconds[int(NORMAL_FROM) : struck]
     stall = max(second.stall for second in normal) + STALL_THRESHOLD
     first = FIRST_TOKEN_FACTOR * statistics.median(second.first for second in normal)
-    calm = 0
-    for second in seconds[struck:]:
-        calm = calm + 1 if second.stall <= stall and second.first <= first else 0
-        if calm == CALM:
-            return second.at - struck - CALM + 1
-    return None
+    bad = [s.at for s in seconds[struck:] if s.stall > stall or s.first > first]
+    if not bad:
+        return 0
+    after = bad[-1] + 1
+    return after - struck if len(seconds) - after >= CALM else None
 
 
 async def run_failure(site: Site, failure: Failure, capacity: float, seed: int) -> list[Second]:
--- a/bench/site.py
+++ b/bench/site.py
@@ -12,6 +12,7 @@
 from standins.fleet import Fleet, wait_until
 
 SETTLE_TIME = 0.8  # seconds for the schedulers to take new settings
+CANCEL_INTERVAL = 0.2  # seconds
 DRAIN_TIME = 1.0  # seconds
 DRAIN_LIMIT = 20.0  # seconds
 PATHS_BESIDE_ACCOUNTS = 3
@@ -96,6 +97,9 @@
             call = obey(address, self.shape.service, self.shape.longest, made, tries)
             tasks.append(asyncio.create_task(call))
         await asyncio.sleep(max(0.0, start + seconds - time.monotonic()))
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        pending = set(tasks)
+        while pending:
+            # Again and again: asyncio.wait_for of Python 3.11 may swallow a cancellation.
+            for task in pending:
+                task.cancel()
+            _, pending = await asyncio.wait(pending, timeout=CANCEL_INTERVAL)
--- a/bench/table.py
+++ b/bench/table.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from bench.measures import spread
+from bench.shapes import SHAPES
 
 HEAD = (
     "| load | policy | tokens/s | stall s | preemptions | p50 ms | p99 ms | p99.9 ms "
@@ -34,6 +35,29 @@
     return 100 * part / whole if whole else 0.0
 
 
+def first_token(cells: list[dict], accounts: set[str]) -> str:
+    """Return the p50 and p95 to first token of some accounts: the median over them and seeds."""
+    found = [
+        times["first_token_ms"]
+        for cell in cells
+        for name, times in cell["accounts"].items()
+        if name in accounts
+    ]
+    return " / ".join(figure([times[name] for times in found]) for name in ("p50", "p95"))
+
+
+def account_rows(result: dict) -> Iterator[str]:
+    """Yield a table of the time to first token of the large accounts and of the small."""
+    accounts = SHAPES[result["shape"]].accounts
+    large = {account.name for account in accounts if account.burst > 1}
+    small = {account.name for account in accounts} - large
+    yield f"{result['shape']}: first token, p50 / p95 ms, medians over accounts and seeds"
+    yield "| load | policy | large accounts | small accounts |"
+    yield "| --- | --- | --- | --- |"
+    for load, policy, cells in groups(result):
+        yield f"| {load} | {policy} | {first_token(cells, large)} | {first_token(cells, small)} |"
+
+
 def rows(result: dict) -> Iterator[str]:
     """Yield the lines of a table in Markdown."""
     yield f"{result['shape']}: capacity {result['capacity']:.0f} tokens/s"
