--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -148,11 +148,14 @@
         now = self.clock()
         running = sum(len(ledger.streams) for ledger in self.ledgers.values())
         rate = self.places.per_second(running, now)
+        # Whoever goes before has waited so long already, whatever the rate was lately.
+        heads = self.queue.heads_before(priority, account)
+        seen = max((now - item.since for item in heads), default=0.0)
         if not rate:
-            return 0.0
+            return seen
         ahead = self.queue.ahead(priority, account, self.places.tokens)
         ahead += self.reservations.expected(account, now, ahead / rate)
-        return (ahead + 1) / rate
+        return max((ahead + 1) / rate, seen)
 
     def load(self) -> ServiceLoad:
         """Return how the service stands here, for the other failure domains."""
@@ -199,7 +202,9 @@
         generation = request.generation
         now = self.clock()
         excess = wait - request.wait_limit * WAIT_SAFETY
-        rate = self.places.of_account(generation.account, now)
+        running = sum(len(ledger.streams) for ledger in self.ledgers.values())
+        even = self.places.per_second(running, now) / max(1, self.queue.busy_accounts())
+        rate = max(self.places.of_account(generation.account, now), even)
         again = self.reservations.book(generation.account, now, excess, rate)
         return GrantRefused(generation.stream, "overloaded", detail, again)
 
