--- a/papayacourse/kvstore.py
+++ b/papayacourse/kvstore.py
@@ -170,7 +170,8 @@
     def _answer(self, kind: str, status: int, answer: bytes) -> dict:
         if status in NOT_DONE:
             self.count(kind, "unavailable")
-            raise PlatformUnavailable(f"key-value service: status {status}")
+            why = "out of service" if status == 503 else f"status {status}"
+            raise PlatformUnavailable(f"key-value service: {why}")
         try:
             if status != 200:
                 raise ValueError(f"status {status}")
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -22,6 +22,7 @@
     GrantRefused,
     GrantRequest,
     Joined,
+    NotScheduler,
     Queued,
     ServiceLoad,
     StreamEnded,
@@ -34,6 +35,7 @@
 from papayacourse.rendezvous import scheduling_duty
 from papayacourse.reservations import Reservations
 from papayacourse.settings import DeploymentSettings
+from papayacourse.tasks import cancel_all
 from papayacourse.types import Host, HostKind, HostState
 from papayacourse.waits import PlaceRate
 
@@ -48,7 +50,7 @@
 MAX_QUEUE = 10_000  # requests
 
 Answer = Granted | Joined | Queued | GrantRefused
-Tell = Callable[[str, Granted | GrantRefused], Awaitable[None]]
+Tell = Callable[[str, Granted | GrantRefused | NotScheduler], Awaitable[None]]
 
 
 @define
@@ -109,9 +111,8 @@
         return self
 
     async def __aexit__(self, kind, error, traceback) -> None:
-        self.task.cancel()
         await self.watch.close()
-        await asyncio.gather(self.task, *self.telling, return_exceptions=True)
+        await cancel_all([self.task, *self.telling])
 
     # Queries.
 
@@ -264,6 +265,7 @@
 
     def _put(self, ledger: EngineLedger, stream: Stream) -> None:
         name = stream.generation.stream
+        self.queue.discard(name)
         found = self.find(name)
         if found is not None:
             take_off(found, name)
@@ -276,7 +278,7 @@
     def _charge(self, priority: int, account: str, tokens: float) -> None:
         self.queue.charge(priority, account, tokens, self.share(account))
 
-    def tell_later(self, daemon: str, answer: Granted | GrantRefused) -> None:
+    def tell_later(self, daemon: str, answer: Granted | GrantRefused | NotScheduler) -> None:
         """Send a daemon an answer, without waiting for that."""
         task = asyncio.create_task(self.tell(daemon, answer))
         self.telling.add(task)
--- a/tests/features/scheduling.feature
+++ b/tests/features/scheduling.feature
@@ -63,3 +63,17 @@
     And account "large" streams a long prompt through "b"
     And account "large" streams a long prompt through "a"
     Then one engine ran every long prompt
+
+  Scenario Outline: Work goes to another failure domain where that saves more than the link costs
+    Given a planner service with a batch of 2 and a spill price of <price> seconds for accounts "large"
+    And 1 scheduled engine with memory 4000
+    And another domain "lagos-island" of the region with engine "planner-far" and daemon "far"
+    And daemons "a" that schedule
+    When account "large" sends 16 streams of 150 tokens through "a"
+    And every stream has ended
+    Then all are served, <some> by engine "planner-far"
+
+    Examples:
+      | price | some |
+      | 0.2   | some |
+      | 600   | none |
--- a/tests/features/steps/scheduling_steps.py
+++ b/tests/features/steps/scheduling_steps.py
@@ -18,6 +18,7 @@
     lines = ["[/teams/sound-trust]", "state = open"]
     lines += ["[/teams/sound-trust/services/planner]", "kind = model", "max_output_tokens = 2000"]
     lines += [f"wait_limit = {options.pop('wait_limit', 50)}", "resume_window = 0.2"]
+    lines += [f"spill_same_region = {options.pop('spill', 600)}"]
     lines += ["[/teams/sound-trust/deployments/planner]", "service = planner"]
     lines += ["backends = planner-*"]
     context.deployment = lines
@@ -48,6 +49,27 @@
     write_settings(context, accounts, max_batch=batch, wait_limit=wait)
 
 
+@given(
+    "a planner service with a batch of {batch:d} and a spill price of {price:g} seconds "
+    'for accounts "{accounts}"'
+)
+def service_with_spill(context, batch, price, accounts):
+    write_settings(context, accounts, max_batch=batch, spill=price)
+
+
+@given('another domain "{domain}" of the region with engine "{engine}" and daemon "{daemon}"')
+def another_domain(context, domain, engine, daemon):
+    context.fleet.engine(engine, domain, REGION, "--step", "0.004", "--memory", "4000")
+    context.fleet.daemon(daemon, domain, REGION)
+
+
+@then('all are served, {some} by engine "{engine}"')
+def served_elsewhere(context, some, engine):
+    streams_of(context, "large")
+    started = context.fleet.counts(engine)["started"]
+    assert (started > 0) == (some == "some"), f"{engine} started {started}"
+
+
 @given('a planner service with policy "{policy}" for accounts "{accounts}"')
 def service_with_policy(context, policy, accounts):
     write_settings(context, accounts, policy=policy)
--- a/tests/features/steps/settings_steps.py
+++ b/tests/features/steps/settings_steps.py
@@ -527,16 +527,6 @@
     assert paths_at(context.fleet, name) == paths_at(context.fleet, other)
 
 
-@when('daemon "{name}" is frozen')
-def freeze(context, name):
-    context.fleet.processes[name].freeze()
-
-
-@when('daemon "{name}" is thawed')
-def thaw(context, name):
-    context.fleet.processes[name].thaw()
-
-
 @then('the change is in force at "{names}" within {limit:d} seconds')
 @then('the deletion is in force at "{names}" within {limit:d} seconds')
 def in_force(context, names, limit):
