--- a/papayacourse/catalog.py
+++ b/papayacourse/catalog.py
@@ -23,7 +23,7 @@
     parse_path,
     parse_setting,
 )
-from papayacourse.types import Fault
+from papayacourse.types import Fault, HostKind
 
 BUCKETS = 64
 KEEP_DELETED = 24 * 3600.0  # seconds that a deletion is remembered by its path
@@ -244,6 +244,12 @@
         """Yield a team's services by name."""
         yield from self._named(team, "services").items()
 
+    def model_services(self) -> Iterator[tuple[str, str]]:
+        """Yield every model service as (team, service)."""
+        for (team, kind), named in self.in_force.items():
+            if kind == "services":
+                yield from ((team, n) for n, s in named.items() if s.kind == HostKind.ENGINE)
+
     def deployments(self, team: str, service: str) -> Iterator[DeploymentSettings]:
         """Yield the deployments of a service, in the order of their names."""
         for _, setting in sorted(self._named(team, "deployments").items()):
@@ -269,6 +275,10 @@
     def _named(self, team: str, kind: str) -> dict[str, Setting]:
         return self.in_force.get((team, kind), {})
 
+    def account_names(self, team: str) -> set[str]:
+        """Return the names of a team's accounts."""
+        return set(self._named(team, "accounts"))
+
 
 def may_use(client: Client, service: str) -> bool:
     """Tell whether an account may use a service."""
--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -105,6 +105,7 @@
         self.gateways = Gateways(self.membership, self.peers)
         self.duties = Duties(self.membership, self._make_scheduler)
         self.placement = Placement(self.membership, self.peers, self.duties)
+        self.placement.spill.loads = self.gateways.load
         self.orders = Orders(
             Lease(self.store, LEASE_KEY, config.name),
             self.catalog,
--- a/papayacourse/duties.py
+++ b/papayacourse/duties.py
@@ -9,6 +9,7 @@
 from papayacourse import logs
 from papayacourse.membership import Membership
 from papayacourse.messages import NotScheduler, ServiceLoad
+from papayacourse.rendezvous import scheduling_duty as duty
 from papayacourse.scheduler import Scheduler
 
 IDLE_SCHEDULER = 30.0  # seconds after which a scheduler without the duty is dropped
@@ -17,11 +18,6 @@
 Key = tuple[str, str]
 
 
-def duty(team: str, service: str) -> str:
-    """Name the duty of scheduling a service, for rendezvous hashing."""
-    return f"scheduler/{team}/{service}"
-
-
 @define(eq=False)
 class Duties:
     """The schedulers of this daemon.
--- a/papayacourse/orphans.py
+++ b/papayacourse/orphans.py
@@ -8,8 +8,8 @@
 from attrs import define, field
 
 from papayacourse import engines, logs
-from papayacourse.admission import EngineLedger, Stream
 from papayacourse.exceptions import BackendError
+from papayacourse.ledger import EngineLedger, Stream, take_off
 from papayacourse.retries import jittered
 
 CANCEL_LIMIT = 30.0  # seconds in which a cancellation is tried again
@@ -98,5 +98,6 @@
             self._drop(ledger, name)
 
     def _drop(self, ledger: EngineLedger, name: str) -> None:
-        ledger.streams.pop(name, None)
+        if name in ledger.streams:
+            take_off(ledger, name)
         self.since.pop(name, None)
--- a/papayacourse/placement.py
+++ b/papayacourse/placement.py
@@ -7,7 +7,7 @@
 from attrs import define, evolve, field, frozen
 
 from papayacourse import logs
-from papayacourse.duties import Duties, duty
+from papayacourse.duties import Duties
 from papayacourse.exceptions import PeerError, PeerUnreachable, RequestRefused
 from papayacourse.joins import key_reused
 from papayacourse.membership import Membership
@@ -26,11 +26,13 @@
     StreamState,
 )
 from papayacourse.peers import Peers
+from papayacourse.rendezvous import scheduling_duty as duty
+from papayacourse.reporting import Reporting
+from papayacourse.spill import Spill, waits
 from papayacourse.types import GenerationRequest
 
 ACK_TIMEOUT = 0.4  # seconds a scheduler may take to say anything
 REASK_INTERVAL = 1.0  # seconds between questions while queued
-REPORT_INTERVAL = 1.0  # seconds
 SCHEDULERS_TRIED = 3
 DRAIN_TIMEOUT = 2.0  # seconds
 
@@ -55,6 +57,8 @@
         This daemon's schedulers.
     relayed : dict of str to StreamState
         The streams that this daemon relays, by stream id.
+    placed_in : dict of str to str
+        The failure domain of each stream that was placed in another one.
     waiting : dict of str to Future
         What a scheduler says of each request that waits in its queue, by stream id.
     asked_of : dict of str to Asked
@@ -67,9 +71,12 @@
     clock: Callable[[], float] = time.monotonic
     relayed: dict[str, StreamState] = field(factory=dict)
     waiting: dict[str, asyncio.Future] = field(factory=dict)
+    placed_in: dict[str, str] = field(factory=dict)
+    spill: Spill = field(init=False)
     asked_of: dict[str, Asked] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
+        self.spill = Spill(self.membership, self.peers)
         self.peers.handlers[GrantRequest] = self.asked
         self.peers.handlers[Granted] = self.told
         self.peers.handlers[GrantRefused] = self.told
@@ -171,7 +178,7 @@
         self.waiting[stream] = asyncio.get_running_loop().create_future()
         try:
             while True:
-                answer = await self._ask(request)
+                answer = await self._ask_anywhere(request)
                 if isinstance(answer, Queued):
                     answer = await self._wait(stream)
                 if isinstance(answer, NotScheduler):
@@ -199,6 +206,21 @@
         except TimeoutError:
             return None
 
+    async def _ask_anywhere(
+        self, request: GrantRequest
+    ) -> Granted | Joined | Queued | GrantRefused:
+        """Ask this failure domain, then others where that saves more than the link costs."""
+        answer = await self._ask(request)
+        if request.join:
+            return answer
+        small = evolve(request, generation=evolve(request.generation, prompt=""))
+        placed = await self.spill.place(small, waits(answer, request.wait_limit))
+        if placed is None:
+            return answer
+        await self.give_back(request.generation)
+        self.placed_in[request.generation.stream] = placed.domain
+        return placed.granted
+
     async def _ask(self, request: GrantRequest) -> Granted | Joined | Queued | GrantRefused:
         generation = request.generation
         small = GrantRequest(
@@ -233,9 +255,11 @@
     ) -> None:
         """Tell the scheduler that a stream has ended, and how."""
         self.relayed.pop(generation.stream, None)
-        owners = self.membership.owners(duty(generation.team, generation.service))
-        owner = owners[0] if owners else self.membership.me.name
-        await self._note(owner, ended(generation, engine, generated, outcome))
+        domain = self.placed_in.pop(generation.stream, None)
+        owners = self.membership.owners(duty(generation.team, generation.service), domain)
+        here = [self.membership.me.name] if domain is None else []
+        for owner in (owners or here)[:1]:
+            await self._note(owner, ended(generation, engine, generated, outcome))
 
     async def _note(self, owner: str, note: StreamEnded) -> None:
         if owner == self.membership.me.name:
@@ -259,26 +283,16 @@
 
     async def report(self) -> None:
         """Report the streams relayed here to their schedulers, for ever."""
-        while True:
-            await asyncio.sleep(REPORT_INTERVAL)
-            by_service: dict[tuple[str, str], list[StreamState]] = {}
-            for state in self.relayed.values():
-                key = (state.generation.team, state.generation.service)
-                by_service.setdefault(key, []).append(state)
-            for (team, service), states in by_service.items():
-                await self._report(
-                    StreamReport(self.membership.me.name, team, service, tuple(states))
-                )
-
-    async def _report(self, report: StreamReport) -> None:
-        owners = self.membership.owners(duty(report.team, report.service))
-        if not owners or owners[0] == self.membership.me.name:
+        await Reporting(self.membership, self.relayed, self.placed_in, self._report).run()
+
+    async def _report(self, owner: str, report: StreamReport) -> None:
+        if owner == self.membership.me.name:
             await self.reported(self.membership.me, report)
             return
         try:
-            await self.peers.send(owners[0], report)
+            await self.peers.send(owner, report)
         except PeerError as error:
-            logs.debug("streams not reported", daemon=owners[0], why=str(error))
+            logs.debug("streams not reported", daemon=owner, why=str(error))
 
 
 def ended(generation: GenerationRequest, engine: str, generated: int, outcome: str) -> StreamEnded:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -83,6 +83,7 @@
     foreign_at: int = -1
     close_at: int = -1
     refuse: bool = False
+    mute: bool = False
     accepts_when_leaving: bool = False
     stall: float = 0.0
 
@@ -210,6 +211,11 @@
             if other.reason and time.monotonic() - other.ended > KEEP_FINISHED:
                 del self.streams[name]
 
+    def reset(self) -> None:
+        """Cancel everything, as a restart would."""
+        for generation in [*self.running, *self.waiting]:
+            self.finish(generation, "cancelled")
+
     def note_load(self) -> None:
         """Remember the load, to be reported with a lag."""
         self.history.append((time.monotonic(), self.load_now()))
@@ -359,6 +365,10 @@
 
     def get(self) -> None:
         """Answer with the load of a while ago."""
+        if self.standin.mute:
+            self.set_status(503)
+            self.finish({"error": "no report"})
+            return
         self.finish(self.standin.load_lagging())
 
 
@@ -442,8 +452,11 @@
         self.finish(self.standin.load_now())
 
     def post(self) -> None:
-        """Set switches."""
-        for name, value in self.body().items():
+        """Set switches; ``reset`` cancels everything."""
+        switches = self.body()
+        if switches.pop("reset", False):
+            self.standin.reset()
+        for name, value in switches.items():
             setattr(self.standin, name, value)
         self.finish({})
 
