--- a/papayacourse/fairshare.py
+++ b/papayacourse/fairshare.py
@@ -71,15 +71,6 @@
                 count += min(len(queue.waiting), max(0, sooner))
         return count
 
-    def heads_before(self, priority: int, account: str) -> Iterator[object]:
-        """Yield the heads of the queues that a new request of an account has to wait for."""
-        own = self.accounts.get((priority, account), AccountQueue())
-        served = max(own.served, self.floors.get(priority, 0.0))
-        for (level, name), queue in self.accounts.items():
-            sooner = name == account or queue.served <= served
-            if queue.waiting and (level > priority or (level == priority and sooner)):
-                yield next(iter(queue.waiting.values()))
-
     def busy_accounts(self) -> int:
         """Return how many accounts have requests waiting."""
         return sum(1 for queue in self.accounts.values() if queue.waiting)
--- a/papayacourse/lengths.py
+++ b/papayacourse/lengths.py
@@ -7,6 +7,8 @@
 BINS_PER_OCTAVE = 4
 FORGETTING = 0.999  # weight an earlier output keeps at each new one
 PRIOR_WEIGHT = 8.0  # outputs that the prior counts for
+SERVICE_WEIGHT = 8.0  # outputs that the service counts for in an account's prediction
+RENEW_AFTER = 8  # outputs of the service after which an account's prediction is renewed
 
 # Edges grow geometrically: outputs span from a few tokens to tens of thousands, and a fixed
 # relative error is what memory prediction needs.
@@ -23,6 +25,12 @@
     return np.full(len(EDGES), PRIOR_WEIGHT / len(EDGES))
 
 
+def tail_of(counts: np.ndarray) -> np.ndarray:
+    """Return the probability that an output is longer than each of ``TAIL_EDGES``."""
+    tail = np.append(np.cumsum(counts[::-1])[::-1], 0.0)
+    return tail / tail[0]
+
+
 @define
 class LengthHistogram:
     """Counts of output lengths, in geometric bins; older outputs weigh less.
@@ -35,6 +43,7 @@
 
     counts: np.ndarray = field(factory=log_uniform)
     cached_tail: np.ndarray | None = None
+    renewed_at: int = 0
 
     def add(self, length: int) -> None:
         """Count a finished output, in tokens."""
@@ -46,8 +55,7 @@
     def tail(self) -> np.ndarray:
         """Return the probability that an output is longer than each of ``TAIL_EDGES``."""
         if self.cached_tail is None:
-            tail = np.append(np.cumsum(self.counts[::-1])[::-1], 0.0)
-            self.cached_tail = tail / tail[0]
+            self.cached_tail = tail_of(self.counts)
         return self.cached_tail
 
     def mean(self) -> float:
@@ -107,23 +115,35 @@
     Attributes
     ----------
     accounts : dict of str to LengthHistogram
-        An account's own histogram starts from what the service has learnt.
+        Each account's own outputs; its prediction leans on the service's.
+    outputs : int
+        Outputs counted so far.
     """
 
     service: LengthHistogram = field(factory=LengthHistogram)
     accounts: dict[str, LengthHistogram] = field(factory=dict)
+    outputs: int = 0
 
     def add(self, account: str, length: int) -> None:
         """Count a finished output of an account, in tokens."""
         self.of(account).add(length)
         self.service.add(length)
+        self.outputs += 1
 
     def of(self, account: str) -> LengthHistogram:
-        """Return the histogram that predicts an account's outputs."""
+        """Return the histogram that predicts an account's outputs.
+
+        It leans on what the service has learnt by now, not on what it knew when the account was
+        first seen: a new scheduler would else go on with the prior for as many outputs of each.
+        """
         if account not in self.accounts:
-            shape = self.service.counts / self.service.counts.sum() * PRIOR_WEIGHT
-            self.accounts[account] = LengthHistogram(shape)
-        return self.accounts[account]
+            self.accounts[account] = LengthHistogram(np.zeros(len(EDGES)))
+        own = self.accounts[account]
+        if own.cached_tail is None or self.outputs - own.renewed_at >= RENEW_AFTER:
+            shape = self.service.counts / self.service.counts.sum()
+            own.cached_tail = tail_of(own.counts + SERVICE_WEIGHT * shape)
+            own.renewed_at = self.outputs
+        return own
 
     def keep(self, accounts: set[str]) -> None:
         """Forget the accounts that are no longer there."""
--- a/papayacourse/reservations.py
+++ b/papayacourse/reservations.py
@@ -5,7 +5,6 @@
 from attrs import define, field
 
 LATENESS = 10.0  # seconds after its time in which a reservation is good
-OVERDUE = 1.0  # seconds after its time from which nobody is expected to take it up
 EARLINESS = 0.2  # seconds before it, for clocks and rounding
 MAX_RETRY_AFTER = 60  # seconds
 MIN_RETRY_AFTER = 1  # seconds; the header carries whole ones
@@ -56,7 +55,7 @@
 
     def expected(self, account: str, now: float, within: float) -> int:
         """Return how many of an account's reservations fall due within a time, in seconds."""
-        return sum(1 for at in self.due.get(account, ()) if now - OVERDUE < at <= now + within)
+        return sum(1 for at in self.due.get(account, ()) if at <= now + within)
 
     def _drop_late(self, account: str, now: float) -> None:
         mine = self.due.get(account)
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -149,14 +149,11 @@
         now = self.clock()
         running = sum(len(ledger.streams) for ledger in self.ledgers.values())
         rate = self.places.per_second(running, now)
-        # Whoever goes before has waited so long already, whatever the rate was lately.
-        heads = self.queue.heads_before(priority, account)
-        seen = max((now - item.since for item in heads), default=0.0)
         if not rate:
-            return seen
+            return 0.0
         ahead = self.queue.ahead(priority, account, self.places.tokens)
         ahead += self.reservations.expected(account, now, ahead / rate)
-        return max((ahead + 1) / rate, seen)
+        return (ahead + 1) / rate
 
     def load(self) -> ServiceLoad:
         """Return how the service stands here, for the other failure domains."""
