--- a/papayacourse/waits.py
+++ b/papayacourse/waits.py
@@ -43,7 +43,9 @@
     def per_second(self, running: int, now: float) -> float:
         """Return the places that come free each second while so many streams run; 0 if unknown."""
         by_residence = running / self.residence if self.residence else 0.0
-        lately = self._lately(now, None)
+        watched = now - self.granted[0][0] if self.granted else 0.0
+        # A scheduler that has just begun has granted little, whatever its engines can do.
+        lately = self._lately(now, None) if watched >= WINDOW / 2 else 0.0
         # The lower of the two: a wait that is underrated ends in a refusal after the whole limit.
         return min(by_residence, lately) or max(by_residence, lately)
 
