Report streams in full only to a scheduler that does not know them

Cause: every second each daemon sent its scheduler everything about each stream. At the size that decides the design a daemon relays about 116 streams (8.7 requests/s of 303 tokens at 44 ms): one report encoded to 41,724 bytes, against 17 KB/s for all control.

Change: a report names each stream and how far it has come; the scheduler answers with those it does not know, which then follow in full. A new scheduler is still told everything at once. What is kept of a request for the reports has neither its prompt nor its prefixes.

Ruled out: a longer interval, since the ledger extrapolates over it.

--- a/papayacourse/messages.py
+++ b/papayacourse/messages.py
@@ -270,6 +270,31 @@
     streams: tuple[StreamState, ...]
 
 
+@frozen
+class Progress:
+    """How far one stream has come, in tokens."""
+
+    stream: str
+    generated: int
+
+
+@frozen
+class ProgressReport:
+    """How far the streams have come that a scheduler has heard of in full."""
+
+    daemon: str
+    team: str
+    service: str
+    streams: tuple[Progress, ...]
+
+
+@frozen
+class StreamsUnknown:
+    """Answers a ProgressReport: these streams must be reported in full."""
+
+    streams: tuple[str, ...]
+
+
 @frozen
 class StreamEnded:
     """One generation has ended.
@@ -388,6 +413,8 @@
     | GrantRefused
     | Queued
     | StreamReport
+    | ProgressReport
+    | StreamsUnknown
     | StreamEnded
     | DrainEngine
     | StrikesUpdate
--- a/papayacourse/placement.py
+++ b/papayacourse/placement.py
@@ -20,10 +20,12 @@
     Hello,
     Joined,
     NotScheduler,
+    ProgressReport,
     Queued,
     StreamEnded,
     StreamReport,
     StreamState,
+    StreamsUnknown,
 )
 from papayacourse.peers import Peers
 from papayacourse.rendezvous import scheduling_duty as duty
@@ -34,6 +36,7 @@
 ACK_TIMEOUT = 0.4  # seconds a scheduler may take to say anything
 REASK_INTERVAL = 1.0  # seconds between questions while queued
 SCHEDULERS_TRIED = 3
+REPORT_TIMEOUT = 1.0  # seconds
 DRAIN_TIMEOUT = 2.0  # seconds
 
 Place = Granted | Joined
@@ -83,6 +86,7 @@
         self.peers.handlers[NotScheduler] = self.told
         self.peers.on_lost = self.lost
         self.peers.handlers[StreamReport] = self.reported
+        self.peers.handlers[ProgressReport] = self.progressed
         self.peers.handlers[StreamEnded] = self.noted
         self.peers.handlers[DrainEngine] = self.drained
 
@@ -101,6 +105,10 @@
         """Take a report of the streams that a daemon relays."""
         self.duties.open(report.team, report.service).report(report)
 
+    async def progressed(self, _peer: Hello, report: ProgressReport) -> StreamsUnknown:
+        """Take how far a daemon's streams have come, and say which are not known here."""
+        return self.duties.open(report.team, report.service).progress(report)
+
     async def noted(self, _peer: Hello, note: StreamEnded) -> Done:
         """Take the news that a stream has ended."""
         self.duties.open(note.team, note.service).ended(note)
@@ -274,7 +282,9 @@
     def progress(self, generation: GenerationRequest, engine: str, generated: int) -> None:
         """Note how far a stream has come, for the next report."""
         before = self.relayed.get(generation.stream)
-        small = before.generation if before is not None else evolve(generation, prompt="")
+        small = (
+            before.generation if before is not None else evolve(generation, prompt="", prefixes=())
+        )
         self.relayed[generation.stream] = StreamState(small, engine, generated)
 
     def forget(self, generation: GenerationRequest) -> None:
@@ -285,14 +295,23 @@
         """Report the streams relayed here to their schedulers, for ever."""
         await Reporting(self.membership, self.relayed, self.placed_in, self._report).run()
 
-    async def _report(self, owner: str, report: StreamReport) -> None:
-        if owner == self.membership.me.name:
-            await self.reported(self.membership.me, report)
-            return
+    async def _report(
+        self, owner: str, report: StreamReport | ProgressReport
+    ) -> StreamsUnknown | None:
+        """Report to a scheduler; returns what it does not know, or None when it was not reached."""
+        me = self.membership.me
         try:
-            await self.peers.send(owner, report)
+            match report:
+                case StreamReport() if owner == me.name:
+                    await self.reported(me, report)
+                    return StreamsUnknown(())
+                case ProgressReport() if owner == me.name:
+                    return await self.progressed(me, report)
+            answer = await self.peers.call(owner, report, REPORT_TIMEOUT)
         except PeerError as error:
             logs.debug("streams not reported", daemon=owner, why=str(error))
+            return None
+        return answer if isinstance(answer, StreamsUnknown) else StreamsUnknown(())
 
 
 def ended(generation: GenerationRequest, engine: str, generated: int, outcome: str) -> StreamEnded:
--- a/papayacourse/reporting.py
+++ b/papayacourse/reporting.py
@@ -7,7 +7,13 @@
 from attrs import define, field, frozen
 
 from papayacourse.membership import Membership
-from papayacourse.messages import StreamReport, StreamState
+from papayacourse.messages import (
+    Progress,
+    ProgressReport,
+    StreamReport,
+    StreamState,
+    StreamsUnknown,
+)
 from papayacourse.rendezvous import scheduling_duty
 
 REPORT_INTERVAL = 1.0  # seconds
@@ -34,13 +40,14 @@
     placed_in : dict of str to str
         The failure domain of each stream that was placed in another one.
     send : callable
-        Sends a report to a daemon.
+        Sends a report to a daemon; returns the streams not known there, or None when the daemon
+        was not reached.
     """
 
     membership: Membership
     relayed: dict[str, StreamState]
     placed_in: dict[str, str]
-    send: Callable[[str, StreamReport], Awaitable[None]]
+    send: Callable[[str, StreamReport | ProgressReport], Awaitable[StreamsUnknown | None]]
     clock: Callable[[], float] = time.monotonic
     reported_to: dict[Audience, tuple[str, float]] = field(factory=dict)
 
@@ -52,10 +59,10 @@
         """
         while True:
             await asyncio.sleep(OWNER_CHECK)
-            for audience in self._audiences():
-                owner = self._owner(audience)
-                if owner and self._due(audience, owner):
-                    await self._report(audience, owner)
+            due = [(audience, self._owner(audience)) for audience in self._audiences()]
+            await asyncio.gather(
+                *(self._report(*pair) for pair in due if pair[1] and self._due(*pair))
+            )
 
     def _audiences(self) -> set[Audience]:
         """Return every scheduler that should hear from this daemon."""
@@ -89,7 +96,25 @@
         return (state for state in self.relayed.values() if self._audience(state) == audience)
 
     async def _report(self, audience: Audience, owner: str) -> None:
+        """Report in full to a scheduler that has heard nothing yet, else only what has changed."""
+        told, _ = self.reported_to.get(audience, ("", 0.0))
         self.reported_to[audience] = (owner, self.clock())
-        states = tuple(self._states(audience))
+        states = {state.generation.stream: state for state in self._states(audience)}
+        if owner != told:
+            await self._report_whole(audience, owner, tuple(states.values()))
+            return
+        rows = tuple(Progress(name, state.generated) for name, state in states.items())
+        name = self.membership.me.name
+        report = ProgressReport(name, audience.team, audience.service, rows)
+        answer = await self.send(owner, report)
+        if answer is not None and answer.streams:
+            missing = tuple(states[stream] for stream in answer.streams if stream in states)
+            await self._report_whole(audience, owner, missing)
+
+    async def _report_whole(
+        self, audience: Audience, owner: str, states: tuple[StreamState, ...]
+    ) -> None:
         name = self.membership.me.name
-        await self.send(owner, StreamReport(name, audience.team, audience.service, states))
+        report = StreamReport(name, audience.team, audience.service, states)
+        if await self.send(owner, report) is None:
+            self.reported_to.pop(audience, None)
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -23,11 +23,13 @@
     GrantRequest,
     Joined,
     NotScheduler,
+    ProgressReport,
     Queued,
     ServiceLoad,
     StreamEnded,
     StreamReport,
     StreamState,
+    StreamsUnknown,
 )
 from papayacourse.orphans import Orphans
 from papayacourse.policies import POLICIES
@@ -339,16 +341,31 @@
         if stream is None:
             stream = Stream(generation, daemon, granted_at=now)
             self._put(ledger, stream)
-        elif state.generated > stream.generated > 0:
+        self._take_progress(ledger, stream, state.generated)
+
+    def progress(self, report: ProgressReport) -> StreamsUnknown:
+        """Take how far a daemon's streams have come; returns those not known here."""
+        self.heard_from.add(report.daemon)
+        unknown = []
+        for row in report.streams:
+            ledger = self.find(row.stream)
+            if ledger is None:
+                unknown.append(row.stream)
+            else:
+                self._take_progress(ledger, ledger.streams[row.stream], row.generated)
+        return StreamsUnknown(tuple(unknown))
+
+    def _take_progress(self, ledger: EngineLedger, stream: Stream, generated: int) -> None:
+        now, generation = self.clock(), stream.generation
+        if generated > stream.generated > 0:
             self.watch.progressed(ledger.name)
-            pace = (now - stream.seen_at) / (state.generated - stream.generated)
+            pace = (now - stream.seen_at) / (generated - stream.generated)
             pace = min(max(pace, PACE_RANGE[0]), PACE_RANGE[1])
             ledger.pace += (pace - ledger.pace) * PACE_WEIGHT
-        if state.generated > stream.charged:
-            unpaid = state.generated - stream.charged
-            self._charge(generation.priority, generation.account, unpaid)
-            stream.charged = state.generated
-        stream.generated = max(stream.generated, state.generated)
+        if generated > stream.charged:
+            self._charge(generation.priority, generation.account, generated - stream.charged)
+            stream.charged = generated
+        stream.generated = max(stream.generated, generated)
         stream.seen_at = now
 
     def refresh(self) -> None:
