--- a/tests/operators.py
+++ b/tests/operators.py
@@ -3,6 +3,8 @@
 import json
 from concurrent.futures import ThreadPoolExecutor
 
+from papayacourse.kvstore import KeyValueStore
+from papayacourse.types import Address
 from standins.fleet import MESH_KEY, Fleet, call
 
 PLANNER = "/teams/sound-trust/services/planner"
@@ -15,6 +17,11 @@
     return f"[service]\nkind = {kind}\nwait_limit = {wait_limit}\n"
 
 
+def store(fleet: Fleet) -> KeyValueStore:
+    """Return the fleet's key-value service, for what goes past the commands."""
+    return KeyValueStore(Address.parse(fleet.processes["kv"].http))
+
+
 def entries(fleet: Fleet, prefix: str = "/teams/") -> dict[str, dict]:
     """Return the settings that the command line lists, by path."""
     done = fleet.settings("list", prefix, "--json")
