Take names_in of the steps from one place

Cause: the splitting of a list of names stood in four step modules, and two of them took it from stopping_steps. Change: all of them use tests/steptext.py.

--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -3,6 +3,7 @@
 from behave import given, then, when
 
 from standins.fleet import wait_until
+from tests.steptext import names_in
 
 EXAMPLES = ("examples/sound-trust.ini", "examples/bottle-returns.ini")
 SETTINGS_PATHS = 12
@@ -29,7 +30,7 @@
 
 @given('daemons "{names}" in domain "{domain}" of region "{region}"')
 def start_daemons(context, names, domain, region):
-    daemons = [name.strip() for name in names.split(",")]
+    daemons = names_in(names)
     for name in daemons:
         context.fleet.daemon(name, domain, region)
     context.fleet.wait_settled(*daemons, paths=SETTINGS_PATHS)
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -6,6 +6,7 @@
 
 from standins.fleet import call, wait_until
 from tests.callers import KEYS, StreamingCaller, check_whole
+from tests.steptext import names_in
 
 LEAVING_DEPLOYMENT = """[/teams/sound-trust/deployments/planner]
 service = planner
@@ -116,7 +117,7 @@
 
 @when('{count:d} plans are streamed from "{model}" through "{names}"')
 def stream_plans(context, count, model, names):
-    daemons = [name.strip() for name in names.split(",")]
+    daemons = names_in(names)
     context.plans = [
         StreamingCaller(
             context.fleet.processes[daemons[number % len(daemons)]].http,
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -4,7 +4,6 @@
 
 import cbor2
 from behave import given, then, when
-from stopping_steps import names_in
 from websockets.exceptions import ConnectionClosed
 from websockets.sync.client import connect
 
@@ -20,6 +19,7 @@
     encode,
 )
 from standins.fleet import MESH_KEY, wait_until
+from tests.steptext import names_in
 
 CLOSE_LIMIT = 5.0  # seconds
 FOREIGNER = Hello("foreigner", 1, "lagos-1", "lagos", "127.0.0.1:1", b"a nonce of tests")
--- a/tests/features/steps/partitions_steps.py
+++ b/tests/features/steps/partitions_steps.py
@@ -2,10 +2,11 @@
 
 from behave import given, then, when
 from leaving_steps import cut_platform, heal_platform, live
-from stopping_steps import mark_disturbance, names_in
+from stopping_steps import mark_disturbance
 
 from standins.fleet import wait_until
 from tests.callers import StreamingCaller, check_whole
+from tests.steptext import names_in
 
 ENGINE_MEMORY = 16384  # tokens
 
--- a/tests/features/steps/stopping_steps.py
+++ b/tests/features/steps/stopping_steps.py
@@ -10,6 +10,7 @@
 from standins.fleet import wait_until
 from tests.balancer import Workload, is_ready
 from tests.callers import KEYS, StreamingCaller, check_whole
+from tests.steptext import names_in
 
 STOP_LIMIT = 90.0  # seconds
 WINDOW_SERVICE = """[/teams/sound-trust/services/planner]
@@ -20,11 +21,6 @@
 """
 
 
-def names_in(text):
-    """Split names."""
-    return [name.strip() for name in text.split(",")]
-
-
 def scheduling(context, daemons):
     """Return the daemon that schedules the planner."""
 
