--- a/tests/features/steps/catalog_steps.py
+++ b/tests/features/steps/catalog_steps.py
@@ -28,11 +28,7 @@
 
 
 OLD = SettingsValue(PLANNER, 5, service_text(5))
-
-
 DELETED = SettingsValue(PLANNER, 8, None)
-
-
 LATER = SettingsValue(HIREDESK, 9, service_text(9, "plain"))
 
 
