--- a/tests/balancer.py
+++ b/tests/balancer.py
@@ -8,7 +8,8 @@
 from attrs import define, field
 
 from standins.fleet import Fleet, call
-from tests.callers import KEYS, StreamingCaller, check_whole
+from tests.callers import StreamingCaller, check_whole
+from tests.refunds import pay
 
 PROBE_LIMIT = 1.0  # seconds
 PROBE_INTERVAL = 1.0  # seconds between questions to a daemon that was ready
@@ -107,8 +108,7 @@
 
     def _refund(self, address: str) -> None:
         key = f"refund-{next(self.turns)}"
-        headers = {"Authorization": f"Bearer {KEYS['depots']}", "Idempotency-Key": key}
-        answer = call(address, "POST", "/services/deposit-ledger/refunds", {"crates": 1}, headers)
+        answer = pay(address, key, {"crates": 1})
         assert answer.status == 200, answer.body
         with self.lock:
             self.refunds.append(key)
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -2,8 +2,8 @@
 
 from behave import then, when
 
-from standins.fleet import call
-from tests.callers import KEYS, StreamingCaller, check_whole
+from tests.callers import StreamingCaller, check_whole
+from tests.refunds import pay
 
 
 def caller(context, account, prompt, model, daemon, **options):
@@ -35,9 +35,6 @@
 
 @when('account "{account}" posts refund "{key}" through "{daemon}"')
 def post_refund(context, account, key, daemon):
-    headers = {"Authorization": f"Bearer {KEYS[account]}", "Idempotency-Key": key}
     address = context.fleet.processes[daemon].http
-    context.answer = call(
-        address, "POST", "/services/deposit-ledger/refunds", {"crates": 3}, headers
-    )
+    context.answer = pay(address, key, {"crates": 3}, account=account)
     assert context.answer.status == 200, context.answer.body
--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -3,6 +3,7 @@
 from behave import given, then, when
 
 from standins.fleet import wait_until
+from tests.refunds import times_run
 from tests.steptext import names_in
 
 EXAMPLES = ("examples/sound-trust.ini", "examples/bottle-returns.ini")
@@ -63,8 +64,7 @@
 
 @then('refund "{key}" ran {times:d} time')
 def refund_ran(context, key, times):
-    plain = [name for name in context.fleet.processes if name.startswith("ledger")]
-    ran = sum(context.fleet.counts(name)["ran"].get(key, 0) for name in plain)
+    ran = times_run(context.fleet, key)
     assert ran == times, f"{key} ran {ran} times"
 
 
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -4,8 +4,9 @@
 
 from behave import given, then, when
 
-from standins.fleet import call, wait_until
-from tests.callers import KEYS, StreamingCaller, check_whole
+from standins.fleet import wait_until
+from tests.callers import StreamingCaller, check_whole
+from tests.refunds import pay
 from tests.steptext import names_in
 
 LEAVING_DEPLOYMENT = """[/teams/sound-trust/deployments/planner]
@@ -156,10 +157,7 @@
 @when('{count:d} refunds are paid through "{daemon}"')
 def pay_refunds(context, count, daemon):
     for number in range(count):
-        headers = {"Authorization": f"Bearer {KEYS['depots']}", "Idempotency-Key": f"l-{number}"}
-        address = context.fleet.processes[daemon].http
-        path = "/services/deposit-ledger/refunds"
-        answer = call(address, "POST", path, {"crates": 1}, headers)
+        answer = pay(context.fleet.processes[daemon].http, f"l-{number}", {"crates": 1})
         assert answer.status == 200, answer.body
 
 
--- a/tests/refunds.py
+++ b/tests/refunds.py
@@ -10,21 +10,45 @@
 from tests.callers import KEYS
 
 PATH = "/services/deposit-ledger/refunds"
-LIMIT = 60.0  # seconds
+LIMIT = 60.0  # seconds for a post that may be held
+PAY_LIMIT = 30.0  # seconds for one that nothing holds
+
+
+def pay(
+    address: str,
+    key: str,
+    body: dict,
+    limit: float = PAY_LIMIT,
+    account: str = "depots",
+    headers: dict | None = None,
+) -> Answer:
+    """Post a refund as an account; the time limit is in seconds."""
+    found = {"Authorization": f"Bearer {KEYS[account]}"} | (headers or {})
+    if key:
+        found["Idempotency-Key"] = key
+    return call(address, "POST", PATH, body, found, limit)
 
 
 def post(address: str, key: str, body: dict | None = None, limit: float = LIMIT) -> Answer:
-    """Post a refund; its body names its key unless it is given."""
-    headers = {"Authorization": f"Bearer {KEYS['depots']}", "X-Request-Id": f"id-{key}"}
-    if key:
-        headers["Idempotency-Key"] = key
-    return call(address, "POST", PATH, body or {"refund": key}, headers, limit)
+    """Post a refund with a request id; its body names its key unless it is given."""
+    return pay(address, key, body or {"refund": key}, limit, headers={"X-Request-Id": f"id-{key}"})
+
+
+def look_up(fleet: Fleet, method: str) -> Answer:
+    """Make a repeatable call, for a balance, through daemon a."""
+    headers = {"Authorization": f"Bearer {KEYS['depots']}"}
+    path = "/services/deposit-ledger/balances/7"
+    return call(fleet.processes["a"].http, method, path, b"", headers)
+
+
+def ledgers(fleet: Fleet) -> list[str]:
+    """Return the names of the plain services."""
+    return [name for name in fleet.processes if name.startswith("ledger")]
 
 
 def times_run(fleet: Fleet, key: str) -> int:
     """Return how often a key ran, by the plain services' own counts."""
-    plain = [name for name in fleet.processes if name.startswith("ledger")]
-    return sum(fleet.counts(name)["ran"].get(key, 0) for name in plain)
+    return sum(fleet.counts(name)["ran"].get(key, 0) for name in ledgers(fleet))
 
 
 @define(eq=False)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -11,8 +11,9 @@
 
 from attrs import define, field
 
-from standins.fleet import Fleet, FleetError, call, wait_until
-from tests.callers import KEYS, StreamingCaller
+from standins.fleet import Fleet, FleetError, wait_until
+from tests.callers import StreamingCaller
+from tests.refunds import pay
 
 EXAMPLES = Path(__file__).parents[1] / "examples"
 SETTINGS_PATHS = 12
@@ -176,11 +177,8 @@
 
     def send_refund(self, refund: Refund, address: str) -> None:
         """Send a refund once and keep the answer."""
-        headers = {"Authorization": f"Bearer {KEYS['depots']}", "Idempotency-Key": refund.key}
-        body = {"key": refund.key}
-        path = "/services/deposit-ledger/refunds"
         try:
-            answer = call(address, "POST", path, body, headers, PATIENCE)
+            answer = pay(address, refund.key, {"key": refund.key}, PATIENCE)
             told = answer.json
             row = (answer.status, told.get("ran", "yes"), told.get("key", refund.key))
         except (OSError, ValueError):
