--- a/tests/features/steps/record_faults_steps.py
+++ b/tests/features/steps/record_faults_steps.py
@@ -19,8 +19,6 @@
     "the outcome is confirmed": ("kv", {"hold_after": True, "hold_skip": 1}),
 }
 NO_HOLD = {"hold_before": False, "hold_after": False}
-
-
 LINKS = {"platform": "link-kv", "service": "link-ledger-1"}
 
 
