--- a/tests/features/steps/fleet_steps.py
+++ b/tests/features/steps/fleet_steps.py
@@ -3,6 +3,8 @@
 from behave import given, then, when
 
 from standins.fleet import wait_until
+from tests.refunds import times_run
+from tests.steptext import names_in
 
 EXAMPLES = ("examples/sound-trust.ini", "examples/bottle-returns.ini")
 SETTINGS_PATHS = 12
@@ -29,7 +31,7 @@
 
 @given('daemons "{names}" in domain "{domain}" of region "{region}"')
 def start_daemons(context, names, domain, region):
-    daemons = [name.strip() for name in names.split(",")]
+    daemons = names_in(names)
     for name in daemons:
         context.fleet.daemon(name, domain, region)
     context.fleet.wait_settled(*daemons, paths=SETTINGS_PATHS)
@@ -62,8 +64,7 @@
 
 @then('refund "{key}" ran {times:d} time')
 def refund_ran(context, key, times):
-    plain = [name for name in context.fleet.processes if name.startswith("ledger")]
-    ran = sum(context.fleet.counts(name)["ran"].get(key, 0) for name in plain)
+    ran = times_run(context.fleet, key)
     assert ran == times, f"{key} ran {ran} times"
 
 
