Do not say of a refused resume that its generation never ran

Cause: a request with Last-Event-ID that was refused before its stream was looked up (the account's limit, no settings yet, a closed team) got the refusal's default, ran: no, although the generation it asks for had begun. Ruled out: refusals after the look-up, which said unknown or yes already. Change: the handlers of generations turn no into unknown when the request carries a cursor.

--- a/papayacourse/completions.py
+++ b/papayacourse/completions.py
@@ -15,7 +15,7 @@
 from papayacourse.exceptions import RequestRefused
 from papayacourse.settings import ServiceSettings
 from papayacourse.streams import Relay
-from papayacourse.types import GenerationRequest, HostKind
+from papayacourse.types import GenerationRequest, HostKind, Ran
 from papayacourse.web import Handler
 
 
@@ -45,6 +45,13 @@
             self.daemon.hold(self.relay, window)
             raise
 
+    def refuse(self, refused: RequestRefused) -> None:
+        """Write a refusal; of a resume, it cannot say that the generation never ran."""
+        if self.request.headers.get("Last-Event-ID") and refused.ran == Ran.NO:
+            # Another daemon may have begun it, and this one may know nothing of it yet.
+            refused.ran = Ran.UNKNOWN
+        super().refuse(refused)
+
     def on_connection_close(self) -> None:
         """Stop relaying to a caller who has gone (called by tornado)."""
         if self.task is not None:
--- a/tests/features/callers.feature
+++ b/tests/features/callers.feature
@@ -84,6 +84,11 @@
     Then another stream of "single" from "planner" through "a" is refused with status 429
     And the refusal came with Retry-After
 
+  Scenario: A resume that is refused does not say that its generation never ran
+    Given the settings "tests/settings/one-at-a-time.ini" are applied
+    When account "single" starts streaming "plan [len=2000]" from "planner" through "a"
+    Then resuming it once more through "a" is refused with status 429 that says ran "unknown"
+
   Scenario: Metrics tell each account's histograms apart
     When account "organisers" streams "plan [len=30]" from "planner" through "a"
     Then the metrics of "a" count 1 output of 30 tokens for "organisers"
--- a/tests/features/steps/callers_steps.py
+++ b/tests/features/steps/callers_steps.py
@@ -250,6 +250,16 @@
     assert (answer.status, answer.json["reason"]) == (status, reason), answer.json
 
 
+@then(
+    'resuming it once more through "{daemon}" is refused with status {status:d}'
+    ' that says ran "{ran}"'
+)
+def resume_refused(context, daemon, status, ran):
+    context.caller.wait_tokens(1)
+    answer = resume(context, daemon, context.caller.account, context.caller.cursor)
+    assert (answer.status, answer.json["ran"]) == (status, ran), answer.json
+
+
 @then(
     'another stream of "{account}" from "{model}" through "{daemon}" is refused with'
     " status {status:d}"
