Say that a generation may have run when its first caller goes mid-start

Cause: a caller who went while the engine's answer to the start was awaited left the relay with sent unset, since a cancelled exchange is not a BackendError. Whoever had joined by the key was told not_placed with ran: no, although the engine had begun it, and nobody cancelled it at the engine by its id. Likewise for a join to another daemon's start, and for a caller gone between two starts. Ruled out: the link's own failures, which set sent already. Change: a cancelled start counts as sent; a join counts as maybe run; joiners who still wait for the engine's answer are told at once, with what is known of the run.

--- a/papayacourse/streams.py
+++ b/papayacourse/streams.py
@@ -177,8 +177,7 @@
                     await self.changed.wait()
         except TimeoutError as error:
             detail = "the request that runs with this key has not found an engine yet"
-            ran = Ran.UNKNOWN if self.maybe_ran else Ran.NO
-            raise RequestRefused(503, "not_placed", detail, ran, RETRY_AFTER) from error
+            raise RequestRefused(503, "not_placed", detail, self._ran(), RETRY_AFTER) from error
 
     def _change(self) -> None:
         self.changed.set()
@@ -199,7 +198,8 @@
         if isinstance(place, Joined):
             # Another daemon starts it; its id may be that of a later start.
             self.generation = evolve(self.generation, stream=place.stream)
-            self.sent, self.reports = True, False
+            self.sent = self.maybe_ran = True
+            self.reports = False
         self._progress()
 
     async def _follow(self) -> AsyncIterator[list[EngineEvent]]:
@@ -254,7 +254,8 @@
             await link.__aenter__()
         except (BackendUnreachable, BackendRefused):
             raise
-        except BackendError:
+        except (BackendError, asyncio.CancelledError):
+            # Also when the caller goes in the middle of it: the start may have arrived.
             self.sent = self.maybe_ran = True
             raise
         async with aclosing(link):
@@ -308,7 +309,7 @@
         await self._finish("failed")
 
     def _pay_for_restart(self, error: EngineLost) -> None:
-        ran = Ran.UNKNOWN if self.maybe_ran else Ran.NO
+        ran = self._ran()
         if self.starts >= STARTS:
             detail = f"{self.starts} engines were lost before the first token"
             raise RequestRefused(503, "engine_lost", detail, ran, RETRY_AFTER) from error
@@ -316,15 +317,19 @@
             detail = "the engine was lost, and the service's retries are used up"
             raise RequestRefused(503, "retries_exhausted", detail, ran, RETRY_AFTER) from error
 
+    def _ran(self) -> Ran:
+        """Return what can be said before the first token: an engine may have begun the work."""
+        return Ran.UNKNOWN if self.maybe_ran else Ran.NO
+
     def _broken(self, error: Exception) -> RequestRefused:
         detail = f"the engine was lost after {self.position.offset} tokens"
         return RequestRefused(502, "engine_lost", detail, Ran.UNKNOWN, RETRY_AFTER)
 
     async def abandon(self, resume_window: float) -> None:
         """Hold the stream for a caller that has gone, then cancel it at the engine."""
-        if not self.sent:
-            detail = "the caller that asked first has gone before the request began"
-            self.failure = RequestRefused(503, "not_placed", detail, Ran.NO, RETRY_AFTER)
+        if not self.mark:
+            detail = "the caller that asked first has gone before an engine answered"
+            self.failure = RequestRefused(503, "not_placed", detail, self._ran(), RETRY_AFTER)
             self._change()
         if not self.reports or not self.sent or self.position.ended:
             return
--- a/tests/features/steps/stream_steps.py
+++ b/tests/features/steps/stream_steps.py
@@ -159,6 +159,17 @@
     context.caller.leave()
 
 
+@when('the key "{key}" asks again through "{daemon}", and the first caller goes away')
+def ask_again_and_go(context, key, daemon):
+    first = context.caller
+    headers = {"Idempotency-Key": key}
+    context.caller = new_caller(context, daemon, first.prompt, headers=headers).start()
+    fleet = context.fleet
+    wait_until("both are in progress", lambda: fleet.status(daemon)["in_progress"] == 2)
+    context.killed = time.monotonic()
+    first.leave()
+
+
 @when("the engine at work is killed")
 def kill_engine_at_work(context):
     at_work = [name for name in engines(context) if context.fleet.counts(name)["started"]]
--- a/tests/features/streams.feature
+++ b/tests/features/streams.feature
@@ -42,6 +42,14 @@
       | closed midway  | {"close_after": 9000}  |
       | delayed        | {"delay": 0.3}         |
 
+  Scenario: The caller who asked first goes while the engine's answer is held back
+    Given an engine "planner-1" behind proxy "link" in domain "lagos-1" of region "lagos"
+    And daemons "a" in domain "lagos-1" of region "lagos"
+    And stand-in "link" is set to {"mode": "stall-back"}
+    When key "k1" of "organisers" begins streaming "plan [len=50]" from "planner" through "a"
+    And the key "k1" asks again through "a", and the first caller goes away
+    Then within 5 seconds the answer ends in an error "not_placed" that says ran "unknown"
+
   Scenario: The engine's link stays stalled past the time-out
     Given an engine "planner-1" behind proxy "link" in domain "lagos-1" of region "lagos"
     And daemons "a" in domain "lagos-1" of region "lagos"
