Run a call here when its owner lacks the service's settings

Ruled out: the entry daemon's own settings, which it had checked. Change: an owner's unknown_model is no answer; the entry daemon runs the call, and the swap of the intent decides as ever.

--- a/papayacourse/once.py
+++ b/papayacourse/once.py
@@ -8,6 +8,7 @@
 
 from attrs import define, frozen
 
+from papayacourse import logs
 from papayacourse.buckets import bucket_of, bucket_prefix, key_hash
 from papayacourse.exceptions import PeerError, RequestRefused
 from papayacourse.membership import Membership
@@ -22,6 +23,7 @@
 MAX_ROUTED_ANSWER = 1024 * 1024  # bytes
 ANSWER_SLACK = 5.0  # seconds past the call's own time-out, for the records' writes
 LIVENESS_POLL = 0.25  # seconds
+UNKNOWN_SERVICE = "unknown_model"
 
 
 @frozen
@@ -71,6 +73,10 @@
             match answer:
                 case CallAnswer():
                     return answer
+                case CallRefused(reason=why) if why == UNKNOWN_SERVICE:
+                    # The owner, perhaps just started, lacks settings that are in force here. It
+                    # has not run the call, and the record keeps a second run away in any case.
+                    logs.info("owner lacks the service", owner=owner, service=key.service)
                 case CallRefused():
                     raise RequestRefused(
                         answer.status,
@@ -111,7 +117,7 @@
     def _settings(self, key: CallerKey) -> ServiceSettings:
         settings = self.membership.catalog.service(key.team, key.service)
         if settings is None:
-            raise RequestRefused(404, "unknown_model", f"there is no service {key.service!r}")
+            raise RequestRefused(404, UNKNOWN_SERVICE, f"there is no service {key.service!r}")
         return settings
 
     async def run_here(self, key: CallerKey, call: PlainCall) -> CallAnswer:
--- a/tests/features/notrun.feature
+++ b/tests/features/notrun.feature
@@ -21,6 +21,12 @@
     Then the last answer is 400 "key_in_future" with ran "no"
     And nothing ran
 
+  Scenario: With an owner that does not know the service yet
+    Given daemon "b" in domain "accra-1" reaches the key-value service through a proxy
+    When the plain service is deleted, and set again while "b" cannot read it
+    And 16 refunds are posted at once through "a"
+    Then every one of them succeeds
+
   Scenario: While the key-value service is down
     Given the key-value service is down
     When refund "r-1" is posted through "a"
--- a/tests/features/steps/records_steps.py
+++ b/tests/features/steps/records_steps.py
@@ -11,6 +11,7 @@
 from tests.randomfaults import RandomRun
 from tests.refunds import Refund, check_answer, post, times_run
 
+SETTINGS_PATHS = 12
 SERVICE = "/teams/bottle-returns/services/deposit-ledger"
 SERVICE_TEXT = "[service]\nkind = plain\nnon_repeatable = POST /refunds*\n"
 FREEZE_TIME = 11.0  # seconds, longer than every time-out on the way
@@ -380,3 +381,43 @@
 @then("no key ran twice and every answer was true")
 def run_was_right(context):
     context.run.check()
+
+
+@given('daemon "{name}" in domain "{domain}" reaches the key-value service through a proxy')
+def daemon_behind_proxy(context, name, domain):
+    fleet = context.fleet
+    way = fleet.proxy("way-kv", fleet.processes["kv"].http)
+    fleet.daemon(name, domain, "accra", kv=way.ready["address"])
+    fleet.wait_settled("a", name, paths=SETTINGS_PATHS)
+
+
+@when('the plain service is deleted, and set again while "{name}" cannot read it')
+def service_anew(context, name):
+    fleet = context.fleet
+    account = "/teams/bottle-returns/accounts/depots"
+    paths = (account, SERVICE.replace("services", "deployments"), SERVICE)
+    for path in paths:
+        done = fleet.settings("delete", path)
+        assert done.returncode == 0, done.stderr
+
+    def knows(daemon, count):
+        return fleet.status(daemon)["settings"]["paths"] == count
+
+    left = SETTINGS_PATHS - len(paths)
+    wait_until("both know", lambda: knows("a", left) and knows(name, left))
+    fleet.admin("way-kv", {"mode": "cut"})
+    fleet.apply("examples/bottle-returns.ini")
+    wait_until("the first knows", lambda: knows("a", SETTINGS_PATHS))
+
+
+@when('{count:d} refunds are posted at once through "{daemon}"')
+def refunds_at_once(context, count, daemon):
+    keys = [f"at-once-{number}" for number in range(count)]
+    with ThreadPoolExecutor(count) as pool:
+        context.at_once = list(pool.map(lambda key: post(address(context, daemon), key), keys))
+
+
+@then("every one of them succeeds")
+def all_succeed(context):
+    answers = [(answer.status, answer.body) for answer in context.at_once]
+    assert all(status == 200 for status, _ in answers), answers
