Let the randomised run break more, side by side, and check more

The run also kills two daemons and engines, freezes engines, lets engines leave and takes the host list away, in two lanes side by side; it checks that only killed daemons break connections, that no right call is answered 400, 401, 403 or 404, that what was said not to have run had not begun at any engine, and prints the logs of problems.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -21,6 +21,7 @@
 CRASH = re.compile(r"\[crash(?:=(\d+))?\]")
 PREFIX_BYTES = 256
 BYTES_PER_TOKEN = 4
+BEGUN_PART = 200  # characters of a prompt kept for the list of those begun
 
 
 @define(eq=False)
@@ -65,6 +66,7 @@
     preemptions: int = 0
     generated: int = 0
     started: int = 0
+    begun: list[str] = field(factory=list)
     peak_memory: int = 0
     history: deque = field(factory=lambda: deque(maxlen=1000))
     cache: OrderedDict = field(factory=OrderedDict)
@@ -110,6 +112,7 @@
         self.streams[generation.stream] = generation
         self.waiting.append(generation)
         self.started += 1
+        self.begun.append(prompt[:BEGUN_PART])
         self.work.set()
         return generation
 
@@ -438,8 +441,8 @@
     """The load without its lag, and the switches, for tests."""
 
     def get(self) -> None:
-        """Answer with the present load."""
-        self.finish(self.standin.load_now())
+        """Answer with the present load, and the beginning of every prompt begun."""
+        self.finish(self.standin.load_now() | {"begun": self.standin.begun})
 
     def post(self) -> None:
         """Set switches."""
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -13,10 +13,10 @@
 
 from standins.fleet import Fleet, FleetError, call, wait_until
 from tests.callers import KEYS, StreamingCaller
+from tests.soakfaults import DOMAINS, ENGINE_OPTIONS, HEAL_LIMIT, Faults
 
 EXAMPLES = Path(__file__).parents[1] / "examples"
 SETTINGS_PATHS = 12
-DOMAINS = {"lagos-1": "lagos", "accra-1": "accra"}
 DAEMONS_EACH = 3
 ENGINES_EACH = 3
 LEDGERS_EACH = 2
@@ -25,10 +25,10 @@
 REFUND_SENDS = 3
 RESUMES = 8
 PATIENCE = 25.0  # seconds a caller waits for a piece of its answer
-HEAL_LIMIT = 60.0  # seconds
+MISTAKEN = (400, 401, 403, 404)  # what no right call may be answered
+RAN_WORDS = ("no", "yes", "unknown")
+LOG_TAIL = 6000  # characters of a log that a report shows
 RACE_PATH = "/teams/sound-trust/accounts/raced"
-MIN_PAUSE, MAX_PAUSE = 0.5, 2.5  # seconds between faults
-VIOLATED = 70  # exit status of a daemon whose invariant was violated
 
 
 @define
@@ -39,6 +39,7 @@
     length: int
     texts: list[str] = field(factory=list)
     outcome: str = "open"
+    refusals: list[dict] = field(factory=list)
 
 
 @define
@@ -51,7 +52,7 @@
 
 
 @define(eq=False)
-class Soak:
+class Soak(Faults):
     """The run.
 
     Attributes
@@ -73,6 +74,8 @@
     stopping: threading.Event = field(factory=threading.Event)
     daemons: dict[str, str] = field(factory=dict)
     away: set[str] = field(factory=set)
+    killed: set[str] = field(factory=set)
+    begun: set[str] = field(factory=set)
 
     # The fleet.
 
@@ -91,7 +94,7 @@
         kv = self.fleet.proxy(f"kv-{domain}", self.fleet.processes["kv"].http)
         for number in range(ENGINES_EACH):
             name = f"planner-{domain}-{number}"
-            engine = self.fleet.engine(name, domain, region, "--step", "0.004")
+            engine = self.fleet.engine(name, domain, region, *ENGINE_OPTIONS)
             proxy = self.fleet.proxy(f"way-{name}", engine.http)
             self.fleet.list_host(name, "engine", proxy.ready["address"], domain, region)
         for number in range(LEDGERS_EACH):
@@ -140,12 +143,14 @@
                 self.pick(rng), "organisers", "planner", stream.prompt, last_event_id=cursor
             )
             caller.run()
+            self.check_caller(stream, caller)
             stream.texts += caller.texts
             cursor = caller.cursor or cursor
             if caller.done:
                 stream.outcome = "whole"
                 return
             if caller.error is not None:
+                stream.refusals.append(caller.error)
                 stream.outcome = f"{caller.error['reason']} ran {caller.error['ran']}"
                 return
             if not cursor:
@@ -154,6 +159,23 @@
             time.sleep(rng.uniform(0.1, 0.5))
         stream.outcome = "gave up"
 
+    def check_caller(self, stream: Stream, caller: StreamingCaller) -> None:
+        """Only a killed daemon breaks a connection; a right key is never unknown."""
+        ended = caller.done or caller.error is not None
+        if not ended and caller.address not in self.killed:
+            self.problems.append(
+                f"{stream.prompt}: cut off by {self.name_at(caller.address)}, which was not killed,"
+                f" status {caller.status}, {len(caller.texts)} tokens: {caller.broken}"
+            )
+        if caller.status in MISTAKEN:
+            where = self.name_at(caller.address)
+            self.problems.append(f"{stream.prompt}: {where} answered a right call {caller.error}")
+
+    def name_at(self, address: str) -> str:
+        """Return the name of the daemon at an address, or else the address."""
+        found = (name for name in self.daemons if self.fleet.processes[name].http == address)
+        return next(found, address)
+
     def refund_for_ever(self, number: int) -> None:
         """Send one refund after another, each several times, at once or in turn."""
         rng = random.Random(f"{self.seed} refund {number}")
@@ -200,121 +222,25 @@
                 self.written.append(int(done.stdout.split()[-1]))
             self.stopping.wait(rng.uniform(0.2, 1.0))
 
-    # The faults.
-
-    def break_things(self) -> None:
-        """Inject one fault after another until the time is up, then heal."""
-        rng = random.Random(f"{self.seed} faults")
-        kinds = (
-            self.kill_daemon,
-            self.stop_daemon,
-            self.freeze_daemon,
-            self.cut_link,
-            self.stall_link,
-            self.platform_outage,
-            self.lose_answers,
-            self.cut_platform,
-        )
-        end = time.monotonic() + self.seconds
-        while time.monotonic() < end:
-            kind = rng.choice(kinds)
-            self.faults.append(kind.__name__)
-            kind(rng)
-            time.sleep(rng.uniform(MIN_PAUSE, MAX_PAUSE))
-        self.heal()
-
-    def some_daemon(self, rng: random.Random) -> str:
-        """Return a daemon that is there."""
-        return rng.choice(sorted(name for name in self.daemons if name not in self.away))
-
-    def kill_daemon(self, rng: random.Random) -> None:
-        """Kill a daemon and start it again."""
-        name = self.some_daemon(rng)
-        self.away.add(name)
-        self.check_alive(name)
-        self.fleet.processes[name].kill()
-        self.restart(name)
-
-    def stop_daemon(self, rng: random.Random) -> None:
-        """Stop a daemon gracefully and start it again."""
-        name = self.some_daemon(rng)
-        self.away.add(name)
-        self.check_alive(name)
-        process = self.fleet.processes[name]
-        process.terminate()
-        status = process.wait(HEAL_LIMIT)
-        if status != 0:
-            self.problems.append(f"{name} stopped with status {status}")
-        self.restart(name)
-
-    def freeze_daemon(self, rng: random.Random) -> None:
-        """Freeze a daemon for a while."""
-        process = self.fleet.processes[self.some_daemon(rng)]
-        process.freeze()
-        time.sleep(rng.uniform(0.5, 6.0))
-        process.thaw()
-
-    def some_way(self, rng: random.Random) -> str:
-        """Return a proxy before a backend server."""
-        return rng.choice(sorted(name for name in self.fleet.processes if name.startswith("way-")))
-
-    def cut_link(self, rng: random.Random) -> None:
-        """Close every connection to a backend server once."""
-        name = self.some_way(rng)
-        self.fleet.admin(name, {"mode": "cut"})
-        time.sleep(rng.uniform(0.0, 0.3))
-        self.fleet.admin(name, {"mode": "pass"})
-
-    def stall_link(self, rng: random.Random) -> None:
-        """Hold what a backend server sends for a while."""
-        name = self.some_way(rng)
-        self.fleet.admin(name, {"mode": rng.choice(("stall", "stall-back"))})
-        time.sleep(rng.uniform(0.5, 3.0))
-        self.fleet.admin(name, {"mode": "pass"})
-
-    def platform_outage(self, rng: random.Random) -> None:
-        """Put the key-value service out of service for a while."""
-        self.fleet.admin("kv", {"outage": True})
-        time.sleep(rng.uniform(0.5, 3.0))
-        self.fleet.admin("kv", {"outage": False})
-
-    def lose_answers(self, rng: random.Random) -> None:
-        """Lose the key-value service's next answers, after the writes took effect."""
-        self.fleet.admin("kv", {"lose_answers": rng.randint(1, 4)})
-
-    def cut_platform(self, rng: random.Random) -> None:
-        """Cut one domain off from the key-value service for a while."""
-        name = f"kv-{rng.choice(sorted(DOMAINS))}"
-        self.fleet.admin(name, {"mode": "cut"})
-        time.sleep(rng.uniform(1.0, 4.0))
-        self.fleet.admin(name, {"mode": "pass"})
-
-    def check_alive(self, name: str) -> None:
-        """Note a daemon that has ended by itself."""
-        status = self.fleet.processes[name].popen.poll()
-        if status is not None:
-            word = "violated an invariant" if status == VIOLATED else f"ended with {status}"
-            self.problems.append(f"{name} {word}")
-
-    def heal(self) -> None:
-        """Take every fault away."""
-        for name in self.fleet.processes:
-            if name.startswith(("way-", "kv-")):
-                self.fleet.admin(name, {"mode": "pass"})
-        self.fleet.admin("kv", {"outage": False, "lose_answers": 0})
-
     # The promises.
 
+    def worker(self, work, *arguments) -> threading.Thread:
+        """Return a thread whose failure is a problem of the run."""
+
+        def guarded() -> None:
+            try:
+                work(*arguments)
+            except Exception as error:
+                self.problems.append(f"{work.__name__} {arguments[0]} failed: {error!r}")
+
+        return threading.Thread(target=guarded)
+
     def run(self) -> None:
         """Run everything, then check."""
         self.start()
-        work = [
-            threading.Thread(target=self.stream_for_ever, args=(n,)) for n in range(STREAMS_AT_ONCE)
-        ]
-        work += [
-            threading.Thread(target=self.refund_for_ever, args=(n,)) for n in range(REFUNDS_AT_ONCE)
-        ]
-        work += [threading.Thread(target=self.race_for_ever, args=(n,)) for n in range(2)]
+        work = [self.worker(self.stream_for_ever, n) for n in range(STREAMS_AT_ONCE)]
+        work += [self.worker(self.refund_for_ever, n) for n in range(REFUNDS_AT_ONCE)]
+        work += [self.worker(self.race_for_ever, n) for n in range(2)]
         for thread in work:
             thread.start()
         try:
@@ -329,6 +255,9 @@
         """Check every promise from the callers', the backends' and the operators' records."""
         for name in self.daemons:
             self.check_alive(name)
+        for name in self.fleet.processes:
+            if name.startswith("planner-"):
+                self.note_begun(name)
         for stream in self.streams:
             self.check_stream(stream)
         ran = self.times_run()
@@ -351,6 +280,16 @@
             self.problems.append(f"{stream.prompt}: no end after {RESUMES} resumes")
         if stream.outcome.endswith("ran no") and stream.texts:
             self.problems.append(f"{stream.prompt}: said not run after {len(offsets)} tokens")
+        elif stream.outcome.endswith("ran no") and any(stream.prompt in p for p in self.begun):
+            self.problems.append(f"{stream.prompt}: said not run, but an engine had begun it")
+        if stream.outcome == "open":
+            self.problems.append(f"{stream.prompt}: nothing is known of its end")
+        if any(refusal["ran"] not in RAN_WORDS for refusal in stream.refusals):
+            self.problems.append(f"{stream.prompt}: no word on whether it ran")
+
+    def note_begun(self, name: str) -> None:
+        """Note the prompts that an engine has begun so far."""
+        self.begun.update(self.fleet.counts(name)["begun"])
 
     def times_run(self) -> dict[str, int]:
         """Return how often each key ran, by the backend servers' own counts."""
@@ -369,6 +308,8 @@
             self.problems.append(f"{refund.key} was answered 200 and ran {times} times")
         if times and all(told == "no" for _, told, _ in refund.answers):
             self.problems.append(f"{refund.key} ran, and every answer said that it did not")
+        if any(status in MISTAKEN for status, _, _ in refund.answers):
+            self.problems.append(f"{refund.key}: a right call was answered {refund.answers}")
         if any(key != refund.key for _, _, key in refund.answers):
             self.problems.append(f"{refund.key} got another refund's answer")
 
@@ -402,6 +343,12 @@
         except FleetError as error:
             self.problems.append(str(error))
 
+    def log_tails(self) -> dict[str, str]:
+        """Return the ends of the logs of the daemons that a problem names, or else of all."""
+        named = [name for name in self.daemons if any(name in p for p in self.problems)]
+        names = (named or list(self.daemons)) if self.problems else []
+        return {n: self.fleet.processes[n].log.read_text()[-LOG_TAIL:] for n in names}
+
     def summary(self) -> dict:
         """Return what happened, for the report."""
         outcomes: dict[str, int] = defaultdict(int)
@@ -417,7 +364,9 @@
             "streams": dict(outcomes),
             "refund answers": dict(told),
             "settings written": len(self.written),
+            "kinds": self.faults,
             "problems": self.problems,
+            "logs": self.log_tails(),
         }
 
 
@@ -436,7 +385,10 @@
     options.add_argument("--seconds", type=float, default=120.0)
     parsed = options.parse_args()
     summary = run(parsed.seed, parsed.seconds)
+    logs = summary.pop("logs")
     print(json.dumps(summary, indent=2))
+    for name, tail in logs.items():
+        print(f"--- {name}\n{tail}")
     return 1 if summary["problems"] else 0
 
 
