--- a/tests/run.py
+++ b/tests/run.py
@@ -13,7 +13,7 @@
 TESTS = Path(__file__).parent
 OUT = TESTS.parent / "out" / "tests"
 KNOWN_RED = TESTS.parent / "KNOWN-RED.txt"
-AT_ONCE = 3
+AT_ONCE = 5
 FEATURE_LIMIT = 1200  # seconds
 
 
