--- a/papayacourse/once.py
+++ b/papayacourse/once.py
@@ -25,6 +25,9 @@
 LIVENESS_POLL = 0.25  # seconds
 UNKNOWN_SERVICE = "unknown_model"
 
+# What an owner says that has not heard of a service or of its backend servers yet.
+NOT_INFORMED = frozenset({UNKNOWN_SERVICE, "no_backend"})
+
 
 @frozen
 class CallerKey:
@@ -73,10 +76,12 @@
             match answer:
                 case CallAnswer():
                     return answer
-                case CallRefused(reason=why) if why == UNKNOWN_SERVICE:
+                case CallRefused(reason=why, ran=Ran.NO) if why in NOT_INFORMED:
                     # The owner, perhaps just started, lacks settings that are in force here. It
                     # has not run the call, and the record keeps a second run away in any case.
-                    logs.info("owner lacks the service", owner=owner, service=key.service)
+                    logs.info(
+                        "owner does not know the service yet", owner=owner, service=key.service
+                    )
                 case CallRefused():
                     raise RequestRefused(
                         answer.status,
