--- a/bench/settings.py
+++ b/bench/settings.py
@@ -11,9 +11,10 @@
 from papayacourse.editor import Editor, checked
 from papayacourse.exceptions import BackendError
 from papayacourse.kvstore import KeyValueStore
-from papayacourse.messages import Frame, SettingsDigest, SettingsSummary, SettingsValue, encode
+from papayacourse.messages import SettingsDigest, SettingsSummary, SettingsValue
 from papayacourse.rollout import ask_daemon
 from papayacourse.types import Address
+from papayacourse.wire import Frame, encode
 from standins.fleet import MESH_KEY, Fleet, wait_until
 
 ROOT = Path(__file__).parents[1]
--- a/papayacourse/connections.py
+++ b/papayacourse/connections.py
@@ -7,8 +7,8 @@
 from websockets.exceptions import InvalidHandshake
 
 from papayacourse.exceptions import PeerUnreachable
-from papayacourse.messages import MAX_FRAME_BYTES
 from papayacourse.types import Address
+from papayacourse.wire import MAX_FRAME_BYTES
 
 CONNECT_TIMEOUT = 1.0  # seconds
 CLOSE_TIMEOUT = 0.5  # seconds
--- a/papayacourse/handshake.py
+++ b/papayacourse/handshake.py
@@ -7,7 +7,8 @@
 from websockets.asyncio.connection import Connection
 
 from papayacourse.exceptions import MalformedMessage
-from papayacourse.messages import Frame, Hello, Proof, decode, encode
+from papayacourse.messages import Hello, Proof
+from papayacourse.wire import Frame, decode, encode
 
 NONCE_BYTES = 16
 
--- a/papayacourse/link.py
+++ b/papayacourse/link.py
@@ -9,7 +9,8 @@
 
 from papayacourse import logs
 from papayacourse.exceptions import PeerTimeout, PeerUnreachable
-from papayacourse.messages import Frame, Hello, Message, encode
+from papayacourse.messages import Hello, Message
+from papayacourse.wire import Frame, encode
 
 MAX_OUTBOX = 4096  # frames waiting to be written, per link
 MAX_OUTBOX_BYTES = 8 * 1024 * 1024
--- a/papayacourse/peers.py
+++ b/papayacourse/peers.py
@@ -18,16 +18,10 @@
 from papayacourse.exceptions import MalformedMessage, PeerError, PeerUnreachable
 from papayacourse.handshake import read_binary, shake_hands
 from papayacourse.link import Link
-from papayacourse.messages import (
-    CallFailed,
-    Done,
-    Frame,
-    Hello,
-    Message,
-    decode,
-)
+from papayacourse.messages import CallFailed, Done, Hello, Message
 from papayacourse.tasks import cancel_all
 from papayacourse.types import Address
+from papayacourse.wire import Frame, decode
 
 HANDSHAKE_TIMEOUT = 2.0  # seconds
 MAX_CALLS_IN_PROGRESS = 4096  # calls from one peer
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -8,16 +8,8 @@
 from websockets.sync.client import connect
 
 from papayacourse.handshake import prove
-from papayacourse.messages import (
-    MAX_FRAME_BYTES,
-    PROTOCOL_VERSION,
-    Beat,
-    Frame,
-    Hello,
-    Proof,
-    decode,
-    encode,
-)
+from papayacourse.messages import Beat, Hello, Proof
+from papayacourse.wire import MAX_FRAME_BYTES, PROTOCOL_VERSION, Frame, decode, encode
 from standins.fleet import MESH_KEY, wait_until
 from tests.steptext import names_in
 
