Count requests and preemptions

Cause: two counters stood on the operators' page that nothing wrote to.

Change: each caller's request is counted with its status; the scheduler's engine watch counts what an engine's load report says it has preempted since the last one.

--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -221,6 +221,10 @@
     def _make_scheduler(self, team: str, service: str) -> Scheduler:
         scheduler = Scheduler(team, service, self.catalog, self.membership, self.placement.tell)
         scheduler.is_suspect = self.quarantine.is_suspect
+        attributes = {"team": team, "service": service}
+        scheduler.watch.count = lambda engine, number: self.metrics.preemptions.add(
+            number, attributes | {"engine": engine}
+        )
         return scheduler
 
     def token_clock(self, generation: GenerationRequest) -> TokenClock:
--- a/papayacourse/enginewatch.py
+++ b/papayacourse/enginewatch.py
@@ -42,12 +42,23 @@
     task: asyncio.Task | None = None
 
 
+def count_nothing(_engine: str, _preemptions: int) -> None:
+    """Count nothing, until the daemon says where to."""
+
+
 @define(eq=False)
 class EngineWatch:
-    """Polls the engines of one service, each on its own, so that a silent one delays none."""
+    """Polls the engines of one service, each on its own, so that a silent one delays none.
+
+    Attributes
+    ----------
+    count : callable
+        Called with an engine's name and its preemptions since the last report, for metrics.
+    """
 
     prefixes: PrefixIndex
     clock: Callable[[], float] = time.monotonic
+    count: Callable[[str, int], None] = count_nothing
     watched: dict[str, Watched] = field(factory=dict)
 
     # Queries.
@@ -113,7 +124,10 @@
         # An engine that preempts, or queues although its memory is full, was given too much:
         # nothing more until it reports that it has recovered.
         full = load.waiting > 0 and load.memory_used > FULL * load.memory_total
-        ledger.held = full or (0 <= seen.preemptions < load.preemptions)
+        preempted = load.preemptions - seen.preemptions if seen.preemptions >= 0 else 0
+        ledger.held = full or preempted > 0
+        if preempted > 0:
+            self.count(ledger.name, preempted)
         seen.preemptions = load.preemptions
         seen.own_tokens.append(ledger.expected_tokens(self.clock()))
         # The report is about some moment of the last few: only what none of them explains is
--- a/papayacourse/web.py
+++ b/papayacourse/web.py
@@ -63,8 +63,10 @@
             self.body_deadline = None
 
     def on_finish(self) -> None:
-        """Clean up (called by tornado)."""
+        """Clean up and count (called by tornado)."""
         self.stop_deadline()
+        if self.needs_account:
+            self.daemon.metrics.requests.add(1, {"status": self.get_status()})
 
     def too_large(self) -> RequestRefused:
         """Return the refusal of a body over the limit."""
--- a/tests/features/callers.feature
+++ b/tests/features/callers.feature
@@ -93,3 +93,5 @@
     When account "organisers" streams "plan [len=30]" from "planner" through "a"
     Then the metrics of "a" count 1 output of 30 tokens for "organisers"
     And the metrics of "a" count 1 wait in the queue for "organisers"
+    And the metrics of "a" count 1 request answered 200
+    When an engine preempts, "a" counts it
--- a/tests/features/steps/callers_steps.py
+++ b/tests/features/steps/callers_steps.py
@@ -302,3 +302,30 @@
 def metrics_waits(context, daemon, waits, account):
     found = metrics_of(context, daemon, account)
     assert found["papayacourse_queue_wait_seconds_count"] == waits, found
+
+
+@then('the metrics of "{daemon}" count {count:d} request answered {status:d}')
+def metrics_requests(context, daemon, count, status):
+    text = call(context.fleet.processes[daemon].http, "GET", "/metrics").body.decode()
+    rows = [r for r in text.splitlines() if r.startswith("papayacourse_requests_total")]
+    found = [float(r.rsplit(" ", 1)[1]) for r in rows if f'status="{status}"' in r]
+    assert found == [count], rows
+
+
+@when('an engine preempts, "{daemon}" counts it')
+def metrics_preemptions(context, daemon):
+    """Raise the engine's own count until a later load report has shown the difference."""
+    engine = next(name for name in context.fleet.processes if name.startswith("planner"))
+    # The lagging reports come from the steps of a batch, so the engine is asked to be fresh.
+    context.fleet.processes[engine].kill()
+    name = "planner-fresh"
+    context.fleet.engine(name, "lagos-1", "lagos")
+
+    def counted() -> bool:
+        told = context.fleet.counts(name)["preemptions"]
+        context.fleet.admin(name, {"preemptions": told + 1})
+        text = call(context.fleet.processes[daemon].http, "GET", "/metrics").body.decode()
+        rows = [r for r in text.splitlines() if r.startswith("papayacourse_preemptions_total")]
+        return any(f'engine="{name}"' in r and float(r.rsplit(" ", 1)[1]) >= 1 for r in rows)
+
+    wait_until("a preemption is counted", counted)
