--- a/papayacourse/orders.py
+++ b/papayacourse/orders.py
@@ -148,7 +148,7 @@
         self.changing.clear()
         keeper = asyncio.create_task(self.lease.keep())
         try:
-            while self.lease.holds():
+            while self.lease.holds() and self.membership.takes_duties():
                 await self.look()
                 await asyncio.sleep(ROUND_INTERVAL)
         finally:
--- a/tests/features/orders.feature
+++ b/tests/features/orders.feature
@@ -25,6 +25,14 @@
     Then one of "c, d" holds the orders lease
     And every engine "planner" was ordered 1 time
 
+  Scenario: A holder that is asked to stop hands the duty on while its stream goes on
+    Given 2 engines "planner" that check fencing numbers
+    And daemons "a, b, c" in domain "lagos-1" of region "lagos"
+    When the holder of the orders lease relays a plan of 3000 tokens and is asked to stop
+    Then another daemon holds the orders lease
+    And the plan has not ended yet
+    And the answer has 3000 tokens of one generation in order
+
   Scenario Outline: A holder paused past its lease does no harm when it wakes
     Given 2 engines "planner" that <kind> fencing numbers
     And daemons "a, b, c" in domain "lagos-1" of region "lagos"
--- a/tests/features/steps/orders_steps.py
+++ b/tests/features/steps/orders_steps.py
@@ -3,6 +3,7 @@
 from behave import given, then, when
 
 from standins.fleet import call, wait_until
+from tests.callers import StreamingCaller
 from tests.features.steps.fleet_steps import start_daemons
 
 LIMIT = 60.0  # seconds
@@ -110,6 +111,21 @@
     context.fleet.processes[context.frozen].freeze()
 
 
+@when("the holder of the orders lease relays a plan of {count:d} tokens and is asked to stop")
+def stop_holder(context, count):
+    context.frozen = wait_until("a holder", lambda: holder(context, ["a", "b", "c"]), LIMIT)
+    process = context.fleet.processes[context.frozen]
+    context.caller = StreamingCaller(process.http, "organisers", "planner", f"plan [len={count}]")
+    context.caller.start()
+    context.caller.wait_tokens(5)
+    process.terminate()
+
+
+@then("the plan has not ended yet")
+def plan_goes_on(context):
+    assert not context.caller.done and not context.caller.broken, context.caller.broken
+
+
 @then("another daemon holds the orders lease")
 def another_holds(context):
     others = [name for name in ("a", "b", "c") if name != context.frozen]
