Close what connects through the stand-in proxy while a cut begins

Cause: "Two domains cut from each other and from the platform serve, and heal" failed once in a run of the whole suite: one daemon saw the other domain for 20 s after the cut. The proxy looked for a cut when a connection came, then connected onward, then noted the pair; a cut in between neither refused nor closed it, so one link lived on through the cut. Daemons dial just then, since the scenario cuts as soon as the domains have seen each other.

Ruled out: news of a domain passed round between its daemons; only a daemon that still hears the other domain itself passes its news on.

Change: the proxy looks again once it is connected.

--- a/standins/faultproxy.py
+++ b/standins/faultproxy.py
@@ -50,7 +50,7 @@
     async def handle_stream(self, stream, address) -> None:
         """Forward one connection."""
         source = address[0]
-        if self.mode == "cut" and source not in self.spared:
+        if self._is_cut(source):
             stream.close()
             return
         host, _, port = self.target.rpartition(":")
@@ -59,6 +59,11 @@
         except OSError:
             stream.close()
             return
+        if self._is_cut(source):
+            # The cut came while the onward connection was being made.
+            stream.close()
+            onward.close()
+            return
         pair = (stream, onward, source)
         self.connections.add(pair)
         for one in (stream, onward):
@@ -66,6 +71,9 @@
         await asyncio.gather(self.pump(stream, onward, False), self.pump(onward, stream, True))
         self.connections.discard(pair)
 
+    def _is_cut(self, source: str) -> bool:
+        return self.mode == "cut" and source not in self.spared
+
     async def pump(self, source, sink, back: bool) -> None:
         """Copy one direction."""
         sent = 0
@@ -130,7 +138,7 @@
     def cut_all(self) -> None:
         """Close every connection."""
         for stream, onward, source in list(self.connections):
-            if source not in self.spared:
+            if self._is_cut(source):
                 stream.close()
                 onward.close()
 
