Make a grant cheaper: forecasts kept for as long as they say enough, and made faster

Cause: a grant renewed every forecast older than 0.25 s, so 3.8 of 44 engines for each grant at 46 a second, a Python object for each stream in it. Now a forecast is used to compare engines until its streams may have grown by 1% of the memory, 0.25 to 1 s; the engine chosen is verified by one that is at most 0.25 s old, as before. The streams of an engine are one array, and an account's prediction is renewed after a sixteenth of the outputs known instead of 8, which cost more than the forecast once outputs keep ending. bench.grants ends an output for each grant now, which it left out.

--- a/bench/grants.py
+++ b/bench/grants.py
@@ -49,7 +49,8 @@
         ledger = choose(ledgers, candidate, lengths, number, number / GRANTS_PER_SECOND, prefixes)
         put(ledger, candidate)
         spent += time.process_time() - begun
-        take_off(ledger, next(iter(ledger.streams)))
+        ended = take_off(ledger, next(iter(ledger.streams)))
+        lengths.add(ended.generation.account, int(rng.lognormvariate(4.5, 1)))
     return spent / GRANTS
 
 
--- a/papayacourse/admission.py
+++ b/papayacourse/admission.py
@@ -4,7 +4,15 @@
 
 import numpy as np
 
-from papayacourse.ledger import FIRST_PACE, EngineLedger, Stream, bring_up_to_date, forecasts
+from papayacourse.ledger import (
+    FIRST_PACE,
+    EngineLedger,
+    Stream,
+    bring_up_to_date,
+    forecasts,
+    is_fresh,
+    renew,
+)
 from papayacourse.lengths import LengthModel
 from papayacourse.policies import (
     LeastOutstanding,
@@ -45,10 +53,9 @@
     ledgers: list[EngineLedger], candidate: Stream, lengths: LengthModel, now: float
 ) -> np.ndarray:
     """Predict the highest memory use of each engine with one more stream, in tokens."""
-    candidate.forecast = forecasts([candidate], lengths, now, FIRST_PACE)[0]
     together = [bring_up_to_date(ledger, lengths, now) for ledger in ledgers]
-    mean = np.stack([forecast.mean for forecast in together]) + candidate.forecast.mean
-    variance = np.stack([f.variance for f in together]) + candidate.forecast.variance
+    mean = np.array([forecast.mean for forecast in together]) + candidate.forecast.mean
+    variance = np.array([f.variance for f in together]) + candidate.forecast.variance
     foreign = np.array([ledger.foreign_tokens for ledger in ledgers])
     spread = np.array([ledger.spread for ledger in ledgers])[:, None]
     return np.max(mean + spread * np.sqrt(variance), axis=1) + foreign
@@ -63,6 +70,7 @@
         return []
     match open_ledgers[0].policy:
         case Predicted():
+            candidate.forecast = forecasts([candidate], lengths, now, FIRST_PACE).row(0)
             found = peaks(open_ledgers, candidate, lengths, now)
             return [
                 ledger
@@ -120,11 +128,34 @@
         case LeastOutstanding():
             return min(found, key=lambda ledger: len(ledger.streams))
         case Predicted():
-            return nearest(found, candidate, now, prefixes)
+            return verified(found, candidate, lengths, now, prefixes)
         case ReserveMaximum() | MeanLength():
             return min(found, key=lambda ledger: ledger.tokens / ledger.memory_tokens)
 
 
+def verified(
+    ledgers: list[EngineLedger],
+    candidate: Stream,
+    lengths: LengthModel,
+    now: float,
+    prefixes: PrefixIndex | None,
+) -> EngineLedger | None:
+    """Return the best engine on which the stream fits by a fresh forecast.
+
+    Streams grow, so an old forecast is too low: good enough to compare engines, not to fill one.
+    """
+    left = list(ledgers)
+    while left:
+        ledger = nearest(left, candidate, now, prefixes)
+        if is_fresh(ledger, now):
+            return ledger
+        renew(ledger, lengths, now)
+        if not ledger.streams or peaks([ledger], candidate, lengths, now)[0] <= ledger.budget:
+            return ledger
+        left.remove(ledger)
+    return None
+
+
 def nearest(
     ledgers: list[EngineLedger], candidate: Stream, now: float, prefixes: PrefixIndex | None
 ) -> EngineLedger:
--- a/papayacourse/lengths.py
+++ b/papayacourse/lengths.py
@@ -8,7 +8,8 @@
 FORGETTING = 0.999  # weight an earlier output keeps at each new one
 PRIOR_WEIGHT = 8.0  # outputs that the prior counts for
 SERVICE_WEIGHT = 8.0  # outputs that the service counts for in an account's prediction
-RENEW_AFTER = 8  # outputs of the service after which an account's prediction is renewed
+RENEW_AFTER = 8  # outputs of the service after which an account's prediction may be renewed
+RENEW_PART = 1 / 16  # part of the outputs known that must be new for that
 
 # Edges grow geometrically: outputs span from a few tokens to tens of thousands, and a fixed
 # relative error is what memory prediction needs.
@@ -18,6 +19,7 @@
 
 
 TAIL_EDGES = np.append(EDGES, MAX_TOKENS * 2)
+WIDTHS = np.diff(TAIL_EDGES)
 
 
 def log_uniform() -> np.ndarray:
@@ -27,7 +29,8 @@
 
 def tail_of(counts: np.ndarray) -> np.ndarray:
     """Return the probability that an output is longer than each of ``TAIL_EDGES``."""
-    tail = np.append(np.cumsum(counts[::-1])[::-1], 0.0)
+    tail = np.zeros(len(counts) + 1)
+    tail[:-1] = counts[::-1].cumsum()[::-1]
     return tail / tail[0]
 
 
@@ -78,10 +81,11 @@
     ndarray of float, shape (n, m)
         Probabilities, interpolated within a bin.
     """
-    bins = np.clip(np.searchsorted(TAIL_EDGES, lengths, side="right") - 1, 0, len(EDGES) - 1)
-    low, high = TAIL_EDGES[bins], TAIL_EDGES[bins + 1]
-    part = np.clip((lengths - low) / (high - low), 0.0, 1.0)
-    above, below = np.take_along_axis(tails, bins, 1), np.take_along_axis(tails, bins + 1, 1)
+    bins = np.searchsorted(EDGES[1:], lengths, side="right")
+    part = np.minimum(np.maximum((lengths - TAIL_EDGES[bins]) / WIDTHS[bins], 0.0), 1.0)
+    # Indices into the flat array: np.take_along_axis costs several times as much here.
+    at = bins + np.arange(0, tails.size, tails.shape[1])[:, None]
+    above, below = tails.take(at), tails.take(at + 1)
     return above + (below - above) * part
 
 
@@ -118,17 +122,22 @@
         Each account's own outputs; its prediction leans on the service's.
     outputs : int
         Outputs counted so far.
+    stale_at : float
+        The count at which predictions were made that have to be renewed by now.
     """
 
     service: LengthHistogram = field(factory=LengthHistogram)
     accounts: dict[str, LengthHistogram] = field(factory=dict)
     outputs: int = 0
+    stale_at: float = -RENEW_AFTER
 
     def add(self, account: str, length: int) -> None:
         """Count a finished output of an account, in tokens."""
         self.of(account).add(length)
         self.service.add(length)
         self.outputs += 1
+        known = min(self.outputs, 1 / (1 - FORGETTING))
+        self.stale_at = self.outputs - max(RENEW_AFTER, RENEW_PART * known)
 
     def of(self, account: str) -> LengthHistogram:
         """Return the histogram that predicts an account's outputs.
@@ -139,12 +148,17 @@
         if account not in self.accounts:
             self.accounts[account] = LengthHistogram(np.zeros(len(EDGES)))
         own = self.accounts[account]
-        if own.cached_tail is None or self.outputs - own.renewed_at >= RENEW_AFTER:
+        if own.cached_tail is None or own.renewed_at <= self.stale_at:
             shape = self.service.counts / self.service.counts.sum()
             own.cached_tail = tail_of(own.counts + SERVICE_WEIGHT * shape)
             own.renewed_at = self.outputs
         return own
 
+    def tails(self, accounts: list[str]) -> np.ndarray:
+        """Return the tails that predict the outputs of accounts, one row for each."""
+        known = {account: self.of(account).cached_tail for account in set(accounts)}
+        return np.array([known[account] for account in accounts])
+
     def keep(self, accounts: set[str]) -> None:
         """Forget the accounts that are no longer there."""
         for name in self.accounts.keys() - accounts:
--- a/tests/features/scheduling.feature
+++ b/tests/features/scheduling.feature
@@ -77,3 +77,8 @@
       | price | some |
       | 0.2   | some |
       | 600   | none |
+
+  Scenario: Forecasts in use let in what forecasts made anew would let in
+    When seeded engines of 60000 tokens decide on requests by the forecasts in use
+    Then at most 2 in 100 decisions differ from those by forecasts made anew
+    And no engine is predicted to pass its budget by more than 2% of its memory
