Write messages as arrays in field order

Cause: field names and message names made more than half of a small message.

A frame is now an array of version, kind, call number (below zero for an answer), fields in order and, where there is one, the request's id. The protocol version is 2.

The links test sent an unknown message and a wrong field in frames that were malformed already; it now sends well-formed frames with just that wrong.

--- a/papayacourse/wire.py
+++ b/papayacourse/wire.py
@@ -1,18 +1,26 @@
-"""The form of messages between daemons on the wire: frames in CBOR."""
+"""The form of messages between daemons on the wire: frames in CBOR.
+
+A frame is an array: protocol version, kind of message, call number, the message's fields in their
+order and, where there is one, the request's id. A kind is a place in ``Message``. So a message is
+added at the end of that union, and a field at the end of its class and with a default; any other
+change needs a new protocol version.
+"""
 
 import cbor2
 from attrs import frozen
+from cattrs import UnstructureStrategy
 from cattrs.errors import BaseValidationError
 from cattrs.preconf.cbor2 import make_converter
 
 from papayacourse.exceptions import MalformedMessage
 from papayacourse.messages import Message
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 MAX_FRAME_BYTES = 2 * 1024 * 1024
 
-CLASSES = {cls.__name__: cls for cls in Message.__args__}
-converter = make_converter()
+CLASSES = Message.__args__
+KINDS = {cls: kind for kind, cls in enumerate(CLASSES)}
+converter = make_converter(unstruct_strat=UnstructureStrategy.AS_TUPLE)
 
 
 @frozen
@@ -36,10 +44,11 @@
 
 
 def encode(frame: Frame) -> bytes:
-    """Write a frame as CBOR."""
+    """Write a frame as CBOR; an answer has its call's number below zero."""
     body = converter.unstructure(frame.message)
-    name = type(frame.message).__name__
-    return cbor2.dumps([PROTOCOL_VERSION, frame.call, frame.is_answer, name, body, frame.request])
+    call = -frame.call if frame.is_answer else frame.call
+    parts = [PROTOCOL_VERSION, KINDS[type(frame.message)], call, body]
+    return cbor2.dumps([*parts, frame.request] if frame.request else parts)
 
 
 def decode(data: bytes) -> Frame:
@@ -51,16 +60,19 @@
         When it is not a frame of this version with a message known here.
     """
     try:
-        version, call, is_answer, name, body, request = cbor2.loads(data)
+        version, kind, call, body, *rest = cbor2.loads(data)
         if version != PROTOCOL_VERSION:
             raise MalformedMessage(f"protocol version {version!r} is not {PROTOCOL_VERSION}")
-        if (type(call), type(is_answer), type(request)) != (int, bool, str):
-            raise MalformedMessage(
-                "the frame's call number, answer mark or request has a wrong type"
-            )
-        message = converter.structure(body, CLASSES[name])
+        request = rest[0] if rest else ""
+        if (type(kind), type(call), type(request)) != (int, int, str) or len(rest) > 1:
+            raise MalformedMessage("the frame's kind, call number or request has a wrong type")
+        if not 0 <= kind < len(CLASSES):
+            raise MalformedMessage(f"no message has kind {kind}")
+        if type(body) is not list:
+            raise MalformedMessage("the message's fields are not an array")
+        message = converter.structure(body, CLASSES[kind])
     except MalformedMessage:
         raise
-    except (cbor2.CBORDecodeError, BaseValidationError, KeyError, TypeError, ValueError) as error:
+    except (cbor2.CBORDecodeError, BaseValidationError, TypeError, ValueError) as error:
         raise MalformedMessage(f"not a message: {type(error).__name__}") from error
-    return Frame(call, is_answer, message, request)
+    return Frame(abs(call), call < 0, message, request)
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -8,8 +8,16 @@
 from websockets.sync.client import connect
 
 from papayacourse.handshake import prove
-from papayacourse.messages import Beat, Hello, Proof
-from papayacourse.wire import MAX_FRAME_BYTES, PROTOCOL_VERSION, Frame, decode, encode
+from papayacourse.messages import Beat, Heartbeat, Hello, Proof
+from papayacourse.wire import (
+    CLASSES,
+    KINDS,
+    MAX_FRAME_BYTES,
+    PROTOCOL_VERSION,
+    Frame,
+    decode,
+    encode,
+)
 from standins.fleet import MESH_KEY, wait_until
 from tests.steptext import names_in
 
@@ -133,14 +141,14 @@
         case "a malformed frame":
             connection.send(b"\xff not CBOR")
         case "an unknown message":
-            connection.send(cbor2.dumps([PROTOCOL_VERSION, 0, False, "Rumour", {}]))
+            connection.send(cbor2.dumps([PROTOCOL_VERSION, len(CLASSES), 0, []]))
         case "an oversized frame":
             connection.send(b"x" * (MAX_FRAME_BYTES + 1))
         case "a text frame":
             connection.send("text")
         case "a wrong field":
             wrong = ["not", "a", "heartbeat"]
-            connection.send(cbor2.dumps([PROTOCOL_VERSION, 0, False, "Heartbeat", wrong]))
+            connection.send(cbor2.dumps([PROTOCOL_VERSION, KINDS[Heartbeat], 0, wrong]))
 
 
 def is_closed(connection):
