--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -127,6 +127,7 @@
             self.peers.tend(),
             self.membership.host_sync.follow(),
             self.membership.tend(),
+            self.membership.catch_up(),
             self.gateways.run(),
             self.duties.tend(),
             self.membership.greet_seeds(),
@@ -178,7 +179,7 @@
 
     async def _stop_tasks(self) -> None:
         await self.duties.close()
-        waiting = [*self.tasks, *self.held, *self.membership.beating.values()]
+        waiting = [*self.tasks, *self.held, *self.membership.heartbeats.tasks.values()]
         await cancel_all(waiting)
 
     # What the handlers use.
@@ -304,6 +305,7 @@
                             "usable": ledger.usable,
                             "streams": len(ledger.streams),
                             "tokens": ledger.tokens,
+                            "generated": sum(s.generated for s in ledger.streams.values()),
                             "memory_tokens": ledger.memory_tokens,
                         }
                         for ledger in scheduler.ledgers.values()
@@ -312,9 +314,10 @@
                 for (team, service), scheduler in self.duties.schedulers.items()
             ],
             "orders": self.orders.lease.fence if self.orders.lease.holds() else None,
-            "mesh_bytes": self.peers.bytes_total(),
+            "mesh_bytes": self.peers.traffic.payload(),
             "mesh": {
-                "frames": self.peers.frames_total(),
+                "frames": self.peers.traffic.frames(),
+                "messages": self.peers.traffic.table(),
                 "links": len(self.peers.all_links()),
                 "dials": self.peers.dials,
                 "accepted": self.peers.accepted,
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from attrs import define, field
 
@@ -15,12 +15,11 @@
 from papayacourse.membership import Membership
 from papayacourse.messages import (
     GrantRequest,
-    ProgressReport,
     StreamEnded,
     StreamReport,
     StreamState,
-    StreamsUnknown,
 )
+from papayacourse.numbering import KnownNumbers, Progress
 from papayacourse.orphans import Orphans
 from papayacourse.tasks import cancel_all
 
@@ -51,6 +50,7 @@
     clock: Callable[[], float] = time.monotonic
     task: asyncio.Task | None = None
     orphans: Orphans = field(factory=Orphans)
+    numbers: KnownNumbers = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.engines = EngineList(
@@ -60,6 +60,7 @@
         self.ledgers = self.engines.ledgers
         self.heard_from = self.engines.heard_from
         self.watch = self.engines.watch
+        self.numbers = KnownNumbers(self.membership.is_alive)
 
     async def __aenter__(self) -> "Scheduler":
         self.task = asyncio.create_task(self.run())
@@ -109,13 +110,13 @@
                 self.watch.gone(note.engine)
                 self.ledgers[note.engine].usable = False
 
-    def report(self, report: StreamReport) -> None:
+    def report(self, daemon: str, report: StreamReport) -> None:
         """Bring the ledger in line with what one daemon says it relays."""
-        self.heard_from.add(report.daemon)
+        self.heard_from.add(daemon)
         for state in report.streams:
             ledger = self.ledgers.get(state.engine)
             if ledger is not None:
-                self._take_state(ledger, state, report.daemon)
+                self._take_state(ledger, state, daemon)
 
     def _take_state(self, ledger: EngineLedger, state: StreamState, daemon: str) -> None:
         now, generation = self.clock(), state.generation
@@ -125,17 +126,21 @@
             self.waiting.put(ledger, stream)
         self._take_progress(ledger, stream, state.generated)
 
-    def progress(self, report: ProgressReport) -> StreamsUnknown:
+    def progress(self, daemon: str, rows: Iterable[Progress]) -> list[str]:
         """Take how far a daemon's streams have come; returns those not known here."""
-        self.heard_from.add(report.daemon)
+        self.heard_from.add(daemon)
         unknown = []
-        for row in report.streams:
+        for row in rows:
             ledger = self.find(row.stream)
             if ledger is None:
                 unknown.append(row.stream)
             else:
                 self._take_progress(ledger, ledger.streams[row.stream], row.generated)
-        return StreamsUnknown(tuple(unknown))
+        return unknown
+
+    def in_use(self, stream: str) -> bool:
+        """Tell whether a stream runs or waits here."""
+        return stream in self.waiting.queue or self.find(stream) is not None
 
     def _take_progress(self, ledger: EngineLedger, stream: Stream, generated: int) -> None:
         now, generation = self.clock(), stream.generation
