--- a/tests/features/steps/stream_steps.py
+++ b/tests/features/steps/stream_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from papayacourse.scheduler import POLL_INTERVAL
+from papayacourse.enginewatch import POLL_INTERVAL
 from papayacourse.streams import STREAM_MEMORY_BOUND
 from standins.fleet import call, wait_until
 from tests.callers import KEYS, StreamingCaller, check_whole, marks_of
