Count the bytes on links of each class, and where generations are placed

Cause: links between regions are billed by volume, and a daemon could only tell the bytes of all its links together; those of streams were not counted at all. Ruled out: counting in HttpCall for every call (load reports and the platform's answers stay in the domain), and a metric call for each frame (the totals that links keep already are added up when the metrics are read). Change: link_bytes by link class (same domain, same region, other region) and by what is carried (control, stream), and placements by link class.

--- a/papayacourse/completions.py
+++ b/papayacourse/completions.py
@@ -96,6 +96,7 @@
             budget,
             self.daemon.quarantine,
             self.daemon.token_clock(generation),
+            self.daemon.streams,
             join,
         )
 
--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -15,7 +15,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
-from papayacourse import invariants, logs, routes
+from papayacourse import invariants, logs, routes, traffic
 from papayacourse.catalog import Catalog, Client
 from papayacourse.config import DaemonConfig
 from papayacourse.cursor import CursorSigner
@@ -42,6 +42,7 @@
 from papayacourse.scheduler import Scheduler, permitted
 from papayacourse.streams import Relay
 from papayacourse.tasks import cancel_all
+from papayacourse.traffic import StreamTraffic
 from papayacourse.types import Address, GenerationRequest, HostKind
 from papayacourse.version import __version__
 from papayacourse.watch import SettingsWatch
@@ -81,6 +82,7 @@
         self.signer = CursorSigner(derived(config.mesh_key, "cursor"))
         self.joins = KeyedRelays()
         self.retries = RetryBudgets()
+        self.streams = StreamTraffic()
         self.records = Records(self.store)
         self.watch = SettingsWatch(self.store, self.catalog)
 
@@ -96,6 +98,7 @@
         incarnation = time.time_ns()
         hello = Hello(config.name, incarnation, config.domain, config.region, "", b"")
         self.peers = Peers(hello, config.mesh_key)
+        traffic.report(self.metrics, self.peers.bytes_by_class, self.streams)
         self.membership = Membership(
             hello, self.peers, self.catalog, HostList(config.hostlist), config.seeds
         )
--- a/papayacourse/engines.py
+++ b/papayacourse/engines.py
@@ -1,7 +1,7 @@
 """Speaks to model engines; the one module that knows their wire form."""
 
 import json
-from collections.abc import AsyncIterator, Iterable, Iterator
+from collections.abc import AsyncIterator, Callable, Iterable, Iterator
 from urllib.parse import quote
 
 from attrs import frozen
@@ -145,9 +145,18 @@
         The request.
     resume_at : int or None
         The next offset wanted of a generation that runs already; None starts one.
+    count : callable
+        Told the size of what is sent and of each piece that comes, in bytes.
     """
 
-    def __init__(self, address: str, generation: GenerationRequest, resume_at: int | None = None):
+    def __init__(
+        self,
+        address: str,
+        generation: GenerationRequest,
+        resume_at: int | None = None,
+        count: Callable[[int], None] = lambda _size: None,
+    ):
+        self.count = count
         target = Address.parse(address)
         if resume_at is None:
             body = {
@@ -171,6 +180,7 @@
 
     async def __aenter__(self) -> "EngineStream":
         await self.call.__aenter__()
+        self.count(len(self.call.body))
         if self.call.status != 200:
             try:
                 detail = (await self.call.read()).decode(errors="replace")
@@ -195,6 +205,7 @@
         """Yield the events of each piece that the connection delivers."""
         buffer = bytearray()
         async for chunk in self.call.chunks():
+            self.count(len(chunk))
             buffer += chunk
             batch = list(parse_events(split_events(buffer)))
             if batch:
--- a/papayacourse/membership.py
+++ b/papayacourse/membership.py
@@ -17,6 +17,7 @@
 from papayacourse.peers import Peers
 from papayacourse.rendezvous import ranked
 from papayacourse.settingsync import SettingsSync
+from papayacourse.traffic import LinkClass, Place
 from papayacourse.types import Address, Host, HostKind, HostState
 
 HEARTBEAT_INTERVAL = 1.0  # seconds
@@ -116,6 +117,12 @@
             host.name == backend and host.state == HostState.LEAVING for host in self.hosts.hosts
         )
 
+    def link_to(self, backend: str) -> LinkClass | None:
+        """Return the class of the link to a backend server; None when it is not listed."""
+        here = Place(self.me.domain, self.me.region)
+        found = (h for h in self.hosts.hosts if h.name == backend)
+        return next((here.link_to(host.domain, host.region) for host in found), None)
+
     def is_alive(self, name: str) -> bool:
         """Tell whether a daemon has been heard lately."""
         if name == self.me.name:
--- a/papayacourse/metrics.py
+++ b/papayacourse/metrics.py
@@ -1,6 +1,6 @@
 """What the daemon measures: OpenTelemetry instruments, read in Prometheus form."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import Observation
@@ -58,6 +58,16 @@
         """Report a value that is read whenever the metrics are."""
         self.meter.create_observable_gauge(name, [lambda _: [Observation(read())]], unit)
 
+    def watch_totals(
+        self, name: str, unit: str, read: Callable[[], Iterable[tuple[int, dict[str, str]]]]
+    ) -> None:
+        """Report totals with their attributes, read whenever the metrics are."""
+
+        def observe(_options) -> list[Observation]:
+            return [Observation(value, attributes) for value, attributes in read()]
+
+        self.meter.create_observable_counter(name, [observe], unit)
+
     def count_platform(self, kind: str, result: str) -> None:
         """Count one call to the platform."""
         self.platform_calls.add(1, {"kind": kind, "result": result})
--- a/papayacourse/peers.py
+++ b/papayacourse/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from ipaddress import ip_address
@@ -20,6 +21,7 @@
 from papayacourse.link import Link
 from papayacourse.messages import CallFailed, Done, Hello, Message
 from papayacourse.tasks import cancel_all
+from papayacourse.traffic import LinkClass, Place
 from papayacourse.types import Address
 from papayacourse.wire import Frame, decode
 
@@ -71,7 +73,7 @@
     tasks: set[asyncio.Task] = field(factory=set)
     server: Server | None = None
     source: tuple[str, int] | None = None
-    bytes_closed_links: int = 0
+    bytes_closed_links: Counter[LinkClass] = field(factory=Counter)
     frames_closed_links: int = 0
     dials: int = 0
     accepted: int = 0
@@ -82,8 +84,18 @@
 
     def bytes_total(self) -> int:
         """Return the payload bytes sent and received over all links since the start."""
-        now = sum(link.bytes_in + link.bytes_out for link in self.all_links())
-        return now + self.bytes_closed_links
+        return self.bytes_by_class().total()
+
+    def bytes_by_class(self) -> Counter[LinkClass]:
+        """Return the same for links of each class."""
+        found = Counter(self.bytes_closed_links)
+        for link in self.all_links():
+            found[self._class_of(link)] += link.bytes_in + link.bytes_out
+        return found
+
+    def _class_of(self, link: Link) -> LinkClass:
+        here = Place(self.hello.domain, self.hello.region)
+        return here.link_to(link.peer.domain, link.peer.region)
 
     def frames_total(self) -> int:
         """Return the frames sent and received over all links since the start."""
@@ -199,7 +211,7 @@
 
     def _forget(self, link: Link) -> None:
         link.lose()
-        self.bytes_closed_links += link.bytes_in + link.bytes_out
+        self.bytes_closed_links[self._class_of(link)] += link.bytes_in + link.bytes_out
         self.frames_closed_links += link.frames_in + link.frames_out
         self.open_links.get(link.peer.name, set()).discard(link)
         self._prefer(link.peer.name)
--- a/papayacourse/streams.py
+++ b/papayacourse/streams.py
@@ -1,8 +1,9 @@
 """Relays one generation from its engine to its caller, every token once and in order."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing
+from functools import partial
 
 from attrs import define, evolve, field
 
@@ -32,6 +33,7 @@
 from papayacourse.placement import Placement
 from papayacourse.quarantine import Quarantine
 from papayacourse.retries import RetryBudget, jittered
+from papayacourse.traffic import LinkClass, StreamTraffic
 from papayacourse.types import GenerationRequest, Ran
 
 RESUME_LIMIT = 15.0  # seconds in which a link that fails is opened again
@@ -80,6 +82,7 @@
     budget: RetryBudget
     quarantine: Quarantine
     clock: TokenClock
+    traffic: StreamTraffic = field(factory=StreamTraffic)
     join: bool = False
     engine: str = ""
     address: str = ""
@@ -212,6 +215,7 @@
             self.clock.placed()
         self.starts += 1
         self.engine, self.address = place.engine, place.address
+        self.traffic.placed[self._link_class()] += 1
         if isinstance(place, Joined):
             # Another daemon starts it; its id may be that of a later start.
             self.generation = evolve(self.generation, stream=place.stream)
@@ -271,7 +275,7 @@
 
     async def _read_link(self) -> AsyncIterator[list[EngineEvent]]:
         resume_at = self.position.offset if self.sent else None
-        link = EngineStream(self.address, self.generation, resume_at)
+        link = EngineStream(self.address, self.generation, resume_at, self._counter())
         try:
             await link.__aenter__()
         except (BackendUnreachable, BackendRefused):
@@ -296,6 +300,14 @@
                         return
             raise BackendProtocolError("the stream stopped without an end")
 
+    def _link_class(self) -> LinkClass:
+        # An engine that has left the list was in this domain, as most are.
+        return self.placement.membership.link_to(self.engine) or LinkClass.SAME_DOMAIN
+
+    def _counter(self) -> Callable[[int], None]:
+        """Return what counts the bytes of a link to the engine."""
+        return partial(self.traffic.add, self._link_class())
+
     def _check_mark(self, mark: str) -> None:
         """Make sure that a link carries the generation that this relay began with."""
         known = self.mark or self.position.offset
