--- a/papayacourse/admission.py
+++ b/papayacourse/admission.py
@@ -135,7 +135,8 @@
     }
     least = min(fullness.values())
     wanted = candidate.generation.prefixes
-    if prefixes is None or not wanted:
+    bounds = {ledger.name: ledger.affinity_bound for ledger in ledgers}
+    if prefixes is None or not wanted or None in bounds.values():
         return min(ledgers, key=lambda ledger: fullness[ledger.name])
     near = [ledger for ledger in ledgers if fullness[ledger.name] <= least + ledger.affinity_bound]
     held = {ledger.name: prefixes.held(ledger.name, wanted, now) for ledger in near}
--- a/papayacourse/completions.py
+++ b/papayacourse/completions.py
@@ -86,9 +86,7 @@
         return events, form
 
     def _relay(self, generation: GenerationRequest, join: bool = False) -> Relay:
-        budget = self.daemon.retries.of(
-            generation.team, generation.service, self.wanted.retry_share
-        )
+        budget = self.daemon.retries.of(generation.team, generation.service, self.wanted)
         return Relay(
             generation,
             self.daemon.placement,
--- a/papayacourse/ledger.py
+++ b/papayacourse/ledger.py
@@ -91,7 +91,7 @@
         The part of the engine that may be given out; below 1 while a new scheduler learns.
     spread : float
         Standard deviations kept above the mean when memory is predicted.
-    affinity_bound : float
+    affinity_bound : float or None
         How much fuller than the emptiest it may be and still get a request for its prefix.
     decode_batch : int
         The most streams at once under the predicted policy; 0 leaves it to ``max_batch``.
@@ -113,7 +113,7 @@
     usable: bool = True
     foreign_tokens: int = 0
     spread: float = 1.0
-    affinity_bound: float = 0.0
+    affinity_bound: float | None = 0.0
     decode_batch: int = 0
     pace: float = FIRST_PACE
     held: bool = False
--- a/papayacourse/plaincalls.py
+++ b/papayacourse/plaincalls.py
@@ -53,7 +53,7 @@
     async def _run_repeatable(
         self, client: Client, name: str, settings: ServiceSettings, call: PlainCall
     ) -> CallAnswer:
-        budget = self.daemon.retries.of(client.team, name, settings.retry_share)
+        budget = self.daemon.retries.of(client.team, name, settings)
         budget.earn()
         addresses = self.daemon.plain_addresses(client.team, name)
         try:
--- a/papayacourse/retries.py
+++ b/papayacourse/retries.py
@@ -4,6 +4,8 @@
 
 from attrs import define, field
 
+from papayacourse.settings import ServiceSettings
+
 RESERVE = 10.0  # retries that a service may make at once, before requests have earned any
 BACKOFF = 0.1  # seconds, the longest pause before the first retry
 MAX_BACKOFF = 2.0  # seconds
@@ -25,9 +27,12 @@
     ----------
     share : float
         Retries earned by a request.
+    limited : bool
+        Whether a retry has to be paid for at all.
     """
 
     share: float
+    limited: bool = True
     left: float = RESERVE
 
     def earn(self) -> None:
@@ -36,6 +41,8 @@
 
     def take(self) -> bool:
         """Pay for a retry; False when there is nothing left to pay with."""
+        if not self.limited:
+            return True
         if self.left < 1:
             return False
         self.left -= 1
@@ -48,8 +55,8 @@
 
     budgets: dict[tuple[str, str], RetryBudget] = field(factory=dict)
 
-    def of(self, team: str, service: str, share: float) -> RetryBudget:
-        """Return a service's budget, at the share that its settings give now."""
-        budget = self.budgets.setdefault((team, service), RetryBudget(share))
-        budget.share = share
+    def of(self, team: str, service: str, settings: ServiceSettings) -> RetryBudget:
+        """Return a service's budget, as its settings want it now."""
+        budget = self.budgets.setdefault((team, service), RetryBudget(settings.retry_share))
+        budget.share, budget.limited = settings.retry_share, settings.retry_budget
         return budget
--- a/papayacourse/settings.py
+++ b/papayacourse/settings.py
@@ -61,6 +61,8 @@
         How long a stream without a caller is held, in seconds.
     call_timeout : float
         The longest a plain call may take, in seconds.
+    retry_budget : bool
+        Whether retries are limited at all.
     retry_share : float
         Retries allowed as a fraction of requests.
     spill_same_region, spill_other_region : float
@@ -76,6 +78,7 @@
     wait_limit: float = 30.0
     resume_window: float = 30.0
     call_timeout: float = 30.0
+    retry_budget: bool = True
     retry_share: float = 0.1
     spill_same_region: float = 1.0
     spill_other_region: float = 5.0
@@ -125,9 +128,10 @@
         The fraction of memory kept free when admitting.
     memory_spread : float
         Standard deviations kept above the mean when memory is predicted.
-    affinity_bound : float
+    affinity_bound : float or None
         How much fuller than the emptiest an engine may be and still get a request whose prefix it
-        holds, as a fraction of its memory; 0 leaves prefixes out of account.
+        holds, as a fraction of its memory; 0 lets a prefix decide between equals only, None
+        leaves prefixes out of account.
     decode_batch : int
         The most decodes at once under the predicted policy, so that tokens keep their pace; 0
         leaves it to ``max_batch``.
@@ -150,7 +154,7 @@
     max_batch: int = 32
     memory_margin: float = 0.1
     memory_spread: float = 1.0
-    affinity_bound: float = 0.2
+    affinity_bound: float | None = 0.2
     decode_batch: int = 0
     policy: str = "predicted"
     checks_fencing: bool = False
@@ -235,6 +239,21 @@
     return text == "closed"
 
 
+def affinity(text: str) -> float | None:
+    """Read how much fuller an engine that holds a prefix may be; None when that counts nothing."""
+    value = None if text == "off" else float(text)
+    if value is not None and not 0 <= value <= 1:
+        raise ValueError(f"{text!r} is neither off nor from 0 to 1")
+    return value
+
+
+def retry_limit(text: str) -> bool:
+    """Read whether retries are limited."""
+    if text not in ("limited", "unlimited"):
+        raise ValueError(f"{text!r} is neither limited nor unlimited")
+    return text == "limited"
+
+
 def may_be_left_out(section: str, option: str, attribute: str, read) -> Option:
     """Describe an option with a default."""
     return Option(section, option, attribute, read, required=False)
@@ -261,6 +280,7 @@
             may_be_left_out("service", "wait_limit", "wait_limit", positive(float)),
             may_be_left_out("service", "resume_window", "resume_window", positive(float)),
             may_be_left_out("service", "call_timeout", "call_timeout", positive(float)),
+            may_be_left_out("service", "retry_budget", "retry_budget", retry_limit),
             may_be_left_out("service", "retry_share", "retry_share", fraction),
             may_be_left_out("service", "spill_same_region", "spill_same_region", positive(float)),
             may_be_left_out("service", "spill_other_region", "spill_other_region", positive(float)),
@@ -293,7 +313,7 @@
             may_be_left_out("deployment", "max_batch", "max_batch", positive(int)),
             may_be_left_out("deployment", "memory_margin", "memory_margin", fraction),
             may_be_left_out("deployment", "memory_spread", "memory_spread", not_negative),
-            may_be_left_out("deployment", "affinity_bound", "affinity_bound", fraction),
+            may_be_left_out("deployment", "affinity_bound", "affinity_bound", affinity),
             may_be_left_out("deployment", "decode_batch", "decode_batch", positive(int)),
             may_be_left_out("deployment", "policy", "policy", policy_name),
             may_be_left_out("deployment", "checks_fencing", "checks_fencing", yes_or_no),
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -66,6 +66,8 @@
     preemptions: int = 0
     generated: int = 0
     started: int = 0
+    prompt_tokens: int = 0
+    prefix_hits: int = 0
     begun: list[str] = field(factory=list)
     peak_memory: int = 0
     history: deque = field(factory=lambda: deque(maxlen=1000))
@@ -109,7 +111,10 @@
         crash = CRASH.search(prompt)
         if crash:
             generation.crash_at = int(crash[1] or 0)
-        generation.to_prefill = max(0, generation.prompt_tokens - self.cached(prompt))
+        hit = min(generation.prompt_tokens, self.cached(prompt))
+        self.prompt_tokens += generation.prompt_tokens
+        self.prefix_hits += hit
+        generation.to_prefill = generation.prompt_tokens - hit
         self.streams[generation.stream] = generation
         self.waiting.append(generation)
         self.started += 1
@@ -452,7 +457,9 @@
 
     def get(self) -> None:
         """Answer with the present load, and the beginning of every prompt begun."""
-        self.finish(self.standin.load_now() | {"begun": self.standin.begun})
+        engine = self.standin
+        prompts = {"prompt_tokens": engine.prompt_tokens, "prefix_hits": engine.prefix_hits}
+        self.finish(engine.load_now() | prompts | {"begun": engine.begun})
 
     def post(self) -> None:
         """Set switches; ``reset`` cancels everything."""
--- a/tests/features/scheduling.feature
+++ b/tests/features/scheduling.feature
@@ -64,6 +64,17 @@
     And account "large" streams a long prompt through "a"
     Then one engine ran every long prompt
 
+  Scenario: With prefix affinity off a prompt goes where it would without a prefix
+    Given a planner service with prefix affinity off for accounts "large"
+    And 2 scheduled engines with memory 4000
+    And daemons "a, b" that schedule
+    When account "large" sends 1 stream of 150 tokens through "a"
+    And account "large" streams a long prompt through "a"
+    And every stream has ended
+    And account "large" streams a long prompt through "b"
+    And account "large" streams a long prompt through "a"
+    Then the first of two empty engines ran every later long prompt
+
   Scenario Outline: Work goes to another failure domain where that saves more than the link costs
     Given a planner service with a batch of 2 and a spill price of <price> seconds for accounts "large"
     And 1 scheduled engine with memory 4000
--- a/tests/features/steps/scheduling_steps.py
+++ b/tests/features/steps/scheduling_steps.py
@@ -75,6 +75,11 @@
     write_settings(context, accounts, policy=policy)
 
 
+@given('a planner service with prefix affinity off for accounts "{accounts}"')
+def service_without_affinity(context, accounts):
+    write_settings(context, accounts, max_batch=8, affinity_bound="off")
+
+
 @given("{count:d} scheduled engine with memory {memory:d}")
 @given("{count:d} scheduled engines with memory {memory:d}")
 def scheduled_engines(context, count, memory):
@@ -246,6 +251,12 @@
     send(context, account, daemon, LONG_PROMPT + "[len=5]").join()
 
 
+@then("the first of two empty engines ran every later long prompt")
+def first_engine_ran(context):
+    started = [context.fleet.counts(f"planner-{n}")["started"] for n in range(2)]
+    assert started == [3, 1], f"the engines started {started}"
+
+
 @then("one engine ran every long prompt")
 def one_engine_ran(context):
     started = [context.fleet.counts(f"planner-{n}")["started"] for n in range(2)]
--- a/tests/features/streams.feature
+++ b/tests/features/streams.feature
@@ -131,6 +131,16 @@
     And the last answer's reason is "retries_exhausted"
     And the engines started 0 generations
 
+  Scenario: Without a budget every retry is made
+    Given service "planner" of team "sound-trust" has "kind = model, retry_share = 0, retry_budget = unlimited"
+    And 3 engines "planner" in domain "lagos-1" of region "lagos"
+    And daemons "a" in domain "lagos-1" of region "lagos"
+    And every engine is set to {"refuse": true}
+    When account "organisers" asks 7 times for "plan" from "planner" through "a"
+    Then every answer has status 503, a Retry-After and ran "no"
+    And the last answer's reason is "engine_lost"
+    And the engines started 0 generations
+
   Scenario: A request that may have run is not reported as not run
     Given 2 engines "planner" in domain "lagos-1" of region "lagos"
     And daemons "a" in domain "lagos-1" of region "lagos"
