--- a/bench/caller.py
+++ b/bench/caller.py
@@ -30,6 +30,8 @@
         What a refusal asked to wait, in seconds.
     tries : int
         Requests sent, those after a refusal included.
+    reason : str
+        What the last refusal or error named as its reason.
     """
 
     arrival: Arrival
@@ -41,6 +43,7 @@
     failed: bool = False
     retry_after: float = 0.0
     tries: int = 0
+    reason: str = ""
     refusal_times: list[float] = field(factory=list)
 
     @property
@@ -70,6 +73,7 @@
             if call.status != 200:
                 made.refusal_times.append(made.answered - made.sent)
                 made.retry_after = float(call.headers.get("Retry-After", "0"))
+                made.reason = reason_of(await call.read())
                 return
             await _read(call, made)
     except BackendError:
@@ -89,6 +93,14 @@
         rest = data[data.rfind(b"\n\n") + 2 :] if b"\n\n" in data else data
 
 
+def reason_of(body: bytes) -> str:
+    """Return the reason that a refusal names."""
+    try:
+        return str(json.loads(body)["reason"])
+    except (ValueError, KeyError, TypeError):
+        return ""
+
+
 async def obey(address: str, service: str, longest: int, made: Exchange, tries: int) -> None:
     """Send a request, and again after each refusal once its Retry-After has passed."""
     while made.tries < tries:
--- a/bench/shapes.py
+++ b/bench/shapes.py
@@ -60,6 +60,8 @@
         Options of the stand-in engines.
     options : tuple of str
         Lines of the deployment's settings.
+    service_options : tuple of str
+        Lines of the service's settings.
     wait_limit : float
         The longest wait in the queue, in seconds.
     """
@@ -77,6 +79,7 @@
     engine_options: tuple[str, ...]
     options: tuple[str, ...] = ()
     wait_limit: float = 1.5
+    service_options: tuple[str, ...] = ()
 
     @property
     def longest(self) -> int:
@@ -99,6 +102,7 @@
         root = f"/teams/{self.team}"
         yield from (f"[{root}]", "state = open", f"[{root}/services/{self.service}]")
         yield from ("kind = model", f"wait_limit = {self.wait_limit}", "resume_window = 0.1")
+        yield from self.service_options
         for account in self.accounts:
             digest = hashlib.sha256(account.key.encode()).hexdigest()
             yield from (f"[{root}/accounts/{account.name}]", f"key_sha256 = {digest}")
--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -109,6 +109,9 @@
         self.duties = Duties(self.membership, self._make_scheduler)
         self.placement = Placement(self.membership, self.peers, self.duties)
         self.placement.spill.loads = self.gateways.load
+        self.metrics.watch_totals(
+            "papayacourse_spill_questions", "", self.placement.spill.questions
+        )
         self.orders = Orders(
             Lease(self.store, LEASE_KEY, config.name),
             self.catalog,
--- a/papayacourse/spill.py
+++ b/papayacourse/spill.py
@@ -1,9 +1,10 @@
 """Chooses another failure domain for a request whose wait here costs more than the link there."""
 
 import math
-from collections.abc import Callable, Iterable
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
 
-from attrs import define, evolve, frozen
+from attrs import define, evolve, field, frozen
 
 from papayacourse import logs
 from papayacourse.exceptions import PeerError
@@ -84,6 +85,17 @@
     return None
 
 
+def outcome(answer: Answer | None) -> str:
+    """Name what came of a question to another domain."""
+    match answer:
+        case None:
+            return "silent"
+        case Granted():
+            return "granted"
+        case _:
+            return "refused"
+
+
 @frozen
 class PlacedElsewhere:
     """A place in another failure domain."""
@@ -100,17 +112,21 @@
     ----------
     loads : callable
         Returns how a service stands elsewhere, by domain, team and service; None if unknown.
+    asked : Counter of str
+        Questions to other domains since the start, by what came of them.
     """
 
     membership: Membership
     peers: Peers
     loads: Callable[[str, str, str], ServiceLoad | None] = no_load
+    asked: Counter[str] = field(factory=Counter)
 
     async def place(self, request: GrantRequest, wait: float) -> PlacedElsewhere | None:
         """Return a place in another failure domain, if one is worth its price and free now."""
         now_or_never = evolve(request, wait_limit=0.0)
         for domain in self._worth_asking(request, wait)[:DOMAINS_TRIED]:
             answer = await self._ask(domain, now_or_never)
+            self.asked[outcome(answer)] += 1
             if isinstance(answer, Granted):
                 return PlacedElsewhere(domain, answer)
         return None
@@ -128,6 +144,11 @@
                 others.append(Elsewhere(domain, regions[domain], load.expected_wait))
         return worth_asking(wait, me.region, others, service)
 
+    def questions(self) -> Iterator[tuple[int, dict[str, str]]]:
+        """Yield the questions to other domains, for the metrics."""
+        for answer in ("granted", "refused", "silent"):
+            yield self.asked[answer], {"answer": answer}
+
     async def _ask(self, domain: str, request: GrantRequest) -> Answer | None:
         generation = request.generation
         duty = scheduling_duty(generation.team, generation.service)
--- a/standins/faultproxy.py
+++ b/standins/faultproxy.py
@@ -13,6 +13,14 @@
 CHUNK_BYTES = 64 * 1024
 
 
+@define
+class Flow:
+    """One connection, and whether it comes from afar."""
+
+    source: str
+    far: bool = True
+
+
 @define(eq=False, slots=False)
 class Proxy(TCPServer):
     """Forwards connections to a target, with faults.
@@ -23,9 +31,13 @@
         ``pass``, ``cut`` (refuse and close), ``stall`` (hold everything), ``stall-back`` (hold
         only what the target sends).
     spared : list of str
-        Source addresses that a cut does not touch.
+        Source addresses that neither a cut nor the delay touches.
     delay : float
         Added one way, in seconds.
+    far_markers : list of str
+        Delay only connections whose first piece to the target contains one of these; empty: all.
+    opening : float
+        Added to a connection's first piece, for the round trip that opened it, in seconds.
     close_after : int
         Close a connection once the target has sent so many bytes; -1 for never.
     hold_marker : str
@@ -36,6 +48,8 @@
     mode: str = "pass"
     spared: list = field(factory=list)
     delay: float = 0.0
+    far_markers: list = field(factory=list)
+    opening: float = 0.0
     close_after: int = -1
     hold_marker: str = ""
     held: int = 0
@@ -63,10 +77,13 @@
         self.connections.add(pair)
         for one in (stream, onward):
             one.set_nodelay(True)
-        await asyncio.gather(self.pump(stream, onward, False), self.pump(onward, stream, True))
+        flow = Flow(source)
+        await asyncio.gather(
+            self.pump(stream, onward, False, flow), self.pump(onward, stream, True, flow)
+        )
         self.connections.discard(pair)
 
-    async def pump(self, source, sink, back: bool) -> None:
+    async def pump(self, source, sink, back: bool, flow: Flow) -> None:
         """Copy one direction."""
         sent = 0
         queue: asyncio.Queue = asyncio.Queue(64)
@@ -78,9 +95,13 @@
                 await self.unstalled(back)
                 if not back:
                     await self.let_through(data)
+                opening = not back and not sent
+                if opening:
+                    flow.far = self.is_far(flow, data)
                 sent += len(data)
                 self.count(len(data), back)
-                await queue.put((loop.time() + self.delay, data))
+                due = loop.time() + self.delay_of(flow, opening)
+                await queue.put((due, data))
                 if back and 0 <= self.close_after <= sent:
                     self.close_after = -1
                     break
@@ -107,6 +128,18 @@
             self.switched.clear()
             await self.switched.wait()
 
+    def is_far(self, flow: Flow, data: bytes) -> bool:
+        """Tell by a connection's source and first piece whether it is to be delayed."""
+        if flow.source in self.spared:
+            return False
+        return not self.far_markers or any(mark.encode() in data for mark in self.far_markers)
+
+    def delay_of(self, flow: Flow, opening: bool) -> float:
+        """Return the delay of a piece, in seconds."""
+        if not flow.far:
+            return 0.0
+        return self.delay + (self.opening if opening else 0.0)
+
     def count(self, size: int, back: bool) -> None:
         """Count bytes by direction."""
         if back:
