--- a/papayacourse/admission.py
+++ b/papayacourse/admission.py
@@ -46,7 +46,7 @@
     """Tell whether an engine takes streams at all, whatever their size."""
     if isinstance(ledger.policy, Predicted) and ledger.held:
         return False
-    return ledger.usable and len(ledger.streams) < batch_limit(ledger)
+    return ledger.usable and not ledger.suspect and len(ledger.streams) < batch_limit(ledger)
 
 
 def peaks(
@@ -166,7 +166,8 @@
     }
     least = min(fullness.values())
     wanted = candidate.generation.prefixes
-    if prefixes is None or not wanted:
+    bounds = {ledger.name: ledger.affinity_bound for ledger in ledgers}
+    if prefixes is None or not wanted or None in bounds.values():
         return min(ledgers, key=lambda ledger: fullness[ledger.name])
     near = [ledger for ledger in ledgers if fullness[ledger.name] <= least + ledger.affinity_bound]
     held = {ledger.name: prefixes.held(ledger.name, wanted, now) for ledger in near}
--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -15,7 +15,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
-from papayacourse import invariants, logs, routes
+from papayacourse import invariants, linkclasses, logs, routes
 from papayacourse.catalog import Catalog, Client
 from papayacourse.config import DaemonConfig
 from papayacourse.cursor import CursorSigner
@@ -29,6 +29,7 @@
 from papayacourse.kvstore import KeyValueStore
 from papayacourse.leases import Lease
 from papayacourse.lifecycle import Lifecycle
+from papayacourse.linkclasses import StreamTraffic
 from papayacourse.listener import Listener
 from papayacourse.membership import Membership
 from papayacourse.messages import Hello
@@ -84,6 +85,7 @@
         self.signer = CursorSigner(derived(config.mesh_key, "cursor"))
         self.joins = KeyedRelays()
         self.retries = RetryBudgets()
+        self.streams = StreamTraffic()
         self.records = Records(self.store)
         self.watch = SettingsWatch(self.store, self.catalog)
 
@@ -99,6 +101,7 @@
         incarnation = time.time_ns()
         hello = Hello(config.name, incarnation, config.domain, config.region, "", b"")
         self.peers = Peers(hello, config.mesh_key)
+        linkclasses.report(self.metrics, lambda: self.peers.traffic.by_class, self.streams)
         self.membership = Membership(
             hello, self.peers, self.catalog, HostList(config.hostlist), config.seeds
         )
@@ -111,6 +114,9 @@
         self.placement.spill.loads = self.gateways.load
         targets = Targets(self.catalog, self.membership)
         self.engine_reader = EngineReader(targets, self.membership, self.peers)
+        self.metrics.watch_totals(
+            "papayacourse_spill_questions", "", self.placement.spill.questions
+        )
         self.orders = Orders(
             Lease(self.store, LEASE_KEY, config.name),
             targets,
--- a/papayacourse/ledger.py
+++ b/papayacourse/ledger.py
@@ -96,7 +96,7 @@
         The part of the engine that may be given out; below 1 while a new scheduler learns.
     spread : float
         Standard deviations kept above the mean when memory is predicted.
-    affinity_bound : float
+    affinity_bound : float or None
         How much fuller than the emptiest it may be and still get a request for its prefix.
     decode_batch : int
         The most streams at once under the predicted policy; 0 leaves it to ``max_batch``.
@@ -104,6 +104,8 @@
         Its seconds between two tokens of a stream.
     held : bool
         Whether it gets nothing, since its memory proved too small for what it runs.
+    suspect : bool
+        Whether it gets nothing, since a stream has failed there and it has not answered since.
     foreign_tokens : int
         Memory in use there that no stream of this ledger explains.
     forecast : Forecast
@@ -122,10 +124,11 @@
     usable: bool = True
     foreign_tokens: int = 0
     spread: float = 1.0
-    affinity_bound: float = 0.0
+    affinity_bound: float | None = 0.0
     decode_batch: int = 0
     pace: float = FIRST_PACE
     held: bool = False
+    suspect: bool = False
     streams: dict[str, Stream] = field(factory=dict)
     forecast: "Forecast | None" = None
     forecast_at: float = -math.inf
--- a/papayacourse/link.py
+++ b/papayacourse/link.py
@@ -9,6 +9,7 @@
 
 from papayacourse import logs
 from papayacourse.exceptions import PeerTimeout, PeerUnreachable
+from papayacourse.linkclasses import LinkClass
 from papayacourse.messages import Hello, Message
 from papayacourse.traffic import Traffic
 from papayacourse.wire import Frame, encode
@@ -43,6 +44,7 @@
     numbers: itertools.count = field(factory=lambda: itertools.count(1))
     answering: set[asyncio.Task] = field(factory=set)
     traffic: Traffic = field(factory=Traffic)
+    link_class: LinkClass = LinkClass.SAME_DOMAIN
 
     def silent_for(self) -> float:
         """Return how long nothing has come, in seconds."""
@@ -56,7 +58,7 @@
         self.outbox_bytes += len(data)
         self.outbox.put_nowait(data)
         self.last_sent = time.monotonic()
-        self.traffic.note_sent(frame.message, len(data))
+        self.traffic.note_sent(frame.message, len(data), self.link_class)
 
     async def call(self, message: Message, timeout: float) -> Message:
         """Send a message and wait for its answer."""
--- a/papayacourse/membership.py
+++ b/papayacourse/membership.py
@@ -13,6 +13,7 @@
 from papayacourse.heartbeats import CHECK_INTERVAL, Heartbeats
 from papayacourse.hostlist import HostList, HostListing
 from papayacourse.hostsync import HostSync
+from papayacourse.linkclasses import LinkClass, Place
 from papayacourse.messages import Beat, Heartbeat, Hello, ServiceLoad
 from papayacourse.peers import Peers
 from papayacourse.rendezvous import ranked
@@ -118,6 +119,12 @@
             host.name == backend and host.state == HostState.LEAVING for host in self.hosts.hosts
         )
 
+    def link_to(self, backend: str) -> LinkClass | None:
+        """Return the class of the link to a backend server; None when it is not listed."""
+        here = Place(self.me.domain, self.me.region)
+        found = (h for h in self.hosts.hosts if h.name == backend)
+        return next((here.link_to(host.domain, host.region) for host in found), None)
+
     def is_alive(self, name: str) -> bool:
         """Tell whether a daemon has been heard lately."""
         if name == self.me.name:
--- a/papayacourse/peers.py
+++ b/papayacourse/peers.py
@@ -18,6 +18,7 @@
 from papayacourse.exceptions import MalformedMessage, PeerError, PeerUnreachable
 from papayacourse.handshake import read_binary, shake_hands
 from papayacourse.link import Link
+from papayacourse.linkclasses import Place
 from papayacourse.messages import CallFailed, Done, Hello, Message
 from papayacourse.tasks import cancel_all
 from papayacourse.traffic import Traffic
@@ -142,7 +143,9 @@
             logs.error("link refused", remote=str(connection.remote_address), why=why)
             return
         dialler = self.hello.name if side == "dialled" else peer.name
-        link = Link(peer, connection, dialler, traffic=self.traffic)
+        here = Place(self.hello.domain, self.hello.region)
+        reach = here.link_to(peer.domain, peer.region)
+        link = Link(peer, connection, dialler, traffic=self.traffic, link_class=reach)
         self._add(link)
         self.on_met(peer)
         if met is not None and not met.done():
@@ -223,7 +226,7 @@
             data = await read_binary(link.connection)
             link.last_heard = time.monotonic()
             frame = decode(data)
-            self.traffic.note_received(frame.message, len(data))
+            self.traffic.note_received(frame.message, len(data), link.link_class)
             self.on_heard(link.peer)
             if frame.is_answer:
                 waiting = link.calls.get(frame.call)
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -109,6 +109,11 @@
             case "gone":
                 self.watch.gone(note.engine)
                 self.ledgers[note.engine].usable = False
+            case _:
+                return
+        # A dead engine looks the emptiest: until it answers it would get every request.
+        self.ledgers[note.engine].suspect = True
+        self.watch.poll([self.ledgers[note.engine]])
 
     def report(self, daemon: str, report: StreamReport) -> None:
         """Bring the ledger in line with what one daemon says it relays."""
@@ -146,6 +151,7 @@
         now, generation = self.clock(), stream.generation
         if generated > stream.generated > 0:
             self.watch.progressed(ledger.name)
+            ledger.suspect = False
             pace = (now - stream.seen_at) / (generated - stream.generated)
             pace = min(max(pace, PACE_RANGE[0]), PACE_RANGE[1])
             ledger.pace += (pace - ledger.pace) * PACE_WEIGHT
--- a/papayacourse/streams.py
+++ b/papayacourse/streams.py
@@ -1,8 +1,9 @@
 """Relays one generation from its engine to its caller, every token once and in order."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing
+from functools import partial
 
 from attrs import define, evolve, field
 
@@ -17,6 +18,7 @@
     RequestRefused,
 )
 from papayacourse.httpcall import BUFFERED_CHUNKS, CHUNK_BYTES, READ_BUFFER_BYTES
+from papayacourse.linkclasses import LinkClass, StreamTraffic
 from papayacourse.messages import GrantRequest, Joined
 from papayacourse.ordering import (
     EngineDied,
@@ -80,6 +82,7 @@
     budget: RetryBudget
     quarantine: Quarantine
     clock: TokenClock
+    traffic: StreamTraffic = field(factory=StreamTraffic)
     join: bool = False
     engine: str = ""
     address: str = ""
@@ -212,6 +215,7 @@
             self.clock.placed()
         self.starts += 1
         self.engine, self.address = place.engine, place.address
+        self.traffic.placed[self._link_class()] += 1
         if isinstance(place, Joined):
             # Another daemon starts it; its id may be that of a later start.
             self.generation = evolve(self.generation, stream=place.stream)
@@ -281,7 +285,7 @@
 
     async def _read_link(self) -> AsyncIterator[list[EngineEvent]]:
         resume_at = self.position.offset if self.sent else None
-        link = EngineStream(self.address, self.generation, resume_at)
+        link = EngineStream(self.address, self.generation, resume_at, self._counter())
         try:
             await link.__aenter__()
         except (BackendUnreachable, BackendRefused):
@@ -306,6 +310,14 @@
                         return
             raise BackendProtocolError("the stream stopped without an end")
 
+    def _link_class(self) -> LinkClass:
+        # An engine that has left the list was in this domain, as most are.
+        return self.placement.membership.link_to(self.engine) or LinkClass.SAME_DOMAIN
+
+    def _counter(self) -> Callable[[int], None]:
+        """Return what counts the bytes of a link to the engine."""
+        return partial(self.traffic.add, self._link_class())
+
     def _check_mark(self, mark: str) -> None:
         """Make sure that a link carries the generation that this relay began with."""
         known = self.mark or self.position.offset
--- a/papayacourse/traffic.py
+++ b/papayacourse/traffic.py
@@ -1,9 +1,11 @@
-"""Counts what goes over the links to other daemons, by kind of message."""
+"""Counts what goes over the links to other daemons, by kind of message and class of link."""
 
 from collections import Counter
 
 from attrs import define, field
 
+from papayacourse.linkclasses import LinkClass
+
 
 @define(eq=False)
 class Traffic:
@@ -15,12 +17,15 @@
         Frames by kind of message.
     sent_bytes, received_bytes : Counter
         Their payload, in bytes.
+    by_class : Counter
+        Payload bytes of both directions by class of link.
     """
 
     sent: Counter[str] = field(factory=Counter)
     sent_bytes: Counter[str] = field(factory=Counter)
     received: Counter[str] = field(factory=Counter)
     received_bytes: Counter[str] = field(factory=Counter)
+    by_class: Counter[LinkClass] = field(factory=Counter)
 
     # Queries.
 
@@ -46,14 +51,16 @@
 
     # Commands.
 
-    def note_sent(self, message: object, size: int) -> None:
+    def note_sent(self, message: object, size: int, link: LinkClass) -> None:
         """Count a frame that has been put in an outbox."""
         kind = type(message).__name__
         self.sent[kind] += 1
         self.sent_bytes[kind] += size
+        self.by_class[link] += size
 
-    def note_received(self, message: object, size: int) -> None:
+    def note_received(self, message: object, size: int, link: LinkClass) -> None:
         """Count a frame that has come."""
         kind = type(message).__name__
         self.received[kind] += 1
         self.received_bytes[kind] += size
+        self.by_class[link] += size
