--- a/papayacourse/fairshare.py
+++ b/papayacourse/fairshare.py
@@ -18,11 +18,14 @@
         Virtual tokens: tokens served, divided by the account's share.
     share : float
         The account's weight.
+    first : set of str
+        The streams of those that go before the account's own backlog.
     """
 
     served: float = 0.0
     share: float = 1.0
     waiting: dict[str, object] = field(factory=dict)
+    first: set[str] = field(factory=set)
 
 
 @define
@@ -51,18 +54,20 @@
 
     # Queries.
 
-    def ahead(self, priority: int, account: str, cost: float) -> int:
+    def ahead(self, priority: int, account: str, cost: float, first: bool = False) -> int:
         """Return how many requests go before a new one of an account, as far as is known now.
 
         Parameters
         ----------
         cost : float
             What serving one request costs, in tokens.
+        first : bool
+            Whether it goes before its account's own backlog.
         """
         own = self.accounts.get((priority, account), AccountQueue(self.floors.get(priority, 0.0)))
         served = max(own.served, self.floors.get(priority, 0.0))
-        turn = served + len(own.waiting) * cost / own.share
-        count = len(own.waiting)
+        count = len(own.first) if first else len(own.waiting)
+        turn = served + count * cost / own.share
         for (level, name), queue in self.accounts.items():
             if level > priority:
                 count += len(queue.waiting)
@@ -87,19 +92,36 @@
         for _, queue in busy:
             yield next(iter(queue.waiting.items()))
 
+    def ranked(self, cost: float) -> list[tuple[str, object]]:
+        """Return every waiting request with its stream, in the order in which they are served.
+
+        Parameters
+        ----------
+        cost : float
+            What serving one request costs, in tokens.
+        """
+        turns = []
+        for (priority, _), queue in self.accounts.items():
+            for number, (stream, item) in enumerate(queue.waiting.items()):
+                turns.append((-priority, queue.served + number * cost / queue.share, stream, item))
+        turns.sort(key=lambda turn: turn[:2])
+        return [(stream, item) for _, _, stream, item in turns]
+
     # Commands.
 
     def add(
         self, stream: str, priority: int, account: str, item: object, first: bool = False
     ) -> None:
-        """Put a request at the end of its account's queue, or at its head."""
+        """Put a request at the end of its account's queue, or of those that go before it."""
         queue = self.accounts.setdefault((priority, account), AccountQueue())
         if not queue.waiting:
             # An account that was idle must not come back with a credit that starves the rest.
             queue.served = max(queue.served, self.floors.get(priority, 0.0))
         self.keys[stream] = (priority, account)
         if first:
-            queue.waiting = {stream: item, **queue.waiting}
+            before = {name: queue.waiting[name] for name in queue.waiting if name in queue.first}
+            queue.waiting = {**before, stream: item, **queue.waiting}
+            queue.first.add(stream)
         else:
             queue.waiting[stream] = item
 
@@ -109,6 +131,7 @@
         if key is not None:
             self._raise_floor(key[0])
             self.accounts[key].waiting.pop(stream, None)
+            self.accounts[key].first.discard(stream)
 
     def _raise_floor(self, priority: int) -> None:
         served = [q.served for (p, _), q in self.accounts.items() if p == priority and q.waiting]
--- a/papayacourse/grants.py
+++ b/papayacourse/grants.py
@@ -10,6 +10,7 @@
 from papayacourse import invariants
 from papayacourse.admission import choose
 from papayacourse.enginelist import EngineList
+from papayacourse.estimates import WAIT_SAFETY, Waiting, Waits
 from papayacourse.exceptions import RequestRefused
 from papayacourse.fairshare import PROMPT_WEIGHT, FairQueue
 from papayacourse.joins import first_id, key_part
@@ -26,9 +27,8 @@
 )
 from papayacourse.reservations import Reservations
 from papayacourse.tasks import cancel_all
-from papayacourse.waits import PlaceRate
+from papayacourse.waits import Backlog, PlaceRate
 
-WAIT_SAFETY = 0.6  # part of the wait limit that an estimated wait may take
 BYPASS_LIMIT = 0.5  # part of the wait limit after which nothing smaller goes before a request
 MIN_RETRY_AFTER = 1.0  # seconds
 MAX_QUEUE = 10_000  # requests
@@ -37,15 +37,6 @@
 Tell = Callable[[str, Granted | GrantRefused | NotScheduler], Awaitable[None]]
 
 
-@define
-class Waiting:
-    """A request in the queue."""
-
-    daemon: str
-    request: GrantRequest
-    since: float
-
-
 @define(eq=False, slots=False)
 class GrantQueue:
     """What waits for a place on the engines of one service.
@@ -69,11 +60,22 @@
     queue: FairQueue = field(factory=FairQueue)
     reservations: Reservations = field(factory=Reservations)
     places: PlaceRate = field(factory=PlaceRate)
+    backlog: Backlog = field(factory=Backlog)
     grants: int = 0
     telling: set[asyncio.Task] = field(factory=set)
     is_suspect: Callable[[str], bool] = lambda _fingerprint: False
     check_quarantine: Callable[[str], None] = lambda _fingerprint: None
 
+    def __attrs_post_init__(self) -> None:
+        self.waits = Waits(
+            self.queue,
+            self.reservations,
+            self.places,
+            self.backlog,
+            self.engines.running,
+            self.clock,
+        )
+
     async def close(self) -> None:
         """Tell nobody anything more."""
         await cancel_all(self.telling)
@@ -96,22 +98,10 @@
             return []
         return [led for led in ledgers if not any(map(self.is_suspect, running[led.name]))]
 
-    def expected_wait(self, priority: int = 0, account: str = "") -> float:
-        """Estimate how long a new request of an account waits, in seconds."""
-        if not len(self.queue):
-            return 0.0
-        now = self.clock()
-        rate = self.places.per_second(self.engines.running(), now)
-        if not rate:
-            return 0.0
-        ahead = self.queue.ahead(priority, account, self.places.tokens)
-        ahead += self.reservations.expected(account, now, ahead / rate)
-        return (ahead + 1) / rate
-
     def load(self) -> ServiceLoad:
         """Return how the service stands here, for the other failure domains."""
         ledgers = self.engines.usable(())
-        wait = self.expected_wait() if ledgers else math.inf
+        wait = self.waits.expected() if ledgers else math.inf
         free = sum(max(0.0, ledger.budget - ledger.tokens) for ledger in ledgers)
         team, service = self.engines.team, self.engines.service
         return ServiceLoad(team, service, len(self.queue), wait, int(free))
@@ -131,11 +121,12 @@
             return Granted(stream, held.name, held.address)
         if not self.engines.usable(request.avoid):
             return GrantRefused(stream, "no_engine", "no engine can serve now", MIN_RETRY_AFTER)
-        wait = self.expected_wait(generation.priority, generation.account)
+        wait = self.waits.expected(generation.priority, generation.account)
         if stream in self.queue:
             return Queued(stream, wait)
         item = Waiting(daemon, request, self.clock())
         returns = self.reservations.redeem(generation.account, item.since)
+        too_long = self.waits.too_long(item, returns)
         self.queue.add(stream, generation.priority, generation.account, item, first=returns)
         for granted_to, granted in self.grant_waiting():
             if granted.stream == stream:
@@ -145,7 +136,7 @@
             self.queue.discard(stream)
             return GrantRefused(stream, "overloaded", "no place is free now", MIN_RETRY_AFTER)
         full = len(self.queue) > MAX_QUEUE
-        if full or (wait > request.wait_limit * WAIT_SAFETY and not returns):
+        if full or too_long:
             self.queue.discard(stream)
             return self._refuse(request, "the queue is too long", wait)
         return Queued(stream, wait)
@@ -154,9 +145,10 @@
         generation = request.generation
         now = self.clock()
         excess = wait - request.wait_limit * WAIT_SAFETY
-        places = self.places.per_second(self.engines.running(), now)
-        even = places / max(1, self.queue.busy_accounts())
+        even = self.waits.rate(now) / max(1, self.queue.busy_accounts())
         rate = max(self.places.of_account(generation.account, now), even)
+        # Promised at the pace that nearly every window had, or those who come back wait in vain.
+        rate *= self.backlog.steadiness()
         again = self.reservations.book(generation.account, now, excess, rate)
         return GrantRefused(generation.stream, "overloaded", detail, again)
 
@@ -181,7 +173,7 @@
         progress = True
         while progress:
             progress = False
-            for stream, item in list(self.queue.in_order()):
+            for stream, item in self._heads():
                 granted = self._try_grant(stream, item)
                 if granted is not None:
                     yield item.daemon, granted
@@ -190,6 +182,20 @@
                 if self._goes_first(item):
                     return
 
+    def _heads(self) -> list[tuple[str, Waiting]]:
+        """Return the head of each account's queue, the one to be served next first.
+
+        Who was let into the queue has been told that it will be served in time, so who has
+        waited for long goes before later requests of its priority.
+        """
+        heads = list(self.queue.in_order())
+        heads.sort(key=lambda pair: (-pair[1].request.generation.priority, self._turn(pair[1])))
+        return heads
+
+    def _turn(self, item: Waiting) -> float:
+        waited = self.clock() - item.since
+        return item.since if waited > item.request.wait_limit * BYPASS_LIMIT else math.inf
+
     def _goes_first(self, item: Waiting) -> bool:
         """Tell whether a request has been passed long enough by those that fit better."""
         waited = self.clock() - item.since
@@ -209,6 +215,7 @@
         self.grants += 1
         self.engines.prefixes.note(ledger.name, generation.prefixes, now)
         self.places.note_grant(generation.account, now)
+        self.backlog.note_grant(now)
         # Charged in advance, or the accounts' order would be as old as the last reports.
         candidate.charged = min(self.places.tokens, generation.max_tokens)
         cost = generation.prompt_tokens * PROMPT_WEIGHT + candidate.charged
@@ -247,6 +254,19 @@
                 why = GrantRefused(stream, refused.reason, refused.detail, refused.retry_after)
                 self.tell_later(item.daemon, why)
 
+    def look(self) -> None:
+        """Refuse those who have waited too long, or will have."""
+        now = self.clock()
+        self.refuse_late()
+        self._refuse_hopeless(now)
+        self.backlog.look(len(self.queue), now)
+
+    def _refuse_hopeless(self, now: float) -> None:
+        for stream, item, wait in list(self.waits.hopeless(now)):
+            self.queue.discard(stream)
+            refused = self._refuse(item.request, "the queue is too slow", wait)
+            self.tell_later(item.daemon, refused)
+
     def refuse_late(self) -> None:
         """Refuse those who waited too long."""
         now = self.clock()
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -10,6 +10,7 @@
 from papayacourse.catalog import Catalog
 from papayacourse.enginelist import EngineList
 from papayacourse.enginewatch import POLL_INTERVAL
+from papayacourse.estimates import WAIT_SAFETY
 from papayacourse.grants import Answer, GrantQueue, Tell
 from papayacourse.ledger import EngineLedger, Stream, take_off
 from papayacourse.membership import Membership
@@ -25,6 +26,7 @@
 from papayacourse.tasks import cancel_all
 
 GRANT_GRACE = 4.0  # seconds a granted stream may go unreported
+LOOKS = 5  # at the queue, to one round of the engines
 PACE_WEIGHT = 0.05  # of one report of a stream's progress
 PACE_RANGE = (0.001, 1.0)  # seconds between tokens that can be believed
 
@@ -93,7 +95,8 @@
         if ledger is not None:
             stream = take_off(ledger, note.stream)
             if note.outcome == "finished":
-                self.waiting.places.note_end(self.clock() - stream.granted_at, note.generated)
+                now = self.clock()
+                self.waiting.places.note_end(now - stream.granted_at, note.generated, now)
                 self.waiting.lengths.add(note.account, note.generated)
             unpaid = note.generated - stream.charged
             self.waiting.charge(stream.generation.priority, note.account, unpaid)
@@ -158,13 +161,20 @@
         for stream in self.orphans.check(list(self.ledgers.values()), now, GRANT_GRACE, window):
             logs.debug("stream not reported", stream=stream)
 
+    def _take_wait_limit(self) -> None:
+        settings = self.catalog.service(self.team, self.service)
+        if settings is not None:
+            self.waiting.backlog.resize(settings.wait_limit * WAIT_SAFETY)
+
     async def run(self) -> None:
         """Poll the engines and serve the queue for as long as the duty is held."""
         while True:
             self.engines.refresh()
             self.waiting.forget(self.catalog.account_names(self.team))
+            self._take_wait_limit()
             self.watch.poll(self.ledgers.values())
             self.expire()
-            self.waiting.refuse_late()
             self.waiting.serve()
-            await asyncio.sleep(POLL_INTERVAL)
+            for _ in range(LOOKS):
+                self.waiting.look()
+                await asyncio.sleep(POLL_INTERVAL / LOOKS)
--- a/tests/features/scheduling.feature
+++ b/tests/features/scheduling.feature
@@ -28,6 +28,16 @@
     Then some were refused, nearly all in less than half of the wait, with a Retry-After
     And most of those refused are served when they come back as told
 
+  Scenario: A request that waits in vain is refused before the whole wait has passed
+    Given a planner service with a batch of 2 and a wait of 6 seconds for accounts "large"
+    And 1 scheduled engine with memory 8000
+    And daemons "a, b" that schedule
+    When account "large" sends 12 streams of 5 tokens through "a"
+    And every stream has ended
+    And account "large" sends 8 streams of 1900 tokens through "a"
+    And every stream has ended
+    Then 6 were refused, all but one of them within 0.85 of the wait
+
   Scenario Outline: Streams that outgrow an engine's memory are preempted, or were not let in
     Given a planner service with policy "<policy>" for accounts "large"
     And 1 scheduled engine with memory 1500
--- a/tests/features/steps/scheduling_steps.py
+++ b/tests/features/steps/scheduling_steps.py
@@ -161,6 +161,15 @@
     assert len(late) <= len(refused) / 10, f"{len(late)} of {len(refused)} refused late"
 
 
+@then("{count:d} were refused, all but one of them within {part:g} of the wait")
+def refused_in_vain(context, count, part):
+    refused = [caller for caller in context.callers if caller.status in (429, 503)]
+    times = sorted(round(caller.ended - caller.began, 2) for caller in refused)
+    assert len(refused) == count, f"{len(refused)} refused, after {times}"
+    assert all(c.error["ran"] == "no" and c.error["retry_after"] >= 1 for c in refused)
+    assert times[-2] <= part * context.wait_limit, times
+
+
 @then("most of those refused are served when they come back as told")
 def served_again(context):
     waiting = sorted((c.ended + c.error["retry_after"], c) for c in refused_callers(context))
