Make room in full buckets of records, in every segment, and forget keys in time

Found by bringing each about with real processes: - only the two oldest segments of a bucket were ever made smaller, since the first two were looked at whether or not anything was left to do. Shown: 2 segments of tombstones in each bucket, where more than 2 had expired. - a full bucket never took calls again: room was made only when a segment was sealed, which a full bucket does not do. Shown: no call taken in 90 s after everything had expired. - tombstones were never deleted: that asked for an open segment, and ran only when there was none yet. Shown: no segment deleted. - a segment could lose outcomes or releases of intents in front of it that were still remembered (by reading; not provoked). Segments are now made smaller oldest first. Change: the team's options record_bytes and record_forget_after (16 MB, 30 days, as before) so that a limit can be set, and reached; a full bucket makes room at each write; the newest rows are read before tombstones are made.

--- a/papayacourse/buckets.py
+++ b/papayacourse/buckets.py
@@ -3,8 +3,9 @@
 A bucket's segments are values of the key-value service, ``/records/TEAM/BUCKET/NUMBER``. Rows are
 only ever added, to the last segment, by compare-and-swap; a segment that has grown long is sealed
 in the same swap and the next one is begun. A sealed segment changes once more: when all of its rows
-have expired it is replaced by tombstones, a short hash of each key. Tombstones are deleted
-``FORGET_AFTER`` seconds after their newest row; only then could a key run again.
+have expired, and those of every segment before it, it is replaced by tombstones, a short hash of
+each key. Tombstones are deleted ``record_forget_after`` seconds, a setting of the team, after their
+newest row; only then could a key run again.
 """
 
 import base64
@@ -19,9 +20,7 @@
 
 BUCKETS = 4  # for each team
 SEGMENT_BYTES = 32 * 1024  # packed; a longer one is sealed
-MAX_BUCKET_BYTES = 16 * 1024 * 1024  # all segments of a bucket together
 MAX_KEPT_ANSWER = 2048  # bytes of headers and body
-FORGET_AFTER = 30 * 86400.0  # seconds
 KEY_BYTES = 16
 TOMBSTONE_BYTES = 10
 
@@ -210,3 +209,8 @@
             if isinstance(row, Intent) and self._stands(row):
                 del self.records[row.key]
         self.take(tombstones)
+
+    def forget_tombstones(self, segment: Segment) -> None:
+        """Drop the tombstones of a segment that is deleted."""
+        self.ran.difference_update(split_tombstones(segment.ran))
+        self.unknown.difference_update(split_tombstones(segment.unknown))
--- a/papayacourse/bucketwriter.py
+++ b/papayacourse/bucketwriter.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import time
+from collections.abc import Iterator
+from itertools import islice
 
 from attrs import define, evolve, field
 
 from papayacourse import logs
 from papayacourse.buckets import (
-    FORGET_AFTER,
-    MAX_BUCKET_BYTES,
     SEGMENT_BYTES,
     Intent,
     Ledger,
@@ -29,6 +29,7 @@
     PlatformUnavailable,
 )
 from papayacourse.kvstore import Entry, KeyValueStore, Lost, Written
+from papayacourse.settings import TeamSettings
 
 SWAP_TRIES = 40  # swaps that found another value, for one batch
 LOST_TRIES = 3  # swaps whose answer was lost, for one batch
@@ -36,7 +37,7 @@
 COLLISION_PAUSE = 0.005  # seconds, times the number of the try
 WRITE_INTERVAL = 0.02  # seconds between two writes of one bucket
 MAX_ROWS = 200  # in one write
-COMPACTIONS = 2  # old segments made smaller for each one sealed
+COMPACTIONS = 2  # old segments made smaller for each one sealed, or for each write when full
 
 
 @define(eq=False)
@@ -66,6 +67,7 @@
 
     store: KeyValueStore
     prefix: str
+    limits: TeamSettings = field(factory=TeamSettings)
     ledger: Ledger = field(factory=Ledger)
     open: Segment = field(factory=lambda: Segment(0))
     revision: int = 0
@@ -91,6 +93,10 @@
         """Return the bytes of the bucket's sealed segments."""
         return sum(sealed.size for sealed in self.sealed.values())
 
+    def is_full(self) -> bool:
+        """Tell whether there is no room for another intent."""
+        return self.size() > self.limits.record_bytes
+
     # Commands.
 
     async def append(self, row: Row) -> Record | Tombstone | None:
@@ -126,6 +132,9 @@
                 batch, self.waiting = self.waiting[:MAX_ROWS], self.waiting[MAX_ROWS:]
                 sealed = len(self.sealed)
                 try:
+                    if self.is_full():
+                        await self._compact(time.time())
+                        sealed = len(self.sealed)
                     await self._write(batch)
                 except Exception as error:
                     self._fail(batch, error)
@@ -176,11 +185,18 @@
         if not self.loaded:
             await self._load()
         elif any(update.row is None for update in batch):
+            await self._refresh()
+
+    async def _refresh(self) -> None:
+        """Take what others have added, past every segment that they have sealed."""
+        while self.loaded:
             entry = await self.store.get(segment_key(self.prefix, self.open.number))
-            if entry.revision != self.revision:
-                self._adopt(entry)
-            if not self.loaded:
-                await self._load()
+            if entry.revision == self.revision:
+                return
+            self._adopt(entry)
+            if self.revision:
+                return
+        await self._load()
 
     async def _load(self) -> None:
         try:
@@ -228,7 +244,7 @@
             match update.row:
                 case Intent(key=key) if self.find(key) is not None:
                     update.done.set_result(self.find(key))
-                case Intent() if self.size() > MAX_BUCKET_BYTES:
+                case Intent() if self.is_full():
                     update.done.set_exception(BucketFull(f"{self.prefix} is full"))
                 case Intent(key=key) if key in taken:
                     # Another intent for the key is in this very write; it is found the next time.
@@ -259,31 +275,49 @@
 
     async def _compact(self, now: float) -> None:
         """Make a few old segments smaller, or delete them."""
-        for old in list(self.sealed.values())[:COMPACTIONS]:
-            try:
-                await self._compact_one(old, now)
-            except PlatformError as error:
-                self.loaded = False
-                logs.warning("segment not compacted", bucket=self.prefix, why=str(error))
+        if next(self._due(now), None) is None:
+            return
+        try:
+            # A tombstone tells whether the call ran, so the newest outcomes have to be known.
+            await self._refresh()
+            for old in list(islice(self._due(now), COMPACTIONS)):
+                await self._compact_one(old)
+        except PlatformError as error:
+            self.loaded = False
+            logs.warning("segment not compacted", bucket=self.prefix, why=str(error))
+
+    def _due(self, now: float) -> Iterator[SealedSegment]:
+        """Yield the segments that may be made smaller or deleted, oldest first.
+
+        A segment's outcomes and releases belong to intents in it and before it, so none is made
+        smaller before those in front of it.
+        """
+        for old in self.sealed.values():
+            segment = old.segment
+            if segment.compact:
+                # The last segment says where the log goes on, so there must be one behind this.
+                is_last = not self.revision and segment.number == self.open.number - 1
+                if segment.newest + self.limits.record_forget_after < now and not is_last:
+                    yield old
+            elif segment.expired(now):
+                yield old
+            else:
                 return
 
-    async def _compact_one(self, old: SealedSegment, now: float) -> None:
+    async def _compact_one(self, old: SealedSegment) -> None:
         segment = old.segment
         key = segment_key(self.prefix, segment.number)
-        if segment.compact:
-            # The last segment says where the log goes on, so there must be one behind this.
-            if segment.newest + FORGET_AFTER < now and self.revision:
-                await self.store.swap(key, None, old.revision)
+        tombstones = None if segment.compact else self.ledger.compacted(segment)
+        text = None if tombstones is None else pack(tombstones)
+        match await self.store.swap(key, text, old.revision):
+            case Lost():
+                self.loaded = False
+            case Written() if tombstones is None:
+                self.ledger.forget_tombstones(segment)
                 del self.sealed[segment.number]
-        elif segment.expired(now):
-            tombstones = self.ledger.compacted(segment)
-            text = pack(tombstones)
-            match await self.store.swap(key, text, old.revision):
-                case Written(revision=revision):
-                    self.ledger.forget_rows(segment, tombstones)
-                    self.sealed[segment.number] = SealedSegment(tombstones, revision, len(text))
-                case Lost():
-                    self.loaded = False
+            case Written(revision=revision):
+                self.ledger.forget_rows(segment, tombstones)
+                self.sealed[segment.number] = SealedSegment(tombstones, revision, len(text))
 
 
 def settle(batch: list[Update], written: tuple[Row, ...]) -> None:
--- a/papayacourse/catalog.py
+++ b/papayacourse/catalog.py
@@ -233,8 +233,11 @@
 
     def team_closed(self, team: str) -> bool:
         """Tell whether a team takes no new requests."""
-        setting = self._named(team, "team").get("")
-        return isinstance(setting, TeamSettings) and setting.closed
+        return self.team(team).closed
+
+    def team(self, team: str) -> TeamSettings:
+        """Return a team's own settings, or the defaults of one that has none."""
+        return self._named(team, "team").get("") or TeamSettings()
 
     def service(self, team: str, name: str) -> ServiceSettings | None:
         """Return a service's settings."""
--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -81,7 +81,7 @@
         self.signer = CursorSigner(derived(config.mesh_key, "cursor"))
         self.joins = KeyedRelays()
         self.retries = RetryBudgets()
-        self.records = Records(self.store)
+        self.records = Records(self.store, self.catalog.team)
         self.watch = SettingsWatch(self.store, self.catalog)
 
     async def run(self) -> int:
--- a/papayacourse/once.py
+++ b/papayacourse/once.py
@@ -70,7 +70,7 @@
         RequestRefused
             With ``ran`` as far as it can be proved.
         """
-        self.records.check_age(key.key)
+        self.records.check_age(key.team, key.key)
         owner = self.owner(key)
         if owner is not None and len(call.body) <= MAX_ROUTED_BYTES:
             answer = await self._ask(owner, key, call)
--- a/papayacourse/records.py
+++ b/papayacourse/records.py
@@ -2,9 +2,9 @@
 
 An intent is written before a call is sent, and its outcome afterwards. Only the writer of an intent
 may release it, when nothing was sent; nobody takes one over. Outcomes are kept for the service's
-``record_retention``; after that a tombstone of the key refuses it for ``buckets.FORGET_AFTER``. A
-key that carries a time (UUIDv7) older than that, less a day for clocks that are wrong, is refused
-whatever is known of it.
+``record_retention``; after that a tombstone of the key refuses it for the team's
+``record_forget_after``. A key that carries a time (UUIDv7) older than that, less a day for clocks
+that are wrong, is refused whatever is known of it.
 """
 
 import asyncio
@@ -19,7 +19,6 @@
 
 from papayacourse import invariants, logs
 from papayacourse.buckets import (
-    FORGET_AFTER,
     MAX_KEPT_ANSWER,
     Intent,
     Outcome,
@@ -41,7 +40,7 @@
 from papayacourse.kvstore import KeyValueStore
 from papayacourse.messages import CallAnswer
 from papayacourse.plain import PlainCall, forward_to_any
-from papayacourse.settings import ServiceSettings
+from papayacourse.settings import ServiceSettings, TeamSettings
 from papayacourse.types import Ran
 
 RETRY_AFTER = 2.0  # seconds
@@ -52,6 +51,7 @@
 PERSIST_PAUSE = 1.0  # seconds, doubled after each failure
 MAX_PERSIST_PAUSE = 10.0  # seconds
 KEY_CLOCK_SKEW = 86400.0  # seconds that a key's own time may be wrong
+MAX_SKEW_SHARE = 1 / 30  # of the time for which keys are remembered
 IDLE_LIMIT = 60.0  # seconds without use after which a bucket is dropped from memory
 NONCE_BYTES = 8
 REQUEST_BYTES = 8
@@ -105,11 +105,14 @@
 
     Attributes
     ----------
+    team_settings : callable
+        Returns the settings of a team.
     running : set of bytes
         The nonces of the calls that this daemon has in progress.
     """
 
     store: KeyValueStore
+    team_settings: Callable[[str], TeamSettings] = lambda _team: TeamSettings()
     writers: dict[str, BucketWriter] = field(factory=dict)
     running: set[bytes] = field(factory=set)
     persisting: set[asyncio.Task] = field(factory=set)
@@ -129,12 +132,13 @@
                 return {"state": "tombstone", "ran": str(Ran.YES if ran else Ran.UNKNOWN)}
         return {"state": "none"}
 
-    def check_age(self, key: str) -> None:
+    def check_age(self, team: str, key: str) -> None:
         """Refuse a key whose own time is before anything that is still remembered."""
         made = key_time(key)
         if made is None:
             return
-        if made < time.time() - FORGET_AFTER + KEY_CLOCK_SKEW:
+        remembered = self.team_settings(team).record_forget_after
+        if made < time.time() - remembered + min(KEY_CLOCK_SKEW, remembered * MAX_SKEW_SHARE):
             detail = "the Idempotency-Key is older than any record; it is never run"
             raise RequestRefused(409, "key_expired", detail, Ran.UNKNOWN)
         if made > time.time() + KEY_CLOCK_SKEW:
@@ -178,6 +182,7 @@
     ) -> CallAnswer | None:
         """Run a call or answer from its record; None if an intent was met that is withdrawn now."""
         writer = self._writer(bucket_prefix(team, bucket_of(key)))
+        writer.limits = self.team_settings(team)
         clock = IntentClock()
         expires = clock.wall + settings.record_retention
         nonce = secrets.token_bytes(NONCE_BYTES)
--- a/papayacourse/settings.py
+++ b/papayacourse/settings.py
@@ -26,9 +26,20 @@
 
 @frozen
 class TeamSettings:
-    """A team: whether it still takes new requests."""
+    """A team: whether it still takes new requests, and how much its records may take.
+
+    Attributes
+    ----------
+    record_bytes : int
+        The size of a bucket of records above which it takes no new calls, in bytes.
+    record_forget_after : float
+        How long a key is refused after its outcome has expired, counted from its first call, in
+        seconds.
+    """
 
     closed: bool = False
+    record_bytes: int = 16 * 1024 * 1024
+    record_forget_after: float = 30 * 86400.0
 
 
 @frozen
@@ -250,7 +261,15 @@
 
 
 KINDS = {
-    "team": Kind(TeamSettings, "team", (Option("team", "state", "closed", team_state),)),
+    "team": Kind(
+        TeamSettings,
+        "team",
+        (
+            Option("team", "state", "closed", team_state),
+            may_be_left_out("team", "record_bytes", "record_bytes", positive(int)),
+            may_be_left_out("team", "record_forget_after", "record_forget_after", positive(float)),
+        ),
+    ),
     "services": Kind(
         ServiceSettings,
         "service",
--- a/tests/features/records.feature
+++ b/tests/features/records.feature
@@ -80,6 +80,12 @@
     When 20 refunds are each posted at once through "a, b, c, d"
     Then each of the 20 refunds ran 1 time and every post of it succeeded
 
+  Scenario: Two domains write the same buckets under load
+    Given daemons "c" in domain "accra-1" of region "accra"
+    And daemons "d" in domain "accra-2" of region "accra"
+    When 400 refunds are each posted at once through "a, b, c, d"
+    Then each of the 400 refunds ran 1 time and every post of it succeeded
+
   Scenario: A key is sent again long after its outcome has expired
     Given outcomes are kept for 1 seconds
     When refund "r-1" is posted through "a"
--- a/tests/features/steps/record_faults_steps.py
+++ b/tests/features/steps/record_faults_steps.py
@@ -22,9 +22,9 @@
 LINKS = {"platform": "link-kv", "service": "link-ledger-1"}
 
 
-def change_service(context, option):
-    """Set an option of the plain service and wait until it is in force."""
-    done = context.fleet.settings("set", LEDGER, text=f"{SERVICE_TEXT}{option}\n")
+def change(context, path, text):
+    """Change a setting and wait until it is in force."""
+    done = context.fleet.settings("set", path, text=text)
     assert done.returncode == 0, done.stderr
     revision = int(done.stdout.rsplit(" ", 1)[1])
     for name in ("a", "b"):
@@ -35,6 +35,11 @@
             )
 
 
+def change_service(context, option):
+    """Set an option of the plain service."""
+    change(context, LEDGER, f"{SERVICE_TEXT}{option}\n")
+
+
 @given('a plain service "{name}" behind a proxy in domain "{domain}"')
 def plain_behind_proxy(context, name, domain):
     process = context.fleet.standin("plainservice", name)
