--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -86,7 +86,7 @@
         self.joins = KeyedRelays()
         self.retries = RetryBudgets()
         self.streams = StreamTraffic()
-        self.records = Records(self.store)
+        self.records = Records(self.store, self.catalog.team)
         self.watch = SettingsWatch(self.store, self.catalog)
 
     async def run(self) -> int:
