Hand on what changes in the host list, and follow a list that starts again

Ruled out: sending changes only from versions that the answerer has itself read (daemons read different versions, so the whole list would go out often); a generation id (the platform's list has none); taking any lower version (a lagging copy would set hosts back at every second reading).

Change: a daemon keeps the last steps of the list, up to 64 or 1,024 hosts, and answers with the hosts changed and removed since the asker's version and a digest of the result; the whole list goes out when the log does not reach back or the digest does not fit. Five readings in a row over at least 10 s that are behind what is known, or differ under the same version, begin a new epoch, which goes before the version between daemons.

Shown failing first: no changes sent: 0 answers with changes and 3 whole lists; a lower version ignored: not all daemons have the list after 60 s; taken at the first reading: a lagging copy begins an epoch.

Conclusion: the whole list is left to daemons that are new or far behind. Three daemons of each domain still read it whole from the platform.

--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -324,10 +324,7 @@
                 "dials": self.peers.dials,
                 "accepted": self.peers.accepted,
             },
-            "hosts": {
-                "version": self.membership.hosts.version,
-                "reads": self.membership.host_sync.reads,
-            },
+            "hosts": self.membership.host_sync.status(),
             "domains": [
                 {
                     "name": domain,
--- a/papayacourse/hostlist.py
+++ b/papayacourse/hostlist.py
@@ -15,10 +15,24 @@
 
 @frozen
 class HostListing:
-    """The hosts of the platform as it last knew them."""
+    """The hosts of the platform as it last knew them.
+
+    Attributes
+    ----------
+    version : int
+        The platform's own number of it, which rises with each change.
+    epoch : int
+        How often the list has started anew with a lower version, as daemons have noticed.
+    """
 
     version: int
     hosts: tuple[Host, ...]
+    epoch: int = 0
+
+    @property
+    def age(self) -> tuple[int, int]:
+        """Return what orders listings: the epoch, then the version."""
+        return self.epoch, self.version
 
 
 class HostList:
--- a/papayacourse/membership.py
+++ b/papayacourse/membership.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable, Iterator
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from papayacourse import logs
 from papayacourse.catalog import Catalog
@@ -223,7 +223,7 @@
         if member.leaving != beat.leaving:
             member.leaving = beat.leaving
             self.changed.set()
-        self.host_sync.peer_has(peer.name, beat.hosts_version)
+        self.host_sync.peer_has(peer.name, (beat.hosts_epoch, beat.hosts_version))
         await self.settings.compare(peer.name, beat.settings_digest)
 
     async def heard_again(self, peer: Hello, _beat: Beat) -> None:
@@ -306,11 +306,7 @@
             self.beating.pop(name, None)
 
     def _differs(self, sent: Heartbeat, beat: Heartbeat) -> bool:
-        same = (sent.leaving, sent.settings_digest, sent.hosts_version) == (
-            beat.leaving,
-            beat.settings_digest,
-            beat.hosts_version,
-        )
+        same = evolve(sent, loads=()) == evolve(beat, loads=())
         return not same or significant_change(sent.loads, beat.loads)
 
     def _try_other_address(self, name: str) -> None:
@@ -327,6 +323,7 @@
             self.catalog.digest,
             self.hosts.version,
             self.loads_here(),
+            self.hosts.epoch,
         )
 
     async def leave(self) -> None:
--- a/papayacourse/messages.py
+++ b/papayacourse/messages.py
@@ -79,8 +79,8 @@
         Whether it takes no duty: it has been told to stop, or does not know enough yet.
     settings_digest : int
         A hash over all (path, revision) pairs in force there.
-    hosts_version : int
-        The version of the host list it knows.
+    hosts_version, hosts_epoch : int
+        The version of the host list it knows, and how often that list has started anew.
     loads : tuple of ServiceLoad
         The services that it schedules.
     """
@@ -91,6 +91,7 @@
     settings_digest: int
     hosts_version: int
     loads: tuple[ServiceLoad, ...] = ()
+    hosts_epoch: int = 0
 
 
 @frozen
@@ -108,9 +109,17 @@
 
 @frozen
 class HostsAsk:
-    """Asks a peer for its host list, when that is newer than this version."""
+    """Asks a peer for what is newer in its host list than in this version of this epoch.
+
+    Attributes
+    ----------
+    whole : bool
+        Whether only the whole list will do.
+    """
 
     version: int
+    epoch: int = 0
+    whole: bool = False
 
 
 @frozen
@@ -181,10 +190,28 @@
 
 @frozen
 class HostsUpdate:
-    """Hands a newer host list to a peer."""
+    """Hands a newer host list to a peer, whole."""
 
     version: int
     hosts: tuple[Host, ...]
+    epoch: int = 0
+
+
+@frozen
+class HostsChanges:
+    """Hands a peer what has changed in the host list since its version.
+
+    Attributes
+    ----------
+    digest : int
+        A hash over all hosts of the list that must come out of it.
+    """
+
+    epoch: int
+    version: int
+    changed: tuple[Host, ...]
+    removed: tuple[str, ...]
+    digest: int
 
 
 @frozen
@@ -412,6 +439,7 @@
     | SettingsDigest
     | SettingsUpdate
     | HostsUpdate
+    | HostsChanges
     | GrantRequest
     | Granted
     | Joined
--- a/standins/hostservice.py
+++ b/standins/hostservice.py
@@ -47,8 +47,13 @@
     """Changes hosts and switches, for tests."""
 
     def post(self) -> None:
-        """Put hosts, remove names, set the lag or an outage."""
+        """Put hosts, remove names, set the lag or an outage; ``version`` is where to count on.
+
+        ``shown`` is a listing to show until the next change, as a lagging copy would.
+        """
         body = self.body()
+        self.standin.version = body.get("version", self.standin.version)
+        self.standin.shown = body.get("shown", self.standin.shown)
         self.standin.lag = body.get("lag", self.standin.lag)
         self.standin.outage = body.get("outage", self.standin.outage)
         for host in body.get("put", []):
--- a/tests/features/membership.feature
+++ b/tests/features/membership.feature
@@ -58,3 +58,39 @@
     Then each of those links was closed and logged as an error by "a"
     And every daemon of "a, b" has one link to each other one
     And 2 plans are whole through each of "a, b"
+
+  Scenario: What changes in the host list is handed on alone, and the whole list when that is less
+    Given 2 engines "planner" in domain "lagos-1" of region "lagos"
+    And daemons "a, b, c, d, e" in domain "lagos-1" of region "lagos"
+    And all of "a, b, c, d, e" have the newest host list
+    When host "planner-lagos-1-1" is taken off the list
+    Then all of "a, b, c, d, e" have the newest host list
+    And "a, b, c, d, e" handed on changes and no whole list since
+    When 1100 hosts are put on the list at once
+    Then all of "a, b, c, d, e" have the newest host list
+    And "a, b, c, d, e" handed on whole lists since
+
+  Scenario Outline: A host list that starts again with <a version> is taken by every daemon
+    Given 2 engines "planner" in domain "lagos-1" of region "lagos"
+    And daemons "a, b, c, d" in domain "lagos-1" of region "lagos"
+    And daemons "m" in domain "kano-1" of region "kano"
+    And all of "a, b, c, d, m" have the newest host list
+    When the host list starts again with <a version> and without "planner-lagos-1-1"
+    Then all of "a, b, c, d, m" have the newest host list
+    When host "planner-lagos-1-0" is taken off the list
+    Then all of "a, b, c, d, m" have the newest host list
+
+    Examples:
+      | a version        |
+      | a lower version  |
+      | the same version |
+
+  Scenario: A copy of the host list that lags for a moment does not set it back
+    Given 1 engines "planner" in domain "lagos-1" of region "lagos"
+    And daemons "a, b" in domain "lagos-1" of region "lagos"
+    And all of "a, b" have the newest host list
+    When 1 hosts are put on the list at once
+    Then all of "a, b" have the newest host list
+    When "a, b" read the list of before 2 times
+    Then all of "a, b" have the newest host list
+    And "a, b" never began a new epoch of the host list
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -4,16 +4,20 @@
 
 import cbor2
 from behave import given, then, when
+from cattrs import structure
 from websockets.exceptions import ConnectionClosed
 from websockets.sync.client import connect
 
 from papayacourse.handshake import prove
+from papayacourse.hostchanges import digest
+from papayacourse.hostlist import HostListing
 from papayacourse.messages import Beat, Hello, Proof
 from papayacourse.wire import MAX_FRAME_BYTES, PROTOCOL_VERSION, Frame, decode, encode
-from standins.fleet import MESH_KEY, wait_until
+from standins.fleet import MESH_KEY, call, wait_until
 from tests.steptext import names_in
 
 CLOSE_LIMIT = 5.0  # seconds
+LIST_LIMIT = 60.0  # seconds
 FOREIGNER = Hello("foreigner", 1, "lagos-1", "lagos", "127.0.0.1:1", b"a nonce of tests")
 
 
@@ -63,6 +67,7 @@
 
 @when('host "{name}" is taken off the list')
 def take_off_list(context, name):
+    context.earlier_lists = getattr(context, "lists_before", [])
     context.fleet.admin("hosts", {"remove": [name]})
 
 
@@ -177,3 +182,84 @@
     log = (context.fleet.path / f"{daemon}.log").read_text().splitlines()
     errors = [line for line in log if '"level":"error"' in line and '"link ' in line]
     assert len(errors) == len(context.closed), "\n".join(errors)
+
+
+def host_lists(context, names):
+    """Return what each daemon says of its host list."""
+    return [context.fleet.status(name)["hosts"] for name in names_in(names)]
+
+
+def raw_list(context):
+    """Return the platform's list as it is shown."""
+    return call(context.fleet.processes["hosts"].http, "GET", "/hosts").json
+
+
+def shown_list(context):
+    """Return the version and the digest of the platform's list."""
+    listing = structure(raw_list(context), HostListing)
+    return listing.version, f"{digest(listing.hosts):016x}"
+
+
+@given('all of "{names}" have the newest host list')
+@then('all of "{names}" have the newest host list')
+def newest_list(context, names):
+    def same():
+        wanted = shown_list(context)
+        return all((row["version"], row["digest"]) == wanted for row in host_lists(context, names))
+
+    wait_until("every daemon has the newest host list", same, LIST_LIMIT)
+    context.lists_before = host_lists(context, names)
+
+
+@then('"{names}" handed on {kind} since')
+def handed_on(context, names, kind):
+    before, now = context.earlier_lists, context.lists_before
+    changes = sum(row["changes_sent"] for row in now) - sum(row["changes_sent"] for row in before)
+    wholes = sum(row["wholes_sent"] for row in now) - sum(row["wholes_sent"] for row in before)
+    print(f"{changes} answers with changes, {wholes} whole lists")
+    if kind == "whole lists":
+        assert wholes, "no whole list was handed on"
+    else:
+        assert changes and not wholes, (changes, wholes)
+
+
+@when("{count:d} hosts are put on the list at once")
+def put_many(context, count):
+    context.earlier_lists = context.lists_before
+    context.list_of_before = raw_list(context)
+    place = {"domain": "lagos-1", "region": "lagos", "state": "live", "mesh": "", "service": ""}
+    rows = [
+        {"name": f"plain-{n}", "kind": "plain", "address": f"127.0.0.1:{n + 1}"} | place
+        for n in range(count)
+    ]
+    context.fleet.admin("hosts", {"put": rows})
+
+
+@when('the host list starts again with a lower version and without "{name}"')
+def start_lower(context, name):
+    context.fleet.admin("hosts", {"version": 0, "remove": [name]})
+
+
+@when('the host list starts again with the same version and without "{name}"')
+def start_same(context, name):
+    version = context.fleet.admin("hosts", {})["version"]
+    context.fleet.admin("hosts", {"version": version - 1, "remove": [name]})
+
+
+@when('"{names}" read the list of before {times:d} times')
+def read_old(context, names, times):
+    newest = raw_list(context)
+    before = [row["reads"] for row in host_lists(context, names)]
+    context.fleet.admin("hosts", {"shown": context.list_of_before})
+
+    def read_enough():
+        now = [row["reads"] for row in host_lists(context, names)]
+        return all(n >= b + times for n, b in zip(now, before, strict=True))
+
+    wait_until("the old list is read", read_enough)
+    context.fleet.admin("hosts", {"shown": newest})
+
+
+@then('"{names}" never began a new epoch of the host list')
+def no_new_epoch(context, names):
+    assert not any(row["epoch"] for row in host_lists(context, names))
