Show that a stream which waits in its engine's own queue is started once

Suspected: a stream that waits for over 5 s inside an engine before its first token looks lost and is started again elsewhere (START_LIMIT, the read time-outs). Not confirmed: the engine has answered at the start of each link, so its silence is not counted as a failing link.

Scenarios: an engine that runs one stream at a time holds a second one for 8 and 14 s; it is started once and comes whole. An engine that holds back even the head of its answer: not tried.

--- a/tests/features/steps/stream_steps.py
+++ b/tests/features/steps/stream_steps.py
@@ -1,5 +1,6 @@
 """Steps about streams: faults on the way, resuming, joining, going away."""
 
+import http.client
 import json
 import socket
 import time
@@ -12,6 +13,8 @@
 from tests.callers import KEYS, StreamingCaller, check_whole, marks_of
 
 FAST = ("--step", "0.0005", "--step-per-stream", "0", "--memory", "1000000")
+NARROW_PACE = 100  # tokens a second
+NARROW = ("--max-batch", "1", "--step", str(1 / NARROW_PACE), "--step-per-stream", "0")
 RECEIVE_BUFFER = 16 * 1024  # bytes, so that what a caller does not read stays at the daemon
 
 
@@ -80,6 +83,24 @@
     context.fleet.engine(name, domain, region, *FAST)
 
 
+@given(
+    'an engine "{name}" that runs one stream at a time in domain "{domain}" of region "{region}"'
+)
+def narrow_engine(context, name, domain, region):
+    context.fleet.engine(name, domain, region, *NARROW)
+
+
+@given('a stream from elsewhere keeps engine "{name}" for {seconds:d} seconds')
+def keep_busy(context, name, seconds):
+    """Start a stream that no daemon knows of, and leave it unread."""
+    prompt = f"[len={seconds * NARROW_PACE}]"
+    body = {"stream": "from-elsewhere", "prompt": prompt, "prompt_tokens": 1, "priority": 0}
+    host, _, port = context.fleet.processes[name].http.rpartition(":")
+    context.elsewhere = http.client.HTTPConnection(host, int(port))
+    context.elsewhere.request("POST", "/generate", json.dumps(body | {"max_tokens": 10**6}))
+    wait_until("it runs", lambda: context.fleet.counts(name)["running"] == 1)
+
+
 @given('stand-in "{name}" is set to {switches}')
 @when('stand-in "{name}" is set to {switches}')
 def set_standin(context, name, switches):
@@ -314,6 +335,11 @@
     assert not context.caller.done
 
 
+@then("no token has come yet")
+def no_token_yet(context):
+    assert not context.caller.texts and not context.caller.error, context.caller.error
+
+
 @then('within {seconds:d} seconds the answer ends in an error "{reason}" that says ran "{ran}"')
 def ends_in_error_soon(context, seconds, reason, ran):
     ends_in_error(context, reason, ran)
--- a/tests/features/streams.feature
+++ b/tests/features/streams.feature
@@ -136,3 +136,18 @@
     And daemons "a" in domain "lagos-1" of region "lagos"
     When account "organisers" asks 1 times for "plan [crash=0]" from "planner" through "a"
     Then every answer has status 422, a Retry-After and ran "unknown"
+
+  Scenario Outline: A stream that waits <seconds> s in its engine's own queue is started once
+    Given an engine "planner-1" that runs one stream at a time in domain "lagos-1" of region "lagos"
+    And daemons "a" in domain "lagos-1" of region "lagos"
+    And a stream from elsewhere keeps engine "planner-1" for <seconds> seconds
+    When account "organisers" begins streaming "plan [len=50]" from "planner" through "a"
+    And <wait> seconds pass
+    Then no token has come yet
+    And the answer has 50 tokens of one generation in order
+    And the engines started 2 generations
+
+    Examples:
+      | seconds | wait |
+      | 8       | 6    |
+      | 14      | 12   |
