--- a/papayacourse/heartbeats.py
+++ b/papayacourse/heartbeats.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from papayacourse import logs
 from papayacourse.exceptions import PeerError
@@ -93,9 +93,5 @@
 
 def differs(sent: Heartbeat, now: Heartbeat) -> bool:
     """Tell whether a heartbeat says something else than the last one."""
-    same = (sent.leaving, sent.settings_digest, sent.hosts_version) == (
-        now.leaving,
-        now.settings_digest,
-        now.hosts_version,
-    )
+    same = evolve(sent, loads=()) == evolve(now, loads=())
     return not same or significant_change(sent.loads, now.loads)
--- a/papayacourse/membership.py
+++ b/papayacourse/membership.py
@@ -244,7 +244,8 @@
 
     async def _compare(self, member: Member) -> None:
         """Ask a peer for what its last heartbeat says that it knows better."""
-        self.host_sync.peer_has(member.name, member.beat.hosts_version)
+        told = (member.beat.hosts_epoch, member.beat.hosts_version)
+        self.host_sync.peer_has(member.name, told)
         await self.settings.compare(member.name, member.beat.settings_digest)
 
     async def catch_up(self) -> None:
@@ -318,6 +319,7 @@
             self.catalog.digest,
             self.hosts.version,
             self.loads_here(),
+            self.hosts.epoch,
         )
 
     async def leave(self) -> None:
