Split the messages by subject

Messages of the mesh, of scheduling, and of calls and strikes now stand in a module each; messages.py only puts them together, in the order that gives their kinds on the wire. No message has changed.

--- a/bench/settings.py
+++ b/bench/settings.py
@@ -11,7 +11,7 @@
 from papayacourse.editor import Editor, checked
 from papayacourse.exceptions import BackendError
 from papayacourse.kvstore import KeyValueStore
-from papayacourse.messages import SettingsDigest, SettingsSummary, SettingsValue
+from papayacourse.meshmessages import SettingsDigest, SettingsSummary, SettingsValue
 from papayacourse.rollout import ask_daemon
 from papayacourse.types import Address
 from papayacourse.wire import Frame, encode
--- /dev/null
+++ b/papayacourse/callmessages.py
@@ -0,0 +1,60 @@
+"""The messages about non-repeatable calls, and about requests that crash engines."""
+
+from attrs import frozen
+
+
+@frozen
+class Strike:
+    """A request was in flight on an engine that died."""
+
+    fingerprint: str
+    engine: str
+    expires: float
+
+
+@frozen
+class StrikesUpdate:
+    """Hands strikes to a peer."""
+
+    strikes: tuple[Strike, ...]
+
+
+@frozen
+class Absolved:
+    """A request that was in flight on an engine that died has since come to its end."""
+
+    fingerprint: str
+
+
+@frozen
+class RunOnce:
+    """Asks the daemon that keeps a record's bucket to run a non-repeatable call."""
+
+    team: str
+    service: str
+    account: str
+    key: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@frozen
+class CallAnswer:
+    """A backend server's answer, or a refusal in the same form."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@frozen
+class CallRefused:
+    """The final answer to a call that was not served; the fields of a RequestRefused."""
+
+    status: int
+    reason: str
+    detail: str
+    ran: str
+    retry_after: float | None
--- a/papayacourse/catalog.py
+++ b/papayacourse/catalog.py
@@ -12,7 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from papayacourse import invariants, logs
-from papayacourse.messages import SettingsValue, SettingsVersion
+from papayacourse.meshmessages import SettingsValue, SettingsVersion
 from papayacourse.settings import (
     AccountSettings,
     DeploymentSettings,
--- a/papayacourse/commits.py
+++ b/papayacourse/commits.py
@@ -10,7 +10,7 @@
 
 from papayacourse import logs
 from papayacourse.kvstore import Entry
-from papayacourse.messages import SettingsValue
+from papayacourse.meshmessages import SettingsValue
 from papayacourse.settings import ROOT
 
 # Under the watched prefix, so that one watch brings commits too; no team can have this name.
--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -29,7 +29,7 @@
 from papayacourse.lifecycle import Lifecycle
 from papayacourse.listener import Listener
 from papayacourse.membership import Membership
-from papayacourse.messages import Hello
+from papayacourse.meshmessages import Hello
 from papayacourse.metrics import Metrics
 from papayacourse.once import OnceRouter
 from papayacourse.orders import LEASE_KEY, Orders, WeightBudget
--- a/papayacourse/duties.py
+++ b/papayacourse/duties.py
@@ -8,9 +8,10 @@
 
 from papayacourse import logs
 from papayacourse.membership import Membership
-from papayacourse.messages import NotScheduler, ServiceLoad
+from papayacourse.meshmessages import ServiceLoad
 from papayacourse.rendezvous import scheduling_duty as duty
 from papayacourse.scheduler import Scheduler
+from papayacourse.schedulingmessages import NotScheduler
 
 IDLE_SCHEDULER = 30.0  # seconds after which a scheduler without the duty is dropped
 TEND_INTERVAL = 1.0  # seconds
--- a/papayacourse/editor.py
+++ b/papayacourse/editor.py
@@ -32,7 +32,7 @@
 )
 from papayacourse.history import Revision, note_revision, read_history, remove_history
 from papayacourse.kvstore import Entry, KeyValueStore, Lost, Written
-from papayacourse.messages import SettingsValue
+from papayacourse.meshmessages import SettingsValue
 from papayacourse.settings import ROOT, SettingsPath, parse_path, parse_setting
 from papayacourse.snapshot import Snapshot, check_fit, check_seen, read_snapshot
 from papayacourse.types import Fault
--- a/papayacourse/gateways.py
+++ b/papayacourse/gateways.py
@@ -11,7 +11,7 @@
 from papayacourse.link import Link
 from papayacourse.loads import changed_loads
 from papayacourse.membership import Membership
-from papayacourse.messages import DomainLoads, DomainSummary, Hello, ServiceLoad
+from papayacourse.meshmessages import DomainLoads, DomainSummary, Hello, ServiceLoad
 from papayacourse.peers import Peers
 
 SUMMARY_INTERVAL = 1.0  # seconds
--- a/papayacourse/handshake.py
+++ b/papayacourse/handshake.py
@@ -7,7 +7,7 @@
 from websockets.asyncio.connection import Connection
 
 from papayacourse.exceptions import MalformedMessage
-from papayacourse.messages import Hello, Proof
+from papayacourse.meshmessages import Hello, Proof
 from papayacourse.wire import Frame, decode, encode
 
 NONCE_BYTES = 16
--- a/papayacourse/heartbeats.py
+++ b/papayacourse/heartbeats.py
@@ -10,7 +10,7 @@
 from papayacourse import logs
 from papayacourse.exceptions import PeerError
 from papayacourse.loads import significant_change
-from papayacourse.messages import Beat, Heartbeat
+from papayacourse.meshmessages import Beat, Heartbeat
 from papayacourse.peers import Peers
 
 CHECK_INTERVAL = 1.0  # seconds between looks at what a heartbeat would say
--- a/papayacourse/hostsync.py
+++ b/papayacourse/hostsync.py
@@ -9,7 +9,7 @@
 from papayacourse import logs
 from papayacourse.exceptions import PeerError, PlatformError
 from papayacourse.hostlist import HostList, HostListing
-from papayacourse.messages import Hello, HostsAsk, HostsUpdate
+from papayacourse.meshmessages import Hello, HostsAsk, HostsUpdate
 from papayacourse.peers import Peers
 from papayacourse.rendezvous import ranked
 
--- a/papayacourse/link.py
+++ b/papayacourse/link.py
@@ -9,7 +9,8 @@
 
 from papayacourse import logs
 from papayacourse.exceptions import PeerTimeout, PeerUnreachable
-from papayacourse.messages import Hello, Message
+from papayacourse.meshmessages import Hello
+from papayacourse.messages import Message
 from papayacourse.traffic import Traffic
 from papayacourse.wire import Frame, encode
 
--- a/papayacourse/loads.py
+++ b/papayacourse/loads.py
@@ -1,6 +1,6 @@
 """Tells which changes of load are worth a message."""
 
-from papayacourse.messages import ServiceLoad
+from papayacourse.meshmessages import ServiceLoad
 
 SIGNIFICANT_FRACTION = 0.1  # of a figure, by which it must change to be sent again
 SMALL_WAIT = 0.1  # seconds under which a change of the expected wait is not worth a message
--- a/papayacourse/membership.py
+++ b/papayacourse/membership.py
@@ -13,7 +13,7 @@
 from papayacourse.heartbeats import CHECK_INTERVAL, Heartbeats
 from papayacourse.hostlist import HostList, HostListing
 from papayacourse.hostsync import HostSync
-from papayacourse.messages import Beat, Heartbeat, Hello, ServiceLoad
+from papayacourse.meshmessages import Beat, Heartbeat, Hello, ServiceLoad
 from papayacourse.peers import Peers
 from papayacourse.rendezvous import ranked
 from papayacourse.settingsync import SettingsSync
--- /dev/null
+++ b/papayacourse/meshmessages.py
@@ -0,0 +1,192 @@
+"""The messages by which daemons know who is there and what they have."""
+
+from attrs import frozen
+
+from papayacourse.types import Host
+
+
+@frozen
+class Hello:
+    """Opens a link: who speaks, and a challenge for the other side."""
+
+    name: str
+    incarnation: int
+    domain: str
+    region: str
+    mesh: str
+    nonce: bytes
+
+
+@frozen
+class Proof:
+    """Answers the other side's challenge with the mesh key."""
+
+    digest: bytes
+
+
+@frozen
+class Done:
+    """An answer that carries nothing."""
+
+
+@frozen
+class CallFailed:
+    """The peer met an error while it worked on a call."""
+
+    detail: str
+
+
+@frozen
+class ServiceLoad:
+    """How one service stands in one failure domain, as its scheduler sees it.
+
+    Attributes
+    ----------
+    queued : int
+        Requests waiting.
+    expected_wait : float
+        The wait a new request can expect, in seconds.
+    free_tokens : int
+        Memory that admission may still give out, in tokens.
+    """
+
+    team: str
+    service: str
+    queued: int
+    expected_wait: float
+    free_tokens: int
+
+
+@frozen
+class Heartbeat:
+    """Says once a second that a daemon lives and what it knows.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether it takes no duty: it has been told to stop, or does not know enough yet.
+    settings_digest : int
+        A hash over all (path, revision) pairs in force there.
+    hosts_version : int
+        The version of the host list it knows.
+    loads : tuple of ServiceLoad
+        The services that it schedules.
+    """
+
+    name: str
+    incarnation: int
+    leaving: bool
+    settings_digest: int
+    hosts_version: int
+    loads: tuple[ServiceLoad, ...] = ()
+
+
+@frozen
+class Beat:
+    """Says that a daemon lives and that its last Heartbeat still holds."""
+
+
+@frozen
+class DomainSummary:
+    """What a failure domain tells the others about itself, once a second, between gateways.
+
+    Attributes
+    ----------
+    live : tuple of Hello
+        Its live daemons that stay.
+    """
+
+    domain: str
+    region: str
+    live: tuple[Hello, ...]
+    loads: tuple[ServiceLoad, ...]
+
+
+@frozen
+class DomainLoads:
+    """Loads of a failure domain that have changed since what was last sent on this link."""
+
+    domain: str
+    loads: tuple[ServiceLoad, ...]
+
+
+@frozen
+class HostsAsk:
+    """Asks a peer for its host list, when that is newer than this version."""
+
+    version: int
+
+
+@frozen
+class HostsUpdate:
+    """Hands a newer host list to a peer."""
+
+    version: int
+    hosts: tuple[Host, ...]
+
+
+@frozen
+class SettingsVersion:
+    """The highest revision that a daemon knows for one settings path."""
+
+    path: str
+    revision: int
+
+
+@frozen
+class SettingsSummary:
+    """Asks a peer whose digest differs in which buckets of paths it differs.
+
+    Attributes
+    ----------
+    digests : tuple of int
+        One hash for each bucket, over the (path, revision) pairs with a value there.
+    """
+
+    digests: tuple[int, ...]
+
+
+@frozen
+class SettingsBuckets:
+    """Names the buckets of paths that differ; answers a SettingsSummary.
+
+    Attributes
+    ----------
+    informed : bool
+        Whether the peer has itself been told all settings at least once.
+    """
+
+    numbers: tuple[int, ...]
+    informed: bool
+
+
+@frozen
+class SettingsDigest:
+    """Asks a peer for the values of one bucket of paths that are newer there."""
+
+    bucket: int
+    versions: tuple[SettingsVersion, ...]
+
+
+@frozen
+class SettingsValue:
+    """One settings path at one revision; a deleted path has no text."""
+
+    path: str
+    revision: int
+    text: str | None
+    author: str = ""
+
+
+@frozen
+class SettingsUpdate:
+    """Hands newer settings values to a peer.
+
+    Attributes
+    ----------
+    more : bool
+        Whether there are more than fit in one message; ask again for those.
+    """
+
+    values: tuple[SettingsValue, ...]
+    more: bool = False
--- a/papayacourse/numbering.py
+++ b/papayacourse/numbering.py
@@ -5,7 +5,8 @@
 
 from attrs import define, field, frozen
 
-from papayacourse.messages import Hello, ProgressReport
+from papayacourse.meshmessages import Hello
+from papayacourse.schedulingmessages import ProgressReport
 
 SPARE_NUMBERS = 16  # numbers kept beyond twice those reported before unused ones are looked for
 
--- a/papayacourse/once.py
+++ b/papayacourse/once.py
@@ -10,9 +10,10 @@
 
 from papayacourse import logs
 from papayacourse.buckets import bucket_of, bucket_prefix, key_hash
+from papayacourse.callmessages import CallAnswer, CallRefused, RunOnce
 from papayacourse.exceptions import PeerError, RequestRefused
 from papayacourse.membership import Membership
-from papayacourse.messages import CallAnswer, CallRefused, Hello, RunOnce
+from papayacourse.meshmessages import Hello
 from papayacourse.peers import Peers
 from papayacourse.plain import PlainCall
 from papayacourse.records import Records
--- a/papayacourse/peers.py
+++ b/papayacourse/peers.py
@@ -18,7 +18,8 @@
 from papayacourse.exceptions import MalformedMessage, PeerError, PeerUnreachable
 from papayacourse.handshake import read_binary, shake_hands
 from papayacourse.link import Link
-from papayacourse.messages import CallFailed, Done, Hello, Message
+from papayacourse.meshmessages import CallFailed, Done, Hello
+from papayacourse.messages import Message
 from papayacourse.tasks import cancel_all
 from papayacourse.traffic import Traffic
 from papayacourse.types import Address
--- a/papayacourse/placement.py
+++ b/papayacourse/placement.py
@@ -11,13 +11,16 @@
 from papayacourse.exceptions import PeerError, PeerUnreachable, RequestRefused
 from papayacourse.joins import key_reused
 from papayacourse.membership import Membership
-from papayacourse.messages import (
-    Done,
+from papayacourse.meshmessages import Done, Hello
+from papayacourse.numbering import Progress, StreamNumbers, read_progress
+from papayacourse.peers import Peers
+from papayacourse.rendezvous import scheduling_duty as duty
+from papayacourse.reporting import Reporting
+from papayacourse.schedulingmessages import (
     DrainEngine,
     Granted,
     GrantRefused,
     GrantRequest,
-    Hello,
     Joined,
     NotScheduler,
     ProgressReport,
@@ -27,10 +30,6 @@
     StreamState,
     StreamsUnknown,
 )
-from papayacourse.numbering import Progress, StreamNumbers, read_progress
-from papayacourse.peers import Peers
-from papayacourse.rendezvous import scheduling_duty as duty
-from papayacourse.reporting import Reporting
 from papayacourse.spill import Spill, waits
 from papayacourse.types import GenerationRequest
 
--- a/papayacourse/plain.py
+++ b/papayacourse/plain.py
@@ -6,6 +6,7 @@
 from attrs import frozen
 from tornado.httputil import HTTPHeaders
 
+from papayacourse.callmessages import CallAnswer
 from papayacourse.exceptions import (
     BackendError,
     BackendLinkLost,
@@ -13,7 +14,6 @@
     BackendUnreachable,
 )
 from papayacourse.httpcall import HttpCall
-from papayacourse.messages import CallAnswer
 from papayacourse.retries import RetryBudget
 from papayacourse.types import Address
 
--- a/papayacourse/plaincalls.py
+++ b/papayacourse/plaincalls.py
@@ -2,9 +2,9 @@
 
 from urllib.parse import urlsplit
 
+from papayacourse.callmessages import CallAnswer
 from papayacourse.catalog import Client
 from papayacourse.exceptions import BackendError, BackendUnreachable, RequestRefused
-from papayacourse.messages import CallAnswer
 from papayacourse.once import CallerKey
 from papayacourse.plain import REQUEST_ID, PlainCall, forward_repeatable, passed_on
 from papayacourse.settings import ServiceSettings
--- a/papayacourse/quarantine.py
+++ b/papayacourse/quarantine.py
@@ -7,8 +7,9 @@
 from attrs import define, field
 
 from papayacourse import logs
+from papayacourse.callmessages import Absolved, Strike, StrikesUpdate
 from papayacourse.exceptions import PeerError, RequestRefused
-from papayacourse.messages import Absolved, Hello, Strike, StrikesUpdate
+from papayacourse.meshmessages import Hello
 from papayacourse.peers import Peers
 
 STRIKES = 2  # different engines that a request may take down
--- a/papayacourse/records.py
+++ b/papayacourse/records.py
@@ -30,6 +30,7 @@
     bucket_prefix,
 )
 from papayacourse.bucketwriter import BucketWriter
+from papayacourse.callmessages import CallAnswer
 from papayacourse.exceptions import (
     BackendError,
     BackendUnreachable,
@@ -39,7 +40,6 @@
     RequestRefused,
 )
 from papayacourse.kvstore import KeyValueStore
-from papayacourse.messages import CallAnswer
 from papayacourse.plain import PlainCall, forward_to_any
 from papayacourse.settings import ServiceSettings
 from papayacourse.types import Ran
--- a/papayacourse/reporting.py
+++ b/papayacourse/reporting.py
@@ -7,15 +7,15 @@
 from attrs import define, field, frozen
 
 from papayacourse.membership import Membership
-from papayacourse.messages import (
-    Hello,
+from papayacourse.meshmessages import Hello
+from papayacourse.numbering import write_progress
+from papayacourse.rendezvous import scheduling_duty
+from papayacourse.schedulingmessages import (
     ProgressReport,
     StreamReport,
     StreamState,
     StreamsUnknown,
 )
-from papayacourse.numbering import write_progress
-from papayacourse.rendezvous import scheduling_duty
 
 REPORT_INTERVAL = 1.0  # seconds
 OWNER_CHECK = 0.2  # seconds between looks at who schedules
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -17,24 +17,24 @@
 from papayacourse.ledger import EngineLedger, Stream, put, take_off
 from papayacourse.lengths import LengthModel
 from papayacourse.membership import Membership
-from papayacourse.messages import (
+from papayacourse.meshmessages import ServiceLoad
+from papayacourse.numbering import KnownNumbers, Progress
+from papayacourse.orphans import Orphans
+from papayacourse.policies import POLICIES
+from papayacourse.prefixes import PrefixIndex
+from papayacourse.rendezvous import scheduling_duty
+from papayacourse.reservations import Reservations
+from papayacourse.schedulingmessages import (
     Granted,
     GrantRefused,
     GrantRequest,
     Joined,
     NotScheduler,
     Queued,
-    ServiceLoad,
     StreamEnded,
     StreamReport,
     StreamState,
 )
-from papayacourse.numbering import KnownNumbers, Progress
-from papayacourse.orphans import Orphans
-from papayacourse.policies import POLICIES
-from papayacourse.prefixes import PrefixIndex
-from papayacourse.rendezvous import scheduling_duty
-from papayacourse.reservations import Reservations
 from papayacourse.settings import DeploymentSettings
 from papayacourse.tasks import cancel_all
 from papayacourse.types import Host, HostKind, HostState
--- a/papayacourse/settingschecks.py
+++ b/papayacourse/settingschecks.py
@@ -5,7 +5,7 @@
 
 from returns.result import Success
 
-from papayacourse.messages import SettingsValue
+from papayacourse.meshmessages import SettingsValue
 from papayacourse.settings import (
     AccountSettings,
     DeploymentSettings,
--- a/papayacourse/settingscommands.py
+++ b/papayacourse/settingscommands.py
@@ -17,7 +17,7 @@
 from papayacourse.hostlist import HostList
 from papayacourse.invocation import Invocation, address, switch, whole_number
 from papayacourse.kvstore import KeyValueStore
-from papayacourse.messages import SettingsValue
+from papayacourse.meshmessages import SettingsValue
 from papayacourse.rollout import Rollout, RolloutWatch
 from papayacourse.settings import ROOT, SettingsPath
 from papayacourse.settingsfile import changed_state, read_settings_file
--- a/papayacourse/settingsync.py
+++ b/papayacourse/settingsync.py
@@ -7,7 +7,7 @@
 from papayacourse import logs
 from papayacourse.catalog import BUCKETS, Catalog
 from papayacourse.exceptions import PeerError
-from papayacourse.messages import (
+from papayacourse.meshmessages import (
     Hello,
     SettingsBuckets,
     SettingsDigest,
--- a/papayacourse/snapshot.py
+++ b/papayacourse/snapshot.py
@@ -15,7 +15,7 @@
 )
 from papayacourse.exceptions import SettingsConflict, SettingsError
 from papayacourse.kvstore import Entry, KeyValueStore
-from papayacourse.messages import SettingsValue
+from papayacourse.meshmessages import SettingsValue
 from papayacourse.settings import ROOT
 from papayacourse.settingschecks import new_faults
 
--- a/papayacourse/spill.py
+++ b/papayacourse/spill.py
@@ -8,16 +8,10 @@
 from papayacourse import logs
 from papayacourse.exceptions import PeerError
 from papayacourse.membership import Membership
-from papayacourse.messages import (
-    Granted,
-    GrantRefused,
-    GrantRequest,
-    Joined,
-    Queued,
-    ServiceLoad,
-)
+from papayacourse.meshmessages import ServiceLoad
 from papayacourse.peers import Peers
 from papayacourse.rendezvous import scheduling_duty
+from papayacourse.schedulingmessages import Granted, GrantRefused, GrantRequest, Joined, Queued
 from papayacourse.settings import ServiceSettings
 
 ANSWER_TIMEOUT = 0.4  # seconds that another domain's scheduler may take
--- a/papayacourse/streams.py
+++ b/papayacourse/streams.py
@@ -17,7 +17,6 @@
     RequestRefused,
 )
 from papayacourse.httpcall import BUFFERED_CHUNKS, CHUNK_BYTES, READ_BUFFER_BYTES
-from papayacourse.messages import GrantRequest, Joined
 from papayacourse.ordering import (
     EngineDied,
     EngineLost,
@@ -32,6 +31,7 @@
 from papayacourse.placement import Placement
 from papayacourse.quarantine import Quarantine
 from papayacourse.retries import RetryBudget, jittered
+from papayacourse.schedulingmessages import GrantRequest, Joined
 from papayacourse.types import GenerationRequest, Ran
 
 RESUME_LIMIT = 15.0  # seconds in which a link that fails is opened again
--- a/papayacourse/watch.py
+++ b/papayacourse/watch.py
@@ -10,7 +10,7 @@
 from papayacourse.exceptions import PlatformCompacted, PlatformError
 from papayacourse.history import read_history
 from papayacourse.kvstore import KeyValueStore, Listing
-from papayacourse.messages import SettingsValue
+from papayacourse.meshmessages import SettingsValue
 from papayacourse.settings import ROOT
 
 WATCH_TIME = 30.0  # seconds that one watch waits
--- a/tests/features/steps/catalog_steps.py
+++ b/tests/features/steps/catalog_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from papayacourse.catalog import KEEP_DELETED, Catalog, bucket
-from papayacourse.messages import SettingsValue
+from papayacourse.meshmessages import SettingsValue
 from papayacourse.settingsync import first_page
 from papayacourse.wire import MAX_FRAME_BYTES, Frame, encode
 from tests.operators import HIREDESK, PLANNER, service_text
--- a/tests/features/steps/crossed_steps.py
+++ b/tests/features/steps/crossed_steps.py
@@ -5,8 +5,9 @@
 from behave import given, then, when
 
 from papayacourse.exceptions import PeerTimeout
-from papayacourse.messages import Granted, GrantRefused, Hello
+from papayacourse.meshmessages import Hello
 from papayacourse.peers import Link, Peers
+from papayacourse.schedulingmessages import Granted, GrantRefused
 from papayacourse.wire import Frame, encode
 
 ME = Hello("me", 1, "d", "r", "", b"")
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -8,7 +8,7 @@
 from websockets.sync.client import connect
 
 from papayacourse.handshake import prove
-from papayacourse.messages import Beat, Heartbeat, Hello, Proof
+from papayacourse.meshmessages import Beat, Heartbeat, Hello, Proof
 from papayacourse.wire import (
     CLASSES,
     KINDS,
