--- a/bench/hosts.py
+++ b/bench/hosts.py
@@ -9,7 +9,8 @@
 
 from papayacourse.hostchanges import ChangeLog, applied
 from papayacourse.hostlist import HostListing
-from papayacourse.messages import HostsAsk, HostsUpdate, Message
+from papayacourse.meshmessages import HostsAsk, HostsUpdate
+from papayacourse.messages import Message
 from papayacourse.types import Host, HostKind, HostState
 from papayacourse.wire import Frame, decode, encode
 
--- a/bench/orders.py
+++ b/bench/orders.py
@@ -16,7 +16,7 @@
 from bench.mesh import read
 from papayacourse.enginereader import EngineReader
 from papayacourse.hostlist import HostListing
-from papayacourse.messages import Hello
+from papayacourse.meshmessages import Hello
 from papayacourse.settings import DeploymentSettings
 from papayacourse.targets import Targets
 from papayacourse.types import Host, HostKind
--- a/papayacourse/enginereader.py
+++ b/papayacourse/enginereader.py
@@ -11,8 +11,9 @@
 from papayacourse.engines import Wanted
 from papayacourse.exceptions import BackendError, PeerError
 from papayacourse.membership import Membership
-from papayacourse.messages import EnginesAsk, EnginesOutOfLine, Hello
+from papayacourse.meshmessages import Hello
 from papayacourse.peers import Peers
+from papayacourse.schedulingmessages import EnginesAsk, EnginesOutOfLine
 from papayacourse.targets import Target, Targets
 
 DUTY = "engine-reader"
--- a/papayacourse/estimates.py
+++ b/papayacourse/estimates.py
@@ -7,8 +7,8 @@
 from attrs import define
 
 from papayacourse.fairshare import FairQueue
-from papayacourse.messages import GrantRequest
 from papayacourse.reservations import Reservations
+from papayacourse.schedulingmessages import GrantRequest
 from papayacourse.waits import Backlog, PlaceRate
 
 WAIT_SAFETY = 0.6  # part of the wait limit that an estimated wait may take
--- a/papayacourse/grants.py
+++ b/papayacourse/grants.py
@@ -16,16 +16,16 @@
 from papayacourse.joins import first_id, key_part
 from papayacourse.ledger import EngineLedger, Stream
 from papayacourse.lengths import LengthModel
-from papayacourse.messages import (
+from papayacourse.meshmessages import ServiceLoad
+from papayacourse.reservations import Reservations
+from papayacourse.schedulingmessages import (
     Granted,
     GrantRefused,
     GrantRequest,
     Joined,
     NotScheduler,
     Queued,
-    ServiceLoad,
 )
-from papayacourse.reservations import Reservations
 from papayacourse.tasks import cancel_all
 from papayacourse.waits import Backlog, PlaceRate
 
--- a/papayacourse/hostchanges.py
+++ b/papayacourse/hostchanges.py
@@ -6,7 +6,7 @@
 from attrs import astuple, define, field, frozen
 
 from papayacourse.hostlist import HostListing
-from papayacourse.messages import HostsChanges
+from papayacourse.meshmessages import HostsChanges
 from papayacourse.types import Host
 
 KEPT_CHANGES = 64  # steps from one listing to the next
--- a/papayacourse/hostsync.py
+++ b/papayacourse/hostsync.py
@@ -11,7 +11,7 @@
 from papayacourse.exceptions import PeerError, PlatformError
 from papayacourse.hostchanges import ChangeLog, applied, digest
 from papayacourse.hostlist import HostList, HostListing
-from papayacourse.messages import Hello, HostsAsk, HostsChanges, HostsUpdate
+from papayacourse.meshmessages import Hello, HostsAsk, HostsChanges, HostsUpdate
 from papayacourse.peers import Peers
 from papayacourse.rendezvous import ranked
 
--- a/papayacourse/membership.py
+++ b/papayacourse/membership.py
@@ -14,7 +14,7 @@
 from papayacourse.hostlist import HostList, HostListing
 from papayacourse.hostsync import HostSync
 from papayacourse.linkclasses import LinkClass, Place
-from papayacourse.messages import Beat, Heartbeat, Hello, ServiceLoad
+from papayacourse.meshmessages import Beat, Heartbeat, Hello, ServiceLoad
 from papayacourse.peers import Peers
 from papayacourse.rendezvous import ranked
 from papayacourse.settingsync import SettingsSync
--- a/papayacourse/peers.py
+++ b/papayacourse/peers.py
@@ -19,7 +19,8 @@
 from papayacourse.handshake import read_binary, shake_hands
 from papayacourse.link import Link
 from papayacourse.linkclasses import Place
-from papayacourse.messages import CallFailed, Done, Hello, Message
+from papayacourse.meshmessages import CallFailed, Done, Hello
+from papayacourse.messages import Message
 from papayacourse.tasks import cancel_all
 from papayacourse.traffic import Traffic
 from papayacourse.types import Address
--- a/papayacourse/records.py
+++ b/papayacourse/records.py
@@ -29,6 +29,7 @@
     bucket_prefix,
 )
 from papayacourse.bucketwriter import BucketWriter
+from papayacourse.callmessages import CallAnswer
 from papayacourse.exceptions import (
     BackendError,
     BackendUnreachable,
@@ -38,7 +39,6 @@
     RequestRefused,
 )
 from papayacourse.kvstore import KeyValueStore
-from papayacourse.messages import CallAnswer
 from papayacourse.plain import PlainCall, forward_to_any
 from papayacourse.settings import ServiceSettings, TeamSettings
 from papayacourse.types import Ran
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -14,14 +14,9 @@
 from papayacourse.grants import Answer, GrantQueue, Tell
 from papayacourse.ledger import EngineLedger, Stream, take_off
 from papayacourse.membership import Membership
-from papayacourse.messages import (
-    GrantRequest,
-    StreamEnded,
-    StreamReport,
-    StreamState,
-)
 from papayacourse.numbering import KnownNumbers, Progress
 from papayacourse.orphans import Orphans
+from papayacourse.schedulingmessages import GrantRequest, StreamEnded, StreamReport, StreamState
 from papayacourse.tasks import cancel_all
 
 GRANT_GRACE = 4.0  # seconds a granted stream may go unreported
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -11,7 +11,7 @@
 from papayacourse.handshake import prove
 from papayacourse.hostchanges import digest
 from papayacourse.hostlist import HostListing
-from papayacourse.messages import Beat, Heartbeat, Hello, Proof
+from papayacourse.meshmessages import Beat, Heartbeat, Hello, Proof
 from papayacourse.wire import (
     CLASSES,
     KINDS,
