Give an engine nothing from its first failed stream until it answers

Cause: a dead engine stayed usable until three reports were missed (up to 1.5 s) or the next round of the scheduler; meanwhile its ledger emptied, so it looked the best and got every request. With several dead engines each request was started on up to three of them, and the retry budget went to innocents. Ruled out: a larger budget (it pays for the same wasted starts), and not charging for refused connections (with this change no scenario fails without it; tried and taken out). Change: the failure makes the engine suspect, and it is asked for its load at once; an answer or progress of one of its streams clears it. Waiting requests stay queued. bench.storm measures an engine loss with the budget limited and unlimited; bench.affinity is added.

--- /dev/null
+++ b/bench/affinity.py
@@ -0,0 +1,130 @@
+"""Compares bounds of prefix affinity: ``python -m bench.affinity``.
+
+Sound Trust's planner, with the shorter outputs of bench.regions, on five engines and three daemons
+in one domain. Each of ten accounts has a prefix of 512 tokens for each of its two kinds of work,
+and an engine's cache holds six such prefixes. Hits are the prompt tokens that the stand-in engines
+found in their cache, of all prompt tokens, by their own count. The bounds take turns within each
+seed, in one fleet. Prints a table of medians and ranges over the seeds.
+"""
+
+import argparse
+import asyncio
+import json
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+from attrs import evolve
+
+from bench.caller import Exchange
+from bench.measures import times_of
+from bench.regions import SHAPE as SHORT
+from bench.site import Site
+from bench.table import figure, percent
+from bench.trace import PREFIX_BYTES, Arrival, arrivals
+
+WARM_UP = 3.0  # seconds before the measures begin
+MEASURED = 6.0  # seconds
+LONG_PREFIX_BYTES = 2048  # of a prompt, 512 tokens
+CACHED_PREFIXES = 6  # held by one engine
+BYTES_PER_TOKEN = 4
+BOUNDS = ("off", "0", "0.2", "1")
+COUNTS = ("prompt_tokens", "prefix_hits", "preemptions")
+SHAPE = evolve(
+    SHORT,
+    memory=4800,
+    engine_options=(
+        *SHORT.engine_options,
+        *("--cache-tokens", str(CACHED_PREFIXES * LONG_PREFIX_BYTES // BYTES_PER_TOKEN)),
+    ),
+)
+
+
+def lengthened(arrival: Arrival) -> Arrival:
+    """Return a request whose shared prefix is as long as the bench wants it."""
+    prefix, own = arrival.prompt[:PREFIX_BYTES], arrival.prompt[PREFIX_BYTES:]
+    return evolve(arrival, prompt=prefix.ljust(LONG_PREFIX_BYTES, ".") + own)
+
+
+def sums(site: Site) -> dict[str, int]:
+    """Return the engines' own counts, summed."""
+    counts = site.counts().values()
+    return {name: sum(one[name] for one in counts) for name in COUNTS}
+
+
+async def run_cell(site: Site, seed: int, tokens_per_second: float) -> dict:
+    """Offer the load and measure it."""
+    seconds = WARM_UP + MEASURED
+    trace = list(map(lengthened, arrivals(site.shape, tokens_per_second, seconds, seed)))
+    made: list[Exchange] = []
+    offering = asyncio.create_task(site.offer(trace, seconds, 1, made))
+    await asyncio.sleep(WARM_UP)
+    start = time.monotonic()
+    before = await asyncio.to_thread(sums, site)
+    await asyncio.sleep(start + MEASURED - time.monotonic())
+    end = time.monotonic()
+    after = await asyncio.to_thread(sums, site)
+    await offering
+    seen = times_of(made, start, end).summary(end - start)
+    asked = [one for one in made if start <= one.sent < end]
+    return {
+        "seed": seed,
+        "counts": {name: after[name] - before[name] for name in COUNTS},
+        "first_ms": seen["first_token_ms"],
+        "tokens_per_second": seen["tokens_per_second"],
+        "stall_s": seen["stall_seconds"],
+        "refused": percent(sum(bool(one.refusal_times) for one in asked), len(asked)),
+        "broken": sum(one.failed for one in made),
+    }
+
+
+def rows(cells: list[dict]) -> Iterator[str]:
+    """Yield the lines of the table."""
+    yield (
+        "| affinity_bound | prefix hits % | first p50 ms | first p95 ms | tokens/s | refused % "
+        "| preemptions | stall s |"
+    )
+    yield "|" + " --- |" * 8
+    for bound in dict.fromkeys(cell["bound"] for cell in cells):
+        some = [cell for cell in cells if cell["bound"] == bound]
+        counts = [cell["counts"] for cell in some]
+        columns = [
+            bound,
+            figure([percent(one["prefix_hits"], one["prompt_tokens"]) for one in counts]),
+            figure([cell["first_ms"]["p50"] for cell in some]),
+            figure([cell["first_ms"]["p95"] for cell in some]),
+            figure([cell["tokens_per_second"] for cell in some]),
+            figure([cell["refused"] for cell in some]),
+            figure([one["preemptions"] for one in counts]),
+            figure([cell["stall_s"] for cell in some], 1),
+        ]
+        yield "| " + " | ".join(columns) + " |"
+
+
+def main() -> None:
+    """Run every bound for every seed in one fleet, in turns."""
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--seeds", default="1,2,3")
+    parser.add_argument("--bounds", default=",".join(BOUNDS))
+    parser.add_argument("--tokens", type=float, default=900.0, help="offered, tokens/s")
+    parser.add_argument("--out", default="out/bench")
+    wanted = parser.parse_args()
+    bounds, cells = wanted.bounds.split(","), []
+    with Site(SHAPE) as site:
+        for seed in map(int, wanted.seeds.split(",")):
+            turn = seed % len(bounds)
+            for bound in bounds[turn:] + bounds[:turn]:
+                site.apply(SHAPE.with_options([f"affinity_bound = {bound}"]), "predicted")
+                cell = asyncio.run(run_cell(site, seed, wanted.tokens))
+                cells.append(cell | {"bound": bound})
+                site.drain()
+    folder = Path(wanted.out)
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / "affinity.json").write_text(json.dumps(cells, indent=1))
+    print("\n".join(rows(sorted(cells, key=lambda cell: bounds.index(cell["bound"])))))
+
+
+if __name__ == "__main__":
+    main()
--- a/papayacourse/admission.py
+++ b/papayacourse/admission.py
@@ -38,7 +38,7 @@
     """Tell whether an engine takes streams at all, whatever their size."""
     if isinstance(ledger.policy, Predicted) and ledger.held:
         return False
-    return ledger.usable and len(ledger.streams) < batch_limit(ledger)
+    return ledger.usable and not ledger.suspect and len(ledger.streams) < batch_limit(ledger)
 
 
 def peaks(
--- a/papayacourse/enginewatch.py
+++ b/papayacourse/enginewatch.py
@@ -109,7 +109,7 @@
         except BackendRefused as error:
             # It answers, though not with its load: the ledger alone has to do.
             seen.missed = 0
-            ledger.held = False
+            ledger.held = ledger.suspect = False
             logs.debug("no load report", engine=ledger.name, why=str(error))
         except BackendError as error:
             seen.missed += 1
@@ -118,6 +118,7 @@
 
     def _take(self, ledger: EngineLedger, seen: Watched, load: engines.EngineLoad) -> None:
         seen.missed = 0
+        ledger.suspect = False
         seen.leaving = load.leaving
         if load.leaving:
             ledger.usable = False
--- a/papayacourse/ledger.py
+++ b/papayacourse/ledger.py
@@ -99,6 +99,8 @@
         Its seconds between two tokens of a stream.
     held : bool
         Whether it gets nothing, since its memory proved too small for what it runs.
+    suspect : bool
+        Whether it gets nothing, since a stream has failed there and it has not answered since.
     foreign_tokens : int
         Memory in use there that no stream of this ledger explains.
     """
@@ -117,6 +119,7 @@
     decode_batch: int = 0
     pace: float = FIRST_PACE
     held: bool = False
+    suspect: bool = False
     streams: dict[str, Stream] = field(factory=dict)
     forecast: "Forecast | None" = None
     forecast_at: float = -math.inf
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -314,7 +314,10 @@
             unpaid = note.generated - stream.charged
             self._charge(stream.generation.priority, note.account, unpaid)
         if note.outcome == "failed" and note.engine in self.ledgers:
+            # A dead engine looks the emptiest: until it answers it would get every request.
+            self.ledgers[note.engine].suspect = True
             self.watch.failed(note.engine)
+            self.watch.poll([self.ledgers[note.engine]])
         self.serve_queue()
 
     def drain(self, engine: str, seconds: float) -> None:
@@ -359,6 +362,7 @@
         now, generation = self.clock(), stream.generation
         if generated > stream.generated > 0:
             self.watch.progressed(ledger.name)
+            ledger.suspect = False
             pace = (now - stream.seen_at) / (generated - stream.generated)
             pace = min(max(pace, PACE_RANGE[0]), PACE_RANGE[1])
             ledger.pace += (pace - ledger.pace) * PACE_WEIGHT
