--- a/tests/callers.py
+++ b/tests/callers.py
@@ -8,6 +8,8 @@
 
 from attrs import define, field
 
+from standins.fleet import Fleet
+
 KEYS = {"organisers": "organisers-key", "depots": "depots-key", "single": "single-key"}
 LIMIT = 60.0  # seconds
 
@@ -162,3 +164,38 @@
     assert len(marks) <= 1, f"tokens of {len(marks)} generations"
     offsets = [int(text.split(":")[1]) for text in texts]
     assert offsets == list(range(length)), f"{len(offsets)} tokens, not 0 to {length - 1} in order"
+
+
+def caller_of(
+    fleet: Fleet,
+    daemon: str,
+    prompt: str,
+    model: str = "planner",
+    account: str = "organisers",
+    **options,
+) -> StreamingCaller:
+    """Return a caller of one daemon, not yet started."""
+    return StreamingCaller(fleet.processes[daemon].http, account, model, prompt, **options)
+
+
+def start_plans(
+    fleet: Fleet, daemons: list[str], count: int, length: int, model: str = "planner"
+) -> list[StreamingCaller]:
+    """Begin so many plans, through each of the daemons in turn."""
+    turns = (daemons[number % len(daemons)] for number in range(count))
+    return [caller_of(fleet, daemon, f"plan [len={length}]", model).start() for daemon in turns]
+
+
+def bearer(account: str) -> dict:
+    """Return the header that carries an account's key."""
+    return {"Authorization": f"Bearer {KEYS[account]}"}
+
+
+def check_all_whole(callers: list[StreamingCaller], length: int) -> None:
+    """Check that every caller gets a whole answer."""
+    for caller in callers:
+        caller.join()
+        assert not caller.broken and caller.error is None, caller.broken or caller.error
+        assert caller.done, "no [DONE]"
+    for caller in callers:
+        check_whole(caller.texts, length)
--- a/tests/features/steps/caller_steps.py
+++ b/tests/features/steps/caller_steps.py
@@ -2,25 +2,19 @@
 
 from behave import then, when
 
-from tests.callers import StreamingCaller, check_whole
+from tests.callers import caller_of, check_whole
 from tests.refunds import pay
 
 
-def caller(context, account, prompt, model, daemon, **options):
-    """Return a caller of one daemon."""
-    address = context.fleet.processes[daemon].http
-    return StreamingCaller(address, account, model, prompt, **options)
-
-
 @when('account "{account}" streams "{prompt}" from "{model}" through "{daemon}"')
 def stream_to_end(context, account, prompt, model, daemon):
-    context.caller = caller(context, account, prompt, model, daemon).start()
+    context.caller = caller_of(context.fleet, daemon, prompt, model, account).start()
     context.caller.join()
 
 
 @when('account "{account}" starts streaming "{prompt}" from "{model}" through "{daemon}"')
 def start_stream(context, account, prompt, model, daemon):
-    context.caller = caller(context, account, prompt, model, daemon).start()
+    context.caller = caller_of(context.fleet, daemon, prompt, model, account).start()
     context.caller.wait_tokens(5)
 
 
--- a/tests/features/steps/callers_steps.py
+++ b/tests/features/steps/callers_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from standins.fleet import Answer, call, wait_until
-from tests.callers import KEYS, StreamingCaller
+from tests.callers import KEYS, StreamingCaller, bearer
 from tests.features.steps.fleet_steps import SETTINGS_PATHS
 
 LIMITS = "[limits]\nmax_body_bytes = 200000\nmax_header_bytes = 16000\nbody_timeout = 1.5\n"
@@ -216,7 +216,7 @@
 def resume(context, daemon, account, cursor):
     """Ask for the rest of a stream."""
     body = {"model": "planner", "messages": user("x"), "stream": True}
-    headers = {"Authorization": f"Bearer {KEYS[account]}", "Last-Event-ID": cursor}
+    headers = bearer(account) | {"Last-Event-ID": cursor}
     return call(context.fleet.processes[daemon].http, "POST", "/v1/chat/completions", body, headers)
 
 
@@ -266,7 +266,7 @@
 )
 def refused_second(context, account, model, daemon, status):
     body = {"model": model, "messages": user("[len=3]")}
-    headers = {"Authorization": f"Bearer {KEYS[account]}"}
+    headers = bearer(account)
     context.refusal = call(
         context.fleet.processes[daemon].http, "POST", "/v1/chat/completions", body, headers
     )
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -5,10 +5,11 @@
 from behave import given, then, when
 
 from standins.fleet import wait_until
-from tests.callers import StreamingCaller, check_whole
+from tests.callers import check_all_whole, check_whole, start_plans
 from tests.refunds import pay
 from tests.steptext import names_in
 
+PLAN_LENGTH = 60  # tokens
 LEAVING_DEPLOYMENT = """[/teams/sound-trust/deployments/planner]
 service = planner
 backends = planner-*
@@ -118,25 +119,14 @@
 
 @when('{count:d} plans are streamed from "{model}" through "{names}"')
 def stream_plans(context, count, model, names):
-    daemons = names_in(names)
-    context.plans = [
-        StreamingCaller(
-            context.fleet.processes[daemons[number % len(daemons)]].http,
-            "organisers",
-            model,
-            "plan [len=60]",
-        ).start()
-        for number in range(count)
-    ]
+    context.plans = start_plans(context.fleet, names_in(names), count, PLAN_LENGTH, model)
     for plan in context.plans:
         plan.join()
 
 
 @then("every one of those plans is whole")
 def plans_whole(context):
-    for plan in context.plans:
-        assert not plan.broken and plan.error is None and plan.done, (plan.broken, plan.error)
-        check_whole(plan.texts, 60)
+    check_all_whole(context.plans, PLAN_LENGTH)
 
 
 @then("the leaving engine has started nothing since those {count:d} seconds")
--- a/tests/features/steps/orders_steps.py
+++ b/tests/features/steps/orders_steps.py
@@ -3,8 +3,9 @@
 from behave import given, then, when
 
 from standins.fleet import call, wait_until
-from tests.callers import StreamingCaller
+from tests.callers import start_plans
 from tests.features.steps.fleet_steps import start_daemons
+from tests.operators import set_text
 
 LIMIT = 60.0  # seconds
 DEPLOYMENT = "/teams/sound-trust/deployments/planner"
@@ -45,8 +46,7 @@
         "[deployment]\nservice = planner\nbackends = planner-*\nmodel = plans\n"
         f"version = {version}\nchecks_fencing = {fencing}\n"
     )
-    done = context.fleet.settings("set", DEPLOYMENT, text=text)
-    assert done.returncode == 0, done.stderr
+    set_text(context.fleet, DEPLOYMENT, text)
 
 
 def states(context, name: str) -> list[dict]:
@@ -115,8 +115,7 @@
 def stop_holder(context, count):
     context.frozen = wait_until("a holder", lambda: holder(context, ["a", "b", "c"]), LIMIT)
     process = context.fleet.processes[context.frozen]
-    context.caller = StreamingCaller(process.http, "organisers", "planner", f"plan [len={count}]")
-    context.caller.start()
+    [context.caller] = start_plans(context.fleet, [context.frozen], 1, count)
     context.caller.wait_tokens(5)
     process.terminate()
 
--- a/tests/features/steps/owner_steps.py
+++ b/tests/features/steps/owner_steps.py
@@ -7,7 +7,7 @@
 
 from standins.fleet import wait_until
 from tests.features.steps.fleet_steps import SETTINGS_PATHS
-from tests.operators import LEDGER
+from tests.operators import LEDGER, takes_duties
 from tests.refunds import post
 
 ACCOUNT = "/teams/bottle-returns/accounts/depots"
@@ -23,12 +23,7 @@
     way = fleet.proxy("way-kv", fleet.processes["kv"].http)
     fleet.daemon(name, domain, "accra", kv=way.ready["address"])
     fleet.wait_settled("a", name, paths=SETTINGS_PATHS)
-
-    def takes_duties():
-        rows = fleet.status("a")["peers"]
-        return any(row["name"] == name and row["alive"] and not row["leaving"] for row in rows)
-
-    wait_until(f"{name} takes duties", takes_duties)
+    wait_until(f"{name} takes duties", lambda: takes_duties(fleet, "a", name))
 
 
 def set_anew(context, name, paths, fault):
--- a/tests/features/steps/partitions_steps.py
+++ b/tests/features/steps/partitions_steps.py
@@ -5,10 +5,11 @@
 from stopping_steps import mark_disturbance
 
 from standins.fleet import wait_until
-from tests.callers import StreamingCaller, check_whole
+from tests.callers import check_all_whole, start_plans
 from tests.steptext import names_in
 
 ENGINE_MEMORY = 16384  # tokens
+PLAN_LENGTH = 60  # tokens
 
 
 @given('daemons "{names}" in domain "{domain}" of region "{region}" behind proxies')
@@ -82,17 +83,9 @@
 
 @then('{count:d} plans are whole through each of "{names}"')
 def plans_through_each(context, count, names):
-    plans = [
-        StreamingCaller(
-            context.fleet.processes[name].http, "organisers", "planner", "plan [len=60]"
-        ).start()
-        for name in names_in(names)
-        for _ in range(count)
-    ]
-    for plan in plans:
-        plan.join()
-        assert not plan.broken and plan.error is None and plan.done, (plan.broken, plan.error)
-        check_whole(plan.texts, 60)
+    daemons = names_in(names)
+    plans = start_plans(context.fleet, daemons, count * len(daemons), PLAN_LENGTH)
+    check_all_whole(plans, PLAN_LENGTH)
 
 
 @then('"{names}" know a load of "{service}" in "{domain}"')
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -5,7 +5,8 @@
 from behave import then, when
 
 from standins.fleet import call, wait_until
-from tests.callers import KEYS, StreamingCaller, check_whole
+from tests.balancer import is_ready
+from tests.callers import StreamingCaller, bearer, check_whole
 from tests.features.steps.fleet_steps import start_daemons
 
 ASKS = 6  # times that a neighbour asks before it gives up
@@ -15,7 +16,7 @@
 def send_in_turn(context, prompt, times, daemons):
     names = daemons.split(", ")
     body = {"model": "planner", "messages": [{"role": "user", "content": prompt}]}
-    headers = {"Authorization": f"Bearer {KEYS['organisers']}"}
+    headers = bearer("organisers")
     context.answers = []
     for number in range(times):
         address = context.fleet.processes[names[number % len(names)]].http
@@ -47,7 +48,7 @@
     for name in names.split(", "):
         wait_until(
             f"{name} is ready",
-            lambda n=name: call(context.fleet.processes[n].http, "GET", "/readyz").status == 200,
+            lambda n=name: is_ready(context.fleet.processes[n].http),
         )
 
 
--- a/tests/features/steps/record_faults_steps.py
+++ b/tests/features/steps/record_faults_steps.py
@@ -5,7 +5,7 @@
 from behave import given, when
 
 from standins.fleet import wait_until
-from tests.operators import LEDGER
+from tests.operators import LEDGER, set_text
 from tests.refunds import Refund, ledgers, look_up
 
 SERVICE_TEXT = "[service]\nkind = plain\nnon_repeatable = POST /refunds*\n"
@@ -24,9 +24,7 @@
 
 def change(context, path, text):
     """Change a setting and wait until it is in force."""
-    done = context.fleet.settings("set", path, text=text)
-    assert done.returncode == 0, done.stderr
-    revision = int(done.stdout.rsplit(" ", 1)[1])
+    revision = set_text(context.fleet, path, text)
     for name in ("a", "b"):
         if name in context.fleet.processes:
             wait_until(
--- a/tests/features/steps/records_steps.py
+++ b/tests/features/steps/records_steps.py
@@ -106,9 +106,7 @@
 
 @then("the repeat succeeds")
 def repeat_succeeds(context):
-    answer = context.repeat.join().answer
-    assert answer is not None and answer.status == 200, answer or context.repeat.broken
-    check_answer(context.repeat.key, answer)
+    context.repeat.check_success()
 
 
 @then("nothing ran")
--- a/tests/features/steps/settings_faults_steps.py
+++ b/tests/features/steps/settings_faults_steps.py
@@ -8,7 +8,8 @@
 from papayacourse.history import remove_history
 from papayacourse.kvstore import Written
 from standins.fleet import call, wait_until
-from tests.callers import KEYS
+from tests.balancer import is_ready
+from tests.callers import bearer
 from tests.operators import PLANNER, history, paths_at, store
 from tests.steptext import names_in
 
@@ -141,7 +142,7 @@
 
 def models(context, account, name):
     """Ask a daemon for the models of an account."""
-    headers = {"Authorization": f"Bearer {KEYS[account]}"}
+    headers = bearer(account)
     return call(context.fleet.processes[name].http, "GET", "/v1/models", headers=headers)
 
 
@@ -161,5 +162,5 @@
 @then('"{name}" is ready and knows account "{account}" within {limit:d} seconds')
 def gets_ready(context, name, account, limit):
     address = context.fleet.processes[name].http
-    wait_until("ready", lambda: call(address, "GET", "/readyz").status == 200, limit)
+    wait_until("ready", lambda: is_ready(address), limit)
     assert models(context, account, name).status == 200
--- a/tests/features/steps/settings_inforce_steps.py
+++ b/tests/features/steps/settings_inforce_steps.py
@@ -8,7 +8,7 @@
 from papayacourse.editor import Editor, checked
 from papayacourse.watch import WATCH_PAUSE
 from standins.fleet import call, wait_until
-from tests.callers import KEYS
+from tests.callers import bearer
 from tests.operators import PLANNER, history, paths_at, service_text, store
 from tests.steptext import names_in
 
@@ -110,7 +110,7 @@
     'account "{account}" is refused with status {status:d} and reason "{reason}" through "{name}"'
 )
 def refused(context, account, status, reason, name):
-    headers = {"Authorization": f"Bearer {KEYS[account]}"}
+    headers = bearer(account)
     body = {"model": "planner", "prompt": "x"}
     address = context.fleet.processes[name].http
     answer = call(address, "POST", "/v1/completions", body, headers)
--- a/tests/features/steps/stopping_records_steps.py
+++ b/tests/features/steps/stopping_records_steps.py
@@ -2,14 +2,15 @@
 
 import http.client
 import json
-import socket
 import time
 
 from behave import given, then, when
 
 from standins.fleet import wait_until
-from tests.callers import KEYS
-from tests.refunds import LIMIT, PATH, Refund, check_answer, times_run
+from tests.callers import bearer
+from tests.operators import takes_duties
+from tests.rawhttp import send
+from tests.refunds import PATH, Refund, times_run
 
 NOTICE = 3.0  # seconds, longer than a stop goes on taking connections
 RECEIVE_BUFFER = 4096  # bytes
@@ -17,11 +18,8 @@
 
 @given('daemons "{one}" and "{other}" both take duties')
 def both_take_duties(context, one, other):
-    def takes_duties(asked, name):
-        rows = context.fleet.status(asked)["peers"]
-        return any(row["name"] == name and row["alive"] and not row["leaving"] for row in rows)
-
-    wait_until("they do", lambda: takes_duties(one, other) and takes_duties(other, one))
+    for asked, name in ((one, other), (other, one)):
+        wait_until("it does", lambda a=asked, n=name: takes_duties(context.fleet, a, n))
 
 
 @when('{count:d} slow refunds are being posted through "{daemon}"')
@@ -40,37 +38,26 @@
 @then("each slow refund is answered whole and ran 1 time")
 def slow_answered(context):
     for refund in context.slow:
-        answer = refund.join().answer
-        assert answer is not None, (refund.key, refund.broken)
-        assert answer.status == 200, (refund.key, answer.status, answer.body[:500])
-        check_answer(refund.key, answer)
+        refund.check_success()
         assert times_run(context.fleet, refund.key) == 1, refund.key
 
 
 @then("the posted refund succeeds")
 def posted_succeeds(context):
-    answer = context.refund.join().answer
-    assert answer is not None and answer.status == 200, answer or context.refund.broken
-    check_answer(context.refund.key, answer)
+    context.refund.check_success()
 
 
 @when('a refund is posted through "{daemon}" by a caller that does not read yet')
 def post_unread(context, daemon):
-    host, _, port = context.fleet.processes[daemon].http.rpartition(":")
-    context.unread = http.client.HTTPConnection(host, int(port), timeout=LIMIT)
-    link = socket.socket()
-    link.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-    link.settimeout(LIMIT)
-    link.connect((host, int(port)))
-    context.unread.sock = link
-    headers = {"Authorization": f"Bearer {KEYS['depots']}", "Idempotency-Key": "unread"}
-    context.unread.request("POST", PATH, json.dumps({"refund": "unread"}), headers)
+    address = context.fleet.processes[daemon].http
+    headers = bearer("depots") | {"Idempotency-Key": "unread"}
+    context.unread = send(address, PATH, {"refund": "unread"}, headers, RECEIVE_BUFFER)
     wait_until("it ran", lambda: times_run(context.fleet, "unread") == 1)
 
 
 @then("the caller reads its whole answer")
 def read_whole(context):
-    answer = context.unread.getresponse()
-    found = json.loads(answer.read())
-    assert answer.status == 200 and found["times"] == 1, answer.status
-    context.unread.close()
+    with context.unread, http.client.HTTPResponse(context.unread) as answer:
+        answer.begin()
+        found = json.loads(answer.read())
+        assert answer.status == 200 and found["times"] == 1, answer.status
--- a/tests/features/steps/stopping_steps.py
+++ b/tests/features/steps/stopping_steps.py
@@ -2,14 +2,15 @@
 
 import http.client
 import json
-import socket
 import time
 
 from behave import given, then, when
 
 from standins.fleet import wait_until
 from tests.balancer import Workload, is_ready
-from tests.callers import KEYS, StreamingCaller, check_whole
+from tests.callers import bearer, caller_of, check_all_whole, start_plans
+from tests.engines import total
+from tests.rawhttp import send
 from tests.steptext import names_in
 
 STOP_LIMIT = 90.0  # seconds
@@ -106,19 +107,12 @@
 )
 def plans_wait(context, count, length):
     daemons = running(context)
-    first = StreamingCaller(
-        context.fleet.processes[daemons[0]].http, "organisers", "planner", "plan [len=20]"
-    ).start()
+    first = caller_of(context.fleet, daemons[0], "plan [len=20]").start()
     first.join()
     context.scheduler = scheduling(context, daemons)
     entry = next(name for name in daemons if name != context.scheduler)
     context.plan_length = length
-    context.plans = [
-        StreamingCaller(
-            context.fleet.processes[entry].http, "organisers", "planner", f"plan [len={length}]"
-        ).start()
-        for _ in range(count)
-    ]
+    context.plans = start_plans(context.fleet, [entry], count, length)
     # All must have asked, or a late one would be taken for one that moved.
     wait_until("all have asked", lambda: asked(context, context.scheduler) >= count)
     assert queued(context, context.scheduler) >= 5
@@ -138,8 +132,7 @@
 
 def started(context):
     """Return how many generations the engines have started."""
-    names = [n for n, host in context.fleet.hosts.items() if host["kind"] == "engine"]
-    return sum(context.fleet.counts(name)["started"] for name in names)
+    return total(context.fleet, "started")
 
 
 @when("the scheduling daemon is asked to stop")
@@ -173,11 +166,7 @@
 @then("all {count:d} plans are whole")
 def all_plans_whole(context, count):
     assert len(context.plans) == count
-    for plan in context.plans:
-        plan.join()
-        assert not plan.broken and plan.error is None and plan.done, (plan.broken, plan.error)
-    for plan in context.plans:
-        check_whole(plan.texts, context.plan_length)
+    check_all_whole(context.plans, context.plan_length)
 
 
 @then("grants flowed again within {seconds:g} seconds")
@@ -234,21 +223,14 @@
 
 @when('a caller of "{daemon}" starts a plan of {length:d} tokens and goes away')
 def caller_goes(context, daemon, length):
-    host, _, port = context.fleet.processes[daemon].http.rpartition(":")
-    body = json.dumps(
-        {
-            "model": "planner",
-            "messages": [{"role": "user", "content": f"plan [len={length}]"}],
-            "stream": True,
-            "max_tokens": 20000,
-        }
-    )
-    head = (
-        f"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n"
-        f"Authorization: Bearer {KEYS['organisers']}\r\n\r\n"
-    )
-    with socket.create_connection((host, int(port))) as connection:
-        connection.sendall((head + body).encode())
+    body = {
+        "model": "planner",
+        "messages": [{"role": "user", "content": f"plan [len={length}]"}],
+        "stream": True,
+        "max_tokens": 20000,
+    }
+    address = context.fleet.processes[daemon].http
+    with send(address, "/v1/chat/completions", body, bearer("organisers")) as connection:
         assert connection.recv(100).startswith(b"HTTP/1.1 200")
     wait_until("the stream is held", lambda: context.fleet.status(daemon)["in_progress"] == 0)
 
--- a/tests/operators.py
+++ b/tests/operators.py
@@ -17,6 +17,19 @@
     return f"[service]\nkind = {kind}\nwait_limit = {wait_limit}\n"
 
 
+def set_text(fleet: Fleet, path: str, text: str) -> int:
+    """Set a path's text and return the revision that it got."""
+    done = fleet.settings("set", path, text=text)
+    assert done.returncode == 0, done.stderr
+    return int(done.stdout.rsplit(" ", 1)[1])
+
+
+def takes_duties(fleet: Fleet, asked: str, name: str) -> bool:
+    """Tell whether one daemon thinks that another may be given duties."""
+    rows = fleet.status(asked)["peers"]
+    return any(row["name"] == name and row["alive"] and not row["leaving"] for row in rows)
+
+
 def store(fleet: Fleet) -> KeyValueStore:
     """Return the fleet's key-value service, for what goes past the commands."""
     return KeyValueStore(Address.parse(fleet.processes["kv"].http))
--- a/tests/refunds.py
+++ b/tests/refunds.py
@@ -7,7 +7,7 @@
 from attrs import define, field
 
 from standins.fleet import Answer, Fleet, call
-from tests.callers import KEYS
+from tests.callers import bearer
 
 PATH = "/services/deposit-ledger/refunds"
 LIMIT = 60.0  # seconds for a post that may be held
@@ -23,7 +23,7 @@
     headers: dict | None = None,
 ) -> Answer:
     """Post a refund as an account; the time limit is in seconds."""
-    found = {"Authorization": f"Bearer {KEYS[account]}"} | (headers or {})
+    found = bearer(account) | (headers or {})
     if key:
         found["Idempotency-Key"] = key
     return call(address, "POST", PATH, body, found, limit)
@@ -36,9 +36,8 @@
 
 def look_up(fleet: Fleet, method: str) -> Answer:
     """Make a repeatable call, for a balance, through daemon a."""
-    headers = {"Authorization": f"Bearer {KEYS['depots']}"}
     path = "/services/deposit-ledger/balances/7"
-    return call(fleet.processes["a"].http, method, path, b"", headers)
+    return call(fleet.processes["a"].http, method, path, b"", bearer("depots"))
 
 
 def ledgers(fleet: Fleet) -> list[str]:
@@ -85,6 +84,13 @@
         assert not self.thread.is_alive(), f"{self.key} got no answer"
         return self
 
+    def check_success(self) -> None:
+        """Check that it is answered, whole, with what its own call brought."""
+        answer = self.join().answer
+        assert answer is not None, f"{self.key}: {self.broken}"
+        assert answer.status == 200, f"{self.key}: {answer.status} {answer.body[:500]}"
+        check_answer(self.key, answer)
+
 
 def check_answer(key: str, answer: Answer) -> None:
     """Check that a success is the key's own, and that a refusal says whether it ran."""
