Look at the host list before a request is refused for want of engines

Cause: a daemon that starts schedules for itself before it knows anybody else, so its schedulers may begin before it has the host list, and they looked at the list twice a second only. The daemon is ready as soon as the list has come; until the next look its callers got 503, no_engine.

Ruled out: settings that come page by page; a daemon counts as informed only after the last of them.

Change: a request that finds no engine has the list of engines brought up to date first, if the settings or the host list have changed since it was made.

--- a/papayacourse/enginelist.py
+++ b/papayacourse/enginelist.py
@@ -40,6 +40,8 @@
         The daemons that have said which streams they relay.
     drained_until : dict of str to float
         The engines that get no new work for a time, in seconds of the clock.
+    refreshed_with : tuple or None
+        The settings' digest and the host list's age at the last refresh.
     """
 
     team: str
@@ -52,6 +54,7 @@
     heard_from: set[str] = field(factory=set)
     drained_until: dict[str, float] = field(factory=dict)
     started: float = 0.0
+    refreshed_with: tuple[int, tuple[int, int]] | None = None
 
     def __attrs_post_init__(self) -> None:
         self.started = self.clock()
@@ -64,6 +67,13 @@
         """Return the engines that may get work, except those to avoid."""
         return [led for led in self.ledgers.values() if led.usable and led.name not in avoid]
 
+    def is_behind(self) -> bool:
+        """Tell whether the settings or the host list have changed since the last refresh."""
+        return self.refreshed_with != self._sources()
+
+    def _sources(self) -> tuple[int, tuple[int, int]]:
+        return self.catalog.digest, self.membership.hosts.age
+
     def find(self, stream: str) -> EngineLedger | None:
         """Return the engine that a stream has been granted."""
         return next((led for led in self.ledgers.values() if stream in led.streams), None)
@@ -99,6 +109,7 @@
 
     def refresh(self) -> None:
         """Bring the list of engines in line with the settings and the host list."""
+        self.refreshed_with = self._sources()
         wanted: dict[str, tuple[Host, DeploymentSettings]] = {}
         for deployment in self.catalog.deployments(self.team, self.service):
             for host in self.membership.backends(HostKind.ENGINE):
--- a/papayacourse/grants.py
+++ b/papayacourse/grants.py
@@ -119,6 +119,8 @@
                 return answer
         elif held is not None and held.name not in request.avoid:
             return Granted(stream, held.name, held.address)
+        if not self.engines.usable(request.avoid) and self.engines.is_behind():
+            self.engines.refresh()
         if not self.engines.usable(request.avoid):
             return GrantRefused(stream, "no_engine", "no engine can serve now", MIN_RETRY_AFTER)
         wait = self.waits.expected(generation.priority, generation.account)
--- a/tests/features/membership.feature
+++ b/tests/features/membership.feature
@@ -101,3 +101,9 @@
     When "a, b" read the list of before 2 times
     Then all of "a, b" have the newest host list
     And "a, b" never began a new epoch of the host list
+
+  Scenario: A daemon that is ready knows its engines
+    Given 1 engines "planner" in domain "lagos-1" of region "lagos"
+    And daemon "a" in domain "lagos-1" of region "lagos" has the settings, but no host list
+    When the host list comes within reach of "a"
+    Then a plan sent through "a" as soon as it is ready is whole
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -22,6 +22,8 @@
     encode,
 )
 from standins.fleet import MESH_KEY, call, wait_until
+from tests.balancer import is_ready
+from tests.callers import caller_of, check_whole
 from tests.steptext import names_in
 
 CLOSE_LIMIT = 5.0  # seconds
@@ -271,3 +273,29 @@
 @then('"{names}" never began a new epoch of the host list')
 def no_new_epoch(context, names):
     assert not any(row["epoch"] for row in host_lists(context, names))
+
+
+@given(
+    'daemon "{name}" in domain "{domain}" of region "{region}" has the settings, but no host list'
+)
+def no_host_list_yet(context, name, domain, region):
+    fleet = context.fleet
+    way = fleet.proxy("way-hosts", fleet.processes["hosts"].http).ready["address"]
+    fleet.admin("way-hosts", {"mode": "cut"})
+    fleet.daemon(name, domain, region, hosts=way)
+    # It schedules for itself as long as it knows nobody else.
+    wait_until("it schedules", lambda: fleet.status(name)["schedulers"])
+
+
+@when('the host list comes within reach of "{name}"')
+def host_list_in_reach(context, name):
+    context.fleet.admin("way-hosts", {"mode": "pass"})
+
+
+@then('a plan sent through "{name}" as soon as it is ready is whole')
+def plan_when_ready(context, name):
+    wait_until(f"{name} is ready", lambda: is_ready(context.fleet.processes[name].http))
+    plan = caller_of(context.fleet, name, "plan [len=20]").start()
+    plan.join()
+    assert plan.done, plan.error
+    check_whole(plan.texts, 20)
