Count segments of tombstones by what they hold, not by their size

Where the newest segment is not short, that is a fourth segment of tombstones. Seen in three trials with the segments printed: 3, 4 and 4 in the smallest bucket, each enough by the sentence; the one with 3 failed, its newest segment being 4,872 bytes long.

Ruled out: compaction that stops (in all three runs every segment that had expired was made smaller; bucket 03 had only three full ones, since a segment takes 27 to 49 rows by how the writes gather).

Change: segments are read, and those that hold tombstones alone are counted, more than 2 as before. 500 refunds for 300 in each wave, so that a bucket has over 3 full segments however writes gather; every check counts all of them.

--- a/tests/features/recordroom.feature
+++ b/tests/features/recordroom.feature
@@ -27,13 +27,13 @@
 
   Scenario: Daemons of two domains make the same segments smaller at the same time
     Given outcomes are kept for 15 seconds
-    When 300 long refunds are each posted at once through "a, b"
+    When 500 long refunds are each posted at once through "a, b"
     And the 15 seconds of the outcomes have passed
-    And 300 long refunds are each posted at once through "a, b"
+    And 500 long refunds are each posted at once through "a, b"
     Then each bucket has more than 2 segments of tombstones
-    And each of the 600 long refunds ran 1 time
+    And each of the 1000 long refunds ran 1 time
     Given daemons "c" in domain "accra-2" of region "accra"
-    Then the first 300 are refused by "a", "b" and "c" with "outcome_expired" and ran "yes"
+    Then the first 500 are refused by "a", "b" and "c" with "outcome_expired" and ran "yes"
 
   Scenario: Tombstones are deleted when a key need not be remembered any more
     Given outcomes are kept for 1 seconds
--- a/tests/features/steps/recordroom_steps.py
+++ b/tests/features/steps/recordroom_steps.py
@@ -8,6 +8,8 @@
 
 from behave import given, then, when
 
+from papayacourse.buckets import BUCKETS, unpack
+from papayacourse.kvstore import Entry
 from standins.fleet import call, wait_until
 from tests.features.steps.record_faults_steps import change
 from tests.refunds import check_answer, post, times_run
@@ -16,7 +18,6 @@
 PADDING = 1500  # bytes, so that an answer is kept and some ten of them seal a segment
 WAVE = 24  # refunds at once
 MAX_WAVES = 40
-TOMBSTONES_BELOW = 2000  # bytes; a sealed segment that still has rows is over 32 kB
 ROOM_LIMIT = 90.0  # seconds
 MARGIN = 1.0  # seconds
 
@@ -133,10 +134,9 @@
 def many_tombstones(context, number):
     found = Counter()
     for entry in segments(context):
-        bucket, is_small = entry["key"].split("/")[3], len(entry["value"]) < TOMBSTONES_BELOW
-        found[bucket] += is_small
-    # The newest segment of a bucket may be short and have rows.
-    assert len(found) == 4 and min(found.values()) > number + 1, found
+        segment = unpack(Entry(entry["key"], entry["value"], 0))
+        found[entry["key"].split("/")[3]] += segment.compact
+    assert len(found) == BUCKETS and min(found.values()) > number, found
 
 
 @then("the oldest segments are deleted")
