Part the settings' classes from their options and from the reading of paths

Change: settings has the classes and SettingsPath, settingsoptions the table and what reads each option, settingsparser the checks of a path and its text.

--- a/papayacourse/catalog.py
+++ b/papayacourse/catalog.py
@@ -20,9 +20,8 @@
     Setting,
     SettingsPath,
     TeamSettings,
-    parse_path,
-    parse_setting,
 )
+from papayacourse.settingsparser import parse_path, parse_setting
 from papayacourse.types import Fault, HostKind
 
 BUCKETS = 64
--- a/papayacourse/editor.py
+++ b/papayacourse/editor.py
@@ -33,7 +33,8 @@
 from papayacourse.history import Revision, note_revision, read_history, remove_history
 from papayacourse.kvstore import Entry, KeyValueStore, Lost, Written
 from papayacourse.meshmessages import SettingsValue
-from papayacourse.settings import ROOT, SettingsPath, parse_path, parse_setting
+from papayacourse.settings import ROOT, SettingsPath
+from papayacourse.settingsparser import parse_path, parse_setting
 from papayacourse.snapshot import Snapshot, check_fit, check_seen, read_snapshot
 from papayacourse.types import Fault
 
--- a/papayacourse/settingschecks.py
+++ b/papayacourse/settingschecks.py
@@ -6,14 +6,8 @@
 from returns.result import Success
 
 from papayacourse.meshmessages import SettingsValue
-from papayacourse.settings import (
-    AccountSettings,
-    DeploymentSettings,
-    Setting,
-    SettingsPath,
-    parse_path,
-    parse_setting,
-)
+from papayacourse.settings import AccountSettings, DeploymentSettings, Setting, SettingsPath
+from papayacourse.settingsparser import parse_path, parse_setting
 from papayacourse.types import Fault
 
 PATTERN_CHARACTERS = set("*?[")
--- a/papayacourse/settingsfile.py
+++ b/papayacourse/settingsfile.py
@@ -5,7 +5,7 @@
 
 from papayacourse.editor import Change, checked, checked_path
 from papayacourse.exceptions import SettingsError
-from papayacourse.settings import KINDS
+from papayacourse.settingsoptions import KINDS
 from papayacourse.types import Fault
 
 
--- a/tests/features/steps/command_steps.py
+++ b/tests/features/steps/command_steps.py
@@ -16,8 +16,8 @@
 from papayacourse.editor import Editor, checked
 from papayacourse.exceptions import PlatformAnswerLost, PlatformUnavailable
 from papayacourse.kvstore import KeyValueStore
-from papayacourse.settings import KINDS
 from papayacourse.settingscommands import SettingsCommands
+from papayacourse.settingsoptions import KINDS
 from papayacourse.statuscommands import DebugCommands
 from papayacourse.types import Address
 from standins.fleet import MESH_KEY
