Wait until every daemon knows where a plain service is listed again

The step that lists the plain service again went on before any daemon had read the list, so the repeat, which runs at once, could run with the old address.

Ruled out: the repeat not running in the first one's place; it did run, and said so.

Change: the step waits until every daemon's status shows that version of the host list or a newer one.

--- a/tests/features/steps/record_faults_steps.py
+++ b/tests/features/steps/record_faults_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, when
 
-from standins.fleet import wait_until
+from standins.fleet import call, wait_until
 from tests.operators import LEDGER, set_text
 from tests.refunds import Refund, ledgers, look_up
 
@@ -203,3 +203,9 @@
 def listed_again(context):
     host = context.listed
     context.fleet.list_host("ledger-1", "plain", host["address"], "accra-1", "accra")
+    version = call(context.fleet.processes["hosts"].http, "GET", "/hosts").json["version"]
+    daemons = [name for name, host in context.fleet.hosts.items() if host["kind"] == "entry"]
+    wait_until(
+        "every daemon has read it",
+        lambda: all(context.fleet.status(n)["hosts"]["version"] >= version for n in daemons),
+    )
