Keep in one place what the benches do alike

Cause: the two sites of the benches each wrote settings, offered a trace, dropped what was left and drained the engines; five commands each read seeds, took turns, saved JSON and drew tables.

The storm's two budgets now take turns the way the others do: by the seed, the other way round than before.

--- a/bench/affinity.py
+++ b/bench/affinity.py
@@ -7,15 +7,13 @@
 seed, in one fleet. Prints a table of medians and ranges over the seeds.
 """
 
-import argparse
 import asyncio
-import json
 import time
 from collections.abc import Iterator
-from pathlib import Path
 
 from attrs import evolve
 
+from bench import runs
 from bench.caller import Exchange
 from bench.measures import times_of
 from bench.regions import SHAPE as SHORT
@@ -80,11 +78,9 @@
 
 def rows(cells: list[dict]) -> Iterator[str]:
     """Yield the lines of the table."""
-    yield (
-        "| affinity_bound | prefix hits % | first p50 ms | first p95 ms | tokens/s | refused % "
-        "| preemptions | stall s |"
-    )
-    yield "|" + " --- |" * 8
+    times = ("first p50 ms", "first p95 ms")
+    counts = ("tokens/s", "refused %", "preemptions", "stall s")
+    yield from runs.header("affinity_bound", "prefix hits %", *times, *counts)
     for bound in dict.fromkeys(cell["bound"] for cell in cells):
         some = [cell for cell in cells if cell["bound"] == bound]
         counts = [cell["counts"] for cell in some]
@@ -98,31 +94,24 @@
             figure([one["preemptions"] for one in counts]),
             figure([cell["stall_s"] for cell in some], 1),
         ]
-        yield "| " + " | ".join(columns) + " |"
+        yield runs.row(columns)
 
 
 def main() -> None:
     """Run every bound for every seed in one fleet, in turns."""
-    parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
-    )
-    parser.add_argument("--seeds", default="1,2,3")
+    parser = runs.options(__doc__)
     parser.add_argument("--bounds", default=",".join(BOUNDS))
     parser.add_argument("--tokens", type=float, default=900.0, help="offered, tokens/s")
-    parser.add_argument("--out", default="out/bench")
     wanted = parser.parse_args()
     bounds, cells = wanted.bounds.split(","), []
     with Site(SHAPE) as site:
-        for seed in map(int, wanted.seeds.split(",")):
-            turn = seed % len(bounds)
-            for bound in bounds[turn:] + bounds[:turn]:
+        for seed in runs.seeds(wanted):
+            for bound in runs.in_turns(bounds, seed):
                 site.apply(SHAPE.with_options([f"affinity_bound = {bound}"]), "predicted")
                 cell = asyncio.run(run_cell(site, seed, wanted.tokens))
                 cells.append(cell | {"bound": bound})
                 site.drain()
-    folder = Path(wanted.out)
-    folder.mkdir(parents=True, exist_ok=True)
-    (folder / "affinity.json").write_text(json.dumps(cells, indent=1))
+    runs.save(wanted, "affinity", cells)
     print("\n".join(rows(sorted(cells, key=lambda cell: bounds.index(cell["bound"])))))
 
 
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -3,16 +3,14 @@
 Each run offers a steady load, brings one failure about, and looks at each second after it.
 """
 
-import argparse
 import asyncio
-import json
 import statistics
 import time
 from collections.abc import Callable
-from pathlib import Path
 
 from attrs import asdict, frozen
 
+from bench import runs
 from bench.caller import Exchange
 from bench.load import measure_capacity
 from bench.measures import STALL_THRESHOLD, gaps
@@ -139,14 +137,12 @@
 
 def main() -> None:
     """Run every failure for every seed; print and save what was seen."""
-    parser = argparse.ArgumentParser(description=__doc__)
+    parser = runs.options(__doc__)
     parser.add_argument("--shape", default="sound-trust")
-    parser.add_argument("--seeds", default="1,2,3")
     parser.add_argument("--capacity", type=float, default=0.0, help="tokens/s; 0 measures it")
-    parser.add_argument("--out", default="out/bench")
     wanted = parser.parse_args()
     shape, capacity, results = SHAPES[wanted.shape], wanted.capacity, []
-    for seed in map(int, wanted.seeds.split(",")):
+    for seed in runs.seeds(wanted):
         for failure in FAILURES:
             with Site(shape) as site:
                 capacity = capacity or measure_capacity(site, shape)
@@ -169,9 +165,7 @@
                     "seconds": [asdict(second) for second in seen],
                 }
             )
-    folder = Path(wanted.out)
-    folder.mkdir(parents=True, exist_ok=True)
-    (folder / "recovery.json").write_text(json.dumps(results, indent=1))
+    runs.save(wanted, "recovery", results)
 
 
 if __name__ == "__main__":
--- a/bench/regions.py
+++ b/bench/regions.py
@@ -8,15 +8,13 @@
 most 400. Prints a table of medians and ranges over the seeds.
 """
 
-import argparse
 import asyncio
-import json
 import time
 from collections.abc import Iterator
-from pathlib import Path
 
 from attrs import evolve
 
+from bench import runs
 from bench.caller import Exchange
 from bench.measures import times_of
 from bench.regionsite import Domain, RegionSite
@@ -118,8 +116,8 @@
 
 def rows(cells: list[dict]) -> Iterator[str]:
     """Yield the lines of the tables."""
-    yield "| price | asked in | first p50 ms | first p95 ms | elsewhere % | refused % | stall s |"
-    yield "| --- | --- | --- | --- | --- | --- | --- |"
+    times = ("first p50 ms", "first p95 ms")
+    yield from runs.header("price", "asked in", *times, "elsewhere %", "refused %", "stall s")
     for price in dict.fromkeys(cell["price"] for cell in cells):
         some = [cell["regions"] for cell in cells if cell["price"] == price]
         for region in some[0]:
@@ -133,13 +131,10 @@
                 figure([percent(one["refused"], one["asked"]) for one in seen]),
                 figure([one["stall_s"] for one in seen], 1),
             ]
-            yield "| " + " | ".join(columns) + " |"
+            yield runs.row(columns)
     yield ""
-    yield (
-        "| price | tokens/s | control bytes/s | stream bytes/s | asked elsewhere "
-        "| placed elsewhere | preemptions | answers broken |"
-    )
-    yield "|" + " --- |" * 8
+    carried = ("control bytes/s", "stream bytes/s", "asked elsewhere", "placed elsewhere")
+    yield from runs.header("price", "tokens/s", *carried, "preemptions", "answers broken")
     for price in dict.fromkeys(cell["price"] for cell in cells):
         some = [cell for cell in cells if cell["price"] == price]
         tokens = [sum(r["tokens_per_second"] for r in c["regions"].values()) for c in some]
@@ -154,31 +149,24 @@
             figure([cell["preemptions"] for cell in some]),
             str(broken),
         ]
-        yield "| " + " | ".join(columns) + " |"
+        yield runs.row(columns)
 
 
 def main() -> None:
     """Run every price for every seed in one fleet, in turns."""
-    parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
-    )
-    parser.add_argument("--seeds", default="1,2,3")
+    parser = runs.options(__doc__)
     parser.add_argument("--prices", default=",".join(PRICES), help="names, or seconds")
     parser.add_argument("--per-engine", type=float, default=300.0, help="tokens/s at load 1")
-    parser.add_argument("--out", default="out/bench")
     wanted = parser.parse_args()
     prices, cells = wanted.prices.split(","), []
     with RegionSite(SHAPE, DOMAINS) as site:
-        for seed in map(int, wanted.seeds.split(",")):
-            turn = seed % len(prices)
-            for price in prices[turn:] + prices[:turn]:
+        for seed in runs.seeds(wanted):
+            for price in runs.in_turns(prices, seed):
                 site.apply(priced(SHAPE, PRICES.get(price) or float(price)))
                 cell = asyncio.run(run_cell(site, seed, wanted.per_engine))
                 cells.append(cell | {"price": price, "seed": seed})
                 site.drain()
-    folder = Path(wanted.out)
-    folder.mkdir(parents=True, exist_ok=True)
-    (folder / "regions.json").write_text(json.dumps(cells, indent=1))
+    runs.save(wanted, "regions", cells)
     print("\n".join(rows(sorted(cells, key=lambda cell: prices.index(cell["price"])))))
 
 
--- a/bench/regionsite.py
+++ b/bench/regionsite.py
@@ -1,21 +1,15 @@
 """Sets up one shape over several failure domains, joined by delaying proxies."""
 
-import asyncio
-import time
-from collections.abc import Iterable
+from attrs import define, frozen
 
-from attrs import define, field, frozen
-
-from bench.caller import Exchange, obey
+from bench.benchfleet import BenchFleet
+from bench.caller import Exchange
 from bench.shapes import Shape
 from bench.trace import Arrival
-from standins.fleet import Fleet, wait_until
+from standins.fleet import wait_until
 
 REGION_DELAY = 0.012  # seconds one way between regions, of the brief
 SETTLE_TIME = 1.0  # seconds for the schedulers to take new settings
-CANCEL_INTERVAL = 0.2  # seconds
-DRAIN_TIME = 1.0  # seconds
-DRAIN_LIMIT = 20.0  # seconds
 
 
 @frozen
@@ -39,18 +33,16 @@
 
 
 @define(eq=False)
-class RegionSite:
-    """The processes of a shape over several regions; a context manager.
+class RegionSite(BenchFleet):
+    """The processes of a shape over several regions.
 
     Daemons of other domains reach a domain's daemons and engines late, its own do not. With
     ``cuttable`` the daemons reach the platform through proxies too.
     """
 
-    shape: Shape
     domains: tuple[Domain, ...]
     cuttable: bool = False
     other_settings: tuple[str, ...] = ()
-    fleet: Fleet = field(factory=lambda: Fleet(log_level="warning"))
 
     def __enter__(self) -> "RegionSite":
         fleet, shape = self.fleet, self.shape
@@ -66,9 +58,6 @@
         wait_until("the domains see each other", self.joined)
         return self
 
-    def __exit__(self, kind, error, traceback) -> None:
-        self.fleet.__exit__(kind, error, traceback)
-
     def _start_engines(self, domain: Domain) -> None:
         shape, fleet = self.shape, self.fleet
         others = [other for other in self.domains if other is not domain]
@@ -121,17 +110,9 @@
                 return False
         return True
 
-    def write(self, lines: Iterable[str]) -> None:
-        """Write settings."""
-        file = self.fleet.path / "settings.ini"
-        file.write_text("\n".join(lines) + "\n")
-        self.fleet.apply(str(file))
-
     def apply(self, shape: Shape) -> None:
         """Put settings in force at every daemon."""
-        self.write(self._settings(shape))
-        wait_until("one digest", lambda: len(set(map(self._digest, self.daemons))) == 1)
-        time.sleep(SETTLE_TIME)
+        self.put_in_force(self._settings(shape), SETTLE_TIME)
 
     def _settings(self, shape: Shape) -> list[str]:
         return [*shape.settings(), *shape.deployment("predicted"), *self.other_settings]
@@ -150,41 +131,13 @@
         for name in self.daemons:
             self.fleet.admin(f"{name}-mesh", {"mode": "pass"})
 
-    def _digest(self, name: str) -> str:
-        return self.fleet.status(name)["settings"]["digest"]
-
     def address(self, name: str) -> str:
         """Return where a daemon listens for callers."""
         return self.fleet.processes[name].http
 
-    def drain(self) -> None:
-        """Let the daemons cancel what their callers left, then make the engines forget the rest."""
-        time.sleep(DRAIN_TIME)
-        for name in self.engines:
-            self.fleet.admin(name, {"reset": True})
-        wait_until("the engines are idle", self._idle, DRAIN_LIMIT)
-
-    def _idle(self) -> bool:
-        counts = map(self.fleet.counts, self.engines)
-        return all(not c["running"] and not c["waiting"] for c in counts)
-
     async def offer(
         self, domain: Domain, trace: list[Arrival], seconds: float, exchanges: list[Exchange]
     ) -> None:
         """Send every request to its domain at its time; then drop what has not ended."""
-        tasks, start = [], time.monotonic()
-        addresses = [self.address(name) for name in domain.daemon_names]
-        for arrival in sorted(trace, key=lambda one: one.at):
-            await asyncio.sleep(max(0.0, start + arrival.at - time.monotonic()))
-            made = Exchange(arrival)
-            exchanges.append(made)
-            address = addresses[arrival.daemon % len(addresses)]
-            call = obey(address, self.shape.service, self.shape.longest, made, 1)
-            tasks.append(asyncio.create_task(call))
-        await asyncio.sleep(max(0.0, start + seconds - time.monotonic()))
-        pending = set(tasks)
-        while pending:
-            # Again and again: asyncio.wait_for of Python 3.11 may swallow a cancellation.
-            for task in pending:
-                task.cancel()
-            _, pending = await asyncio.wait(pending, timeout=CANCEL_INTERVAL)
+        there = [self.address(name) for name in domain.daemon_names]
+        await self.offer_to(lambda: there, trace, seconds, 1, exchanges)
--- a/bench/rejoin.py
+++ b/bench/rejoin.py
@@ -8,17 +8,15 @@
 median of the 5 s before the cut.
 """
 
-import argparse
 import asyncio
 import itertools
-import json
 import statistics
 import time
 from collections.abc import Iterator
-from pathlib import Path
 
 from attrs import define, evolve, field
 
+from bench import runs
 from bench.regions import SHAPE
 from bench.regionsite import Domain, RegionSite
 from bench.table import figure
@@ -169,14 +167,13 @@
 def rows(cells: list[dict]) -> Iterator[str]:
     """Yield the lines of the table."""
     names = ("reads", "writes", "watches", "reads of the host list", "dials", "mesh bytes/s")
-    yield "| second | " + " | ".join((*names, "booked", "refused")) + " |"
-    yield "|" + " --- |" * (len(COLUMNS) + 1)
+    yield from runs.header("second", *names, "booked", "refused")
     calm = [s for c in cells for s in c["seconds"] if BEFORE - 5 <= s["at"] < BEFORE - 1]
     middle = [f"{statistics.median(s[name] for s in calm):.0f}" for name in COLUMNS]
-    yield "| before the cut | " + " | ".join(middle) + " |"
+    yield runs.row(["before the cut", *middle])
     for number in range(-SHOWN_BEFORE, SHOWN_AFTER):
         some = [nearest(cell, number) for cell in cells]
-        yield f"| {number} | " + " | ".join(figure([s[n] for s in some]) for n in COLUMNS) + " |"
+        yield runs.row([str(number), *(figure([s[n] for s in some]) for n in COLUMNS)])
     for cell in cells:
         yield (
             f"seed {cell['seed']}: {cell['answers']} answers whole, {cell['broken']} broken, "
@@ -191,24 +188,18 @@
 
 def main() -> None:
     """Cut a domain off and give it back, once for each seed, each in a fleet of its own."""
-    parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
-    )
-    parser.add_argument("--seeds", default="1,2,3")
+    parser = runs.options(__doc__)
     parser.add_argument("--tokens", type=float, default=300.0, help="offered to each, tokens/s")
-    parser.add_argument("--out", default="out/bench")
     wanted, cells = parser.parse_args(), []
     shape = evolve(SHAPE, service_options=("spill_other_region = 600",))
-    for seed in map(int, wanted.seeds.split(",")):
+    for seed in runs.seeds(wanted):
         with RegionSite(shape, DOMAINS, cuttable=True, other_settings=OTHER_SETTINGS) as site:
             for domain in site.domains:
                 for number in range(PLAIN_SERVERS):
                     name = f"hiredesk-{domain.region}-{number}"
                     site.fleet.plain(name, domain.name, domain.region)
             cells.append(asyncio.run(run_cell(site, seed, wanted.tokens)))
-    folder = Path(wanted.out)
-    folder.mkdir(parents=True, exist_ok=True)
-    (folder / "rejoin.json").write_text(json.dumps(cells, indent=1))
+    runs.save(wanted, "rejoin", cells)
     print("\n".join(rows(cells)))
 
 
--- a/bench/storm.py
+++ b/bench/storm.py
@@ -8,16 +8,14 @@
 a table of medians and ranges over the seeds.
 """
 
-import argparse
 import asyncio
-import json
 import time
 from collections import Counter
 from collections.abc import Iterator
-from pathlib import Path
 
 from attrs import evolve
 
+from bench import runs
 from bench.caller import Exchange
 from bench.recovery import kill_half, seconds_seen
 from bench.regions import SHAPE as SHORT
@@ -85,11 +83,9 @@
 
 def rows(cells: list[dict]) -> Iterator[str]:
     """Yield the lines of the table."""
-    yield (
-        "| budget | places / request | sent / request | refused at first % | not served % "
-        "| for want of retries | engine_lost | overloaded | answers broken | normal after s |"
-    )
-    yield "|" + " --- |" * 10
+    sent = ("places / request", "sent / request", "refused at first %", "not served %")
+    refused = ("for want of retries", "engine_lost", "overloaded")
+    yield from runs.header("budget", *sent, *refused, "answers broken", "normal after s")
     for budget in BUDGETS:
         some = [cell for cell in cells if cell["budget"] == budget]
         if not some:
@@ -108,27 +104,21 @@
             figure([cell["broken"] for cell in some]),
             ", ".join(seconds_text(cell["normal_after"]) for cell in some),
         ]
-        yield "| " + " | ".join(columns) + " |"
+        yield runs.row(columns)
 
 
 def main() -> None:
     """Run both budgets for every seed, in turns."""
-    parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
-    )
-    parser.add_argument("--seeds", default="1,2,3")
+    parser = runs.options(__doc__)
     parser.add_argument("--tokens", type=float, default=400.0, help="offered, tokens/s")
-    parser.add_argument("--out", default="out/bench")
     wanted, cells = parser.parse_args(), []
-    for seed in map(int, wanted.seeds.split(",")):
-        for budget in BUDGETS if seed % 2 else BUDGETS[::-1]:
+    for seed in runs.seeds(wanted):
+        for budget in runs.in_turns(BUDGETS, seed):
             shape = evolve(SHAPE, service_options=(f"retry_budget = {budget}",))
             with Site(shape) as site:
                 cell = asyncio.run(run_cell(site, seed, wanted.tokens))
             cells.append(cell | {"budget": budget})
-    folder = Path(wanted.out)
-    folder.mkdir(parents=True, exist_ok=True)
-    (folder / "storm.json").write_text(json.dumps(cells, indent=1))
+    runs.save(wanted, "storm", cells)
     print("\n".join(rows(cells)))
 
 
