Let no wrong clock of a host shorten the time for which a key is remembered

Cause: records were stamped and forgotten by the clock of whichever entry host did it. A host an hour behind stamps an intent an hour early, so that the next daemon to make room deletes its tombstone at once; a host an hour ahead deletes the others'. Either way the key runs again. A UUIDv7 key older than any record was let pass by a host that is behind.

Ruled out: the monotonic clocks, which only bound the time from intent to send.

Change: each answer of the key-value service is compared with the host's clock by its Date header, within the time that the call took (so a watch, which may wait half a minute, tells less and never wrongly). Records are stamped, and keys found too old, by the later of both clocks; they are made smaller, deleted and called expired by the earlier. A daemon logs and shows the difference.

--- a/papayacourse/bucketwriter.py
+++ b/papayacourse/bucketwriter.py
@@ -133,13 +133,13 @@
                 sealed = len(self.sealed)
                 try:
                     if self.is_full():
-                        await self._compact(time.time())
+                        await self._compact(self.store.clock.earliest())
                         sealed = len(self.sealed)
                     await self._write(batch)
                 except Exception as error:
                     self._fail(batch, error)
                 if len(self.sealed) > sealed:
-                    await self._compact(time.time())
+                    await self._compact(self.store.clock.earliest())
         finally:
             self.task = None
 
--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -293,6 +293,7 @@
             "version": __version__,
             "ready": self.ready,
             "in_progress": self.busy.total(),
+            "clock_offset": round(self.store.clock.offset, 1),
             "settings": {
                 "paths": sum(v.text is not None for v in self.catalog.values.values()),
                 "digest": f"{self.catalog.digest:016x}",
--- a/papayacourse/kvstore.py
+++ b/papayacourse/kvstore.py
@@ -14,6 +14,7 @@
     PlatformUnavailable,
 )
 from papayacourse.httpcall import HttpCall
+from papayacourse.platformclock import PlatformClock
 from papayacourse.types import Address
 
 CALL_TIMEOUT = 3.0  # seconds
@@ -83,6 +84,7 @@
     def __init__(self, address: Address, count: Callable[[str, str], None] = lambda *_: None):
         self.address = address
         self.count = count
+        self.clock = PlatformClock()
 
     async def get(self, key: str) -> Entry:
         """Return a key's entry; revision 0 when it has never been written."""
@@ -158,6 +160,7 @@
             connect_timeout=CONNECT_TIMEOUT,
             idle_timeout=idle,
         )
+        asked = self.clock.host()
         try:
             async with call:
                 answer = await call.read(MAX_LIST_BYTES)
@@ -167,6 +170,7 @@
         except BackendError as error:
             self.count(kind, "lost")
             raise PlatformAnswerLost(f"key-value service: {error}") from error
+        self.clock.note(call.headers.get("Date", ""), asked, self.clock.host())
         return self._answer(kind, call.status, answer)
 
     def _answer(self, kind: str, status: int, answer: bytes) -> dict:
--- a/papayacourse/records.py
+++ b/papayacourse/records.py
@@ -138,10 +138,11 @@
         if made is None:
             return
         remembered = self.team_settings(team).record_forget_after
-        if made < time.time() - remembered + min(KEY_CLOCK_SKEW, remembered * MAX_SKEW_SHARE):
+        now = self.store.clock.latest()
+        if made < now - remembered + min(KEY_CLOCK_SKEW, remembered * MAX_SKEW_SHARE):
             detail = "the Idempotency-Key is older than any record; it is never run"
             raise RequestRefused(409, "key_expired", detail, Ran.UNKNOWN)
-        if made > time.time() + KEY_CLOCK_SKEW:
+        if made > now + KEY_CLOCK_SKEW:
             detail = "the Idempotency-Key carries a time that is still to come"
             raise RequestRefused(400, "key_in_future", detail)
 
@@ -184,9 +185,10 @@
         writer = self._writer(bucket_prefix(team, bucket_of(key)))
         writer.limits = self.team_settings(team)
         clock = IntentClock()
-        expires = clock.wall + settings.record_retention
+        created = self.store.clock.latest()
+        expires = created + settings.record_retention
         nonce = secrets.token_bytes(NONCE_BYTES)
-        mine = Intent(key, nonce, request_hash(call), clock.wall, expires)
+        mine = Intent(key, nonce, request_hash(call), created, expires)
         self.running.add(nonce)
         try:
             found = await self._intend(writer, mine)
@@ -254,7 +256,7 @@
                 if intent.request != mine.request:
                     detail = "the Idempotency-Key was used for another call"
                     raise RequestRefused(422, "key_reused", detail)
-                if intent.expires < mine.created:
+                if intent.expires < self.store.clock.earliest():
                     raise expired(outcome is not None)
                 return kept_answer(outcome)
         return None
