Compare the clocks before the first record, whoever a daemon has its settings from

Cause: the platform's time is known from the answers of the key-value service. A daemon that has learnt everything from its peers, while it could not reach the platform, had not compared the clocks when it took its first call after that. Found by reading.

Change: the daemon that runs a call reads one key first if it has never had an answer with a date, and refuses the call as without the platform (503, ran: no) when it cannot. The age of a UUIDv7 key is checked there too, and no longer by the daemon that was asked first: that one's clock may be the one that was never compared.

--- a/papayacourse/once.py
+++ b/papayacourse/once.py
@@ -71,7 +71,6 @@
         RequestRefused
             With ``ran`` as far as it can be proved.
         """
-        self.records.check_age(key.team, key.key)
         owner = self.owner(key)
         if owner is not None and len(call.body) <= MAX_ROUTED_BYTES:
             answer = await self._ask(owner, key, call)
@@ -132,8 +131,16 @@
         return settings
 
     async def run_here(self, key: CallerKey, call: PlainCall) -> CallAnswer:
-        """Run a call at this daemon."""
+        """Run a call at this daemon.
+
+        Raises
+        ------
+        RequestRefused
+            With ``ran`` as far as it can be proved.
+        """
         settings = self._settings(key)
+        await self.records.compare_clocks()
+        self.records.check_age(key.team, key.key)
         return await self.records.run(
             key.team,
             key_hash(key.team, key.service, key.account, key.key),
--- a/papayacourse/platformclock.py
+++ b/papayacourse/platformclock.py
@@ -25,10 +25,13 @@
         Returns the host's wall time, in seconds of the epoch.
     offset : float
         What has to be added to it to have the platform's, in seconds.
+    compared : bool
+        Whether the clocks have been compared at all.
     """
 
     host: Callable[[], float] = time.time
     offset: float = 0.0
+    compared: bool = False
 
     def latest(self) -> float:
         """Return the later of both clocks, in seconds of the epoch."""
@@ -58,4 +61,4 @@
         offset = 0.0 if agree else (least + most) / 2
         if abs(offset - self.offset) > TOLERANCE:
             logs.warning("clock differs from the platform's", seconds=round(offset, 1))
-        self.offset = offset
+        self.offset, self.compared = offset, True
--- a/papayacourse/records.py
+++ b/papayacourse/records.py
@@ -55,6 +55,7 @@
 IDLE_LIMIT = 60.0  # seconds without use after which a bucket is dropped from memory
 NONCE_BYTES = 8
 REQUEST_BYTES = 8
+CLOCK_KEY = "/records"  # read for the date of the answer alone
 UUID_TIME_SHIFT = 80  # bits below the milliseconds of a UUIDv7
 
 
@@ -133,7 +134,13 @@
         return {"state": "none"}
 
     def check_age(self, team: str, key: str) -> None:
-        """Refuse a key whose own time is before anything that is still remembered."""
+        """Refuse a key whose own time is before anything that is still remembered.
+
+        Raises
+        ------
+        RequestRefused
+            With ``ran`` unknown for such a key.
+        """
         made = key_time(key)
         if made is None:
             return
@@ -148,6 +155,23 @@
 
     # Commands.
 
+    async def compare_clocks(self) -> None:
+        """Have the platform's time once before anything rests on the time.
+
+        A daemon may have learnt all settings from its peers, and never have asked the platform.
+
+        Raises
+        ------
+        RequestRefused
+            When the platform cannot be asked; nothing could be recorded either.
+        """
+        if self.store.clock.compared:
+            return
+        try:
+            await self.store.get(CLOCK_KEY)
+        except PlatformError as error:
+            raise self._platform_down() from error
+
     async def run(
         self,
         team: str,
--- a/tests/features/recordclocks.feature
+++ b/tests/features/recordclocks.feature
@@ -34,6 +34,15 @@
     Then the last answer is 409 "key_expired" with ran "unknown"
     And nothing ran
 
+  Scenario: A daemon that has all settings from its peers asks the platform for the time first
+    Given a daemon "a" that cannot reach the platform, whose clock is -3600 seconds off
+    And the team's option "record_forget_after" is 600
+    When daemon "b" is killed
+    And it can reach the platform
+    And a refund with a key made 1800 seconds ago is posted through "a"
+    Then the last answer is 409 "key_expired" with ran "unknown"
+    And nothing ran
+
   Scenario: A daemon says how far its clock is from the platform's
     Given a daemon "a" whose clock is -3600 seconds off
     Then daemon "a" says that its clock is -3600 seconds off
