--- a/standins/faultproxy.py
+++ b/standins/faultproxy.py
@@ -31,7 +31,7 @@
         ``pass``, ``cut`` (refuse and close), ``stall`` (hold everything), ``stall-back`` (hold
         only what the target sends).
     spared : list of str
-        Source addresses that neither a cut nor the delay touches.
+        Source addresses that neither a cut, a stall nor the delay touches.
     delay : float
         Added one way, in seconds.
     far_markers : list of str
@@ -100,7 +100,7 @@
         try:
             while True:
                 data = await source.read_bytes(CHUNK_BYTES, partial=True)
-                await self.unstalled(back)
+                await self.unstalled(back, flow.source)
                 if not back:
                     await self.let_through(data)
                 opening = not back and not sent
@@ -120,9 +120,9 @@
         source.close()
         sink.close()
 
-    async def unstalled(self, back: bool) -> None:
+    async def unstalled(self, back: bool, source: str) -> None:
         """Wait while this direction is held."""
-        while self.mode == "stall" or (back and self.mode == "stall-back"):
+        while self._is_stalled(back) and source not in self.spared:
             self.switched.clear()
             await self.switched.wait()
 
@@ -168,6 +168,9 @@
             except StreamClosedError:
                 data = None
 
+    def _is_stalled(self, back: bool) -> bool:
+        return self.mode == "stall" or (back and self.mode == "stall-back")
+
     def cut_all(self) -> None:
         """Close every connection."""
         for stream, onward, source in list(self.connections):
