Let a few neighbours on a ring watch a daemon, not its whole domain

Cause: each daemon beat every other one of its domain each 2 s, and the domain's beats grew with the square of its size: 6.5 KB/s and 2.85% of a core for each of 48 idle daemons.

Ruled out: slower beats (a death is then noticed later); gossip and SWIM (detection takes a random number of rounds, news is hearsay); believing reports of deaths (a frozen link between two daemons made both dead for all others, see below); a message with which a daemon refutes its death: whoever hears a report asks the daemon itself, which does the same.

Change: daemons stand on a ring in the order of rendezvous weights; three before and three after watch one. Its death is reported to the domain; who hears that asks the daemon itself and takes it for dead after 4 s of silence, and 1 s after the report. After a neighbour's death, and after a pause of its own, a daemon watches everybody for 12 s. Who has no link or two, or was silent for 50 s, is watched too. What changes is told to all as before. Daemons of an older version still get everybody's beats.

Found on the way: where a run of neighbours died, those in its middle had been taken for dead by the nearest living ones while these watched everybody, and were then reported by nobody. Such deaths are reported too.

Conclusion: the cost of a daemon's beats no longer grows with its domain; what is repeated to everybody each 20 s does, slowly. A daemon that dies without closing its connections is known about 1 s later.

--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -140,6 +140,7 @@
             self.peers.tend(),
             self.membership.host_sync.follow(),
             self.membership.tend(),
+            self.membership.watch.run(),
             self.membership.catch_up(),
             self.gateways.run(),
             self.duties.tend(),
@@ -193,7 +194,8 @@
 
     async def _stop_tasks(self) -> None:
         await self.duties.close()
-        waiting = [*self.tasks, *self.held, *self.membership.heartbeats.tasks.values()]
+        beating = self.membership.heartbeats.tasks.values()
+        waiting = [*self.tasks, *self.held, *beating, *self.membership.watch.probes]
         await cancel_all(waiting)
 
     # What the handlers use.
--- a/papayacourse/heartbeats.py
+++ b/papayacourse/heartbeats.py
@@ -4,6 +4,7 @@
 import random
 import time
 from collections.abc import Callable
+from math import inf
 
 from attrs import define, evolve, field
 
@@ -17,6 +18,8 @@
 BEAT_INTERVAL = 2.0  # seconds without any frame to a peer after which it gets a beat
 BEAT_SPREAD = 0.95  # least part of that interval, so that beats to many peers spread out
 FULL_INTERVAL = 10.0  # seconds after which a heartbeat is sent in full, changed or not
+FAR_FULL_INTERVAL = 20.0  # seconds, to a peer that expects no beats
+LOOK_TIME = 0.1  # seconds for which what a heartbeat would say is not looked at again
 MIN_PAUSE = 0.02  # seconds between two looks
 
 NEVER = float("-inf")
@@ -32,6 +35,8 @@
         Returns the heartbeat as it should be now.
     is_wanted : callable
         Tells by name whether a peer is still to be told.
+    expects_beats : callable
+        Tells by name whether a peer is to hear something often, changed or not.
     on_failed : callable
         Called with the name of a peer that could not be told.
     """
@@ -39,9 +44,12 @@
     peers: Peers
     now: Callable[[], Heartbeat]
     is_wanted: Callable[[str], bool]
+    expects_beats: Callable[[str], bool]
     on_failed: Callable[[str], None]
     clock: Callable[[], float] = time.monotonic
     tasks: dict[str, asyncio.Task] = field(factory=dict)
+    said: Heartbeat | None = None
+    looked_at: float = NEVER
 
     def keep(self, name: str) -> None:
         """Begin to keep a peer told, if it is to be and is not yet."""
@@ -51,15 +59,15 @@
     async def _beat(self, name: str) -> None:
         """Tell one peer within a second what has changed, and by a beat that nothing has.
 
-        A beat is sent only where the peer has had no other frame for a while.
+        A beat is sent only to a peer that expects beats and has had no other frame for a while.
         """
         sent: Heartbeat | None = None
         link, sent_at = None, NEVER
         try:
             while self.is_wanted(name):
-                beat = self.now()
-                full = sent is None or link is not self.peers.links.get(name)
-                full = full or self.clock() - sent_at > FULL_INTERVAL or differs(sent, beat)
+                beat = self._to_say()
+                full = sent is not beat or link is not self.peers.links.get(name)
+                full = full or self.clock() - sent_at > self._full_interval(name)
                 try:
                     if full or self._until_beat(name) <= 0:
                         await self.peers.send(name, beat if full else Beat())
@@ -74,8 +82,22 @@
         finally:
             self.tasks.pop(name, None)
 
+    def _to_say(self) -> Heartbeat:
+        """Return the heartbeat that every peer should have; a new object where it has changed."""
+        if self.clock() - self.looked_at > LOOK_TIME:
+            self.looked_at = self.clock()
+            beat = self.now()
+            if self.said is None or differs(self.said, beat):
+                self.said = beat
+        return self.said
+
+    def _full_interval(self, name: str) -> float:
+        return FULL_INTERVAL if self.expects_beats(name) else FAR_FULL_INTERVAL
+
     def _until_beat(self, name: str) -> float:
         """Return the time until a peer must hear something, in seconds."""
+        if not self.expects_beats(name):
+            return inf
         link = self.peers.links.get(name)
         if link is None:
             return BEAT_INTERVAL
--- a/papayacourse/membership.py
+++ b/papayacourse/membership.py
@@ -1,4 +1,4 @@
-"""Who is there: the platform's lagging list joined with heartbeats between daemons."""
+"""Who is there: the platform's lagging list joined with what daemons hear of each other."""
 
 import asyncio
 import random
@@ -14,51 +14,19 @@
 from papayacourse.hostlist import HostList, HostListing
 from papayacourse.hostsync import HostSync
 from papayacourse.linkclasses import LinkClass, Place
+from papayacourse.members import Member
 from papayacourse.meshmessages import Beat, Heartbeat, Hello, ServiceLoad
 from papayacourse.peers import Peers
 from papayacourse.rendezvous import ranked
 from papayacourse.settingsync import SettingsSync
 from papayacourse.types import Address, Host, HostKind, HostState
+from papayacourse.watching import DEAD_AFTER, Watch
 
-DEAD_AFTER = 4.0  # seconds without a frame
 FORGET_AFTER = 60.0  # seconds after which a dead daemon that is not listed is forgotten
 MAX_SEED_PAUSE = 10.0  # seconds between tries to reach a seed
 CROSS_LINKS = 2  # daemons of each other domain that one gateway keeps a link to
 GATEWAYS = 2  # daemons of a domain that keep links to another one
 
-NEVER = float("-inf")
-
-
-@define
-class Member:
-    """A daemon that has been heard of.
-
-    Attributes
-    ----------
-    last_heard, suspected : float
-        When it was heard, and when it last failed to answer a call in time, in seconds of the
-        monotonic clock.
-    beat : Heartbeat or None
-        Its last heartbeat in full.
-    listed : bool
-        Whether the newest host list has it.
-    listed_leaving : bool
-        Whether that list says that it has been told to leave.
-    """
-
-    name: str
-    domain: str
-    region: str
-    incarnation: int = 0
-    last_heard: float = NEVER
-    suspected: float = NEVER
-    leaving: bool = False
-    beat: Heartbeat | None = None
-    known_since: float = field(factory=time.monotonic)
-    listed: bool = False
-    listed_leaving: bool = False
-    listed_mesh: str = ""
-
 
 @define(eq=False)
 class Membership:
@@ -92,13 +60,19 @@
     remote_live: Callable[[str], list[str]] = lambda _domain: []
     host_sync: HostSync = field(init=False)
     heartbeats: Heartbeats = field(init=False)
+    watch: Watch = field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.host_sync = HostSync(
             self.me.name, self.peers, self.host_list, self.live, self._hosts_changed
         )
+        self.watch = Watch(self.me, self.peers, self.members, self.changed.set, self.clock)
         self.heartbeats = Heartbeats(
-            self.peers, self._heartbeat, self._needs_link, self._try_other_address
+            self.peers,
+            self._heartbeat,
+            self._needs_link,
+            self.watch.expects_beats,
+            self._try_other_address,
         )
         self.peers.on_met = self.met
         self.peers.handlers[Heartbeat] = self.heard
@@ -126,16 +100,16 @@
         return next((here.link_to(host.domain, host.region) for host in found), None)
 
     def is_alive(self, name: str) -> bool:
-        """Tell whether a daemon has been heard lately."""
+        """Tell whether a daemon lives, as far as is known."""
         if name == self.me.name:
             return True
         member = self.members.get(name)
         if member is None:
             return False
+        if member.domain == self.me.domain:
+            return member.answers
         heard = self.clock() - member.last_heard < DEAD_AFTER
-        if member.domain != self.me.domain:
-            return heard or name in self.remote_live(member.domain)
-        return heard and member.last_heard > member.suspected
+        return heard or name in self.remote_live(member.domain)
 
     def stays(self, member: Member) -> bool:
         """Tell whether a daemon may be given duties: nobody has said that it leaves."""
@@ -320,6 +294,7 @@
             self.hosts.version,
             self.loads_here(),
             self.hosts.epoch,
+            on_ring=True,
         )
 
     async def leave(self) -> None:
--- a/papayacourse/meshmessages.py
+++ b/papayacourse/meshmessages.py
@@ -59,7 +59,7 @@
 
 @frozen
 class Heartbeat:
-    """Says once a second that a daemon lives and what it knows.
+    """Says that a daemon lives and what it knows, whenever that changes and now and then.
 
     Attributes
     ----------
@@ -71,6 +71,8 @@
         The version of the host list it knows, and how often that list has started anew.
     loads : tuple of ServiceLoad
         The services that it schedules.
+    on_ring : bool
+        Whether it watches its neighbours on the ring only; one that does not watches everybody.
     """
 
     name: str
@@ -80,11 +82,20 @@
     hosts_version: int
     loads: tuple[ServiceLoad, ...] = ()
     hosts_epoch: int = 0
+    on_ring: bool = False
 
 
 @frozen
 class Beat:
-    """Says that a daemon lives and that its last Heartbeat still holds."""
+    """Says that a daemon lives and that its last Heartbeat still holds; a call asks for a sign."""
+
+
+@frozen
+class DeathReport:
+    """Says that a daemon which its sender watches has been silent for too long."""
+
+    name: str
+    incarnation: int
 
 
 @frozen
--- a/papayacourse/messages.py
+++ b/papayacourse/messages.py
@@ -10,6 +10,7 @@
 from papayacourse.meshmessages import (
     Beat,
     CallFailed,
+    DeathReport,
     DomainLoads,
     DomainSummary,
     Done,
@@ -75,4 +76,5 @@
     | HostsChanges
     | EnginesAsk
     | EnginesOutOfLine
+    | DeathReport
 )
--- a/papayacourse/peers.py
+++ b/papayacourse/peers.py
@@ -53,6 +53,8 @@
         Called with a peer's Hello for every frame that comes from it.
     on_lost : callable
         Called with a peer's name once its last link has ended.
+    silent_since : callable
+        Returns by a peer's name the moment before which its silence counts for nothing.
     links : dict of str to Link
         The link to use for each peer.
     open_links : dict of str to set of Link
@@ -69,6 +71,7 @@
     on_met: Callable[[Hello], None] = lambda _hello: None
     on_heard: Callable[[Hello], None] = lambda _hello: None
     on_lost: Callable[[str], None] = lambda _name: None
+    silent_since: Callable[[str], float] = lambda _name: float("-inf")
     links: dict[str, Link] = field(factory=dict)
     open_links: dict[str, set[Link]] = field(factory=dict)
     backoffs: dict[Address, Backoff] = field(factory=dict)
@@ -213,7 +216,8 @@
         while True:
             await asyncio.sleep(TEND_INTERVAL)
             for link in self.all_links():
-                if link.silent_for() > LINK_SILENCE:
+                watched_for = time.monotonic() - self.silent_since(link.peer.name)
+                if min(link.silent_for(), watched_for) > LINK_SILENCE:
                     link.lose()
                     self._close(link)
             for name in list(self.open_links):
@@ -329,5 +333,12 @@
 
     async def send(self, name: str, message: Message) -> None:
         """Tell a peer something; raises PeerUnreachable when there is no link."""
-        link = await self.link_to(name)
+        await self.link_to(name)
+        self.tell(name, message)
+
+    def tell(self, name: str, message: Message) -> None:
+        """Tell a peer something over the link that stands; raises PeerUnreachable without one."""
+        link = self.links.get(name)
+        if link is None:
+            raise PeerUnreachable(f"no link to {name}")
         link.send(Frame(0, False, message, logs.request()))
