Count prefix hits and show p95 in the load bench

Cause: the table showed p99 and p99.9 between tokens, but neither p95 nor how much of the prompts the engines found in their caches, so nobody could see whether a tail came from prompts computed anew.

Change: cells carry the engines' own counts of prompt tokens and of hits; the table has both columns.

--- a/bench/load.py
+++ b/bench/load.py
@@ -52,6 +52,11 @@
     return used.ru_utime + used.ru_stime
 
 
+def counted(before: dict[str, dict], after: dict[str, dict], name: str) -> int:
+    """Return by how much a count has grown on all engines together."""
+    return sum(after[engine][name] - before[engine][name] for engine in after)
+
+
 async def run_cell(
     site: Site, policy: str, load: float, seed: int, tokens_per_second: float, measured: float
 ) -> Cell:
@@ -84,7 +89,9 @@
         times_of(exchanges, start, end).summary(end - start),
         {n: times_of(some, start, end).summary(end - start) for n, some in by_class.items()},
         {n: times_of(some, start, end).summary(end - start) for n, some in by_account.items()},
-        sum(after[name]["preemptions"] - before[name]["preemptions"] for name in after),
+        counted(before, after, "preemptions"),
+        counted(before, after, "prompt_tokens"),
+        counted(before, after, "prefix_hits"),
         len(trace),
         sum(1 for made in exchanges if made.refusal_times),
         percentiles(refusals),
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -100,6 +100,8 @@
     classes: dict[str, dict]
     accounts: dict[str, dict]
     preemptions: int
+    prompt_tokens: int
+    prefix_hits: int
     offered_requests: int
     refused: int
     refusal_ms: dict[str, float]
--- a/bench/table.py
+++ b/bench/table.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Iterator
 
-from bench.measures import spread
+from bench.measures import PERCENTILES, spread
 from bench.shapes import SHAPES
 
 HEAD = (
-    "| load | policy | tokens/s | stall s | preemptions | p50 ms | p99 ms | p99.9 ms "
-    "| first p50 ms | first p95 ms | refused % | refusal p99 ms | again served % |"
+    "| load | policy | tokens/s | stall s | preemptions | hits % | p50 ms | p95 ms "
+    "| p99 ms | p99.9 ms | first p50 ms | first p95 ms | refused % | refusal p99 ms "
+    "| again served % |"
 )
 
 
@@ -73,7 +74,8 @@
             figure([total["tokens_per_second"] for total in totals]),
             figure([total["stall_seconds"] for total in totals], 1),
             figure([cell["preemptions"] for cell in cells]),
-            *(figure([times[name] for times in between]) for name in ("p50", "p99", "p999")),
+            figure([percent(cell["prefix_hits"], cell["prompt_tokens"]) for cell in cells]),
+            *(figure([times[name] for times in between]) for name in PERCENTILES),
             *(figure([times[name] for times in first]) for name in ("p50", "p95")),
             figure([percent(c["refused"], c["offered_requests"]) for c in cells], 1),
             figure([cell["refusal_ms"]["p99"] for cell in cells], 1),
