Choose the engine on which a stream brings least delay between tokens

The engine was chosen by prefix and memory, and how many streams a prompt would hold up there, and how many prompts would hold up the new stream, counted nothing.

Change: of the engines where a stream fits, within affinity_bound of the emptiest, the one with the least expected delay: the prompt's uncached tokens for each stream there and for itself, plus the prompt tokens that the engine computed lately for each token of its expected output. Short work thereby gathers where few streams run, long work where few prompts come, and prefixes keep their engines. affinity_bound is 0.5 for 0.2; engine_choice = emptiest is the choice before.

Failing first: with engine_choice = emptiest (rows of the scenarios) the request goes to the engine that the new choice avoids; without the streams' term 2 of 6 examples fail, without the output's 1.

--- a/bench/affinity.py
+++ b/bench/affinity.py
@@ -1,9 +1,9 @@
-"""Compares bounds of prefix affinity: ``python -m bench.affinity``.
+"""Compares choices of engine by prefixes: ``python -m bench.affinity``.
 
 Sound Trust's planner, with the shorter outputs of bench.regions, on five engines and three daemons
 in one domain. Each of ten accounts has a prefix of 512 tokens for each of its two kinds of work,
 and an engine's cache holds six such prefixes. Hits are the prompt tokens that the stand-in engines
-found in their cache, of all prompt tokens, by their own count. The bounds take turns within each
+found in their cache, of all prompt tokens, by their own count. The ways take turns within each
 seed, in one fleet. Prints a table of medians and ranges over the seeds.
 """
 
@@ -26,7 +26,7 @@
 LONG_PREFIX_BYTES = 2048  # of a prompt, 512 tokens
 CACHED_PREFIXES = 6  # held by one engine
 BYTES_PER_TOKEN = 4
-BOUNDS = ("off", "0", "0.2", "1")
+WAYS = ("off", "emptiest 0.2", "least-delay 0.2", "least-delay 0.5")
 COUNTS = ("prompt_tokens", "prefix_hits", "preemptions")
 SHAPE = evolve(
     SHORT,
@@ -68,6 +68,7 @@
     return {
         "seed": seed,
         "counts": {name: after[name] - before[name] for name in COUNTS},
+        "between_ms": seen["between_tokens_ms"],
         "first_ms": seen["first_token_ms"],
         "tokens_per_second": seen["tokens_per_second"],
         "stall_s": seen["stall_seconds"],
@@ -76,17 +77,26 @@
     }
 
 
+def settings_of(way: str) -> list[str]:
+    """Return the deployment's settings for a way: ``off``, or a choice and a bound."""
+    if way == "off":
+        return ["affinity_bound = off"]
+    choice, bound = way.split()
+    return [f"engine_choice = {choice}", f"affinity_bound = {bound}"]
+
+
 def rows(cells: list[dict]) -> Iterator[str]:
     """Yield the lines of the table."""
-    times = ("first p50 ms", "first p95 ms")
+    times = ("p95 ms", "p99 ms", "p99.9 ms", "first p50 ms", "first p95 ms")
     counts = ("tokens/s", "refused %", "preemptions", "stall s")
-    yield from runs.header("affinity_bound", "prefix hits %", *times, *counts)
-    for bound in dict.fromkeys(cell["bound"] for cell in cells):
-        some = [cell for cell in cells if cell["bound"] == bound]
+    yield from runs.header("choice and bound", "prefix hits %", *times, *counts)
+    for way in dict.fromkeys(cell["way"] for cell in cells):
+        some = [cell for cell in cells if cell["way"] == way]
         counts = [cell["counts"] for cell in some]
         columns = [
-            bound,
+            way,
             figure([percent(one["prefix_hits"], one["prompt_tokens"]) for one in counts]),
+            *(figure([c["between_ms"][name] for c in some]) for name in ("p95", "p99", "p999")),
             figure([cell["first_ms"]["p50"] for cell in some]),
             figure([cell["first_ms"]["p95"] for cell in some]),
             figure([cell["tokens_per_second"] for cell in some]),
@@ -98,21 +108,21 @@
 
 
 def main() -> None:
-    """Run every bound for every seed in one fleet, in turns."""
+    """Run every way for every seed in one fleet, in turns."""
     parser = runs.options(__doc__)
-    parser.add_argument("--bounds", default=",".join(BOUNDS))
+    parser.add_argument("--ways", default=",".join(WAYS))
     parser.add_argument("--tokens", type=float, default=900.0, help="offered, tokens/s")
     wanted = parser.parse_args()
-    bounds, cells = wanted.bounds.split(","), []
+    ways, cells = wanted.ways.split(","), []
     with Site(SHAPE) as site:
         for seed in runs.seeds(wanted):
-            for bound in runs.in_turns(bounds, seed):
-                site.apply(SHAPE.with_options([f"affinity_bound = {bound}"]), "predicted")
+            for way in runs.in_turns(ways, seed):
+                site.apply(SHAPE.with_options(settings_of(way)), "predicted")
                 cell = asyncio.run(run_cell(site, seed, wanted.tokens))
-                cells.append(cell | {"bound": bound})
+                cells.append(cell | {"way": way})
                 site.drain()
     runs.save(wanted, "affinity", cells)
-    print("\n".join(rows(sorted(cells, key=lambda cell: bounds.index(cell["bound"])))))
+    print("\n".join(rows(sorted(cells, key=lambda cell: ways.index(cell["way"])))))
 
 
 if __name__ == "__main__":
--- a/bench/grants.py
+++ b/bench/grants.py
@@ -8,7 +8,7 @@
 
 from papayacourse.admission import choose
 from papayacourse.ledger import EngineLedger, Stream, put, take_off
-from papayacourse.lengths import LengthModel, Template
+from papayacourse.lengths import LengthModel
 from papayacourse.policies import POLICIES
 from papayacourse.prefixes import PrefixIndex
 from papayacourse.types import GenerationRequest
@@ -22,8 +22,8 @@
 
 def stream(number: int, rng: random.Random) -> Stream:
     """Return one stream of a random account."""
-    account = f"account-{rng.randrange(ACCOUNTS)}"
-    prefixes = (rng.randrange(ACCOUNTS), number)
+    owner = rng.randrange(ACCOUNTS)
+    account, prefixes = f"account-{owner}", (2 * owner + rng.randrange(2), number)
     request = GenerationRequest(f"s{number}", "t", "s", account, "", 100, 20_000, 0, prefixes)
     return Stream(request, "daemon")
 
@@ -33,8 +33,7 @@
     rng = random.Random(1)
     lengths, prefixes = LengthModel(), PrefixIndex()
     for _ in range(OUTPUTS_LEARNT):
-        account = f"account-{rng.randrange(ACCOUNTS)}"
-        lengths.add(Template(account), int(rng.lognormvariate(4.5, 1)))
+        lengths.add(stream(0, rng).template, int(rng.lognormvariate(4.5, 1)))
     ledgers = [
         EngineLedger(f"e{n}", "", 10**6, 2 * streams, 0.1, POLICIES["predicted"], affinity_bound=1)
         for n in range(engines)
--- a/papayacourse/admission.py
+++ b/papayacourse/admission.py
@@ -4,6 +4,7 @@
 
 import numpy as np
 
+from papayacourse.delays import expected_delay, expected_output
 from papayacourse.ledger import (
     FIRST_PACE,
     EngineLedger,
@@ -15,6 +16,8 @@
 )
 from papayacourse.lengths import LengthModel
 from papayacourse.policies import (
+    Emptiest,
+    LeastDelay,
     LeastOutstanding,
     MeanLength,
     Predicted,
@@ -148,7 +151,7 @@
     """
     left = list(ledgers)
     while left:
-        ledger = nearest(left, candidate, now, prefixes)
+        ledger = nearest(left, candidate, lengths, now, prefixes)
         if is_fresh(ledger, now):
             return ledger
         renew(ledger, lengths, now)
@@ -159,18 +162,32 @@
 
 
 def nearest(
-    ledgers: list[EngineLedger], candidate: Stream, now: float, prefixes: PrefixIndex | None
+    ledgers: list[EngineLedger],
+    candidate: Stream,
+    lengths: LengthModel,
+    now: float,
+    prefixes: PrefixIndex | None,
 ) -> EngineLedger:
-    """Return the emptiest engine, or one not much fuller that holds more of the prompt."""
+    """Return the engine to be preferred of those on which a stream fits."""
     fullness = {
         ledger.name: (ledger.forecast.mean[0] + ledger.foreign_tokens) / ledger.memory_tokens
         for ledger in ledgers
     }
-    least = min(fullness.values())
     wanted = candidate.generation.prefixes
     bounds = {ledger.name: ledger.affinity_bound for ledger in ledgers}
     if prefixes is None or not wanted or None in bounds.values():
         return min(ledgers, key=lambda ledger: fullness[ledger.name])
+    least = min(fullness.values())
     near = [ledger for ledger in ledgers if fullness[ledger.name] <= least + ledger.affinity_bound]
-    held = {ledger.name: prefixes.held(ledger.name, wanted, now) for ledger in near}
-    return min(near, key=lambda ledger: (-held[ledger.name], fullness[ledger.name]))
+    first = ledgers[0]
+    match first.choice:
+        case Emptiest():
+            held = {ledger.name: prefixes.held(ledger.name, wanted, now) for ledger in near}
+            return min(near, key=lambda ledger: (-held[ledger.name], fullness[ledger.name]))
+        case LeastDelay():
+            output = expected_output(candidate, lengths, first.by_template)
+            delays = {
+                ledger.name: expected_delay(ledger, candidate, output, prefixes, now)
+                for ledger in near
+            }
+            return min(near, key=lambda ledger: (delays[ledger.name], fullness[ledger.name]))
--- a/papayacourse/enginelist.py
+++ b/papayacourse/enginelist.py
@@ -11,7 +11,7 @@
 from papayacourse.enginewatch import EngineWatch
 from papayacourse.ledger import EngineLedger, Stream, put, take_off
 from papayacourse.membership import Membership
-from papayacourse.policies import POLICIES
+from papayacourse.policies import ENGINE_CHOICES, POLICIES
 from papayacourse.prefixes import PrefixIndex
 from papayacourse.rendezvous import scheduling_duty
 from papayacourse.settings import DeploymentSettings
@@ -143,6 +143,7 @@
         ledger.spread = deployment.memory_spread
         ledger.affinity_bound = deployment.affinity_bound
         ledger.by_template = deployment.length_templates
+        ledger.choice = ENGINE_CHOICES[deployment.engine_choice]
         ledger.share = self.part()
 
     def put(self, ledger: EngineLedger, stream: Stream) -> None:
--- a/papayacourse/grants.py
+++ b/papayacourse/grants.py
@@ -9,6 +9,7 @@
 
 from papayacourse import invariants
 from papayacourse.admission import choose
+from papayacourse.delays import note_prompt
 from papayacourse.enginelist import EngineList
 from papayacourse.estimates import WAIT_SAFETY, Waiting, Waits
 from papayacourse.exceptions import RequestRefused
@@ -215,7 +216,7 @@
         self.queue.discard(stream)
         self.put(ledger, candidate)
         self.grants += 1
-        self.engines.prefixes.note(ledger.name, generation.prefixes, now)
+        note_prompt(ledger, generation, self.engines.prefixes, now)
         self.places.note_grant(generation.account, now)
         self.backlog.note_grant(now)
         # Charged in advance, or the accounts' order would be as old as the last reports.
--- a/papayacourse/ledger.py
+++ b/papayacourse/ledger.py
@@ -6,7 +6,8 @@
 from attrs import define, field, frozen
 
 from papayacourse.lengths import LengthModel, Template, remaining
-from papayacourse.policies import Policy
+from papayacourse.policies import EngineChoice, LeastDelay, Policy
+from papayacourse.promptrate import PromptRate
 from papayacourse.types import GenerationRequest
 
 # How far ahead memory is predicted, in decode steps. Beyond the horizon streams that end make
@@ -112,6 +113,10 @@
         The most streams at once under the predicted policy; 0 leaves it to ``max_batch``.
     by_template : bool
         Whether outputs are predicted by the template of the prompt, or by the account alone.
+    choice : EngineChoice
+        How one of several engines on which a stream fits is chosen.
+    prompt_rate : PromptRate
+        The prompt tokens that it has had to compute lately.
     pace : float
         Its seconds between two tokens of a stream.
     held : bool
@@ -139,6 +144,8 @@
     affinity_bound: float | None = 0.0
     decode_batch: int = 0
     by_template: bool = True
+    choice: EngineChoice = field(factory=LeastDelay)
+    prompt_rate: PromptRate = field(factory=PromptRate)
     pace: float = FIRST_PACE
     held: bool = False
     suspect: bool = False
--- a/papayacourse/lengths.py
+++ b/papayacourse/lengths.py
@@ -210,7 +210,10 @@
 
     def keep(self, accounts: set[str]) -> None:
         """Forget the accounts that are no longer there."""
-        for name in self.accounts.keys() - accounts:
+        gone = self.accounts.keys() - accounts
+        if not gone:
+            return
+        for name in gone:
             del self.accounts[name]
-        for template in [one for one in self.templates if one.account not in accounts]:
+        for template in [one for one in self.templates if one.account in gone]:
             del self.templates[template]
--- a/papayacourse/policies.py
+++ b/papayacourse/policies.py
@@ -28,6 +28,20 @@
     """Admit while every stream could grow to the mean output length."""
 
 
+@frozen
+class LeastDelay:
+    """Choose the engine on which a stream brings the least delay between tokens."""
+
+
+@frozen
+class Emptiest:
+    """Choose an engine that holds the prompt's prefix, or else the emptiest."""
+
+
+EngineChoice = LeastDelay | Emptiest
+
+ENGINE_CHOICES: dict[str, EngineChoice] = {"least-delay": LeastDelay(), "emptiest": Emptiest()}
+
 Policy = Predicted | RoundRobin | LeastOutstanding | ReserveMaximum | MeanLength
 
 POLICIES: dict[str, Policy] = {
--- a/papayacourse/settings.py
+++ b/papayacourse/settings.py
@@ -125,14 +125,15 @@
     memory_spread : float
         Standard deviations kept above the mean when memory is predicted.
     affinity_bound : float or None
-        How much fuller than the emptiest an engine may be and still get a request whose prefix it
-        holds, as a fraction of its memory; 0 lets a prefix decide between equals only, None
-        leaves prefixes out of account.
+        How much fuller than the emptiest an engine may be and still be chosen, as a fraction of
+        its memory; 0 leaves the choice between equals only, None leaves prefixes out of account.
     decode_batch : int
         The most decodes at once under the predicted policy, so that tokens keep their pace; 0
         leaves it to ``max_batch``.
     length_templates : bool
         Whether the lengths of outputs are learnt by how a prompt begins, besides by account.
+    engine_choice : str
+        How one of several engines on which a request fits is chosen.
     policy : str
         The admission policy's name.
     checks_fencing : bool
@@ -152,9 +153,10 @@
     max_batch: int = 32
     memory_margin: float = 0.1
     memory_spread: float = 1.0
-    affinity_bound: float | None = 0.2
+    affinity_bound: float | None = 0.5
     decode_batch: int = 0
     length_templates: bool = True
+    engine_choice: str = "least-delay"
     policy: str = "predicted"
     checks_fencing: bool = False
     leaving: tuple[str, ...] = ()
--- a/papayacourse/settingsoptions.py
+++ b/papayacourse/settingsoptions.py
@@ -14,6 +14,7 @@
 
 SHA256_HEX_LENGTH = 64
 POLICIES = ("predicted", "round-robin", "least-outstanding", "reserve-maximum", "mean-length")
+ENGINE_CHOICES = ("least-delay", "emptiest")
 
 
 def names(text: str) -> tuple[str, ...]:
@@ -66,6 +67,13 @@
     return text
 
 
+def engine_choice(text: str) -> str:
+    """Read how an engine is chosen."""
+    if text not in ENGINE_CHOICES:
+        raise ValueError(f"{text!r} is not one of {', '.join(ENGINE_CHOICES)}")
+    return text
+
+
 def fraction(text: str) -> float:
     """Read a number from 0 to below 1."""
     value = float(text)
@@ -174,6 +182,7 @@
             may_be_left_out("deployment", "affinity_bound", "affinity_bound", affinity),
             may_be_left_out("deployment", "decode_batch", "decode_batch", positive(int)),
             may_be_left_out("deployment", "length_templates", "length_templates", yes_or_no),
+            may_be_left_out("deployment", "engine_choice", "engine_choice", engine_choice),
             may_be_left_out("deployment", "policy", "policy", policy_name),
             may_be_left_out("deployment", "checks_fencing", "checks_fencing", yes_or_no),
             may_be_left_out("deployment", "leaving", "leaving", optional_names),
--- a/tests/features/scheduling.feature
+++ b/tests/features/scheduling.feature
@@ -117,3 +117,32 @@
   Scenario: The lengths learnt take bounded memory
     When the lengths of outputs are learnt from 10000 templates
     Then at most 4096 templates are remembered, the last one among them
+
+  Scenario Outline: A prompt that has to be computed delays as few streams as it can
+    Given engines of 20000 tokens that run these streams of 400 tokens, by "<choice>"
+      | engine | streams | holds the prefix | prompt tokens a second |
+      | a      | 12      | yes              | 0                      |
+      | b      | 3       | no               | 0                      |
+      | c      | 1       | no               | 0                      |
+    When a request with a prompt of <prompt> tokens and an output of 100 comes
+    Then it goes to engine "<engine>"
+
+    Examples:
+      | choice      | prompt | engine |
+      | least-delay | 80     | c      |
+      | least-delay | 70     | a      |
+      | emptiest    | 80     | a      |
+
+  Scenario Outline: Long outputs go where few prompts are computed, short ones where few streams run
+    Given engines of 20000 tokens that run these streams of 400 tokens, by "<choice>"
+      | engine | streams | holds the prefix | prompt tokens a second |
+      | a      | 6       | no               | 0                      |
+      | b      | 2       | no               | 300                    |
+    When a request with a prompt of 100 tokens and an output of <length> comes
+    Then it goes to engine "<engine>"
+
+    Examples:
+      | choice      | length | engine |
+      | least-delay | 200    | a      |
+      | least-delay | 4      | b      |
+      | emptiest    | 200    | b      |
--- a/tests/features/steps/forecast_steps.py
+++ b/tests/features/steps/forecast_steps.py
@@ -8,7 +8,9 @@
 from papayacourse.admission import choose
 from papayacourse.ledger import EngineLedger, Stream, put
 from papayacourse.lengths import LengthModel, Template
-from papayacourse.policies import POLICIES
+from papayacourse.policies import ENGINE_CHOICES, POLICIES
+from papayacourse.prefixes import PrefixIndex
+from papayacourse.promptrate import MEAN_TIME
 from papayacourse.types import GenerationRequest
 
 SEEDS = (0, 1)
@@ -83,3 +85,31 @@
 def templates_bounded(context, most):
     assert len(context.lengths.templates) <= most, len(context.lengths.templates)
     assert Template("large", context.count - 1) in context.lengths.templates
+
+
+@given('engines of {memory:d} tokens that run these streams of {size:d} tokens, by "{choice}"')
+def engines_by_choice(context, memory, size, choice):
+    context.lengths, context.prefixes, context.ledgers = LengthModel(), PrefixIndex(), []
+    for row in context.table:
+        ledger = EngineLedger(row["engine"], "", memory, 32, 0.0, POLICIES["predicted"])
+        ledger.choice, ledger.affinity_bound = ENGINE_CHOICES[choice], 0.5
+        ledger.prompt_rate.note(int(row["prompt tokens a second"]) * MEAN_TIME, 0.0)
+        for number in range(int(row["streams"])):
+            put(ledger, request(f"{ledger.name}-{number}", size, ()))
+        if row["holds the prefix"] == "yes":
+            context.prefixes.note(ledger.name, (SHORT,), 0.0)
+        context.ledgers.append(ledger)
+
+
+@when("a request with a prompt of {prompt:d} tokens and an output of {length:d} comes")
+def request_comes(context, prompt, length):
+    context.lengths.add(Template("large", None), 1000)
+    for _ in range(100):
+        context.lengths.add(Template("large", SHORT), length)
+    candidate = request("new", prompt, (SHORT,))
+    context.chosen = choose(context.ledgers, candidate, context.lengths, 0, 0.0, context.prefixes)
+
+
+@then('it goes to engine "{engine}"')
+def goes_to(context, engine):
+    assert context.chosen.name == engine, context.chosen.name
