Renew a template's prediction with its own outputs only

By a profile: templates' predictions renewed about ten times a grant, and their hashes taken four times for each stream.

Change: a template's prediction is made anew when an output of its own has come, since what the account has learnt meanwhile weighs 4 outputs; a stream keeps its template, which keeps its hash; the prompt rate is one expression.

--- a/papayacourse/ledger.py
+++ b/papayacourse/ledger.py
@@ -65,6 +65,8 @@
         When it was granted.
     charged : float
         The output tokens that its account has been charged for.
+    template : Template
+        What its output's length is learnt by.
     """
 
     generation: GenerationRequest
@@ -74,18 +76,18 @@
     granted_at: float = 0.0
     charged: float = 0.0
     forecast: "Forecast | None" = None
+    template: Template = field(init=False)
+
+    @template.default
+    def _template_of_prompt(self) -> Template:
+        prefixes = self.generation.prefixes
+        return Template(self.generation.account, prefixes[0] if prefixes else None)
 
     @property
     def tokens(self) -> int:
         """Return the memory it takes now, in tokens."""
         return self.generation.prompt_tokens + self.generated
 
-    @property
-    def template(self) -> Template:
-        """Return the template that its output's length is learnt by."""
-        prefixes = self.generation.prefixes
-        return Template(self.generation.account, prefixes[0] if prefixes else None)
-
     def predicted_by(self, by_template: bool) -> Template:
         """Return the template that predicts its output, or its account without one."""
         return self.template if by_template else Template(self.generation.account)
--- a/papayacourse/lengths.py
+++ b/papayacourse/lengths.py
@@ -116,7 +116,7 @@
     return np.where(survived > 0, alive[:, 1:] / np.where(survived > 0, survived, 1.0), 0.0)
 
 
-@frozen
+@frozen(cache_hash=True)
 class Template:
     """The requests of an account whose prompts begin alike: probably one kind of work.
 
@@ -180,33 +180,30 @@
         if account not in self.accounts:
             self.accounts[account] = LengthHistogram(np.zeros(len(EDGES)))
         own = self.accounts[account]
-        if self._is_stale(own):
+        if own.cached_tail is None or own.renewed_at <= self.stale_at:
             shape = self.service.counts / self.service.counts.sum()
-            self._renew(own, SERVICE_WEIGHT * shape)
+            own.cached_tail = tail_of(own.counts + SERVICE_WEIGHT * shape)
+            own.renewed_at = self.outputs
         return own
 
     def of(self, template: Template) -> LengthHistogram:
-        """Return the histogram that predicts a template's outputs, its account's if it is new."""
+        """Return the histogram that predicts a template's outputs, its account's if it is new.
+
+        Its prediction is made anew with each output of its own only: there are many templates,
+        and what the account has learnt since weighs little.
+        """
         own = self.templates.get(template)
-        account = self.of_account(template.account)
         if own is None:
-            return account
-        if self._is_stale(own):
-            # The tail's own steps are the account's prediction, the service's part included.
-            self._renew(own, ACCOUNT_WEIGHT * -np.diff(account.tail))
+            return self.of_account(template.account)
+        if own.cached_tail is None:
+            # The steps of the tail are the account's prediction, the service's part included.
+            shape = -np.diff(self.of_account(template.account).tail)
+            own.cached_tail = tail_of(own.counts + ACCOUNT_WEIGHT * shape)
         return own
 
-    def _is_stale(self, histogram: LengthHistogram) -> bool:
-        return histogram.cached_tail is None or histogram.renewed_at <= self.stale_at
-
-    def _renew(self, histogram: LengthHistogram, prior: np.ndarray) -> None:
-        histogram.cached_tail = tail_of(histogram.counts + prior)
-        histogram.renewed_at = self.outputs
-
     def tails(self, templates: list[Template]) -> np.ndarray:
         """Return the tails that predict the outputs of templates, one row for each."""
-        known = {template: self.of(template).cached_tail for template in set(templates)}
-        return np.array([known[template] for template in templates])
+        return np.array([self.of(template).cached_tail for template in templates])
 
     def keep(self, accounts: set[str]) -> None:
         """Forget the accounts that are no longer there."""
--- a/papayacourse/promptrate.py
+++ b/papayacourse/promptrate.py
@@ -24,17 +24,13 @@
 
     # Queries.
 
-    def tokens_at(self, now: float) -> float:
-        """Return the weighted sum of the prompt tokens computed by now."""
-        return self.tokens * math.exp(-max(0.0, now - self.noted_at) / MEAN_TIME)
-
     def per_second(self, now: float) -> float:
         """Return the prompt tokens computed a second, lately."""
-        return self.tokens_at(now) / MEAN_TIME
+        return self.tokens * math.exp((self.noted_at - now) / MEAN_TIME) / MEAN_TIME
 
     # Commands.
 
     def note(self, tokens: int, now: float) -> None:
         """Note that the engine has to compute more prompt tokens."""
-        self.tokens = self.tokens_at(now) + tokens
+        self.tokens = self.per_second(now) * MEAN_TIME + tokens
         self.noted_at = now
