--- a/papayacourse/lengths.py
+++ b/papayacourse/lengths.py
@@ -1,13 +1,17 @@
 """Learns how long outputs are, and predicts what remains of one that is under way."""
 
+from collections import OrderedDict
+
 import numpy as np
-from attrs import define, field
+from attrs import define, field, frozen
 
 MAX_TOKENS = 1 << 17
 BINS_PER_OCTAVE = 4
 FORGETTING = 0.999  # weight an earlier output keeps at each new one
 PRIOR_WEIGHT = 8.0  # outputs that the prior counts for
 SERVICE_WEIGHT = 8.0  # outputs that the service counts for in an account's prediction
+ACCOUNT_WEIGHT = 4.0  # outputs that the account counts for in a template's prediction
+MAX_TEMPLATES = 4096  # of one service, the least recently used forgotten first
 RENEW_AFTER = 8  # outputs of the service after which an account's prediction may be renewed
 RENEW_PART = 1 / 16  # part of the outputs known that must be new for that
 
@@ -112,14 +116,31 @@
     return np.where(survived > 0, alive[:, 1:] / np.where(survived > 0, survived, 1.0), 0.0)
 
 
+@frozen(cache_hash=True)
+class Template:
+    """The requests of an account whose prompts begin alike: probably one kind of work.
+
+    Attributes
+    ----------
+    prefix : int or None
+        The hash of the shortest prefix of the prompt; None for prompts shorter than that.
+    """
+
+    account: str
+    prefix: int | None = None
+
+
 @define
 class LengthModel:
-    """Length histograms of one service, for all accounts together and for each.
+    """Length histograms of one service: of all its accounts, of each, and of their templates.
 
     Attributes
     ----------
     accounts : dict of str to LengthHistogram
         Each account's own outputs; its prediction leans on the service's.
+    templates : OrderedDict of Template to LengthHistogram
+        The outputs of each template, the longest unused first; its prediction leans on its
+        account's.
     outputs : int
         Outputs counted so far.
     stale_at : float
@@ -128,18 +149,29 @@
 
     service: LengthHistogram = field(factory=LengthHistogram)
     accounts: dict[str, LengthHistogram] = field(factory=dict)
+    templates: OrderedDict[Template, LengthHistogram] = field(factory=OrderedDict)
     outputs: int = 0
     stale_at: float = -RENEW_AFTER
 
-    def add(self, account: str, length: int) -> None:
-        """Count a finished output of an account, in tokens."""
-        self.of(account).add(length)
+    def add(self, template: Template, length: int) -> None:
+        """Count a finished output, in tokens."""
+        self.of_account(template.account).add(length)
         self.service.add(length)
+        if template.prefix is not None:
+            self._add_to_template(template, length)
         self.outputs += 1
         known = min(self.outputs, 1 / (1 - FORGETTING))
         self.stale_at = self.outputs - max(RENEW_AFTER, RENEW_PART * known)
 
-    def of(self, account: str) -> LengthHistogram:
+    def _add_to_template(self, template: Template, length: int) -> None:
+        if template not in self.templates:
+            self.templates[template] = LengthHistogram(np.zeros(len(EDGES)))
+        self.templates[template].add(length)
+        self.templates.move_to_end(template)
+        if len(self.templates) > MAX_TEMPLATES:
+            self.templates.popitem(last=False)
+
+    def of_account(self, account: str) -> LengthHistogram:
         """Return the histogram that predicts an account's outputs.
 
         It leans on what the service has learnt by now, not on what it knew when the account was
@@ -154,12 +186,31 @@
             own.renewed_at = self.outputs
         return own
 
-    def tails(self, accounts: list[str]) -> np.ndarray:
-        """Return the tails that predict the outputs of accounts, one row for each."""
-        known = {account: self.of(account).cached_tail for account in set(accounts)}
-        return np.array([known[account] for account in accounts])
+    def of(self, template: Template) -> LengthHistogram:
+        """Return the histogram that predicts a template's outputs, its account's if it is new.
+
+        Its prediction is made anew with each output of its own only: there are many templates,
+        and what the account has learnt since weighs little.
+        """
+        own = self.templates.get(template)
+        if own is None:
+            return self.of_account(template.account)
+        if own.cached_tail is None:
+            # The steps of the tail are the account's prediction, the service's part included.
+            shape = -np.diff(self.of_account(template.account).tail)
+            own.cached_tail = tail_of(own.counts + ACCOUNT_WEIGHT * shape)
+        return own
+
+    def tails(self, templates: list[Template]) -> np.ndarray:
+        """Return the tails that predict the outputs of templates, one row for each."""
+        return np.array([self.of(template).cached_tail for template in templates])
 
     def keep(self, accounts: set[str]) -> None:
         """Forget the accounts that are no longer there."""
-        for name in self.accounts.keys() - accounts:
+        gone = self.accounts.keys() - accounts
+        if not gone:
+            return
+        for name in gone:
             del self.accounts[name]
+        for template in [one for one in self.templates if one.account in gone]:
+            del self.templates[template]
--- a/tests/features/scheduling.feature
+++ b/tests/features/scheduling.feature
@@ -103,3 +103,46 @@
     When seeded engines of 60000 tokens decide on requests by the forecasts in use
     Then at most 2 in 100 decisions differ from those by forecasts made anew
     And no engine is predicted to pass its budget by more than 2% of its memory
+
+  Scenario Outline: An account's long work does not hold back its short work
+    Given lengths learnt by <key> from 200 short and 200 long outputs of one account
+    When an engine of 4000 tokens has room for 400 more
+    Then a request that begins like the short ones <short> and one like the long ones does not fit
+
+    Examples:
+      | key                | short        |
+      | account and prompt | fits         |
+      | account alone      | does not fit |
+
+  Scenario: The lengths learnt take bounded memory
+    When the lengths of outputs are learnt from 10000 templates
+    Then at most 4096 templates are remembered, the last one among them
+
+  Scenario Outline: A prompt that has to be computed delays as few streams as it can
+    Given engines of 20000 tokens that run these streams of 400 tokens, by "<choice>"
+      | engine | streams | holds the prefix | prompt tokens a second |
+      | a      | 12      | yes              | 0                      |
+      | b      | 3       | no               | 0                      |
+      | c      | 1       | no               | 0                      |
+    When a request with a prompt of <prompt> tokens and an output of 100 comes
+    Then it goes to engine "<engine>"
+
+    Examples:
+      | choice      | prompt | engine |
+      | least-delay | 80     | c      |
+      | least-delay | 70     | a      |
+      | emptiest    | 80     | a      |
+
+  Scenario Outline: Long outputs go where few prompts are computed, short ones where few streams run
+    Given engines of 20000 tokens that run these streams of 400 tokens, by "<choice>"
+      | engine | streams | holds the prefix | prompt tokens a second |
+      | a      | 6       | no               | 0                      |
+      | b      | 2       | no               | 300                    |
+    When a request with a prompt of 100 tokens and an output of <length> comes
+    Then it goes to engine "<engine>"
+
+    Examples:
+      | choice      | length | engine |
+      | least-delay | 200    | a      |
+      | least-delay | 4      | b      |
+      | emptiest    | 200    | b      |
