Divide the engines of a large service into cells with a scheduler each

Cause: one daemon scheduled a service of a failure domain. At full size (44 engines, 46 requests/s, 610 streams) it had 35.7 KB/s more than an entry daemon and 8.2% of a core, by docs/CAPACITY.md, where 17 KB/s and 2.6% are allowed.

Ruled out: a scheduler for each engine (many queues, a request waits at one engine while another is free, and an entry daemon reports to 400 schedulers); faster code alone, since the frames of a request are 324 of its 596 bytes.

Change: engines belong to cells of about `cell_engines` (12) by rendezvous over the cells' numbers; the number of cells follows from the listed engines that deployments name, so that dead, drained and leaving ones count. Below one and a half times that there is one cell and the duty has its old name. cells.py has the arithmetic, cellmap.py the view from the settings and the host list. Keyed requests go to the cell of their key, others to that of the account and the first prefix, or spread by their id, all weighted by the memory of the cells. A request that finds no place asks one other cell for one now or not at all; one whose cell has no engine waits in the next. Streams, ends and drains go to the cell of the engine. A scheduler begins to learn anew when the number of cells changes, and forgets streams whose engine is no longer its own. Reporting sorts the streams by their schedulers once a round, in place of once for each scheduler, and rankings are kept.

Failing first, each mechanism off in a scratch copy (cells.feature): - always one cell: streams on the ledger of one daemon only; cell 1 has no streams; no change of cells (3 scenarios fail); - cell of a keyed request not by its key: two generations; - no other cell asked: not 4 streams at once within 3 s; - streams of moved engines not forgotten: on two ledgers after 20 s; - cells not weighted: 1359, 1333, 1308 of 4000 for 1000, 2000, 5000. All 6 pass with the change; scheduling (12), partitions (5), reporting (5), leaving (6) and joins (8) pass, at a load of 5 to 13.

--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -17,6 +17,8 @@
 
 from papayacourse import invariants, linkclasses, logs, routes
 from papayacourse.catalog import Catalog, Client
+from papayacourse.cellmap import CellMap
+from papayacourse.cells import Cell
 from papayacourse.config import DaemonConfig
 from papayacourse.cursor import CursorSigner
 from papayacourse.duties import Duties
@@ -110,10 +112,11 @@
         self.quarantine = Quarantine(self.peers, lambda: self.metrics.quarantines.add(1))
         self.peers.on_met = self._met
         self.gateways = Gateways(self.membership, self.peers)
-        self.duties = Duties(self.membership, self._make_scheduler)
+        self.cell_map = CellMap(self.catalog, self.membership.host_sync)
+        self.duties = Duties(self.membership, self.cell_map, self._make_scheduler)
         self.scheduling = Scheduling(self.membership, self.peers, self.duties)
-        self.placement = Placement(self.membership, self.peers, self.scheduling)
-        self.placement.spill.loads = self.gateways.load
+        self.placement = Placement(self.membership, self.peers, self.cell_map, self.scheduling)
+        self.placement.spill.loads = self.gateways.cell_loads
         targets = Targets(self.catalog, self.membership)
         self.engine_reader = EngineReader(targets, self.membership, self.peers)
         self.metrics.watch_totals(
@@ -234,11 +237,13 @@
         self.membership.met(hello)
         self.spawn(self.quarantine.greet(hello.name))
 
-    def _make_scheduler(self, team: str, service: str) -> Scheduler:
-        scheduler = Scheduler(team, service, self.catalog, self.membership, self.scheduling.tell)
+    def _make_scheduler(self, cell: Cell) -> Scheduler:
+        scheduler = Scheduler(
+            cell, self.catalog, self.membership, self.cell_map, self.scheduling.tell
+        )
         scheduler.waiting.is_suspect = self.quarantine.is_suspect
         scheduler.waiting.check_quarantine = self.quarantine.check
-        attributes = {"team": team, "service": service}
+        attributes = {"team": cell.team, "service": cell.service}
         scheduler.watch.count = lambda engine, number: self.metrics.preemptions.add(
             number, attributes | {"engine": engine}
         )
@@ -311,8 +316,9 @@
             ],
             "schedulers": [
                 {
-                    "team": team,
-                    "service": service,
+                    "team": cell.team,
+                    "service": cell.service,
+                    "cell": cell.number,
                     "queued": len(scheduler.waiting.queue),
                     "engines": [
                         {
@@ -326,7 +332,7 @@
                         for ledger in scheduler.ledgers.values()
                     ],
                 }
-                for (team, service), scheduler in self.duties.schedulers.items()
+                for cell, scheduler in self.duties.schedulers.items()
             ],
             "orders": self.orders.lease.fence if self.orders.lease.holds() else None,
             "engine_reads": self.engine_reader.reads,
@@ -347,6 +353,7 @@
                         {
                             "team": load.team,
                             "service": load.service,
+                            "cell": load.cell,
                             "queued": load.queued,
                             "free_tokens": load.free_tokens,
                         }
--- a/papayacourse/duties.py
+++ b/papayacourse/duties.py
@@ -7,17 +7,16 @@
 from attrs import define, field
 
 from papayacourse import logs
+from papayacourse.cellmap import CellMap
+from papayacourse.cells import Cell
 from papayacourse.membership import Membership
 from papayacourse.meshmessages import ServiceLoad
-from papayacourse.rendezvous import scheduling_duty as duty
 from papayacourse.scheduler import Scheduler
 from papayacourse.schedulingmessages import NotScheduler
 
 IDLE_SCHEDULER = 30.0  # seconds after which a scheduler without the duty is dropped
 TEND_INTERVAL = 1.0  # seconds
 
-Key = tuple[str, str]
-
 
 @define(eq=False)
 class Duties:
@@ -26,16 +25,17 @@
     Attributes
     ----------
     make : callable
-        Returns a new scheduler of a (team, service), not yet running.
-    used : dict of (str, str) to float
+        Returns a new scheduler of a cell, not yet running.
+    used : dict of Cell to float
         When each was last owned or busy, in seconds of the monotonic clock.
     """
 
     membership: Membership
-    make: Callable[[str, str], Scheduler]
+    cell_map: CellMap
+    make: Callable[[Cell], Scheduler]
     clock: Callable[[], float] = time.monotonic
-    schedulers: dict[Key, Scheduler] = field(factory=dict)
-    used: dict[Key, float] = field(factory=dict)
+    schedulers: dict[Cell, Scheduler] = field(factory=dict)
+    used: dict[Cell, float] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.membership.loads_here = self.loads
@@ -43,13 +43,18 @@
     # Queries.
 
     def loads(self) -> tuple[ServiceLoad, ...]:
-        """Return the loads of the services whose duty is held here."""
+        """Return the loads of the cells whose duty is held here."""
         return tuple(
             scheduler.waiting.load()
-            for key, scheduler in self.schedulers.items()
-            if self.membership.owns(duty(*key))
+            for cell, scheduler in self.schedulers.items()
+            if self.holds(cell)
         )
 
+    def holds(self, cell: Cell) -> bool:
+        """Tell whether there is such a cell and this daemon should schedule it."""
+        here = self.cell_map.has(self.membership.me.domain, cell)
+        return here and self.membership.owns(cell.duty)
+
     def may_hand_over(self) -> bool:
         """Tell whether this daemon takes no duties and another one can."""
         return not self.membership.takes_duties() and bool(self.membership.live())
@@ -63,16 +68,16 @@
 
     # Commands.
 
-    def open(self, team: str, service: str) -> Scheduler:
-        """Return the scheduler of a service, started if need be."""
-        key = (team, service)
-        if key not in self.schedulers:
-            scheduler = self.make(team, service)
+    def open(self, team: str, service: str, number: int) -> Scheduler:
+        """Return the scheduler of a cell, started if need be."""
+        cell = Cell(team, service, number)
+        if cell not in self.schedulers:
+            scheduler = self.make(cell)
             scheduler.task = asyncio.create_task(scheduler.run())
-            self.schedulers[key] = scheduler
-            logs.info("scheduling", team=team, service=service)
-        self.used[key] = self.clock()
-        return self.schedulers[key]
+            self.schedulers[cell] = scheduler
+            logs.info("scheduling", team=team, service=service, cell=number)
+        self.used[cell] = self.clock()
+        return self.schedulers[cell]
 
     def hand_over(self) -> int:
         """Send every waiting request to the next owner; returns how many there were."""
@@ -89,16 +94,16 @@
         while True:
             await asyncio.sleep(TEND_INTERVAL)
             self.hand_over()
-            for key, scheduler in list(self.schedulers.items()):
+            for cell, scheduler in list(self.schedulers.items()):
                 busy = len(scheduler.waiting.queue) or any(
                     led.streams for led in scheduler.ledgers.values()
                 )
-                if busy or self.membership.owns(duty(*key)):
-                    self.used[key] = self.clock()
-                elif self.clock() - self.used[key] > IDLE_SCHEDULER:
-                    del self.schedulers[key], self.used[key]
+                if busy or self.holds(cell):
+                    self.used[cell] = self.clock()
+                elif self.clock() - self.used[cell] > IDLE_SCHEDULER:
+                    del self.schedulers[cell], self.used[cell]
                     await scheduler.__aexit__(None, None, None)
-                    logs.info("no longer scheduling", team=key[0], service=key[1])
+                    logs.info("no longer scheduling", duty=cell.duty)
 
     async def close(self) -> None:
         """Stop every scheduler."""
--- a/papayacourse/enginelist.py
+++ b/papayacourse/enginelist.py
@@ -1,4 +1,4 @@
-"""The engines of one service in this failure domain, and the streams promised to each."""
+"""The engines of one cell in this failure domain, and the streams promised to each."""
 
 import time
 from collections.abc import Callable
@@ -8,12 +8,13 @@
 
 from papayacourse import invariants
 from papayacourse.catalog import Catalog
+from papayacourse.cellmap import CellMap, Sources
+from papayacourse.cells import Cell
 from papayacourse.enginewatch import EngineWatch
 from papayacourse.ledger import EngineLedger, Stream, put, take_off
 from papayacourse.membership import Membership
 from papayacourse.policies import POLICIES
 from papayacourse.prefixes import PrefixIndex
-from papayacourse.rendezvous import scheduling_duty
 from papayacourse.settings import DeploymentSettings
 from papayacourse.types import Host, HostKind, HostState
 
@@ -30,7 +31,7 @@
 
 @define(eq=False, slots=False)
 class EngineList:
-    """The engines that the settings and the host list give to one service.
+    """The engines that the settings and the host list give to one cell of a service.
 
     Attributes
     ----------
@@ -42,19 +43,22 @@
         The engines that get no new work for a time, in seconds of the clock.
     refreshed_with : tuple or None
         The settings' digest and the host list's age at the last refresh.
+    cells : int
+        How many cells the service had at the last refresh.
     """
 
-    team: str
-    service: str
+    cell: Cell
     catalog: Catalog
     membership: Membership
+    cell_map: CellMap
     clock: Callable[[], float] = time.monotonic
     ledgers: dict[str, EngineLedger] = field(factory=dict)
     prefixes: PrefixIndex = field(factory=PrefixIndex)
     heard_from: set[str] = field(factory=set)
     drained_until: dict[str, float] = field(factory=dict)
     started: float = 0.0
-    refreshed_with: tuple[int, tuple[int, int]] | None = None
+    refreshed_with: Sources | None = None
+    cells: int = 0
 
     def __attrs_post_init__(self) -> None:
         self.started = self.clock()
@@ -69,10 +73,7 @@
 
     def is_behind(self) -> bool:
         """Tell whether the settings or the host list have changed since the last refresh."""
-        return self.refreshed_with != self._sources()
-
-    def _sources(self) -> tuple[int, tuple[int, int]]:
-        return self.catalog.digest, self.membership.hosts.age
+        return self.refreshed_with != self.cell_map.sources()
 
     def find(self, stream: str) -> EngineLedger | None:
         """Return the engine that a stream has been granted."""
@@ -90,7 +91,12 @@
 
     def is_owner(self) -> bool:
         """Tell whether this daemon has the duty, and does not only stand in for another."""
-        return self.membership.owns(scheduling_duty(self.team, self.service))
+        return self.membership.owns(self.cell.duty)
+
+    def is_here(self, engine: str) -> bool:
+        """Tell whether an engine belongs to this cell, and not to another one by now."""
+        me, cell = self.membership.me, self.cell
+        return self.cell_map.of_engine(me.domain, cell.team, cell.service, engine) == cell
 
     def part(self) -> float:
         """Return the part of each engine that this scheduler may give out."""
@@ -101,7 +107,7 @@
 
     def share(self, account: str) -> float:
         """Return an account's weight."""
-        settings = self.catalog.account(self.team, account)
+        settings = self.catalog.account(self.cell.team, account)
         return settings.share if settings else 1.0
 
     # Commands.
@@ -113,12 +119,9 @@
 
     def refresh(self) -> None:
         """Bring the list of engines in line with the settings and the host list."""
-        self.refreshed_with = self._sources()
-        wanted: dict[str, tuple[Host, DeploymentSettings]] = {}
-        for deployment in self.catalog.deployments(self.team, self.service):
-            for host in self.membership.backends(HostKind.ENGINE):
-                if host.domain == self.membership.me.domain and permitted(host, deployment):
-                    wanted.setdefault(host.name, (host, deployment))
+        self.refreshed_with = self.cell_map.sources()
+        self._take_layout()
+        wanted = self._wanted()
         for name, ledger in self.ledgers.items():
             stays = self.clock() >= self.drained_until.get(name, 0.0)
             ledger.usable = name in wanted and stays and self.watch.answers(name)
@@ -129,6 +132,26 @@
         self.watch.keep(self.ledgers)
         self.prefixes.keep(self.ledgers)
 
+    def _take_layout(self) -> None:
+        """Begin to learn anew when engines may have come from another cell with their streams."""
+        me, cell = self.membership.me, self.cell
+        cells = len(self.cell_map.layout(me.domain, cell.team, cell.service).memory)
+        if self.cells and self.cells != cells:
+            self.started = self.clock()
+            self.heard_from.clear()
+        self.cells = cells
+
+    def _wanted(self) -> dict[str, tuple[Host, DeploymentSettings]]:
+        """Return the engines of this cell that may get work, and what deploys each."""
+        wanted: dict[str, tuple[Host, DeploymentSettings]] = {}
+        domain = self.membership.me.domain
+        for deployment in self.catalog.deployments(self.cell.team, self.cell.service):
+            for host in self.membership.backends(HostKind.ENGINE):
+                here = host.domain == domain and permitted(host, deployment)
+                if here and self.is_here(host.name):
+                    wanted.setdefault(host.name, (host, deployment))
+        return wanted
+
     def _take_engine(self, name: str, host: Host, deployment: DeploymentSettings) -> None:
         ledger = self.ledgers.get(name)
         if ledger is None:
--- a/papayacourse/gateways.py
+++ b/papayacourse/gateways.py
@@ -9,7 +9,7 @@
 from papayacourse import logs
 from papayacourse.exceptions import PeerError
 from papayacourse.link import Link
-from papayacourse.loads import changed_loads
+from papayacourse.loads import by_cell, changed_loads, joined
 from papayacourse.membership import Membership
 from papayacourse.meshmessages import DomainLoads, DomainSummary, Hello, ServiceLoad
 from papayacourse.peers import Peers
@@ -66,7 +66,7 @@
 
 def merged(summary: DomainSummary, loads: tuple[ServiceLoad, ...]) -> DomainSummary:
     """Return a summary with some loads replaced."""
-    known = {(load.team, load.service): load for load in (*summary.loads, *loads)}
+    known = by_cell((*summary.loads, *loads))
     return evolve(summary, loads=tuple(known.values()))
 
 
@@ -116,19 +116,21 @@
 
     def load(self, domain: str, team: str, service: str) -> ServiceLoad | None:
         """Return the load of one service in a domain, None when it is not known."""
-        found = (
-            load for load in self.loads(domain) if (load.team, load.service) == (team, service)
-        )
-        return next(found, None)
+        return joined(self.cell_loads(domain, team, service))
+
+    def cell_loads(self, domain: str, team: str, service: str) -> list[ServiceLoad]:
+        """Return the loads of a service's cells in a domain, as far as they are known."""
+        wanted = (team, service)
+        return [load for load in self.loads(domain) if (load.team, load.service) == wanted]
 
     def _own_loads(self) -> tuple[ServiceLoad, ...]:
         found = {}
         for name in sorted(self.membership.live()):
             member = self.membership.members.get(name)
             loads = member.beat.loads if member is not None and member.beat is not None else ()
-            found |= {(load.team, load.service): load for load in loads}
-        found |= {(load.team, load.service): load for load in self.membership.loads_here()}
-        return tuple(found[key] for key in sorted(found))
+            found |= by_cell(loads)
+        found |= by_cell(self.membership.loads_here())
+        return tuple(found[cell] for cell in sorted(found))
 
     def _own_summary(self) -> DomainSummary:
         me = self.membership.me
--- a/papayacourse/grants.py
+++ b/papayacourse/grants.py
@@ -103,8 +103,10 @@
         ledgers = self.engines.usable(())
         wait = self.waits.expected() if ledgers else math.inf
         free = sum(max(0.0, ledger.budget - ledger.tokens) for ledger in ledgers)
-        team, service = self.engines.team, self.engines.service
-        return ServiceLoad(team, service, len(self.queue), wait, int(free))
+        team, service = self.engines.cell.team, self.engines.cell.service
+        return ServiceLoad(
+            team, service, len(self.queue), wait, int(free), self.engines.cell.number
+        )
 
     # Commands.
 
--- a/papayacourse/meshmessages.py
+++ b/papayacourse/meshmessages.py
@@ -38,7 +38,7 @@
 
 @frozen
 class ServiceLoad:
-    """How one service stands in one failure domain, as its scheduler sees it.
+    """How one cell of a service stands in one failure domain, as its scheduler sees it.
 
     Attributes
     ----------
@@ -55,6 +55,7 @@
     queued: int
     expected_wait: float
     free_tokens: int
+    cell: int = 0
 
 
 @frozen
--- a/papayacourse/numbering.py
+++ b/papayacourse/numbering.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field, frozen
 
+from papayacourse.cells import Cell
 from papayacourse.meshmessages import Hello
 from papayacourse.schedulingmessages import ProgressReport
 
@@ -80,12 +81,13 @@
                 del streams[number]
 
 
-def write_progress(team: str, service: str, rows: Iterable[tuple[int, int]]) -> ProgressReport:
+def write_progress(cell: Cell, rows: Iterable[tuple[int, int]]) -> ProgressReport:
     """Put (number, generated) pairs into a report."""
     rows = sorted(rows)
     numbers = [number for number, _ in rows]
     steps = [after - before for before, after in zip([0, *numbers], numbers, strict=False)]
-    return ProgressReport(team, service, tuple(steps), tuple(done for _, done in rows))
+    generated = tuple(done for _, done in rows)
+    return ProgressReport(cell.team, cell.service, tuple(steps), generated, cell.number)
 
 
 def read_progress(report: ProgressReport) -> Iterator[tuple[int, int]]:
--- a/papayacourse/placement.py
+++ b/papayacourse/placement.py
@@ -7,13 +7,14 @@
 from attrs import define, evolve, field, frozen
 
 from papayacourse import logs
+from papayacourse.cellmap import CellMap
+from papayacourse.cells import Cell, Layout, first_cells
 from papayacourse.exceptions import PeerError, RequestRefused
 from papayacourse.joins import key_reused
 from papayacourse.membership import Membership
 from papayacourse.meshmessages import Hello
 from papayacourse.numbering import StreamNumbers
 from papayacourse.peers import Peers
-from papayacourse.rendezvous import scheduling_duty as duty
 from papayacourse.reporting import Reporting
 from papayacourse.scheduling import Scheduling
 from papayacourse.schedulingmessages import (
@@ -29,7 +30,7 @@
     StreamState,
     StreamsUnknown,
 )
-from papayacourse.spill import Spill, waits
+from papayacourse.spill import Spill, has_no_place, waits
 from papayacourse.types import GenerationRequest
 
 ACK_TIMEOUT = 0.4  # seconds a scheduler may take to say anything
@@ -47,6 +48,7 @@
 
     owner: str
     generation: GenerationRequest
+    cell: int
 
 
 @define(eq=False)
@@ -55,12 +57,16 @@
 
     Attributes
     ----------
+    cell_map : CellMap
+        Which cell an engine belongs to.
     scheduling : Scheduling
         The schedulers' end here, for the services that this daemon schedules itself.
     relayed : dict of str to StreamState
         The streams that this daemon relays, by stream id.
     placed_in : dict of str to str
         The failure domain of each stream that was placed in another one.
+    asked_in : dict of str to int
+        The cell in which each stream waits for a place, or was given one.
     waiting : dict of str to Future
         What a scheduler says of each request that waits in its queue, by stream id.
     asked_of : dict of str to Asked
@@ -69,23 +75,27 @@
 
     membership: Membership
     peers: Peers
+    cell_map: CellMap
     scheduling: Scheduling
     clock: Callable[[], float] = time.monotonic
     relayed: dict[str, StreamState] = field(factory=dict)
     waiting: dict[str, asyncio.Future] = field(factory=dict)
     placed_in: dict[str, str] = field(factory=dict)
+    asked_in: dict[str, int] = field(factory=dict)
     spill: Spill = field(init=False)
     reporting: Reporting = field(init=False)
     numbers: StreamNumbers = field(factory=StreamNumbers)
     asked_of: dict[str, Asked] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
-        self.spill = Spill(self.membership, self.peers)
+        self.spill = Spill(self.membership, self.peers, self.cell_map)
         self.peers.handlers[Granted] = self.told
         self.peers.handlers[GrantRefused] = self.told
         self.peers.handlers[NotScheduler] = self.told
         self.peers.on_lost = self.lost
-        self.reporting = Reporting(self.membership, self.relayed, self.placed_in, self._report)
+        self.reporting = Reporting(
+            self.membership, self.cell_map, self.relayed, self.placed_in, self._report
+        )
         self.peers.handlers[StreamsUnknown] = self.reporting.asked
         self.scheduling.told_here = self.told
         self.scheduling.report_here = self.reporting.asked
@@ -109,7 +119,7 @@
             return
         future.set_result(answer)
         if stale:
-            note = ended(asked.generation, "", 0, "never_started")
+            note = ended(asked.generation, "", 0, "never_started", asked.cell)
             await self._note(asked.owner, note)
 
     async def place(self, request: GrantRequest) -> Place:
@@ -137,6 +147,7 @@
                         return answer
                     case Joined():
                         self.numbers.drop(stream)
+                        self.asked_in.pop(stream, None)
                         return answer
                     case GrantRefused():
                         raise refusal(answer)
@@ -162,33 +173,72 @@
         self, request: GrantRequest
     ) -> Granted | Joined | Queued | GrantRefused:
         """Ask this failure domain, then others where that saves more than the link costs."""
-        answer = await self._ask(request)
-        if request.join:
-            return answer
         small = evolve(request, generation=evolve(request.generation, prompt=""))
+        answer = await self._ask_here(small)
+        if request.join or isinstance(answer, Granted):
+            return answer
         placed = await self.spill.place(small, waits(answer, request.wait_limit))
         if placed is None:
             return answer
         await self.give_back(request.generation)
         self.placed_in[request.generation.stream] = placed.domain
+        self.asked_in[request.generation.stream] = placed.cell
         return placed.granted
 
+    async def _ask_here(self, request: GrantRequest) -> Granted | Joined | Queued | GrantRefused:
+        """Ask the cells of this failure domain; the request waits in the first with engines."""
+        stream = request.generation.stream
+        before = self.asked_in.get(stream)
+        for cell in first_cells(request.generation, self._layout(request.generation)):
+            request = evolve(request, cell=cell)
+            answer = await self._ask(request)
+            if not isinstance(answer, GrantRefused) or answer.reason != "no_engine":
+                break
+        if before is not None and before != cell:
+            await self._note_end(None, ended(request.generation, "", 0, "never_started", before))
+        self.asked_in[stream] = cell
+        # Requests with one key meet in one cell, so they wait there.
+        if request.join or not has_no_place(answer):
+            return answer
+        return await self._ask_other_cell(request) or answer
+
+    async def _ask_other_cell(self, request: GrantRequest) -> Granted | None:
+        """Ask another cell of this failure domain for a place now or not at all."""
+        me, generation = self.membership.me, request.generation
+        number = self.spill.other_cell(me.domain, request, request.cell)
+        if number is None:
+            return None
+        request = evolve(request, cell=number, wait_limit=0.0)
+        owners = self.membership.owners(Cell(generation.team, generation.service, number).duty)
+        try:
+            if owners[:1] in ([], [me.name]):
+                answer = await self.scheduling.asked(me, request)
+            else:
+                answer = await self.peers.call(owners[0], request, ACK_TIMEOUT)
+        except PeerError as error:
+            # It may have been granted all the same; nobody reports it, so it lapses there.
+            logs.info("other cell silent", daemon=owners[0], why=str(error))
+            return None
+        if not isinstance(answer, Granted):
+            return None
+        await self.give_back(generation)
+        self.asked_in[generation.stream] = number
+        return answer
+
+    def _layout(self, generation: GenerationRequest) -> Layout:
+        here = self.membership.me.domain
+        return self.cell_map.layout(here, generation.team, generation.service)
+
     async def _ask(self, request: GrantRequest) -> Granted | Joined | Queued | GrantRefused:
+        """Ask the scheduler of one cell, and the next in order where it is silent."""
         generation = request.generation
-        small = GrantRequest(
-            evolve(generation, prompt=""),
-            request.wait_limit,
-            request.avoid,
-            request.join,
-            request.number,
-        )
-        owners = self.membership.owners(duty(generation.team, generation.service))
-        for owner in owners[:SCHEDULERS_TRIED]:
-            self.asked_of[generation.stream] = Asked(owner, small.generation)
+        cell = Cell(generation.team, generation.service, request.cell)
+        for owner in self.membership.owners(cell.duty)[:SCHEDULERS_TRIED]:
+            self.asked_of[generation.stream] = Asked(owner, generation, cell.number)
             if owner == self.membership.me.name:
                 break
             try:
-                answer = await self.peers.call(owner, small, ACK_TIMEOUT)
+                answer = await self.peers.call(owner, request, ACK_TIMEOUT)
             except PeerError as error:
                 logs.warning("scheduler silent", daemon=owner, why=str(error))
                 self.membership.suspect(owner)
@@ -196,8 +246,8 @@
             if not isinstance(answer, NotScheduler):
                 return answer
         me = self.membership.me
-        self.asked_of[generation.stream] = Asked(me.name, small.generation)
-        return await self.scheduling.asked(me, small)
+        self.asked_of[generation.stream] = Asked(me.name, generation, cell.number)
+        return await self.scheduling.asked(me, request)
 
     async def give_back(self, generation: GenerationRequest) -> None:
         """Give up a place, or the wait for one."""
@@ -215,10 +265,18 @@
     ) -> None:
         self.relayed.pop(generation.stream, None)
         domain = self.placed_in.pop(generation.stream, None)
-        owners = self.membership.owners(duty(generation.team, generation.service), domain)
+        cell = self.asked_in.pop(generation.stream, 0)
+        if engine:
+            where = (domain or self.membership.me.domain, generation.team, generation.service)
+            cell = self.cell_map.of_engine(*where, engine).number
+        await self._note_end(domain, ended(generation, engine, generated, outcome, cell))
+
+    async def _note_end(self, domain: str | None, note: StreamEnded) -> None:
+        """Tell the scheduler of a cell, of this domain for None, that a stream has ended."""
+        owners = self.membership.owners(Cell(note.team, note.service, note.cell).duty, domain)
         here = [self.membership.me.name] if domain is None else []
         for owner in (owners or here)[:1]:
-            await self._note(owner, ended(generation, engine, generated, outcome))
+            await self._note(owner, note)
 
     async def _note(self, owner: str, note: StreamEnded) -> None:
         if owner == self.membership.me.name:
@@ -242,6 +300,7 @@
     def forget(self, generation: GenerationRequest) -> None:
         """Stop reporting a stream that another daemon answers for now."""
         self.relayed.pop(generation.stream, None)
+        self.asked_in.pop(generation.stream, None)
         self.numbers.drop(generation.stream)
 
     async def report(self) -> None:
@@ -267,8 +326,10 @@
         return True
 
 
-def ended(generation: GenerationRequest, engine: str, generated: int, outcome: str) -> StreamEnded:
-    """Return the note that a stream has ended."""
+def ended(
+    generation: GenerationRequest, engine: str, generated: int, outcome: str, cell: int
+) -> StreamEnded:
+    """Return the note that a stream has ended, for the scheduler of a cell."""
     return StreamEnded(
         generation.team,
         generation.service,
@@ -277,6 +338,7 @@
         generation.account,
         generated,
         outcome,
+        cell,
     )
 
 
--- a/papayacourse/reporting.py
+++ b/papayacourse/reporting.py
@@ -6,10 +6,12 @@
 
 from attrs import define, field, frozen
 
+from papayacourse.cellmap import CellMap
+from papayacourse.cells import Cell
 from papayacourse.membership import Membership
 from papayacourse.meshmessages import Hello
 from papayacourse.numbering import write_progress
-from papayacourse.rendezvous import scheduling_duty
+from papayacourse.rendezvous import ranked
 from papayacourse.schedulingmessages import (
     ProgressReport,
     StreamReport,
@@ -23,10 +25,9 @@
 
 @frozen
 class Audience:
-    """Who is to hear of streams: the scheduler of a service in a failure domain."""
+    """Who is to hear of streams: the scheduler of a cell in a failure domain."""
 
-    team: str
-    service: str
+    cell: Cell
     domain: str
 
 
@@ -44,6 +45,8 @@
 
     Attributes
     ----------
+    cell_map : CellMap
+        Which cell an engine belongs to.
     relayed : dict of str to StreamState
         The streams that this daemon relays, by stream id.
     placed_in : dict of str to str
@@ -55,6 +58,7 @@
     """
 
     membership: Membership
+    cell_map: CellMap
     relayed: dict[str, StreamState]
     placed_in: dict[str, str]
     send: Callable[[str, StreamReport | ProgressReport], Awaitable[bool]]
@@ -69,28 +73,36 @@
         """
         while True:
             await asyncio.sleep(OWNER_CHECK)
-            due = [(audience, self._owner(audience)) for audience in self._audiences()]
-            await asyncio.gather(
-                *(self._report(*pair) for pair in due if pair[1] and self._due(*pair))
-            )
-
-    def _audiences(self) -> set[Audience]:
-        """Return every scheduler that should hear from this daemon."""
+            await asyncio.gather(*(self._report(*due) for due in list(self._due())))
+
+    def _due(self) -> Iterator[tuple[Audience, Owner, list[StreamState]]]:
+        """Yield whom to report to now, and which streams."""
+        live: dict[str, list[str]] = {}
+        for audience, states in self._audiences().items():
+            if audience.domain not in live:
+                live[audience.domain] = self.membership.live(audience.domain)
+            owner = self._owner(audience, live[audience.domain])
+            if owner is not None and self._is_due(audience, owner, states):
+                yield audience, owner, states
+
+    def _audiences(self) -> dict[Audience, list[StreamState]]:
+        """Return every scheduler that should hear from this daemon, and the streams it keeps."""
         here = self.membership.me.domain
-        services = self.membership.catalog.model_services()
-        found = {Audience(team, service, here) for team, service in services}
-        return found | {self._audience(state) for state in self.relayed.values()}
+        found = {Audience(cell, here): [] for cell in self.cell_map.cells(here)}
+        for state in self.relayed.values():
+            found.setdefault(self._audience(state), []).append(state)
+        return found
 
     def _audience(self, state: StreamState) -> Audience:
         generation = state.generation
         domain = self.placed_in.get(generation.stream, self.membership.me.domain)
-        return Audience(generation.team, generation.service, domain)
+        where = (domain, generation.team, generation.service)
+        return Audience(self.cell_map.of_engine(*where, state.engine), domain)
 
-    def _owner(self, audience: Audience) -> Owner | None:
+    def _owner(self, audience: Audience, live: list[str]) -> Owner | None:
         """Return the daemon that schedules; None where another domain is out of reach."""
         me = self.membership.me
-        duty = scheduling_duty(audience.team, audience.service)
-        owners = self.membership.owners(duty, audience.domain)
+        owners = ranked(audience.cell.duty, live)
         if not owners and audience.domain != me.domain:
             return None
         member = self.membership.members.get(owners[0]) if owners else None
@@ -98,36 +110,34 @@
             return Owner(me.name, me.incarnation)
         return Owner(member.name, member.incarnation)
 
-    def _due(self, audience: Audience, owner: Owner) -> bool:
+    def _is_due(self, audience: Audience, owner: Owner, states: list[StreamState]) -> bool:
         told, at = self.reported_to.get(audience, (None, 0.0))
         if owner != told:
             return True
-        streams = any(True for _ in self._states(audience))
-        return streams and self.clock() - at >= REPORT_INTERVAL
-
-    def _states(self, audience: Audience) -> Iterator[StreamState]:
-        return (state for state in self.relayed.values() if self._audience(state) == audience)
+        return bool(states) and self.clock() - at >= REPORT_INTERVAL
 
-    async def _report(self, audience: Audience, owner: Owner) -> None:
+    async def _report(self, audience: Audience, owner: Owner, states: list[StreamState]) -> None:
         """Report in full to a scheduler that has heard nothing yet, else only how far it is."""
         told, _ = self.reported_to.get(audience, (None, 0.0))
         self.reported_to[audience] = (owner, self.clock())
         if owner != told:
-            await self._report_whole(audience, owner, tuple(self._states(audience)))
+            await self._report_whole(audience, owner, tuple(states))
             return
-        rows = ((state.number, state.generated) for state in self._states(audience))
-        await self.send(owner.name, write_progress(audience.team, audience.service, rows))
+        rows = ((state.number, state.generated) for state in states)
+        await self.send(owner.name, write_progress(audience.cell, rows))
 
     async def asked(self, peer: Hello, unknown: StreamsUnknown) -> None:
         """Report streams in full to a scheduler that does not know them."""
         numbers = set(unknown.numbers)
         states = tuple(state for state in self.relayed.values() if state.number in numbers)
         if states:
-            await self.send(peer.name, StreamReport(unknown.team, unknown.service, states))
+            report = StreamReport(unknown.team, unknown.service, states, unknown.cell)
+            await self.send(peer.name, report)
 
     async def _report_whole(
         self, audience: Audience, owner: Owner, states: tuple[StreamState, ...]
     ) -> None:
-        report = StreamReport(audience.team, audience.service, states)
+        cell = audience.cell
+        report = StreamReport(cell.team, cell.service, states, cell.number)
         if not await self.send(owner.name, report):
             self.reported_to.pop(audience, None)
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -1,4 +1,4 @@
-"""Schedules one service in this failure domain: follows its streams and serves its queue."""
+"""Schedules one cell of a service: follows its streams and serves its queue."""
 
 import asyncio
 import time
@@ -8,6 +8,8 @@
 
 from papayacourse import logs
 from papayacourse.catalog import Catalog
+from papayacourse.cellmap import CellMap
+from papayacourse.cells import Cell
 from papayacourse.enginelist import EngineList
 from papayacourse.enginewatch import POLL_INTERVAL
 from papayacourse.estimates import WAIT_SAFETY
@@ -27,10 +29,12 @@
 
 @define(eq=False, slots=False)
 class Scheduler:
-    """The scheduler of one service.
+    """The scheduler of one cell of a service.
 
     Attributes
     ----------
+    cell_map : CellMap
+        Tells which engines the cell has.
     tell : callable
         Sends a daemon a grant that it has been waiting for.
     engines : EngineList
@@ -39,10 +43,10 @@
         The requests that wait for a place.
     """
 
-    team: str
-    service: str
+    cell: Cell
     catalog: Catalog
     membership: Membership
+    cell_map: CellMap
     tell: Tell
     clock: Callable[[], float] = time.monotonic
     task: asyncio.Task | None = None
@@ -51,7 +55,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.engines = EngineList(
-            self.team, self.service, self.catalog, self.membership, self.clock
+            self.cell, self.catalog, self.membership, self.cell_map, self.clock
         )
         self.waiting = GrantQueue(self.engines, self.tell, self.clock)
         self.ledgers = self.engines.ledgers
@@ -161,26 +165,33 @@
     def expire(self) -> None:
         """Look after the streams that nobody reports any more."""
         now = self.clock()
-        if not self.engines.is_owner():
-            self._leave_to_owner(now)
-        settings = self.catalog.service(self.team, self.service)
+        owner = self.engines.is_owner()
+        self._leave_to_owner(
+            [
+                ledger
+                for name, ledger in self.ledgers.items()
+                if ledger.streams and not (owner and self.engines.is_here(name))
+            ],
+            now,
+        )
+        settings = self.catalog.service(self.cell.team, self.cell.service)
         window = settings.resume_window if settings else 0.0
         for stream in self.orphans.check(list(self.ledgers.values()), now, GRANT_GRACE, window):
             logs.debug("stream not reported", stream=stream)
 
-    def _leave_to_owner(self, now: float) -> None:
-        """Forget the streams that live daemons report to the scheduler that has the duty now.
+    def _leave_to_owner(self, ledgers: list[EngineLedger], now: float) -> None:
+        """Forget the streams that live daemons report to the scheduler that has them now.
 
         What a dead daemon relayed stays: its owner may never have heard of it.
         """
-        for ledger in self.ledgers.values():
+        for ledger in ledgers:
             for name, stream in list(ledger.streams.items()):
                 unreported = now - stream.seen_at > GRANT_GRACE
                 if unreported and self.membership.is_alive(stream.daemon):
                     take_off(ledger, name)
 
     def _take_wait_limit(self) -> None:
-        settings = self.catalog.service(self.team, self.service)
+        settings = self.catalog.service(self.cell.team, self.cell.service)
         if settings is not None:
             self.waiting.backlog.resize(settings.wait_limit * WAIT_SAFETY)
 
@@ -188,7 +199,7 @@
         """Poll the engines and serve the queue for as long as the duty is held."""
         while True:
             self.engines.refresh()
-            self.waiting.forget(self.catalog.account_names(self.team))
+            self.waiting.forget(self.catalog.account_names(self.cell.team))
             self._take_wait_limit()
             self.watch.poll(self.ledgers.values())
             self.expire()
--- a/papayacourse/scheduling.py
+++ b/papayacourse/scheduling.py
@@ -11,7 +11,6 @@
 from papayacourse.meshmessages import Done, Hello
 from papayacourse.numbering import Progress, read_progress
 from papayacourse.peers import Peers
-from papayacourse.rendezvous import scheduling_duty as duty
 from papayacourse.schedulingmessages import (
     DrainEngine,
     Granted,
@@ -65,20 +64,20 @@
         generation = request.generation
         if peer.name != self.membership.me.name and self.duties.may_hand_over():
             return NotScheduler(generation.stream)
-        scheduler = self.duties.open(generation.team, generation.service)
+        scheduler = self.duties.open(generation.team, generation.service, request.cell)
         scheduler.numbers.of(peer)[request.number] = generation.stream
         return scheduler.ask(peer.name, request)
 
     async def reported(self, peer: Hello, report: StreamReport) -> None:
         """Take a report of the streams that a daemon relays."""
-        scheduler = self.duties.open(report.team, report.service)
+        scheduler = self.duties.open(report.team, report.service, report.cell)
         known = scheduler.numbers.of(peer)
         known.update({state.number: state.generation.stream for state in report.streams})
         scheduler.report(peer.name, report)
 
     async def progressed(self, peer: Hello, report: ProgressReport) -> None:
         """Take how far a daemon's streams have come, and ask for those not known here."""
-        scheduler = self.duties.open(report.team, report.service)
+        scheduler = self.duties.open(report.team, report.service, report.cell)
         known = scheduler.numbers.of(peer)
         rows = list(read_progress(report))
         found = [Progress(known[n], generated) for n, generated in rows if n in known]
@@ -86,7 +85,8 @@
         unknown = tuple(n for n, _ in rows if n not in known or known[n] in lost)
         scheduler.numbers.keep(peer, len(rows), scheduler.in_use)
         if unknown:
-            await self._ask_in_full(peer, StreamsUnknown(report.team, report.service, unknown))
+            question = StreamsUnknown(report.team, report.service, unknown, report.cell)
+            await self._ask_in_full(peer, question)
 
     async def _ask_in_full(self, peer: Hello, unknown: StreamsUnknown) -> None:
         if peer.name == self.membership.me.name:
@@ -100,26 +100,27 @@
 
     async def noted(self, _peer: Hello, note: StreamEnded) -> Done:
         """Take the news that a stream has ended."""
-        self.duties.open(note.team, note.service).ended(note)
+        self.duties.open(note.team, note.service, note.cell).ended(note)
         return Done()
 
     async def drained(self, _peer: Hello, note: DrainEngine) -> Done:
         """Give an engine no new work for a time."""
-        self.duties.open(note.team, note.service).drain(note.engine, note.seconds)
+        self.duties.open(note.team, note.service, note.cell).drain(note.engine, note.seconds)
         return Done()
 
     async def drain(
         self, domain: str, team: str, service: str, engine: str, seconds: float
     ) -> None:
-        """Ask a domain's scheduler of a service to give an engine no new work.
+        """Ask the scheduler of an engine to give it no new work.
 
         Raises
         ------
         PeerError
             When no daemon of that domain could be told.
         """
-        note = DrainEngine(team, service, engine, seconds)
-        owners = self.membership.owners(duty(team, service), domain)
+        cell = self.duties.cell_map.of_engine(domain, team, service, engine)
+        note = DrainEngine(team, service, engine, seconds, cell.number)
+        owners = self.membership.owners(cell.duty, domain)
         if not owners:
             raise PeerUnreachable(f"no daemon of {domain} is known to live")
         if owners[0] == self.membership.me.name:
--- a/papayacourse/schedulingmessages.py
+++ b/papayacourse/schedulingmessages.py
@@ -20,6 +20,8 @@
         Engines that have already failed this request.
     number : int
         What the asking daemon calls the stream in its progress reports.
+    cell : int
+        The cell of the service that is asked.
     """
 
     generation: GenerationRequest
@@ -27,6 +29,7 @@
     avoid: tuple[str, ...] = ()
     join: bool = False
     number: int = 0
+    cell: int = 0
 
 
 @frozen
@@ -90,16 +93,17 @@
 
 @frozen
 class StreamReport:
-    """What one daemon relays for one service, in full, so that any scheduler can rebuild."""
+    """What one daemon relays for one cell, in full, so that any scheduler can rebuild."""
 
     team: str
     service: str
     streams: tuple[StreamState, ...]
+    cell: int = 0
 
 
 @frozen
 class ProgressReport:
-    """How far each stream has come that one daemon relays for one service.
+    """How far each stream has come that one daemon relays for one cell.
 
     Attributes
     ----------
@@ -113,6 +117,7 @@
     service: str
     steps: tuple[int, ...]
     generated: tuple[int, ...]
+    cell: int = 0
 
 
 @frozen
@@ -122,6 +127,7 @@
     team: str
     service: str
     numbers: tuple[int, ...]
+    cell: int = 0
 
 
 @frozen
@@ -141,6 +147,7 @@
     account: str
     generated: int
     outcome: str
+    cell: int = 0
 
 
 @frozen
@@ -151,6 +158,7 @@
     service: str
     engine: str
     seconds: float
+    cell: int = 0
 
 
 @frozen
--- a/papayacourse/settings.py
+++ b/papayacourse/settings.py
@@ -7,6 +7,7 @@
 from papayacourse.types import HostKind
 
 ROOT = "/teams/"
+CELL_ENGINES = 12  # engines that one daemon schedules together, unless a service says otherwise
 
 
 @frozen
@@ -66,6 +67,8 @@
         before a request is sent there, in seconds.
     record_retention : float
         How long the outcome of a non-repeatable call is kept, in seconds.
+    cell_engines : int
+        About how many of a failure domain's engines one daemon schedules together.
     """
 
     kind: HostKind
@@ -79,6 +82,7 @@
     spill_same_region: float = 1.0
     spill_other_region: float = 5.0
     record_retention: float = 4 * 3600.0
+    cell_engines: int = CELL_ENGINES
 
 
 @frozen
--- a/papayacourse/settingsoptions.py
+++ b/papayacourse/settingsoptions.py
@@ -143,6 +143,7 @@
             may_be_left_out("service", "spill_same_region", "spill_same_region", positive(float)),
             may_be_left_out("service", "spill_other_region", "spill_other_region", positive(float)),
             may_be_left_out("service", "record_retention", "record_retention", positive(float)),
+            may_be_left_out("service", "cell_engines", "cell_engines", positive(int)),
         ),
     ),
     "accounts": Kind(
--- a/papayacourse/spill.py
+++ b/papayacourse/spill.py
@@ -7,16 +7,19 @@
 from attrs import define, evolve, field, frozen
 
 from papayacourse import logs
+from papayacourse.cellmap import CellMap
+from papayacourse.cells import Cell, first_cells, other_cell
 from papayacourse.exceptions import PeerError
+from papayacourse.loads import joined
 from papayacourse.membership import Membership
 from papayacourse.meshmessages import ServiceLoad
 from papayacourse.peers import Peers
-from papayacourse.rendezvous import scheduling_duty
 from papayacourse.schedulingmessages import Granted, GrantRefused, GrantRequest, Joined, Queued
 from papayacourse.settings import ServiceSettings
 
 ANSWER_TIMEOUT = 0.4  # seconds that another domain's scheduler may take
 DOMAINS_TRIED = 2  # other failure domains asked for one request
+NO_CELL = -1  # no cell's number
 
 Answer = Granted | Joined | Queued | GrantRefused
 
@@ -74,9 +77,18 @@
             return 0.0
 
 
-def no_load(_domain: str, _team: str, _service: str) -> ServiceLoad | None:
-    """Know of no other failure domain."""
-    return None
+def has_no_place(answer: Answer) -> bool:
+    """Tell whether a scheduler has engines, but no place now."""
+    match answer:
+        case Queued() | GrantRefused(reason="overloaded"):
+            return True
+        case _:
+            return False
+
+
+def no_loads(_domain: str, _team: str, _service: str) -> list[ServiceLoad]:
+    """Know of no other cell or failure domain."""
+    return []
 
 
 def outcome(answer: Answer | None) -> str:
@@ -95,6 +107,7 @@
     """A place in another failure domain."""
 
     domain: str
+    cell: int
     granted: Granted
 
 
@@ -105,26 +118,40 @@
     Attributes
     ----------
     loads : callable
-        Returns how a service stands elsewhere, by domain, team and service; None if unknown.
+        Returns how the cells of a service stand, as far as known, by domain, team and service.
     asked : Counter of str
         Questions to other domains since the start, by what came of them.
     """
 
     membership: Membership
     peers: Peers
-    loads: Callable[[str, str, str], ServiceLoad | None] = no_load
+    cell_map: CellMap
+    loads: Callable[[str, str, str], list[ServiceLoad]] = no_loads
     asked: Counter[str] = field(factory=Counter)
 
     async def place(self, request: GrantRequest, wait: float) -> PlacedElsewhere | None:
         """Return a place in another failure domain, if one is worth its price and free now."""
         now_or_never = evolve(request, wait_limit=0.0)
         for domain in self._worth_asking(request, wait)[:DOMAINS_TRIED]:
-            answer = await self._ask(domain, now_or_never)
+            cell = self._best_cell(domain, request)
+            answer = await self._ask(domain, evolve(now_or_never, cell=cell))
             self.asked[outcome(answer)] += 1
             if isinstance(answer, Granted):
-                return PlacedElsewhere(domain, answer)
+                return PlacedElsewhere(domain, cell, answer)
         return None
 
+    def other_cell(self, domain: str, request: GrantRequest, asked: int) -> int | None:
+        """Return a cell of a domain that may have a place now, None when there is none."""
+        generation = request.generation
+        key = (domain, generation.team, generation.service)
+        return other_cell(generation, self.cell_map.layout(*key), asked, self.loads(*key))
+
+    def _best_cell(self, domain: str, request: GrantRequest) -> int:
+        generation = request.generation
+        layout = self.cell_map.layout(domain, generation.team, generation.service)
+        found = self.other_cell(domain, request, NO_CELL)
+        return first_cells(generation, layout)[0] if found is None else found
+
     def _worth_asking(self, request: GrantRequest, wait: float) -> list[str]:
         me, generation = self.membership.me, request.generation
         service = self.membership.catalog.service(generation.team, generation.service)
@@ -133,7 +160,7 @@
         regions = {m.domain: m.region for m in self.membership.members.values()}
         others = []
         for domain in regions.keys() - {me.domain}:
-            load = self.loads(domain, generation.team, generation.service)
+            load = joined(self.loads(domain, generation.team, generation.service))
             if load is not None:
                 others.append(Elsewhere(domain, regions[domain], load.expected_wait))
         return worth_asking(wait, me.region, others, service)
@@ -145,8 +172,8 @@
 
     async def _ask(self, domain: str, request: GrantRequest) -> Answer | None:
         generation = request.generation
-        duty = scheduling_duty(generation.team, generation.service)
-        owners = self.membership.owners(duty, domain)
+        cell = Cell(generation.team, generation.service, request.cell)
+        owners = self.membership.owners(cell.duty, domain)
         if not owners:
             return None
         try:
--- a/papayacourse/statuscommands.py
+++ b/papayacourse/statuscommands.py
@@ -88,7 +88,8 @@
 def scheduler_lines(status: dict) -> Iterator[str]:
     """Yield the schedulers and their engines as text."""
     for duty in status["schedulers"]:
-        yield f"schedules {duty['team']}/{duty['service']}: {duty['queued']} queued"
+        name = f"{duty['team']}/{duty['service']} cell {duty['cell']}"
+        yield f"schedules {name}: {duty['queued']} queued"
         yield from (f"  {line}" for line in engine_lines({"schedulers": [duty]}))
 
 
--- a/tests/features/steps/scheduling_steps.py
+++ b/tests/features/steps/scheduling_steps.py
@@ -19,6 +19,7 @@
     lines += ["[/teams/sound-trust/services/planner]", "kind = model", "max_output_tokens = 2000"]
     lines += [f"wait_limit = {options.pop('wait_limit', 50)}", "resume_window = 0.2"]
     lines += [f"spill_same_region = {options.pop('spill', 600)}"]
+    lines += [f"cell_engines = {options.pop('cell_engines', 12)}"]
     lines += ["[/teams/sound-trust/deployments/planner]", "service = planner"]
     lines += ["backends = planner-*"]
     context.deployment = lines
