--- a/bench/grants.py
+++ b/bench/grants.py
@@ -13,7 +13,15 @@
 from papayacourse.prefixes import PrefixIndex
 from papayacourse.types import GenerationRequest
 
-SIZES = ((5, 12), (22, 48), (44, 32), (44, 64))  # engines, streams on each
+SIZES = (
+    (5, 12),
+    (11, 14),
+    (12, 64),
+    (22, 48),
+    (44, 14),
+    (44, 32),
+    (44, 64),
+)  # engines, streams on each
 ACCOUNTS = 300
 GRANTS = 460
 GRANTS_PER_SECOND = 46  # of one scheduler at the size to come
--- a/bench/meshload.py
+++ b/bench/meshload.py
@@ -1,8 +1,9 @@
 """Measures what control costs the daemons of one domain under load, by kind of message.
 
 Run ``python -m bench.meshload``; prints JSON. A few daemons relay streams of stand-in engines, one
-of the others schedules them, the rest are idle. First come short requests at a steady rate, then
-long streams, few and many: what a request and what a stream costs are the differences.
+of the others schedules them, or several with ``--cells``, and the rest are idle. First come short
+requests at a steady rate, then long streams, few and many: what a request and what a stream costs
+are the differences.
 """
 
 import asyncio
@@ -14,7 +15,8 @@
 from attrs import define, frozen
 
 from bench.mesh import ACK_BYTES, FRAME_OVERHEAD, SETTINGS, alive_count, read
-from papayacourse.rendezvous import ranked, scheduling_duty
+from papayacourse.cells import Cell
+from papayacourse.rendezvous import ranked
 from standins.fleet import Fleet, wait_until
 
 ENGINES = 4
@@ -32,6 +34,7 @@
 
 # The size that decides the design: what one entry daemon and one scheduler have.
 SERVICES, DAEMONS = 9, 48
+SERVICE = "/teams/sound-trust/services/planner"
 ENTRY_STREAMS, ENTRY_REQUESTS = 116, 8.7
 SCHEDULER_STREAMS, SCHEDULER_REQUESTS = 610, 46
 
@@ -94,7 +97,7 @@
     fleet: Fleet
     names: list[str]
     entries: list[str]
-    scheduler: str
+    schedulers: list[str]
     duration: float
 
     async def measure(self, names: list[str]) -> dict[str, Cost]:
@@ -124,6 +127,11 @@
     return payload + frames * (FRAME_OVERHEAD + ACK_BYTES)
 
 
+def busiest(costs: list[Cost]) -> float:
+    """Return the most bytes a second that one of several daemons spent."""
+    return max(cost.heartbeats + cost.reports + cost.places + cost.others for cost in costs)
+
+
 def mean(costs: list[Cost]) -> Cost:
     """Return the mean of several daemons' costs."""
     fields = ("heartbeats", "reports", "places", "others", "cpu")
@@ -133,7 +141,7 @@
 async def run(bench: Bench, rate: float, few: int, many: int) -> dict:
     """Put the loads on, one after another, and return what they cost."""
     callers = Callers([bench.fleet.processes[name].http for name in bench.entries])
-    busy = [*bench.entries, bench.scheduler]
+    busy = [*bench.entries, *bench.schedulers]
     idle = await bench.measure(bench.names)
     asking = asyncio.create_task(callers.at_rate(rate, SETTLE_TIME + bench.duration))
     await asyncio.sleep(SETTLE_TIME)
@@ -141,7 +149,9 @@
     await asking
     tasks, streams = [], []
     for count in (few, many):
-        more = [a for a in callers.addresses for _ in range(count - len(tasks) // len(busy[:-1]))]
+        more = [
+            a for a in callers.addresses for _ in range(count - len(tasks) // len(bench.entries))
+        ]
         tasks += [asyncio.create_task(callers.stream(a, LONG)) for a in more]
         await asyncio.sleep(SETTLE_TIME)
         streams.append(await bench.measure(busy))
@@ -156,16 +166,18 @@
 
 def summary(bench, rate, few, many, idle, requests, streams) -> dict:
     """Work out the slopes, and the sums at the size that decides the design."""
-    entries, scheduler = bench.entries, bench.scheduler
+    entries, cells = bench.entries, len(bench.schedulers)
     entry = [mean([costs[n] for n in entries]) for costs in (requests, *streams)]
     per_stream = (entry[2].reports - entry[1].reports) / (many - few)
-    fixed = entry[1].reports - few * per_stream
+    fixed = (entry[1].reports - few * per_stream) / cells
     per_request = entry[0].places / rate
     beats = mean(list(idle.values())).heartbeats
     others = mean(list(idle.values())).others
-    schedules = [costs[scheduler] for costs in (requests, *streams)]
-    all_requests = rate * len(entries)
-    added = len(entries) * (many - few)
+    schedules = [mean([costs[n] for n in bench.schedulers]) for costs in (requests, *streams)]
+    idle_cpu = mean([idle[n] for n in bench.schedulers]).cpu
+    # Of each scheduler on average.
+    all_requests = rate * len(entries) / cells
+    added = len(entries) * (many - few) / cells
 
     def total(services, streams_there, requests_there):
         parts = services * fixed, streams_there * per_stream, requests_there * per_request
@@ -173,7 +185,7 @@
 
     rest = [idle[n].cpu for n in bench.names]
     return {
-        "daemons": len(bench.names), "entries": len(entries),
+        "daemons": len(bench.names), "entries": len(entries), "cells": cells,
         "heartbeat_bytes_per_s": round(beats), "other_bytes_per_s_idle": round(others),
         "heartbeat_bytes_per_s_entry_under_load": round(entry[0].heartbeats),
         "bytes_per_request": round(per_request), "bytes_per_s_per_stream": round(per_stream, 2),
@@ -184,15 +196,24 @@
         ),
         "cpu_percent_idle_mean": round(100 * statistics.mean(rest), 2),
         "scheduler_cpu_us_per_request": round(
-            (schedules[0].cpu - idle[scheduler].cpu) / all_requests * 1e6
+            (schedules[0].cpu - idle_cpu) / all_requests * 1e6
         ),
         "scheduler_cpu_us_per_s_per_stream": round(
             (schedules[2].cpu - schedules[1].cpu) / added * 1e6
         ),
-        "entry_bytes_per_s_at_full_size": total(SERVICES, ENTRY_STREAMS, ENTRY_REQUESTS),
+        "entry_bytes_per_s_at_full_size": total(
+            SERVICES * cells, ENTRY_STREAMS, ENTRY_REQUESTS
+        ),
         "scheduler_bytes_per_s_at_full_size": total(
-            DAEMONS - 1, SCHEDULER_STREAMS, SCHEDULER_REQUESTS
+            DAEMONS - 1, SCHEDULER_STREAMS / cells, SCHEDULER_REQUESTS / cells
         ),
+        "busiest_scheduler_bytes_per_s": round(busiest([streams[1][n] for n in bench.schedulers])),
+        "busiest_scheduler_places_per_s": round(max(requests[n].places for n in bench.schedulers)),
+        "scheduler_cpu_percent": [
+            round(100 * (cost.cpu - idle_cpu), 2) for cost in schedules
+        ],
+        "entry_cpu_percent": [round(100 * cost.cpu, 2) for cost in entry],
+        "entry_heartbeat_bytes_per_s": [round(cost.heartbeats) for cost in entry],
     }  # fmt: skip
 
 
@@ -203,14 +224,20 @@
     few: int = 10,
     many: int = 40,
     duration: float = MEASURE_TIME,
+    cells: int = 1,
 ) -> None:
     """Measure one domain under load; rates and streams are those of each entry daemon."""
     names = [f"d{number:02d}" for number in range(daemons)]
-    order = ranked(scheduling_duty("sound-trust", "planner"), names)
+    orders = [ranked(Cell("sound-trust", "planner", n).duty, names) for n in range(cells)]
+    schedulers = [order[0] for order in orders]
+    if len(set(schedulers)) < cells:
+        raise ValueError("one daemon would schedule two cells; take another number of daemons")
     with Fleet(log_level="warning") as fleet:
         fleet.platform()
         fleet.apply(*SETTINGS)
         fleet.settings("set", "/teams/sound-trust/deployments/planner", text=DEPLOYMENT)
+        size = f"[service]\nkind = model\ncell_engines = {ENGINES // cells}\n"
+        fleet.settings("set", SERVICE, text=size)
         options = ("--step", str(STEP), "--step-per-stream", "0", "--max-batch", "512")
         for number in range(ENGINES):
             memory = ("--memory", str(ENGINE_MEMORY))
@@ -221,7 +248,8 @@
             wait_until(f"{name} meets all", lambda n=name: alive_count(fleet, n) == daemons - 1, 90)
         time.sleep(SETTLE_TIME)
         # The last ones in order, so that none of them takes the duty while another is slow.
-        bench = Bench(fleet, names, order[-entries:], order[0], duration)
+        others = [name for name in reversed(orders[0]) if name not in schedulers]
+        bench = Bench(fleet, names, others[:entries], schedulers, duration)
         print(json.dumps(asyncio.run(run(bench, rate, few, many)), indent=2))
 
 
