Send a request that comes back as told to the cell that told it

Cause: a short prompt, without a prefix, was spread by its stream's id, which is new each time. The reservation behind a Retry-After is kept by the cell that refused, so three of four who came back would have found another cell, which had promised nothing. Found by reading.

Change: short prompts go by the account and the request's fingerprint. What a scheduler leaves to the others is now told in one place.

Failing first: the new scenario of cells.feature (orders differ) on the commit before. All 7 of the feature and the scenario of reporting.feature about a scheduler that stood in for another pass.

--- a/papayacourse/cellmap.py
+++ b/papayacourse/cellmap.py
@@ -66,7 +66,7 @@
                 yield Cell(team, service, number)
 
     def has(self, domain: str, cell: Cell) -> bool:
-        """Tell whether a domain has a cell, or had it before the service was deleted."""
+        """Tell whether a domain has a cell; it has the first one of every service."""
         return cell.number in self.layout(domain, cell.team, cell.service).memory
 
     def _memory(self, domain: str, team: str, service: str) -> dict[str, int]:
--- a/papayacourse/cells.py
+++ b/papayacourse/cells.py
@@ -6,6 +6,7 @@
 from attrs import frozen
 
 from papayacourse.joins import key_part
+from papayacourse.meshmessages import ServiceLoad
 from papayacourse.rendezvous import ranked, scheduling_duty, weight
 from papayacourse.types import GenerationRequest
 
@@ -67,12 +68,14 @@
     """Return what decides on the first cell of a request.
 
     Requests with the same Idempotency-Key share it, since they are to meet, and so do an account's
-    prompts that begin alike, since an engine may hold that beginning. All others are spread.
+    prompts that begin alike, since an engine may hold that beginning. A short prompt that comes
+    again shares it too, since a refused request was promised its place by that cell.
     """
     kept = key_part(generation.stream)
-    if not kept and generation.prefixes:
-        kept = f"{generation.account}/{generation.prefixes[0]}"
-    return f"home/{kept or generation.stream}"
+    if not kept:
+        begins = generation.prefixes[0] if generation.prefixes else generation.fingerprint
+        kept = f"{generation.account}/{begins or generation.stream}"
+    return f"home/{kept}"
 
 
 def spread(key: str, parts: Mapping[int, float]) -> list[int]:
@@ -95,7 +98,7 @@
 
 
 def other_cell(
-    generation: GenerationRequest, layout: Layout, asked: int, loads: Iterable
+    generation: GenerationRequest, layout: Layout, asked: int, loads: Iterable[ServiceLoad]
 ) -> int | None:
     """Return the cell to ask for a place that the first one has not; None when all have queues.
 
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -165,26 +165,21 @@
     def expire(self) -> None:
         """Look after the streams that nobody reports any more."""
         now = self.clock()
-        owner = self.engines.is_owner()
-        self._leave_to_owner(
-            [
-                ledger
-                for name, ledger in self.ledgers.items()
-                if ledger.streams and not (owner and self.engines.is_here(name))
-            ],
-            now,
-        )
+        self._leave_to_owners(now)
         settings = self.catalog.service(self.cell.team, self.cell.service)
         window = settings.resume_window if settings else 0.0
         for stream in self.orphans.check(list(self.ledgers.values()), now, GRANT_GRACE, window):
             logs.debug("stream not reported", stream=stream)
 
-    def _leave_to_owner(self, ledgers: list[EngineLedger], now: float) -> None:
-        """Forget the streams that live daemons report to the scheduler that has them now.
+    def _leave_to_owners(self, now: float) -> None:
+        """Forget the streams that live daemons report to the schedulers that have them now.
 
         What a dead daemon relayed stays: its owner may never have heard of it.
         """
-        for ledger in ledgers:
+        owner = self.engines.is_owner()
+        for ledger in self.ledgers.values():
+            if not ledger.streams or (owner and self.engines.is_here(ledger.name)):
+                continue
             for name, stream in list(ledger.streams.items()):
                 unreported = now - stream.seen_at > GRANT_GRACE
                 if unreported and self.membership.is_alive(stream.daemon):
--- a/tests/features/cells.feature
+++ b/tests/features/cells.feature
@@ -42,6 +42,10 @@
     Then the streams of each engine are on the ledger of one daemon, in 4 cells
     And every stream is on one ledger, and comes to its end
 
+  Scenario: A request that comes back as told comes to the cell that told it
+    When 200 requests with short prompts come again under other ids
+    Then each prefers the cells in the order it did, and not all prefer the same
+
   Scenario: Requests are spread by the memory of the cells, and few engines move between them
     When 4000 requests are spread over cells of 1000, 2000 and 5000 tokens
     Then each cell is first for its part of them, to within 15 in 100
--- a/tests/features/steps/cells_steps.py
+++ b/tests/features/steps/cells_steps.py
@@ -5,8 +5,10 @@
 
 from behave import given, then, when
 
-from papayacourse.cells import Cell, cell_of, spread
+from papayacourse.cells import Cell, Layout, cell_of, first_cells, spread
+from papayacourse.quarantine import fingerprint
 from papayacourse.rendezvous import ranked
+from papayacourse.types import GenerationRequest
 from standins.fleet import wait_until
 from tests.callers import StreamingCaller, marks_of
 from tests.features.steps.scheduling_steps import LONG_PROMPT, send, write_settings
@@ -186,6 +188,29 @@
         assert caller.done, caller.error or caller.broken
 
 
+def short_request(number, stream):
+    """Return a request whose prompt is too short for a prefix."""
+    mark = fingerprint("sound-trust", "planner", f"plan {number}")
+    prompt = ("", 10, 100, 0, ())
+    return GenerationRequest(stream, "sound-trust", "planner", "large", *prompt, mark)
+
+
+@when("{count:d} requests with short prompts come again under other ids")
+def short_prompts_again(context, count):
+    layout = Layout({}, dict.fromkeys(range(4), 1000))
+    context.orders = [
+        [first_cells(short_request(n, f"{daemon}-{n}"), layout) for n in range(count)]
+        for daemon in ("a", "b")
+    ]
+
+
+@then("each prefers the cells in the order it did, and not all prefer the same")
+def same_order(context):
+    first, again = context.orders
+    assert first == again
+    assert len({order[0] for order in first}) == 4, collections.Counter(map(tuple, first))
+
+
 @when("{count:d} requests are spread over cells of {first:d}, {second:d} and {third:d} tokens")
 def spread_requests(context, count, first, second, third):
     context.parts = {0: first, 1: second, 2: third}
