Run copies of an untried request on few engines

Cause: a request is suspect only after a death. Copies sent at once all ran by then, each on the emptiest engine, and took down all of them.

Ruled out: a short wait before a second copy starts (a crash may come late); running copies alone (empties an engine for each prompt); counting engines over all domains (a question to each for every request).

Change: a scheduler runs copies of one request on the engine that has one already, on a second one where that is full and there is one failure domain only, and on no third until a copy has come to its end. Copies held back so, and suspects, hold up nobody behind them. The engines of a request are found by a count on each ledger, in place of a list made anew.

--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -236,7 +236,7 @@
 
     def _make_scheduler(self, team: str, service: str) -> Scheduler:
         scheduler = Scheduler(team, service, self.catalog, self.membership, self.scheduling.tell)
-        scheduler.waiting.is_suspect = self.quarantine.is_suspect
+        scheduler.waiting.copies.is_suspect = self.quarantine.is_suspect
         scheduler.waiting.check_quarantine = self.quarantine.check
         attributes = {"team": team, "service": service}
         scheduler.watch.count = lambda engine, number: self.metrics.preemptions.add(
@@ -309,6 +309,7 @@
                 }
                 for m in self.membership.members.values()
             ],
+            "quarantine": self.quarantine.counts(),
             "schedulers": [
                 {
                     "team": team,
--- a/papayacourse/fairshare.py
+++ b/papayacourse/fairshare.py
@@ -1,7 +1,8 @@
 """Orders waiting requests by priority, then by the tokens each account has been served."""
 
+import itertools
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from attrs import define, field
 
@@ -85,12 +86,21 @@
         for queue in self.accounts.values():
             yield from queue.waiting.items()
 
-    def in_order(self) -> Iterator[tuple[str, object]]:
-        """Yield the head of each account's queue, the one to be served next first."""
+    def in_order(
+        self, held_back: Callable[[object], bool] = lambda _item: False
+    ) -> Iterator[tuple[str, object]]:
+        """Yield the head of each account's queue, the one to be served next first.
+
+        Parameters
+        ----------
+        held_back : callable
+            Tells of a request whether those behind it go first.
+        """
         busy = [(key, queue) for key, queue in self.accounts.items() if queue.waiting]
         busy.sort(key=lambda pair: (-pair[0][0], pair[1].served))
         for _, queue in busy:
-            yield next(iter(queue.waiting.items()))
+            heads = (pair for pair in queue.waiting.items() if not held_back(pair[1]))
+            yield from itertools.islice(heads, 1)
 
     def ranked(self, cost: float) -> list[tuple[str, object]]:
         """Return every waiting request with its stream, in the order in which they are served.
--- a/papayacourse/grants.py
+++ b/papayacourse/grants.py
@@ -9,6 +9,7 @@
 
 from papayacourse import invariants
 from papayacourse.admission import choose
+from papayacourse.copies import Copies
 from papayacourse.enginelist import EngineList
 from papayacourse.estimates import WAIT_SAFETY, Waiting, Waits
 from papayacourse.exceptions import RequestRefused
@@ -32,6 +33,7 @@
 BYPASS_LIMIT = 0.5  # part of the wait limit after which nothing smaller goes before a request
 MIN_RETRY_AFTER = 1.0  # seconds
 MAX_QUEUE = 10_000  # requests
+MAX_HELD_BACK = 16  # requests passed over at once for where their copies run
 
 Answer = Granted | Joined | Queued | GrantRefused
 Tell = Callable[[str, Granted | GrantRefused | NotScheduler], Awaitable[None]]
@@ -47,8 +49,8 @@
         Where the places are.
     tell : callable
         Sends a daemon a grant or a refusal that it has been waiting for.
-    is_suspect : callable
-        Tells by a request's fingerprint whether an engine has died while it ran.
+    copies : Copies
+        On which engines copies of one request may run.
     check_quarantine : callable
         Raises RequestRefused for the fingerprint of a request that must not run again.
     """
@@ -63,10 +65,11 @@
     backlog: Backlog = field(factory=Backlog)
     grants: int = 0
     telling: set[asyncio.Task] = field(factory=set)
-    is_suspect: Callable[[str], bool] = lambda _fingerprint: False
+    copies: Copies = field(init=False)
     check_quarantine: Callable[[str], None] = lambda _fingerprint: None
 
     def __attrs_post_init__(self) -> None:
+        self.copies = Copies(self.engines.ledgers, self.engines.membership.domains, self.clock)
         self.waits = Waits(
             self.queue,
             self.reservations,
@@ -82,22 +85,6 @@
 
     # Queries.
 
-    def apart(self, fingerprint: str, ledgers: list[EngineLedger]) -> list[EngineLedger]:
-        """Return the engines on which a request may run, given the suspects that run there.
-
-        Suspects run apart, so that an engine's death strikes only one of them again; the same
-        suspect does not run twice at once.
-        """
-        if not self.is_suspect(fingerprint):
-            return ledgers
-        running = {
-            led.name: [s.generation.fingerprint for s in led.streams.values()]
-            for led in self.engines.ledgers.values()
-        }
-        if any(fingerprint in there for there in running.values()):
-            return []
-        return [led for led in ledgers if not any(map(self.is_suspect, running[led.name]))]
-
     def load(self) -> ServiceLoad:
         """Return how the service stands here, for the other failure domains."""
         ledgers = self.engines.usable(())
@@ -172,25 +159,40 @@
     def grant_waiting(self) -> Iterator[tuple[str, Granted]]:
         """Grant places to waiting requests, in order, until none fits."""
         self._refuse_quarantined()
-        progress = True
-        while progress:
-            progress = False
-            for stream, item in self._heads():
-                granted = self._try_grant(stream, item)
-                if granted is not None:
-                    yield item.daemon, granted
-                    progress = True
-                    break
-                if self._goes_first(item):
-                    return
-
-    def _heads(self) -> list[tuple[str, Waiting]]:
+        held_back: set[str] = set()
+        while (found := self._grant_next(held_back)) is not None:
+            yield found
+
+    def _grant_next(self, held_back: set[str]) -> tuple[str, Granted] | None:
+        """Grant the next place; notes the fingerprints whose copies wait for their own engines."""
+        unfit: set[str] = set()
+        heads = iter(self._heads(held_back))
+        while (head := next(heads, None)) is not None:
+            stream, item = head
+            granted = None if stream in unfit else self._try_grant(stream, item)
+            if granted is not None:
+                return item.daemon, granted
+            unfit.add(stream)
+            if len(held_back) < MAX_HELD_BACK and self._is_confined(item):
+                # Nobody behind it has to wait for its engines.
+                held_back.add(item.request.generation.fingerprint)
+                heads = iter(self._heads(held_back))
+            elif self._goes_first(item):
+                return None
+        return None
+
+    def _is_confined(self, item: Waiting) -> bool:
+        ledgers = self.engines.usable(item.request.avoid)
+        return self.copies.are_confined(item.request.generation.fingerprint, ledgers)
+
+    def _heads(self, held_back: set[str]) -> list[tuple[str, Waiting]]:
         """Return the head of each account's queue, the one to be served next first.
 
         Who was let into the queue has been told that it will be served in time, so who has
         waited for long goes before later requests of its priority.
         """
-        heads = list(self.queue.in_order())
+        is_held_back = lambda item: item.request.generation.fingerprint in held_back  # noqa: E731
+        heads = list(self.queue.in_order(is_held_back))
         heads.sort(key=lambda pair: (-pair[1].request.generation.priority, self._turn(pair[1])))
         return heads
 
@@ -208,8 +210,7 @@
         generation = item.request.generation
         now = self.clock()
         candidate = Stream(generation, item.daemon, seen_at=now, granted_at=now)
-        ledgers = self.apart(generation.fingerprint, self.engines.usable(item.request.avoid))
-        ledger = choose(ledgers, candidate, self.lengths, self.grants, now, self.engines.prefixes)
+        ledger = self._choose(candidate, self.engines.usable(item.request.avoid), now)
         if ledger is None:
             return None
         self.queue.discard(stream)
@@ -224,6 +225,16 @@
         self.charge(generation.priority, generation.account, cost)
         return Granted(stream, ledger.name, ledger.address)
 
+    def _choose(
+        self, candidate: Stream, usable: list[EngineLedger], now: float
+    ) -> EngineLedger | None:
+        prefixes = self.engines.prefixes
+        for ledgers in self.copies.choices(candidate.generation.fingerprint, usable):
+            ledger = choose(ledgers, candidate, self.lengths, self.grants, now, prefixes)
+            if ledger is not None:
+                return ledger
+        return None
+
     def put(self, ledger: EngineLedger, stream: Stream) -> None:
         """Put a stream on an engine's ledger, and no longer in the queue."""
         name = stream.generation.stream
--- a/papayacourse/ledger.py
+++ b/papayacourse/ledger.py
@@ -1,6 +1,7 @@
 """The ledger of memory promised on each engine, and its forecast."""
 
 import math
+from collections import Counter
 
 import numpy as np
 from attrs import define, field, frozen
@@ -110,6 +111,8 @@
         Memory in use there that no stream of this ledger explains.
     forecast : Forecast
         Of its streams together, made at ``forecast_at``, in seconds of the clock.
+    fingerprints : Counter of str
+        How many of its streams are copies of one request, by what it is recognised by.
     each : Forecast
         Of each stream that ran when it was made; ``rows`` tells where each is found.
     """
@@ -130,6 +133,7 @@
     held: bool = False
     suspect: bool = False
     streams: dict[str, Stream] = field(factory=dict)
+    fingerprints: Counter[str] = field(factory=Counter)
     forecast: "Forecast | None" = None
     forecast_at: float = -math.inf
     each: "Forecast | None" = None
@@ -222,6 +226,7 @@
 def put(ledger: EngineLedger, stream: Stream) -> None:
     """Put a stream on an engine's ledger."""
     ledger.streams[stream.generation.stream] = stream
+    ledger.fingerprints[stream.generation.fingerprint] += 1
     if ledger.forecast is not None and stream.forecast is not None:
         ledger.forecast = ledger.forecast.plus(stream.forecast)
 
@@ -229,6 +234,10 @@
 def take_off(ledger: EngineLedger, name: str) -> Stream:
     """Take a stream off an engine's ledger."""
     stream = ledger.streams.pop(name)
+    fingerprint = stream.generation.fingerprint
+    ledger.fingerprints[fingerprint] -= 1
+    if not ledger.fingerprints[fingerprint]:
+        del ledger.fingerprints[fingerprint]
     row = ledger.rows.pop(name, None)
     part = stream.forecast if row is None else ledger.each.row(row)
     if ledger.forecast is not None and part is not None:
--- a/papayacourse/quarantine.py
+++ b/papayacourse/quarantine.py
@@ -97,6 +97,10 @@
             if end > now
         )
 
+    def counts(self) -> dict[str, int]:
+        """Return how many requests have strikes, and how many must not run, for operators."""
+        return {"struck": len(self.strikes), "condemned": len(self.condemned)}
+
     # Commands.
 
     async def strike(self, request: str, engine: str) -> None:
