Join the generation of a key in another failure domain

Cause: a key's generation was looked for among the streams of the asking domain's scheduler only, so a caller whom the balancer sent elsewhere got a second generation.

Ruled out: a record in the key-value service (too many writes); a home domain for each key (state to be rebuilt, and callers wait for a home that is cut off).

Change: a daemon that has a place for a key, or none, asks the schedulers of the other domains before it goes on, for 0.2 s at most each time. Of two domains that begin at once one goes first by rendezvous of the key. Who joins in its own domain waits until the place is 0.6 s old, where there are other domains. A refusal after a wait in the queue asks nobody.

Failing first (scenarios on the commit before): the key sent again in another domain read another generation; of six keys that began through four daemons of two domains at once the first had 2.

Not measured: the time that a key adds to the first token, beyond its bound of one or two questions of 0.2 s; the messages at full size.

A first request that still waits in a queue is not found from another domain until it has a place.

--- a/papayacourse/grants.py
+++ b/papayacourse/grants.py
@@ -14,6 +14,7 @@
 from papayacourse.estimates import WAIT_SAFETY, Waiting, Waits
 from papayacourse.exceptions import RequestRefused
 from papayacourse.fairshare import PROMPT_WEIGHT, FairQueue
+from papayacourse.farjoins import SETTLING_TIME
 from papayacourse.joins import first_id, key_part
 from papayacourse.ledger import EngineLedger, Stream
 from papayacourse.lengths import LengthModel
@@ -101,7 +102,7 @@
         stream = generation.stream
         held = self.engines.find(stream)
         if request.join:
-            answer = self._join(daemon, stream, request.avoid)
+            answer = self.join(daemon, stream, request.avoid)
             if answer is not None:
                 return answer
         elif held is not None and held.name not in request.avoid:
@@ -141,7 +142,7 @@
         again = self.reservations.book(generation.account, now, excess, rate)
         return GrantRefused(generation.stream, "overloaded", detail, again)
 
-    def _join(
+    def join(
         self, daemon: str, stream: str, avoid: tuple[str, ...]
     ) -> Granted | Joined | GrantRefused | None:
         """Answer a request whose key has a stream here already; None when it has not."""
@@ -153,7 +154,9 @@
                     return GrantRefused(stream, "key_reused", "the key is taken", 0.0)
                 if name == stream and held.daemon == daemon:
                     return Granted(name, ledger.name, ledger.address)
-                return Joined(name, ledger.name, ledger.address)
+                settled = self.clock() - held.granted_at >= SETTLING_TIME
+                alone = len(self.engines.membership.domains()) == 1
+                return Joined(name, ledger.name, ledger.address, settled or alone)
         return None
 
     def grant_waiting(self) -> Iterator[tuple[str, Granted]]:
--- a/papayacourse/messages.py
+++ b/papayacourse/messages.py
@@ -32,6 +32,7 @@
     GrantRefused,
     GrantRequest,
     Joined,
+    JoinRequest,
     NotScheduler,
     ProgressReport,
     Queued,
@@ -75,4 +76,5 @@
     | HostsChanges
     | EnginesAsk
     | EnginesOutOfLine
+    | JoinRequest
 )
--- a/papayacourse/placement.py
+++ b/papayacourse/placement.py
@@ -8,6 +8,7 @@
 
 from papayacourse import logs
 from papayacourse.exceptions import PeerError, RequestRefused
+from papayacourse.farjoins import JOIN_TIMEOUT, FarJoins
 from papayacourse.joins import key_reused
 from papayacourse.membership import Membership
 from papayacourse.meshmessages import Hello
@@ -39,6 +40,7 @@
 REFUSAL_STATUS = {"overloaded": 429, "quarantined": 422}  # by reason; 503 for all others
 
 Place = Granted | Joined
+Answer = Granted | Joined | Queued | GrantRefused
 
 
 @frozen
@@ -75,12 +77,14 @@
     waiting: dict[str, asyncio.Future] = field(factory=dict)
     placed_in: dict[str, str] = field(factory=dict)
     spill: Spill = field(init=False)
+    far_joins: FarJoins = field(init=False)
     reporting: Reporting = field(init=False)
     numbers: StreamNumbers = field(factory=StreamNumbers)
     asked_of: dict[str, Asked] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.spill = Spill(self.membership, self.peers)
+        self.far_joins = FarJoins(self.membership, self.peers)
         self.peers.handlers[Granted] = self.told
         self.peers.handlers[GrantRefused] = self.told
         self.peers.handlers[NotScheduler] = self.told
@@ -124,6 +128,7 @@
         request = evolve(request, number=self.numbers.of(stream))
         deadline = self.clock() + request.wait_limit
         self.waiting[stream] = asyncio.get_running_loop().create_future()
+        answer = None
         try:
             while True:
                 answer = await self._ask_anywhere(request)
@@ -132,9 +137,14 @@
                 if isinstance(answer, NotScheduler):
                     # The duty has moved; the next owner is asked at once.
                     self.waiting[stream] = asyncio.get_running_loop().create_future()
+                if request.join and isinstance(answer, Granted):
+                    answer = await self._or_elsewhere(request, answer)
                 match answer:
                     case Granted():
                         return answer
+                    case Joined(settled=False):
+                        # Its daemon may still give the place back, for one in another domain.
+                        await asyncio.sleep(JOIN_TIMEOUT)
                     case Joined():
                         self.numbers.drop(stream)
                         return answer
@@ -145,7 +155,9 @@
                         503, "overloaded", "no place came free in time", retry_after=REASK_INTERVAL
                     )
         except BaseException:
-            await self.give_back(request.generation)
+            if not isinstance(answer, Joined):
+                # A joined place goes by the same id, and belongs to another daemon.
+                await self.give_back(request.generation)
             self.numbers.drop(stream)
             raise
         finally:
@@ -158,13 +170,12 @@
         except TimeoutError:
             return None
 
-    async def _ask_anywhere(
-        self, request: GrantRequest
-    ) -> Granted | Joined | Queued | GrantRefused:
+    async def _ask_anywhere(self, request: GrantRequest) -> Answer:
         """Ask this failure domain, then others where that saves more than the link costs."""
         answer = await self._ask(request)
         if request.join:
-            return answer
+            no_place = isinstance(answer, Queued | GrantRefused)
+            return await self._or_elsewhere(request, answer) if no_place else answer
         small = evolve(request, generation=evolve(request.generation, prompt=""))
         placed = await self.spill.place(small, waits(answer, request.wait_limit))
         if placed is None:
@@ -173,7 +184,19 @@
         self.placed_in[request.generation.stream] = placed.domain
         return placed.granted
 
-    async def _ask(self, request: GrantRequest) -> Granted | Joined | Queued | GrantRefused:
+    async def _or_elsewhere(self, request: GrantRequest, answer: Answer) -> Answer:
+        """Return the generation of a key in another failure domain, or else the answer given.
+
+        Other domains are asked once the place is on the ledger here: of two that begin with a key
+        at once, one then sees the other.
+        """
+        elsewhere = await self.far_joins.find(request)
+        if elsewhere is None:
+            return answer
+        await self.give_back(request.generation)
+        return elsewhere
+
+    async def _ask(self, request: GrantRequest) -> Answer:
         generation = request.generation
         small = GrantRequest(
             evolve(generation, prompt=""),
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -4,19 +4,30 @@
 import time
 from collections.abc import Callable, Iterable
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from papayacourse import logs
 from papayacourse.catalog import Catalog
 from papayacourse.enginelist import EngineList
 from papayacourse.enginewatch import POLL_INTERVAL
 from papayacourse.estimates import WAIT_SAFETY
+from papayacourse.farjoins import JOIN_TIMEOUT, goes_first
 from papayacourse.grants import Answer, GrantQueue, Tell
 from papayacourse.ledger import EngineLedger, Stream, take_off
 from papayacourse.membership import Membership
+from papayacourse.meshmessages import Done
 from papayacourse.numbering import KnownNumbers, Progress
 from papayacourse.orphans import Orphans
-from papayacourse.schedulingmessages import GrantRequest, StreamEnded, StreamReport, StreamState
+from papayacourse.schedulingmessages import (
+    GrantRefused,
+    GrantRequest,
+    Joined,
+    JoinRequest,
+    Queued,
+    StreamEnded,
+    StreamReport,
+    StreamState,
+)
 from papayacourse.tasks import cancel_all
 
 GRANT_GRACE = 4.0  # seconds a granted stream may go unreported
@@ -74,6 +85,18 @@
         """Return the engine that a stream has been granted."""
         return self.engines.find(stream)
 
+    def join(self, question: JoinRequest) -> Joined | Queued | GrantRefused | Done:
+        """Answer another domain that looks for the generation of a key."""
+        answer = self.waiting.join("", question.stream, question.avoid)
+        if not isinstance(answer, Joined):
+            return answer or Done()
+        stream = self.find(answer.stream).streams[answer.stream]
+        here = self.membership.me.domain
+        settled = self.clock() - stream.granted_at >= JOIN_TIMEOUT
+        if settled or goes_first(question.stream, here, question.domain):
+            return evolve(answer, settled=True)
+        return Queued(question.stream, JOIN_TIMEOUT)
+
     # Commands.
 
     def ask(self, daemon: str, request: GrantRequest) -> Answer:
--- a/papayacourse/scheduling.py
+++ b/papayacourse/scheduling.py
@@ -18,6 +18,7 @@
     GrantRefused,
     GrantRequest,
     Joined,
+    JoinRequest,
     NotScheduler,
     ProgressReport,
     Queued,
@@ -53,6 +54,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.peers.handlers[GrantRequest] = self.asked
+        self.peers.handlers[JoinRequest] = self.join_asked
         self.peers.handlers[StreamReport] = self.reported
         self.peers.handlers[ProgressReport] = self.progressed
         self.peers.handlers[StreamEnded] = self.noted
@@ -69,6 +71,13 @@
         scheduler.numbers.of(peer)[request.number] = generation.stream
         return scheduler.ask(peer.name, request)
 
+    async def join_asked(
+        self, _peer: Hello, question: JoinRequest
+    ) -> Joined | Queued | GrantRefused | Done:
+        """Answer another domain that looks for the generation of a key."""
+        scheduler = self.duties.schedulers.get((question.team, question.service))
+        return scheduler.join(question) if scheduler is not None else Done()
+
     async def reported(self, peer: Hello, report: StreamReport) -> None:
         """Take a report of the streams that a daemon relays."""
         scheduler = self.duties.open(report.team, report.service)
--- a/papayacourse/schedulingmessages.py
+++ b/papayacourse/schedulingmessages.py
@@ -40,11 +40,35 @@
 
 @frozen
 class Joined:
-    """The same request already runs; read its stream instead."""
+    """The same request already runs; read its stream instead.
+
+    Attributes
+    ----------
+    settled : bool
+        Whether its place will not be given back any more for one in another domain.
+    """
 
     stream: str
     engine: str
     address: str
+    settled: bool = True
+
+
+@frozen
+class JoinRequest:
+    """Asks another domain's scheduler for the generation of a key, and for no place.
+
+    Attributes
+    ----------
+    domain : str
+        The failure domain that asks.
+    """
+
+    team: str
+    service: str
+    stream: str
+    avoid: tuple[str, ...]
+    domain: str
 
 
 @frozen
--- a/tests/features/joins.feature
+++ b/tests/features/joins.feature
@@ -55,3 +55,25 @@
   Scenario: An answer that is not streamed is cancelled when its caller has gone
     When a caller asks for "plan [len=9000]" from "planner" through "a" without streaming and goes
     Then within 10 seconds the engines run 0 generations
+
+  Scenario: The same key joins in another failure domain
+    Given 2 engines "planner" in domain "kano-1" of region "kano"
+    And daemons "m, n" in domain "kano-1" of region "kano"
+    And the domains "lagos-1" and "kano-1" see each other
+    And the daemons agree on who schedules
+    When key "k1" of "organisers" begins streaming "plan [len=600]" from "planner" through "a"
+    And 20 tokens have come
+    Then "plan [len=600]" with key "k1" through "m" gives the same 600 tokens
+    And the engines started 1 generation
+    When key "k2" of "organisers" begins streaming "plan [len=600]" from "planner" through "n"
+    And 20 tokens have come
+    Then "another [len=9]" with key "k2" through "b" is refused with status 422
+    And "plan [len=600]" with key "k2" through "b" gives the same 600 tokens
+    And the engines started 2 generations
+
+  Scenario: The same key begins in two failure domains at once
+    Given 2 engines "planner" in domain "kano-1" of region "kano"
+    And daemons "m, n" in domain "kano-1" of region "kano"
+    And the domains "lagos-1" and "kano-1" see each other
+    And the daemons agree on who schedules
+    Then 6 keys that begin through each of "a, m, b, n" at once have one generation each
--- a/tests/features/partitions.feature
+++ b/tests/features/partitions.feature
@@ -51,3 +51,14 @@
     And the links of daemons "a, b, c" are cut until 400 more tokens are read
     Then the numbering scheduler comes to know all that the callers have read
     And the numbered streams are whole
+
+  Scenario: A key used in two domains that are cut from each other is served in both
+    Given 1 engines "planner" in domain "lagos-1" of region "lagos"
+    And 1 engines "planner" in domain "kano-1" of region "kano"
+    And daemons "a" in domain "lagos-1" of region "lagos" behind proxies
+    And daemons "m" in domain "kano-1" of region "kano" behind proxies
+    And the domains "lagos-1" and "kano-1" see each other
+    When the domains are cut from each other and from the platform
+    Then a key used through each of "a, m" at once gives each a whole answer
+    And the domains "lagos-1" and "kano-1" no longer see each other
+    And a key used through each of "a, m" at once gives each a whole answer
