--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -243,7 +243,7 @@
         scheduler = Scheduler(
             cell, self.catalog, self.membership, self.cell_map, self.scheduling.tell
         )
-        scheduler.waiting.is_suspect = self.quarantine.is_suspect
+        scheduler.waiting.copies.is_suspect = self.quarantine.is_suspect
         scheduler.waiting.check_quarantine = self.quarantine.check
         attributes = {"team": cell.team, "service": cell.service}
         scheduler.watch.count = lambda engine, number: self.metrics.preemptions.add(
@@ -316,6 +316,7 @@
                 }
                 for m in self.membership.members.values()
             ],
+            "quarantine": self.quarantine.counts(),
             "schedulers": [
                 {
                     "team": cell.team,
--- a/papayacourse/messages.py
+++ b/papayacourse/messages.py
@@ -33,6 +33,7 @@
     GrantRefused,
     GrantRequest,
     Joined,
+    JoinRequest,
     NotScheduler,
     ProgressReport,
     Queued,
@@ -77,4 +78,5 @@
     | EnginesAsk
     | EnginesOutOfLine
     | DeathReport
+    | JoinRequest
 )
--- a/papayacourse/placement.py
+++ b/papayacourse/placement.py
@@ -10,6 +10,7 @@
 from papayacourse.cellmap import CellMap
 from papayacourse.cells import Cell, Layout, first_cells
 from papayacourse.exceptions import PeerError, RequestRefused
+from papayacourse.farjoins import JOIN_TIMEOUT, FarJoins
 from papayacourse.joins import key_reused
 from papayacourse.membership import Membership
 from papayacourse.meshmessages import Hello
@@ -40,6 +41,7 @@
 REFUSAL_STATUS = {"overloaded": 429, "quarantined": 422}  # by reason; 503 for all others
 
 Place = Granted | Joined
+Answer = Granted | Joined | Queued | GrantRefused
 
 
 @frozen
@@ -83,12 +85,14 @@
     placed_in: dict[str, str] = field(factory=dict)
     asked_in: dict[str, int] = field(factory=dict)
     spill: Spill = field(init=False)
+    far_joins: FarJoins = field(init=False)
     reporting: Reporting = field(init=False)
     numbers: StreamNumbers = field(factory=StreamNumbers)
     asked_of: dict[str, Asked] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         self.spill = Spill(self.membership, self.peers, self.cell_map)
+        self.far_joins = FarJoins(self.membership, self.peers, self.cell_map)
         self.peers.handlers[Granted] = self.told
         self.peers.handlers[GrantRefused] = self.told
         self.peers.handlers[NotScheduler] = self.told
@@ -134,6 +138,7 @@
         request = evolve(request, number=self.numbers.of(stream))
         deadline = self.clock() + request.wait_limit
         self.waiting[stream] = asyncio.get_running_loop().create_future()
+        answer = None
         try:
             while True:
                 answer = await self._ask_anywhere(request)
@@ -142,9 +147,14 @@
                 if isinstance(answer, NotScheduler):
                     # The duty has moved; the next owner is asked at once.
                     self.waiting[stream] = asyncio.get_running_loop().create_future()
+                if request.join and isinstance(answer, Granted):
+                    answer = await self._or_elsewhere(request, answer)
                 match answer:
                     case Granted():
                         return answer
+                    case Joined(settled=False):
+                        # Its daemon may still give the place back, for one in another domain.
+                        await asyncio.sleep(JOIN_TIMEOUT)
                     case Joined():
                         self.numbers.drop(stream)
                         self.asked_in.pop(stream, None)
@@ -156,7 +166,9 @@
                         503, "overloaded", "no place came free in time", retry_after=REASK_INTERVAL
                     )
         except BaseException:
-            await self.give_back(request.generation)
+            if not isinstance(answer, Joined):
+                # A joined place goes by the same id, and belongs to another daemon.
+                await self.give_back(request.generation)
             self.numbers.drop(stream)
             raise
         finally:
@@ -169,13 +181,14 @@
         except TimeoutError:
             return None
 
-    async def _ask_anywhere(
-        self, request: GrantRequest
-    ) -> Granted | Joined | Queued | GrantRefused:
+    async def _ask_anywhere(self, request: GrantRequest) -> Answer:
         """Ask this failure domain, then others where that saves more than the link costs."""
         small = evolve(request, generation=evolve(request.generation, prompt=""))
         answer = await self._ask_here(small)
-        if request.join or isinstance(answer, Granted):
+        if request.join:
+            no_place = isinstance(answer, Queued | GrantRefused)
+            return await self._or_elsewhere(request, answer) if no_place else answer
+        if isinstance(answer, Granted):
             return answer
         placed = await self.spill.place(small, waits(answer, request.wait_limit))
         if placed is None:
@@ -185,7 +198,19 @@
         self.asked_in[request.generation.stream] = placed.cell
         return placed.granted
 
-    async def _ask_here(self, request: GrantRequest) -> Granted | Joined | Queued | GrantRefused:
+    async def _or_elsewhere(self, request: GrantRequest, answer: Answer) -> Answer:
+        """Return the generation of a key in another failure domain, or else the answer given.
+
+        Other domains are asked once the place is on the ledger here: of two that begin with a key
+        at once, one then sees the other.
+        """
+        elsewhere = await self.far_joins.find(request)
+        if elsewhere is None:
+            return answer
+        await self.give_back(request.generation)
+        return elsewhere
+
+    async def _ask_here(self, request: GrantRequest) -> Answer:
         """Ask the cells of this failure domain; the request waits in the first with engines."""
         stream = request.generation.stream
         before = self.asked_in.get(stream)
@@ -229,7 +254,7 @@
         here = self.membership.me.domain
         return self.cell_map.layout(here, generation.team, generation.service)
 
-    async def _ask(self, request: GrantRequest) -> Granted | Joined | Queued | GrantRefused:
+    async def _ask(self, request: GrantRequest) -> Answer:
         """Ask the scheduler of one cell, and the next in order where it is silent."""
         generation = request.generation
         cell = Cell(generation.team, generation.service, request.cell)
