Work out the capacity that the bench loads are parts of, and warm the scheduler up

Cause: the capacity was measured in two transients.

Ruled out: the load generator (at most 0.25 of a core in the trace) and the machine's load (low in the trace, and the difference was there).

--- a/bench/load.py
+++ b/bench/load.py
@@ -13,22 +13,21 @@
 from attrs import frozen
 
 from bench.caller import Exchange
+from bench.capacity import capacity
 from bench.measures import Cell, histogram, percentiles, times_of
-from bench.shapes import POLICIES, SHAPES, Shape
+from bench.shapes import POLICIES, SHAPES
 from bench.site import Site
 from bench.table import account_rows, rows
 from bench.trace import arrivals
 
 WARM_UP = 4.0  # seconds before the measures begin
 MEASURED = 8.0  # seconds
-CALIBRATION_TOKENS = 600.0  # tokens a second offered to each engine to saturate it
 TRIES = 2  # requests sent by a caller who obeys Retry-After
 LOADS = (0.5, 0.8, 1.0, 1.3)
 FULL_LOADS = (0.8, 1.0)  # at which every policy is compared
-SATURATING = (
-    ("least-outstanding",),
-    ("predicted", "memory_margin = 0", "memory_spread = 0"),
-)
+WARM_LOAD = 0.8  # of the capacity, offered before the first cell
+WARM_SEED = 0
+WARM_POLICY = "predicted"
 FEW_POLICIES = ("predicted", "least-outstanding")
 
 
@@ -95,28 +94,13 @@
     )
 
 
-async def saturate(site: Site, offered: float) -> float:
-    """Offer more than the engines can do; return the tokens a second that they generate."""
+def warm(site: Site, offered: float) -> None:
+    """Let the schedulers learn the outputs' lengths, which a cold one knows nothing of."""
     seconds = WARM_UP + MEASURED
-    trace = arrivals(site.shape, offered, seconds, 0)
-    offering = asyncio.create_task(site.offer(trace, seconds, 1, []))
-    await asyncio.sleep(WARM_UP)
-    before, start = await asyncio.to_thread(site.counts), time.monotonic()
-    await asyncio.sleep(MEASURED - 1.0)
-    after, end = await asyncio.to_thread(site.counts), time.monotonic()
-    await offering
-    made = sum(after[name]["generated"] - before[name]["generated"] for name in after)
-    return made / (end - start)
-
-
-def measure_capacity(site: Site, shape: Shape) -> float:
-    """Return the tokens a second that the saturated engines make, the best of two policies."""
-    found = []
-    for policy, *options in SATURATING:
-        site.apply(shape.with_options(options), policy)
-        found.append(asyncio.run(saturate(site, CALIBRATION_TOKENS * shape.engines)))
-        site.drain()
-    return max(found)
+    trace = arrivals(site.shape, offered, seconds, WARM_SEED)
+    site.apply(site.shape, WARM_POLICY)
+    asyncio.run(site.offer(trace, seconds, 1, []))
+    site.drain()
 
 
 def run_shape(plan: Plan) -> dict:
@@ -125,7 +109,8 @@
     shape = shape.with_options(plan.options)
     cells = []
     with Site(shape) as site:
-        capacity = plan.capacity or measure_capacity(site, shape)
+        full = plan.capacity or capacity(shape)
+        warm(site, full * WARM_LOAD)
         for seed in plan.seeds:
             for load in plan.loads:
                 every = load in FULL_LOADS or plan.policies != POLICIES
@@ -134,14 +119,14 @@
                 for policy in policies[turn:] + policies[:turn]:
                     name, *options = policy.split("+")
                     site.apply(shape.with_options(options), name)
-                    offered = capacity * load
+                    offered = full * load
                     cell = run_cell(site, policy, load, seed, offered, plan.measured)
                     cells.append(asyncio.run(cell).as_dict())
-                    partial = {"shape": shape.name, "capacity": capacity, "cells": cells}
+                    partial = {"shape": shape.name, "capacity": full, "cells": cells}
                     (plan.folder / f"{shape.name}.json").write_text(json.dumps([partial]))
                     print(shape.name, seed, load, policy, file=sys.stderr, flush=True)
                     site.drain()
-    return {"shape": shape.name, "capacity": capacity, "cells": cells}
+    return {"shape": shape.name, "capacity": full, "cells": cells}
 
 
 def parse(arguments: list[str] | None = None) -> argparse.Namespace:
@@ -155,7 +140,7 @@
         "--policies", default=",".join(POLICIES), help="such as predicted+memory_margin=0.2"
     )
     parser.add_argument("--measured", type=float, default=MEASURED, help="seconds of each cell")
-    parser.add_argument("--capacity", type=float, default=0.0, help="tokens/s; 0 measures it")
+    parser.add_argument("--capacity", type=float, default=0.0, help="tokens/s; 0 works it out")
     parser.add_argument("--option", action="append", default=[], help="a line of the deployment")
     parser.add_argument("--out", default="out/bench")
     return parser.parse_args(arguments)
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -12,7 +12,7 @@
 
 from bench import runs
 from bench.caller import Exchange
-from bench.load import measure_capacity
+from bench.capacity import capacity
 from bench.measures import STALL_THRESHOLD, gaps
 from bench.shapes import DAEMONS, SHAPES
 from bench.site import Site
@@ -139,15 +139,15 @@
     """Run every failure for every seed; print and save what was seen."""
     parser = runs.options(__doc__)
     parser.add_argument("--shape", default="sound-trust")
-    parser.add_argument("--capacity", type=float, default=0.0, help="tokens/s; 0 measures it")
+    parser.add_argument("--capacity", type=float, default=0.0, help="tokens/s; 0 works it out")
     wanted = parser.parse_args()
-    shape, capacity, results = SHAPES[wanted.shape], wanted.capacity, []
+    shape, results = SHAPES[wanted.shape], []
+    full = wanted.capacity or capacity(shape)
     for seed in runs.seeds(wanted):
         for failure in FAILURES:
             with Site(shape) as site:
-                capacity = capacity or measure_capacity(site, shape)
                 site.apply(shape, "predicted")
-                seen = asyncio.run(run_failure(site, failure, capacity, seed))
+                seen = asyncio.run(run_failure(site, failure, full, seed))
             time_taken = recovered(seen, int(BEFORE))
             worst = max(second.first for second in seen[int(BEFORE) :])
             stall = sum(second.stall for second in seen[int(BEFORE) :])
--- a/bench/shapes.py
+++ b/bench/shapes.py
@@ -86,6 +86,13 @@
         """Return the longest output that callers ask for, in tokens."""
         return max(work.longest for work in self.classes)
 
+    def step_time(self, streams: float, prefill: float) -> float:
+        """Return the seconds of an engine's step, given its streams and new prompt tokens."""
+        names, values = self.engine_options[::2], map(float, self.engine_options[1::2])
+        options = dict(zip(names, values, strict=True))
+        steps = options["--step"] + options["--step-per-stream"] * streams
+        return steps + options["--prefill-per-token"] * prefill
+
     def with_options(self, lines: Iterable[str]) -> "Shape":
         """Return the shape with more lines of settings, in place of those of the same name."""
         found = {line.partition("=")[0].strip(): line for line in (*self.options, *lines)}
