Let into the queue only whom the places that come free can serve

Places promised to accounts due soon, in the order of fair share, come before a new request. A request of several places counts them on one engine. Those who come back are judged as the others. Promises are spaced at the account's part of the places granted lately; the even part was of the accounts that waited just then, so that with a short queue each was promised all of them. The decision is made only for those who find no place at once.

--- a/papayacourse/estimates.py
+++ b/papayacourse/estimates.py
@@ -11,6 +11,7 @@
 from papayacourse.schedulingmessages import GrantRequest
 from papayacourse.waits import Backlog, PlaceRate
 
+LEAST_STEADINESS = 0.25  # part of the mean pace that is promised at least
 WAIT_SAFETY = 0.6  # part of the wait limit that an estimated wait may take
 
 
@@ -31,6 +32,8 @@
     ----------
     running : callable
         Returns how many streams the engines run.
+    engines : callable
+        Returns how many engines can be used.
     """
 
     queue: FairQueue
@@ -38,6 +41,7 @@
     places: PlaceRate
     backlog: Backlog
     running: Callable[[], int]
+    engines: Callable[[], int]
     clock: Callable[[], float] = time.monotonic
 
     def rate(self, now: float) -> float:
@@ -56,34 +60,44 @@
         ahead += self.reservations.expected(account, now, ahead / rate)
         return (ahead + 1) / rate
 
-    def sure(self, priority: int, account: str) -> float:
-        """Return the wait that a new request of an account nearly always stays below."""
-        expected = self.expected(priority, account)
-        rate = self.backlog.sure_rate()
-        if not len(self.queue) or rate is None:
-            return expected
-        ahead = self.queue.ahead(priority, account, self.places.tokens)
-        return max(expected, (ahead + 1) / rate if rate else math.inf)
-
-    def too_long(self, item: Waiting, returns: bool) -> bool:
-        """Tell whether a new request would wait too long.
+    def needed(self, item: Waiting, returns: bool) -> int:
+        """Return how many places must come free until a new request is served.
 
         Parameters
         ----------
         returns : bool
-            Whether it comes back when told: it is let in, unless it would be refused at the
-            next look.
+            Whether it comes back when told, so that its place is one of those promised.
+        """
+        generation = item.request.generation
+        within = item.request.wait_limit * WAIT_SAFETY
+        promised = {} if returns else self.reservations.due_soon(self.clock(), within)
+        account, cost = generation.account, self.places.tokens
+        ahead = self.queue.ahead(generation.priority, account, cost, returns, promised)
+        # What takes several places finds them free on one engine only.
+        alone = (self.places.places_for(generation.prompt_tokens) - 1) * self.engines()
+        return ahead + 1 + alone
+
+    def too_long(self, item: Waiting, needed: int) -> bool:
+        """Tell whether a new request may wait too long for so many places.
+
+        It is let in only if the places that nearly always come free in time are enough for
+        all that go before it, those promised to others included.
         """
-        generation, limit = item.request.generation, item.request.wait_limit
-        if not returns:
-            return self.sure(generation.priority, generation.account) > limit * WAIT_SAFETY
-        rate = self.backlog.rate_now(self.clock())
-        cost = self.places.tokens
-        ahead = self.queue.ahead(generation.priority, generation.account, cost, first=True)
-        return rate is not None and ahead > rate * limit
+        now = self.clock()
+        free = self.backlog.places(now)
+        if free is None:
+            free = (self.rate(now) or math.inf) * item.request.wait_limit * WAIT_SAFETY
+        return needed > free
+
+    def promised_rate(self, account: str, now: float) -> float:
+        """Return the places a second that may be promised to an account."""
+        mean, sure = self.rate(now), self.backlog.places(now)
+        if sure is not None:
+            mean = max(min(mean, sure / self.backlog.window), mean * LEAST_STEADINESS)
+        return mean * self.places.part_of(account, now, self.reservations.due)
 
-    def hopeless(self, now: float) -> Iterator[tuple[str, Waiting, float]]:
-        """Yield who waits for a place that will not come in time, and the wait until it does.
+    def hopeless(self, now: float) -> Iterator[tuple[str, Waiting, int]]:
+        """Yield who waits for a place that will not come in time, and the places before it.
 
         The pace is that of the last window; the first in the queue may always hope.
         """
@@ -93,4 +107,4 @@
         for before, (stream, item) in enumerate(self.queue.ranked(self.places.tokens)):
             left = item.request.wait_limit - (now - item.since)
             if before > rate * left:
-                yield stream, item, before / rate if rate else item.request.wait_limit
+                yield stream, item, before
--- a/papayacourse/fairshare.py
+++ b/papayacourse/fairshare.py
@@ -1,7 +1,8 @@
 """Orders waiting requests by priority, then by the tokens each account has been served."""
 
 import math
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
+from types import MappingProxyType
 
 from attrs import define, field
 
@@ -54,7 +55,14 @@
 
     # Queries.
 
-    def ahead(self, priority: int, account: str, cost: float, first: bool = False) -> int:
+    def ahead(
+        self,
+        priority: int,
+        account: str,
+        cost: float,
+        first: bool = False,
+        promised: Mapping[str, int] = MappingProxyType({}),
+    ) -> int:
         """Return how many requests go before a new one of an account, as far as is known now.
 
         Parameters
@@ -63,23 +71,21 @@
             What serving one request costs, in tokens.
         first : bool
             Whether it goes before its account's own backlog.
+        promised : mapping of str to int
+            By account: the requests that are expected besides those that wait.
         """
         own = self.accounts.get((priority, account), AccountQueue(self.floors.get(priority, 0.0)))
         served = max(own.served, self.floors.get(priority, 0.0))
-        count = len(own.first) if first else len(own.waiting)
+        count = len(own.first) if first else len(own.waiting) + promised.get(account, 0)
         turn = served + count * cost / own.share
         for (level, name), queue in self.accounts.items():
             if level > priority:
-                count += len(queue.waiting)
+                count += len(queue.waiting) + promised.get(name, 0)
             elif level == priority and name != account:
                 sooner = math.ceil((turn - queue.served) * queue.share / max(cost, 1.0))
-                count += min(len(queue.waiting), max(0, sooner))
+                count += min(len(queue.waiting) + promised.get(name, 0), max(0, sooner))
         return count
 
-    def busy_accounts(self) -> int:
-        """Return how many accounts have requests waiting."""
-        return sum(1 for queue in self.accounts.values() if queue.waiting)
-
     def items(self) -> Iterator[tuple[str, object]]:
         """Yield every waiting request with its stream."""
         for queue in self.accounts.values():
--- a/papayacourse/grants.py
+++ b/papayacourse/grants.py
@@ -27,6 +27,7 @@
     Queued,
 )
 from papayacourse.tasks import cancel_all
+from papayacourse.types import GenerationRequest
 from papayacourse.waits import Backlog, PlaceRate
 
 BYPASS_LIMIT = 0.5  # part of the wait limit after which nothing smaller goes before a request
@@ -73,6 +74,7 @@
             self.places,
             self.backlog,
             self.engines.running,
+            lambda: len(self.engines.usable(())),
             self.clock,
         )
 
@@ -123,34 +125,40 @@
             self.engines.refresh()
         if not self.engines.usable(request.avoid):
             return GrantRefused(stream, "no_engine", "no engine can serve now", MIN_RETRY_AFTER)
-        wait = self.waits.expected(generation.priority, generation.account)
         if stream in self.queue:
-            return Queued(stream, wait)
+            return self._queued(generation)
         item = Waiting(daemon, request, self.clock())
         returns = self.reservations.redeem(generation.account, item.since)
-        too_long = self.waits.too_long(item, returns)
-        self.queue.add(stream, generation.priority, generation.account, item, first=returns)
+        self._wait(item, returns)
         for granted_to, granted in self.grant_waiting():
             if granted.stream == stream:
                 return granted
             self.tell_later(granted_to, granted)
+        self.queue.discard(stream)
         if request.wait_limit <= 0:
-            self.queue.discard(stream)
             return GrantRefused(stream, "overloaded", "no place is free now", MIN_RETRY_AFTER)
-        full = len(self.queue) > MAX_QUEUE
-        if full or too_long:
-            self.queue.discard(stream)
-            return self._refuse(request, "the queue is too long", wait)
-        return Queued(stream, wait)
+        needed = self.waits.needed(item, returns)
+        if len(self.queue) >= MAX_QUEUE or self.waits.too_long(item, needed):
+            return self._refuse(request, "the queue is too long", needed)
+        self._wait(item, returns)
+        return self._queued(generation)
+
+    def _wait(self, item: Waiting, returns: bool) -> None:
+        generation = item.request.generation
+        priority, account = generation.priority, generation.account
+        self.queue.add(generation.stream, priority, account, item, first=returns)
+
+    def _queued(self, generation: GenerationRequest) -> Queued:
+        wait = self.waits.expected(generation.priority, generation.account)
+        return Queued(generation.stream, wait)
 
-    def _refuse(self, request: GrantRequest, detail: str, wait: float) -> GrantRefused:
+    def _refuse(self, request: GrantRequest, detail: str, needed: int) -> GrantRefused:
+        """Refuse a request, and promise it a place when so many others have come free."""
         generation = request.generation
         now = self.clock()
+        rate = self.waits.promised_rate(generation.account, now)
+        wait = needed / self.waits.rate(now) if rate else 0.0
         excess = wait - request.wait_limit * WAIT_SAFETY
-        even = self.waits.rate(now) / max(1, self.queue.busy_accounts())
-        rate = max(self.places.of_account(generation.account, now), even)
-        # Promised at the pace that nearly every window had, or those who come back wait in vain.
-        rate *= self.backlog.steadiness()
         again = self.reservations.book(generation.account, now, excess, rate)
         return GrantRefused(generation.stream, "overloaded", detail, again)
 
@@ -216,7 +224,7 @@
         self.put(ledger, candidate)
         self.grants += 1
         self.engines.prefixes.note(ledger.name, generation.prefixes, now)
-        self.places.note_grant(generation.account, now)
+        self.places.note_grant(generation.account, now, generation.prompt_tokens)
         self.backlog.note_grant(now)
         # Charged in advance, or the accounts' order would be as old as the last reports.
         candidate.charged = min(self.places.tokens, generation.max_tokens)
@@ -264,9 +272,9 @@
         self.backlog.look(len(self.queue), now)
 
     def _refuse_hopeless(self, now: float) -> None:
-        for stream, item, wait in list(self.waits.hopeless(now)):
+        for stream, item, before in list(self.waits.hopeless(now)):
             self.queue.discard(stream)
-            refused = self._refuse(item.request, "the queue is too slow", wait)
+            refused = self._refuse(item.request, "the queue is too slow", before)
             self.tell_later(item.daemon, refused)
 
     def refuse_late(self) -> None:
@@ -275,7 +283,7 @@
         for stream, item in list(self.queue.items()):
             if now - item.since > item.request.wait_limit:
                 self.queue.discard(stream)
-                refused = self._refuse(item.request, "no place came free in time", 0.0)
+                refused = self._refuse(item.request, "no place came free in time", 0)
                 self.tell_later(item.daemon, refused)
 
     def forget(self, accounts: set[str]) -> None:
--- a/papayacourse/reservations.py
+++ b/papayacourse/reservations.py
@@ -1,6 +1,7 @@
 """Keeps the promise of a Retry-After: who comes back at the time told is let in."""
 
 from collections import deque
+from itertools import takewhile
 
 from attrs import define, field
 
@@ -57,6 +58,19 @@
         """Return how many of an account's reservations fall due within a time, in seconds."""
         return sum(1 for at in self.due.get(account, ()) if at <= now + within)
 
+    def due_soon(self, now: float, within: float) -> dict[str, int]:
+        """Return by account how many may come back within a time, in seconds.
+
+        Who has not come when the whole second told had passed is not counted on.
+        """
+        since, until = now - MIN_RETRY_AFTER, now + within
+        found = {}
+        for name, mine in self.due.items():
+            count = sum(at >= since for at in takewhile(lambda at: at <= until, mine))
+            if count:
+                found[name] = count
+        return found
+
     def _drop_late(self, account: str, now: float) -> None:
         mine = self.due.get(account)
         while mine and now - mine[0] > LATENESS:
