--- a/bench/meshload.py
+++ b/bench/meshload.py
@@ -62,7 +62,7 @@
         """Read one answer."""
         self.asked += 1
         body = {
-            "model": "planner", "prompt": f"plan [len={tokens}]", "stream": True,
+            "model": "planner", "prompt": f"plan {self.asked} [len={tokens}]", "stream": True,
             "max_tokens": tokens + 1,
         }  # fmt: skip
         data = json.dumps(body).encode()
