--- a/papayacourse/membership.py
+++ b/papayacourse/membership.py
@@ -14,13 +14,13 @@
 from papayacourse.hostlist import HostList, HostListing
 from papayacourse.hostsync import HostSync
 from papayacourse.linkclasses import LinkClass, Place
+from papayacourse.liveness import DEAD_AFTER, Watch
 from papayacourse.members import Member
 from papayacourse.meshmessages import Beat, Heartbeat, Hello, ServiceLoad
 from papayacourse.peers import Peers
 from papayacourse.rendezvous import ranked
 from papayacourse.settingsync import SettingsSync
 from papayacourse.types import Address, Host, HostKind, HostState
-from papayacourse.watching import DEAD_AFTER, Watch
 
 FORGET_AFTER = 60.0  # seconds after which a dead daemon that is not listed is forgotten
 MAX_SEED_PAUSE = 10.0  # seconds between tries to reach a seed
--- a/tests/features/steps/watching_steps.py
+++ b/tests/features/steps/liveness_steps.py
@@ -8,11 +8,11 @@
 from behave import given, then, when
 
 from papayacourse.exceptions import PeerUnreachable
+from papayacourse.liveness import WATCH_INTERVAL, Watch
 from papayacourse.members import Member
 from papayacourse.meshmessages import Heartbeat, Hello
 from papayacourse.rendezvous import ranked
 from papayacourse.ring import REACH
-from papayacourse.watching import WATCH_INTERVAL, Watch
 
 BEAT_INTERVAL = 2.0  # seconds
 SEED = 11
