Part the mesh from the daemon, so that another front can stand on it

Cause: the platform's front needs links, members, schedulers and places, without settings by path, records and orders. Ruled out: a second copy of that wiring, and switches in the daemon for what is not run. Change: papayacourse/mesh.py ties these parts together; enginewatch asks engines through EngineReports, which another protocol replaces. No behaviour changes.

--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -17,15 +17,11 @@
 
 from papayacourse import invariants, linkclasses, logs, routes
 from papayacourse.catalog import Catalog, Client
-from papayacourse.cellmap import CellMap
-from papayacourse.cells import Cell
 from papayacourse.config import DaemonConfig
 from papayacourse.cursor import CursorSigner
-from papayacourse.duties import Duties
 from papayacourse.enginelist import permitted
 from papayacourse.enginereader import EngineReader
 from papayacourse.exceptions import RequestRefused
-from papayacourse.gateways import Gateways
 from papayacourse.hostlist import HostList
 from papayacourse.joins import KeyedRelays
 from papayacourse.kvstore import KeyValueStore
@@ -33,19 +29,14 @@
 from papayacourse.lifecycle import Lifecycle
 from papayacourse.linkclasses import StreamTraffic
 from papayacourse.listener import Listener
-from papayacourse.membership import Membership
+from papayacourse.mesh import Mesh
 from papayacourse.meshmessages import Hello
 from papayacourse.metrics import Metrics
 from papayacourse.once import OnceRouter
 from papayacourse.orders import LEASE_KEY, Orders, WeightBudget
 from papayacourse.pace import TokenClock, token_clock
-from papayacourse.peers import Peers
-from papayacourse.placement import Placement
-from papayacourse.quarantine import Quarantine
 from papayacourse.records import Records
 from papayacourse.retries import RetryBudgets
-from papayacourse.scheduler import Scheduler
-from papayacourse.scheduling import Scheduling
 from papayacourse.streams import Relay
 from papayacourse.targets import Targets
 from papayacourse.tasks import cancel_all
@@ -103,20 +94,18 @@
         config = self.config
         incarnation = time.time_ns()
         hello = Hello(config.name, incarnation, config.domain, config.region, "", b"")
-        self.peers = Peers(hello, config.mesh_key)
-        linkclasses.report(self.metrics, lambda: self.peers.traffic.by_class, self.streams)
-        self.membership = Membership(
-            hello, self.peers, self.catalog, HostList(config.hostlist), config.seeds
+        self.mesh = Mesh(
+            hello,
+            config.mesh_key,
+            config.seeds,
+            self.catalog,
+            HostList(config.hostlist),
+            self.metrics,
+            self.spawn,
         )
+        self._take_parts()
+        linkclasses.report(self.metrics, lambda: self.peers.traffic.by_class, self.streams)
         self.membership.informed = self.informed
-        self.quarantine = Quarantine(self.peers, lambda: self.metrics.quarantines.add(1))
-        self.peers.on_met = self._met
-        self.gateways = Gateways(self.membership, self.peers)
-        self.cell_map = CellMap(self.catalog, self.membership.host_sync)
-        self.duties = Duties(self.membership, self.cell_map, self._make_scheduler)
-        self.scheduling = Scheduling(self.membership, self.peers, self.duties)
-        self.placement = Placement(self.membership, self.peers, self.cell_map, self.scheduling)
-        self.placement.spill.loads = self.gateways.cell_loads
         targets = Targets(self.catalog, self.membership)
         self.engine_reader = EngineReader(targets, self.membership, self.peers)
         self.metrics.watch_totals(
@@ -133,22 +122,13 @@
         self.once = OnceRouter(self.records, self.membership, self.peers, self)
         mesh = await stack.enter_async_context(self.peers.listening(config.mesh))
         advertised = str(config.advertise_mesh or mesh)
-        self.peers.hello = Hello(
-            config.name, incarnation, config.domain, config.region, advertised, b""
-        )
+        self.mesh.advertise(advertised)
         http = self._listen(stack)
         stack.push_async_callback(self._stop_tasks)
         for work in (
             self.watch.run(),
-            self.peers.tend(),
             self.membership.host_sync.follow(),
-            self.membership.tend(),
-            self.membership.watch.run(),
-            self.membership.catch_up(),
-            self.gateways.run(),
-            self.duties.tend(),
-            self.membership.greet_seeds(),
-            self.placement.report(),
+            *self.mesh.work(),
             self.engine_reader.run(),
             self.orders.run(),
         ):
@@ -158,6 +138,17 @@
         logs.info("ready", http=str(http), mesh=str(mesh), version=__version__)
         print(json.dumps({"ready": config.name, "http": str(http), "mesh": str(mesh)}), flush=True)
 
+    def _take_parts(self) -> None:
+        """Call the mesh's parts by the names that handlers and commands use."""
+        self.peers = self.mesh.peers
+        self.membership = self.mesh.membership
+        self.quarantine = self.mesh.quarantine
+        self.gateways = self.mesh.gateways
+        self.cell_map = self.mesh.cell_map
+        self.duties = self.mesh.duties
+        self.scheduling = self.mesh.scheduling
+        self.placement = self.mesh.placement
+
     def _listen(self, stack: AsyncExitStack) -> Address:
         config = self.config
         self.server = Listener(
@@ -197,8 +188,7 @@
 
     async def _stop_tasks(self) -> None:
         await self.duties.close()
-        beating = self.membership.heartbeats.tasks.values()
-        waiting = [*self.tasks, *self.held, *beating, *self.membership.watch.probes]
+        waiting = [*self.tasks, *self.held, *self.mesh.waiting()]
         await cancel_all(waiting)
 
     # What the handlers use.
@@ -235,22 +225,6 @@
             if not self.busy.total():
                 self.idle.set()
 
-    def _met(self, hello: Hello) -> None:
-        self.membership.met(hello)
-        self.spawn(self.quarantine.greet(hello.name))
-
-    def _make_scheduler(self, cell: Cell) -> Scheduler:
-        scheduler = Scheduler(
-            cell, self.catalog, self.membership, self.cell_map, self.scheduling.tell
-        )
-        scheduler.waiting.copies.is_suspect = self.quarantine.is_suspect
-        scheduler.waiting.check_quarantine = self.quarantine.check
-        attributes = {"team": cell.team, "service": cell.service}
-        scheduler.watch.count = lambda engine, number: self.metrics.preemptions.add(
-            number, attributes | {"engine": engine}
-        )
-        return scheduler
-
     def token_clock(self, generation: GenerationRequest) -> TokenClock:
         """Return a clock for the tokens of one generation."""
         return token_clock(self.metrics, generation)
--- a/papayacourse/enginewatch.py
+++ b/papayacourse/enginewatch.py
@@ -42,6 +42,27 @@
     task: asyncio.Task | None = None
 
 
+@define(eq=False)
+class EngineReports:
+    """Reads what engines say of themselves; this one in the product's own protocol.
+
+    Attributes
+    ----------
+    interval : float
+        Seconds between two reports asked of an engine.
+    """
+
+    interval: float = POLL_INTERVAL
+
+    async def load(self, ledger: EngineLedger) -> engines.EngineLoad:
+        """Return an engine's load; raises BackendError."""
+        return await engines.load(ledger.address)
+
+    async def cache_events(self, ledger: EngineLedger, after: int) -> engines.CacheEvents:
+        """Return what an engine's cache has gained and lost since an event's number."""
+        return await engines.cache_events(ledger.address, after)
+
+
 def count_nothing(_engine: str, _preemptions: int) -> None:
     """Count nothing, until the daemon says where to."""
 
@@ -54,12 +75,15 @@
     ----------
     count : callable
         Called with an engine's name and its preemptions since the last report, for metrics.
+    reports : EngineReports
+        How engines are asked.
     """
 
     prefixes: PrefixIndex
     clock: Callable[[], float] = time.monotonic
     count: Callable[[str, int], None] = count_nothing
     watched: dict[str, Watched] = field(factory=dict)
+    reports: EngineReports = field(factory=EngineReports)
 
     # Queries.
 
@@ -105,7 +129,7 @@
 
     async def _poll(self, ledger: EngineLedger, seen: Watched) -> None:
         try:
-            load = await engines.load(ledger.address)
+            load = await self.reports.load(ledger)
             self._take(ledger, seen, load)
             seen.polls += 1
             if seen.polls % EVENTS_EVERY == 1:
@@ -142,5 +166,5 @@
 
     async def _take_events(self, ledger: EngineLedger) -> None:
         after = self.prefixes.heard.get(ledger.name, 0)
-        found = await engines.cache_events(ledger.address, after)
+        found = await self.reports.cache_events(ledger, after)
         self.prefixes.take_events(ledger.name, found.events, found.last, self.clock())
--- /dev/null
+++ b/papayacourse/mesh.py
@@ -0,0 +1,99 @@
+"""The parts of a daemon that deal with other daemons: links, members, schedulers, places."""
+
+from collections.abc import Callable, Coroutine, Iterator
+
+from attrs import define, evolve, field
+
+from papayacourse.catalog import Catalog
+from papayacourse.cellmap import CellMap
+from papayacourse.cells import Cell
+from papayacourse.duties import Duties
+from papayacourse.enginewatch import EngineReports
+from papayacourse.gateways import Gateways
+from papayacourse.hostlist import HostList
+from papayacourse.membership import Membership
+from papayacourse.meshmessages import Hello
+from papayacourse.metrics import Metrics
+from papayacourse.peers import Peers
+from papayacourse.placement import Placement
+from papayacourse.quarantine import Quarantine
+from papayacourse.scheduler import Scheduler
+from papayacourse.scheduling import Scheduling
+from papayacourse.types import Address
+
+
+@define(eq=False, slots=False)
+class Mesh:
+    """What one daemon shares with the others, tied together.
+
+    Attributes
+    ----------
+    hello : Hello
+        Who this daemon is.
+    host_list : HostList
+        Where a newer host list is read.
+    spawn : callable
+        Runs a coroutine for as long as the daemon runs.
+    reports : EngineReports
+        Reads what an engine says of its load and its cache.
+    """
+
+    hello: Hello
+    key: str
+    seeds: tuple[Address, ...]
+    catalog: Catalog
+    host_list: HostList
+    metrics: Metrics
+    spawn: Callable[[Coroutine], object]
+    reports: EngineReports = field(factory=EngineReports)
+
+    def __attrs_post_init__(self) -> None:
+        self.peers = Peers(self.hello, self.key)
+        self.membership = Membership(
+            self.hello, self.peers, self.catalog, self.host_list, self.seeds
+        )
+        self.quarantine = Quarantine(self.peers, lambda: self.metrics.quarantines.add(1))
+        self.peers.on_met = self._met
+        self.gateways = Gateways(self.membership, self.peers)
+        self.cell_map = CellMap(self.catalog, self.membership.host_sync)
+        self.duties = Duties(self.membership, self.cell_map, self._make_scheduler)
+        self.scheduling = Scheduling(self.membership, self.peers, self.duties)
+        self.placement = Placement(self.membership, self.peers, self.cell_map, self.scheduling)
+        self.placement.spill.loads = self.gateways.cell_loads
+
+    def advertise(self, address: str) -> None:
+        """Tell peers met from now on where this daemon listens for links."""
+        self.peers.hello = evolve(self.hello, mesh=address)
+
+    def work(self) -> Iterator[Coroutine]:
+        """Yield what has to run for as long as the daemon runs."""
+        yield self.peers.tend()
+        yield self.membership.tend()
+        yield self.membership.watch.run()
+        yield self.membership.catch_up()
+        yield self.gateways.run()
+        yield self.duties.tend()
+        yield self.membership.greet_seeds()
+        yield self.placement.report()
+
+    def waiting(self) -> list:
+        """Return the tasks that the parts have begun themselves."""
+        beating = self.membership.heartbeats.tasks.values()
+        return [*beating, *self.membership.watch.probes]
+
+    def _met(self, hello: Hello) -> None:
+        self.membership.met(hello)
+        self.spawn(self.quarantine.greet(hello.name))
+
+    def _make_scheduler(self, cell: Cell) -> Scheduler:
+        scheduler = Scheduler(
+            cell, self.catalog, self.membership, self.cell_map, self.scheduling.tell
+        )
+        scheduler.waiting.copies.is_suspect = self.quarantine.is_suspect
+        scheduler.waiting.check_quarantine = self.quarantine.check
+        scheduler.watch.reports = self.reports
+        attributes = {"team": cell.team, "service": cell.service}
+        scheduler.watch.count = lambda engine, number: self.metrics.preemptions.add(
+            number, attributes | {"engine": engine}
+        )
+        return scheduler
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -11,7 +11,6 @@
 from papayacourse.cellmap import CellMap
 from papayacourse.cells import Cell
 from papayacourse.enginelist import EngineList
-from papayacourse.enginewatch import POLL_INTERVAL
 from papayacourse.estimates import WAIT_SAFETY
 from papayacourse.farjoins import JOIN_TIMEOUT, goes_first
 from papayacourse.grants import Answer, GrantQueue, Tell
@@ -225,4 +224,4 @@
             self.waiting.serve()
             for _ in range(LOOKS):
                 self.waiting.look()
-                await asyncio.sleep(POLL_INTERVAL / LOOKS)
+                await asyncio.sleep(self.watch.reports.interval / LOOKS)
