--- a/papayacourse/config.py
+++ b/papayacourse/config.py
@@ -192,6 +192,35 @@
         return Failure([Fault(where, spec.section, spec.option, str(error))])
 
 
+def parse_options(
+    where: str, text: str, options: tuple[Option, ...], cls: type
+) -> Result[object, list[Fault]]:
+    """Read options from an INI text into an object of a class, or every fault in it."""
+    match parse_ini(where, text):
+        case Failure(faults):
+            return Failure(faults)
+        case Success(ini):
+            pass
+    arguments: dict = {}
+    faults = unknown_options(where, ini, {(spec.section, spec.option) for spec in options})
+    for spec in options:
+        match read_option(where, ini, spec):
+            case Success(found):
+                arguments |= found
+            case Failure(more):
+                faults += more
+    return Failure(faults) if faults else Success(cls(**arguments))
+
+
+def load_options(file: str, parse: Callable[[str, str], Result]) -> Result[object, list[Fault]]:
+    """Read a configuration from a file, by what parses its text."""
+    try:
+        text = Path(file).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure([Fault(file, "", "", f"cannot be read: {error}")])
+    return parse(file, text)
+
+
 def parse_config(where: str, text: str) -> Result[DaemonConfig, list[Fault]]:
     """Read a daemon's configuration.
 
@@ -207,26 +236,9 @@
     Result
         The configuration, or every fault in it.
     """
-    match parse_ini(where, text):
-        case Failure(faults):
-            return Failure(faults)
-        case Success(ini):
-            pass
-    arguments: dict = {}
-    faults = unknown_options(where, ini, {(spec.section, spec.option) for spec in OPTIONS})
-    for spec in OPTIONS:
-        match read_option(where, ini, spec):
-            case Success(found):
-                arguments |= found
-            case Failure(more):
-                faults += more
-    return Failure(faults) if faults else Success(DaemonConfig(**arguments))
+    return parse_options(where, text, OPTIONS, DaemonConfig)
 
 
 def load_config(file: str) -> Result[DaemonConfig, list[Fault]]:
     """Read a daemon's configuration from a file."""
-    try:
-        text = Path(file).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        return Failure([Fault(file, "", "", f"cannot be read: {error}")])
-    return parse_config(file, text)
+    return load_options(file, parse_config)
--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -225,6 +225,14 @@
             if not self.busy.total():
                 self.idle.set()
 
+    def pending(self) -> list[asyncio.Task]:
+        """Return what a planned stop waits for besides the requests in progress."""
+        return [*self.held, *self.records.persisting]
+
+    def unfinished(self) -> dict[str, int]:
+        """Count what a planned stop waits for, for its log lines."""
+        return {"held": len(self.held), "unwritten": len(self.records.persisting)}
+
     def token_clock(self, generation: GenerationRequest) -> TokenClock:
         """Return a clock for the tokens of one generation."""
         return token_clock(self.metrics, generation)
--- a/papayacourse/hostchanges.py
+++ b/papayacourse/hostchanges.py
@@ -17,7 +17,7 @@
     """Return a hash over hosts, whatever their order."""
     total = 0
     for host in hosts:
-        total ^= xxhash.xxh3_64_intdigest("\0".join(astuple(host)).encode())
+        total ^= xxhash.xxh3_64_intdigest("\0".join(map(str, astuple(host))).encode())
     return total
 
 
--- a/papayacourse/httpcall.py
+++ b/papayacourse/httpcall.py
@@ -137,12 +137,13 @@
             max_body_size=MAX_STREAM_BYTES,
         )
         connection = HTTP1Connection(self.stream, True, parameters)
-        self.request_headers["Host"] = str(self.address)
+        self.request_headers.setdefault("Host", str(self.address))
         self.request_headers["Connection"] = "close"
         self.request_headers["Content-Length"] = str(len(self.body))
         line = RequestStartLine(self.method, self.path, "")
         try:
-            await connection.write_headers(line, self.request_headers, self.body)
+            # Not awaited: an answer may come before the other side has read a long body.
+            connection.write_headers(line, self.request_headers, self.body)
             connection.finish()
             await connection.read_response(self)
         except (StreamClosedError, OSError):
@@ -175,7 +176,8 @@
 
     def finish(self) -> None:
         """Note that the whole body has come (called by tornado)."""
-        self.finished = True
+        # A body without a length ends with its connection, unless that was reset.
+        self.finished = self.stream.error is None
 
     def on_connection_close(self) -> None:
         """Note that the connection has gone (called by tornado)."""
--- a/papayacourse/lifecycle.py
+++ b/papayacourse/lifecycle.py
@@ -61,8 +61,7 @@
             logs.error(
                 "stopped before every request had ended",
                 cut_off=daemon.busy.total(),
-                held=len(daemon.held),
-                unwritten=len(daemon.records.persisting),
+                **daemon.unfinished(),
             )
             return EXIT_CUT_OFF
         logs.info("stopped", seconds=time.monotonic() - began)
@@ -71,18 +70,12 @@
     async def _finish(self) -> None:
         """Wait for the requests in progress, streams held for callers, and unwritten records."""
         daemon = self.daemon
-        while daemon.busy.total() or daemon.held or daemon.records.persisting:
-            waits = [asyncio.ensure_future(daemon.idle.wait()), *daemon.held]
-            waits += daemon.records.persisting
+        while daemon.busy.total() or daemon.pending():
+            waits = [asyncio.ensure_future(daemon.idle.wait()), *daemon.pending()]
             if not daemon.busy.total():
                 waits.pop(0).cancel()
             done, _ = await asyncio.wait(
                 waits, timeout=DRAIN_LOG_INTERVAL, return_when=asyncio.FIRST_COMPLETED
             )
             if not done:
-                logs.info(
-                    "still stopping",
-                    in_progress=daemon.busy.total(),
-                    held=len(daemon.held),
-                    unwritten=len(daemon.records.persisting),
-                )
+                logs.info("still stopping", in_progress=daemon.busy.total(), **daemon.unfinished())
--- a/papayacourse/logs.py
+++ b/papayacourse/logs.py
@@ -7,6 +7,8 @@
 
 import eliot
 
+from papayacourse.boundedwriter import BoundedWriter
+
 
 class LogLevel(enum.IntEnum):
     """How much is written; each level includes those above it."""
@@ -18,6 +20,7 @@
 
 
 threshold = LogLevel.INFO
+output: BoundedWriter | None = None
 bound: contextvars.ContextVar[str] = contextvars.ContextVar("request", default="")
 
 
@@ -47,6 +50,16 @@
     eliot.to_file(sys.stderr)
 
 
+def start_bounded(level: str, daemon: str) -> None:
+    """Send log lines to standard output, a bounded number each second, and never wait for it."""
+    global threshold, output
+    threshold = LogLevel[level.upper()]
+    eliot.add_global_fields(daemon=daemon)
+    if output is None:
+        output = BoundedWriter(sys.stdout.fileno())
+        eliot.to_file(output)
+
+
 def write(level: LogLevel, event: str, **fields) -> None:
     """Write one line, unless the level is below the threshold."""
     if level >= threshold:
--- a/papayacourse/membership.py
+++ b/papayacourse/membership.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 
 from attrs import define, field
 
@@ -28,6 +28,10 @@
 GATEWAYS = 2  # daemons of a domain that keep links to another one
 
 
+async def ignore_document(_peer: str, _version: int) -> None:
+    """Have no use for settings documents."""
+
+
 @define(eq=False)
 class Membership:
     """Keeps the list of members and the links they need.
@@ -40,6 +44,10 @@
         Returns the loads of the services that this daemon schedules.
     informed : callable
         Tells whether this daemon knows enough to take duties: settings and hosts.
+    document_version : callable
+        Returns the version of the settings document in force here; 0 without one.
+    peer_document : callable
+        Called with a peer's name and the version of its document.
     remote_live : callable
         Returns the live daemons of another domain, as its own gateways tell.
     """
@@ -57,6 +65,8 @@
     settings: SettingsSync = field(init=False)
     loads_here: Callable[[], tuple[ServiceLoad, ...]] = tuple
     informed: Callable[[], bool] = lambda: True
+    document_version: Callable[[], int] = lambda: 0
+    peer_document: Callable[[str, int], Awaitable[None]] = ignore_document
     remote_live: Callable[[str], list[str]] = lambda _domain: []
     host_sync: HostSync = field(init=False)
     heartbeats: Heartbeats = field(init=False)
@@ -220,6 +230,7 @@
         """Ask a peer for what its last heartbeat says that it knows better."""
         told = (member.beat.hosts_epoch, member.beat.hosts_version)
         self.host_sync.peer_has(member.name, told)
+        await self.peer_document(member.name, member.beat.document_version)
         await self.settings.compare(member.name, member.beat.settings_digest)
 
     async def catch_up(self) -> None:
@@ -295,6 +306,7 @@
             self.loads_here(),
             self.hosts.epoch,
             on_ring=True,
+            document_version=self.document_version(),
         )
 
     async def leave(self) -> None:
--- a/papayacourse/meshmessages.py
+++ b/papayacourse/meshmessages.py
@@ -74,6 +74,8 @@
         The services that it schedules.
     on_ring : bool
         Whether it watches its neighbours on the ring only; one that does not watches everybody.
+    document_version : int
+        The version of the settings document in force there; 0 without one.
     """
 
     name: str
@@ -84,6 +86,7 @@
     loads: tuple[ServiceLoad, ...] = ()
     hosts_epoch: int = 0
     on_ring: bool = False
+    document_version: int = 0
 
 
 @frozen
@@ -229,3 +232,18 @@
 
     values: tuple[SettingsValue, ...]
     more: bool = False
+
+
+@frozen
+class DocumentAsk:
+    """Asks for the settings document if it is newer than this version."""
+
+    version: int
+
+
+@frozen
+class DocumentCopy:
+    """A settings document, as the platform's store has it."""
+
+    version: int
+    source: bytes
--- a/papayacourse/messages.py
+++ b/papayacourse/messages.py
@@ -11,6 +11,8 @@
     Beat,
     CallFailed,
     DeathReport,
+    DocumentAsk,
+    DocumentCopy,
     DomainLoads,
     DomainSummary,
     Done,
@@ -79,4 +81,6 @@
     | EnginesOutOfLine
     | DeathReport
     | JoinRequest
+    | DocumentAsk
+    | DocumentCopy
 )
--- a/papayacourse/metrics.py
+++ b/papayacourse/metrics.py
@@ -31,6 +31,8 @@
             buckets("papayacourse_time_between_tokens", SECONDS),
             buckets("papayacourse_stall_time", SECONDS),
             buckets("papayacourse_queue_wait", SECONDS),
+            buckets("papayacourse_request_time", SECONDS),
+            buckets("papayacourse_time_to_first_event", SECONDS),
             buckets("papayacourse_output_length", TOKENS),
         ]
         self.provider = MeterProvider(
@@ -44,6 +46,8 @@
         self.between_tokens = meter.create_histogram("papayacourse_time_between_tokens", "s")
         self.stall = meter.create_histogram("papayacourse_stall_time", "s")
         self.queue_wait = meter.create_histogram("papayacourse_queue_wait", "s")
+        self.request_time = meter.create_histogram("papayacourse_request_time", "s")
+        self.first_event = meter.create_histogram("papayacourse_time_to_first_event", "s")
         self.output_length = meter.create_histogram("papayacourse_output_length", "{token}")
         self.requests = meter.create_counter("papayacourse_requests")
         self.refusals = meter.create_counter("papayacourse_refusals")
--- a/papayacourse/placement.py
+++ b/papayacourse/placement.py
@@ -322,6 +322,14 @@
         number = self.numbers.of(generation.stream)
         self.relayed[generation.stream] = StreamState(small, engine, generated, number)
 
+    def adopt(self, generation: GenerationRequest, engine: str, domain: str) -> None:
+        """Note that a stream goes on at an engine that no scheduler was asked for."""
+        me = self.membership.me
+        if domain != me.domain:
+            self.placed_in[generation.stream] = domain
+        cell = self.cell_map.of_engine(domain, generation.team, generation.service, engine)
+        self.asked_in[generation.stream] = cell.number
+
     def forget(self, generation: GenerationRequest) -> None:
         """Stop reporting a stream that another daemon answers for now."""
         self.relayed.pop(generation.stream, None)
--- /dev/null
+++ b/papayacourse/routed/config.py
@@ -0,0 +1,157 @@
+"""The configuration of a daemon that serves routed requests, from its INI file."""
+
+from pathlib import Path
+
+from attrs import define, frozen
+from returns.result import Failure, Result, Success
+
+from papayacourse import logs
+from papayacourse.config import (
+    Option,
+    address_list,
+    load_options,
+    log_level,
+    parse_options,
+    positive,
+    secret,
+    word,
+)
+from papayacourse.routed.budget import BudgetLimits
+from papayacourse.types import Address, Fault
+
+STOP_RESERVE = 0.4  # seconds kept for the last of a stop, before the kill
+LEAST_STOP = 0.5  # seconds
+
+
+@frozen
+class RoutedConfig:
+    """Everything the daemon must know before it meets the platform.
+
+    Attributes
+    ----------
+    name : str
+        The entry host's name.
+    domain, region : str
+        The failure domain and the region it stands in.
+    regions : dict of str to str
+        The region of each failure domain.
+    http, readiness, mesh, metrics : Address
+        Where to listen for callers, for the balancer's questions, for other daemons and for
+        whoever reads metrics.
+    store : Address
+        The platform's store.
+    seeds : tuple of Address
+        Mesh addresses to try when the store cannot be asked.
+    grace : float
+        The time from the signal to the kill, in seconds.
+    stop_notice : float
+        How long a stop still accepts connections after turning not ready, in seconds.
+    retry_ratio, retry_slack, retry_window : float
+        What all daemons together may send again to a service; see BudgetLimits.
+    body_room : int
+        What the bodies of all requests in progress may take, in bytes.
+    """
+
+    name: str
+    domain: str
+    region: str
+    regions: dict[str, str]
+    http: Address
+    readiness: Address
+    mesh: Address
+    metrics: Address
+    store: Address
+    mesh_key: str
+    seeds: tuple[Address, ...] = ()
+    log_level: str = "info"
+    grace: float = 8.0
+    stop_notice: float = 2.2
+    retry_ratio: float = 0.1
+    retry_slack: float = 10.0
+    retry_window: float = 10.0
+    body_room: int = 24 * 1024 * 1024
+
+    @property
+    def stop_timeout(self) -> float:
+        """Return how long requests in progress may take after the notice, in seconds."""
+        return max(LEAST_STOP, self.grace - self.stop_notice - STOP_RESERVE)
+
+    @property
+    def budget(self) -> BudgetLimits:
+        """Return the limits of repeated sends."""
+        return BudgetLimits(self.retry_ratio, self.retry_slack, self.retry_window)
+
+
+def region_table(text: str) -> dict[str, str]:
+    """Read pairs such as ``domain = region``, one a line."""
+    table = {}
+    for line in filter(None, map(str.strip, text.splitlines())):
+        domain, equals, region = (part.strip() for part in line.partition("="))
+        if not (domain and equals and region):
+            raise ValueError(f"{line!r} is not DOMAIN = REGION")
+        table[domain] = region
+    return table
+
+
+OPTIONS = (
+    Option("daemon", "name", "name", word),
+    Option("daemon", "domain", "domain", word),
+    Option("daemon", "region", "region", word),
+    Option("daemon", "regions", "regions", region_table),
+    Option("listen", "http", "http", Address.parse),
+    Option("listen", "readiness", "readiness", Address.parse),
+    Option("listen", "mesh", "mesh", Address.parse),
+    Option("listen", "metrics", "metrics", Address.parse),
+    Option("platform", "store", "store", Address.parse),
+    Option("mesh", "key", "mesh_key", secret),
+    Option("mesh", "seeds", "seeds", address_list, required=False),
+    Option("log", "level", "log_level", log_level, required=False),
+    Option("limits", "grace", "grace", positive(float), required=False),
+    Option("limits", "stop_notice", "stop_notice", positive(float), required=False),
+    Option("limits", "body_room", "body_room", positive(int), required=False),
+    Option("retries", "ratio", "retry_ratio", positive(float), required=False),
+    Option("retries", "slack", "retry_slack", positive(float), required=False),
+    Option("retries", "window", "retry_window", positive(float), required=False),
+)
+
+
+def parse_routed(where: str, text: str) -> Result[RoutedConfig, list[Fault]]:
+    """Read the configuration, or every fault in it."""
+    return parse_options(where, text, OPTIONS, RoutedConfig)
+
+
+def load_routed(file: str) -> Result[RoutedConfig, list[Fault]]:
+    """Read the configuration from a file."""
+    return load_options(file, parse_routed)
+
+
+@define
+class ConfigFile:
+    """A configuration file that may change while the daemon runs, with or without a signal.
+
+    Attributes
+    ----------
+    text : str
+        What it said when it was last read.
+    """
+
+    path: str
+    text: str = ""
+
+    def changed(self) -> bool:
+        """Tell whether the file says something else than when it was last read."""
+        try:
+            return Path(self.path).read_text(encoding="utf-8") != self.text
+        except (OSError, UnicodeDecodeError):
+            # It is being replaced; the next look sees the new one.
+            return False
+
+    def read(self) -> RoutedConfig | None:
+        """Return what the file says now, or None where that cannot be used."""
+        match load_routed(self.path):
+            case Success(config):
+                self.text = Path(self.path).read_text(encoding="utf-8")
+                return config
+            case Failure(faults):
+                logs.error("configuration refused", faults=[str(fault) for fault in faults])
+        return None
--- /dev/null
+++ b/papayacourse/routed/daemon.py
@@ -0,0 +1,273 @@
+"""The daemon that serves routed requests: owns every part, starts and stops them in order."""
+
+import asyncio
+import signal
+import socket
+import time
+from collections import Counter
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+
+from attrs import define, field
+from tornado.netutil import bind_sockets
+from tornado.web import Application
+
+from papayacourse import invariants, logs
+from papayacourse.catalog import Catalog
+from papayacourse.hostlist import HostListing
+from papayacourse.lifecycle import Lifecycle
+from papayacourse.linkclasses import Place
+from papayacourse.listener import Listener
+from papayacourse.mesh import Mesh
+from papayacourse.meshmessages import Hello
+from papayacourse.metrics import Metrics
+from papayacourse.routed.admitted import Admitted
+from papayacourse.routed.budget import FleetBudget
+from papayacourse.routed.choice import ServerChoice
+from papayacourse.routed.config import ConfigFile, RoutedConfig
+from papayacourse.routed.derived import bring_in_line
+from papayacourse.routed.directory import Directory
+from papayacourse.routed.document import CallerLimits, Document
+from papayacourse.routed.documents import Documents
+from papayacourse.routed.evacuation import Evacuation
+from papayacourse.routed.fleetview import FleetView
+from papayacourse.routed.front import TEAM, Front
+from papayacourse.routed.pages import pages
+from papayacourse.routed.reports import AdapterReports
+from papayacourse.routed.seams import EngineCalls, RequestCodec, Store
+from papayacourse.routed.storefollower import StoreFollower
+from papayacourse.tasks import cancel_all
+from papayacourse.types import Address, Host, HostKind
+from papayacourse.version import __version__
+
+HARD_LIMIT_FACTOR = 4  # what tornado bounds, against what the document allows
+SEND_BUFFER_BYTES = 64 * 1024  # in the kernel, for each caller
+EXIT_BAD_CONFIG = 2
+TICK = 0.25  # seconds between looks at what time changes
+
+
+@define
+class Adapter:
+    """What a platform's adapter brings: its store, its codec and its calls to engines."""
+
+    store: Store
+    codec: RequestCodec
+    engine_calls: EngineCalls
+
+
+class NoHostList:
+    """Stands where a host list is read; here the store is followed instead."""
+
+    async def get(self) -> None:
+        """Return no list."""
+
+
+@define(eq=False, slots=False)
+class RoutedDaemon:
+    """One daemon in front of a platform.
+
+    Attributes
+    ----------
+    file : ConfigFile
+        Where the configuration came from.
+    """
+
+    config: RoutedConfig
+    adapter: Adapter
+    file: ConfigFile
+    tasks: set[asyncio.Task] = field(factory=set)
+
+    def __attrs_post_init__(self) -> None:
+        config = self.config
+        self.metrics = Metrics(config.name)
+        invariants.start(False, lambda name: self.metrics.violations.add(1, {"name": name}))
+        self.lifecycle = Lifecycle(self)
+        self.catalog = Catalog()
+        self.ready = False
+        incarnation = time.time_ns()
+        self.hello = Hello(
+            config.name, incarnation, config.domain, config.region, str(config.mesh), b""
+        )
+        self.mesh = Mesh(
+            self.hello, config.mesh_key, config.seeds, self.catalog, NoHostList(), self.metrics,
+            self.spawn, AdapterReports(self.adapter.engine_calls, self.host),
+        )  # fmt: skip
+        self.membership, self.duties = self.mesh.membership, self.mesh.duties
+        self.documents = Documents(self.mesh.peers, self.adapter.store.decode_document, self._news)
+        self.directory = Directory(self._listed)
+        self.membership.informed = self.informed
+        self.membership.document_version = lambda: self.documents.version
+        self.membership.peer_document = self.documents.peer_has
+        self.budget = FleetBudget(config.budget, self._daemons)
+        self.fleet = FleetView(
+            self.membership, self.mesh.placement, self.budget, self.adapter.codec,
+            self.adapter.engine_calls, self._note_first_event,
+        )  # fmt: skip
+        self.evacuation = Evacuation(self.fleet)
+        self.front = Front(
+            self.documents, self.fleet, ServerChoice(Place(config.domain, config.region)),
+            self.evacuation, self.mesh.quarantine, self.metrics,
+            self.lifecycle.stopping.is_set, config.body_room,
+        )  # fmt: skip
+        me = Host(
+            config.name, HostKind.ENTRY, str(config.http), config.domain, config.region,
+            mesh=str(config.mesh),
+        )  # fmt: skip
+        self.follower = StoreFollower(self.adapter.store, self.documents, self.directory, me)
+
+    # What the lifecycle asks.
+
+    @property
+    def busy(self) -> Counter:
+        """Return the requests in progress, by kind."""
+        return self.front.busy
+
+    @property
+    def idle(self) -> asyncio.Event:
+        """Return what is set while no request is in progress."""
+        return self.front.idle
+
+    def pending(self) -> list[asyncio.Task]:
+        """Return what a planned stop waits for besides the requests in progress."""
+        return []
+
+    def unfinished(self) -> dict[str, int]:
+        """Count what a planned stop waits for, for its log lines."""
+        return {}
+
+    # Queries.
+
+    def informed(self) -> bool:
+        """Tell whether a document and the servers are known, from the store or from a peer."""
+        return self.documents.current is not None and (
+            self.directory.known or self.membership.host_sync.known
+        )
+
+    def host(self, name: str) -> Host | None:
+        """Return a listed host by its name."""
+        return self.fleet.host(name)
+
+    def is_ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return self.ready and not self.lifecycle.stopping.is_set() and self.informed()
+
+    def _daemons(self) -> int:
+        """Return how many daemons share the retry budget; forgotten ones count no more."""
+        return 1 + len(self.membership.members)
+
+    # Commands.
+
+    async def run(self) -> int:
+        """Serve until told to stop, then finish what is in progress; returns the exit status."""
+        async with AsyncExitStack() as stack:
+            await self._open(stack)
+            await self.lifecycle.stopping.wait()
+            leaving = self.spawn(self.follower.leave())
+            status = await self.lifecycle.drain()
+            leaving.cancel()
+            return status
+
+    async def _open(self, stack: AsyncExitStack) -> None:
+        config = self.config
+        await stack.enter_async_context(self.mesh.peers.listening(config.mesh))
+        self.server = self._listen(stack, config.http, self.front)
+        for address in {config.readiness, config.metrics}:
+            self._listen(stack, address, Application(pages(self), log_function=lambda _: None))
+        stack.push_async_callback(self._stop_tasks)
+        for work in (
+            self.follower.follow_document(),
+            self.follower.follow_engines(),
+            self.follower.follow_members(),
+            self.follower.stay_listed(),
+            *self.mesh.work(),
+            self.evacuation.run(),
+            self._tick(),
+        ):
+            self.spawn(work)
+        self.lifecycle.listen_for_signals()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self._reload, "signal")
+        self.ready = True
+        logs.info("started", version=__version__, http=str(config.http), mesh=str(config.mesh))
+
+    def _listen(self, stack: AsyncExitStack, address: Address, served: object) -> Listener:
+        limits = CallerLimits()
+        server = Listener(
+            served,
+            max_body_size=limits.body_bytes * HARD_LIMIT_FACTOR,
+            max_header_size=limits.header_bytes * HARD_LIMIT_FACTOR,
+            max_buffer_size=limits.header_bytes * HARD_LIMIT_FACTOR * 2,
+            idle_connection_timeout=limits.idle_time,
+        )
+        sockets = bind_sockets(address.port, address.host)
+        for listener in sockets:
+            # Accepted connections inherit it: what a caller does not read stays with the engine.
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        server.add_sockets(sockets)
+        stack.push_async_callback(server.close_all_connections)
+        return server
+
+    def spawn(self, work) -> asyncio.Task:
+        """Run something for as long as the daemon runs; its failure is logged."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._task_done)
+        return task
+
+    def _task_done(self, task: asyncio.Task) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logs.failure("task failed", task.exception())
+
+    async def _stop_tasks(self) -> None:
+        await self.duties.close()
+        await cancel_all([*self.tasks, *self.mesh.waiting()])
+
+    def _news(self, document: Document) -> None:
+        """Put a newer document in force."""
+        bring_in_line(self.catalog, document, TEAM)
+        self.server.conn_params.header_timeout = document.limits.idle_time
+
+    def _listed(self, listing: HostListing) -> None:
+        """Take a newer listing of hosts, and empty engines that leave."""
+        self.membership.host_sync.take(listing)
+        self.front.choice.keep({host.name for host in self.membership.hosts.hosts})
+        self.evacuation.look()
+
+    async def _tick(self) -> None:
+        """Look at what time alone changes, for ever."""
+        while True:
+            await asyncio.sleep(TICK)
+            self.directory.expire()
+            if self.file.changed():
+                self._reload("file changed")
+
+    def _reload(self, why: str) -> None:
+        """Take what may change while running from the configuration file."""
+        fresh = self.file.read()
+        if fresh is None:
+            logs.error("configuration not reloaded", why=why)
+            return
+        self.config = fresh
+        self.budget.limits = fresh.budget
+        self.front.body_room = fresh.body_room
+        logs.info("configuration reloaded", why=why)
+
+    def _note_first_event(self, admitted: Admitted) -> None:
+        seconds = time.monotonic() - admitted.came_at
+        attributes = {"route": admitted.route.name, "account": admitted.account_name}
+        self.metrics.first_event.record(seconds, attributes)
+
+
+def serve(file: str, make_adapter: Callable[[RoutedConfig], Adapter]) -> int:
+    """Run a daemon with the configuration of a file; returns its exit status."""
+    logs.start_bounded("info", "")
+    source = ConfigFile(file)
+    config = source.read()
+    if config is None:
+        return EXIT_BAD_CONFIG
+    logs.start_bounded(config.log_level, config.name)
+    try:
+        return asyncio.run(RoutedDaemon(config, make_adapter(config), source).run())
+    except OSError as error:
+        logs.failure("cannot start", error)
+        return 1
--- /dev/null
+++ b/papayacourse/routed/derived.py
@@ -0,0 +1,54 @@
+"""Derives the settings that schedulers read from the settings document."""
+
+from collections.abc import Iterator
+
+from papayacourse.catalog import Catalog
+from papayacourse.meshmessages import SettingsValue
+from papayacourse.routed.document import Document, Service
+from papayacourse.settings import ROOT
+
+SPILL_SAME_REGION = 0.05  # seconds of waiting that a place in another failure domain must save
+SPILL_OTHER_REGION = 0.3  # seconds, in another region, for its round trips and slower moves
+MEMORY_MARGIN = 0.05  # part of an engine's memory kept free
+WAIT_LIMIT = 1.5  # seconds, for the estimates of a queue; each request brings its own limit
+
+
+def service_text(service: Service) -> str:
+    """Return a model service's settings."""
+    return (
+        f"[service]\nkind = engine\nwait_limit = {WAIT_LIMIT}\n"
+        f"max_output_tokens = {service.engine.memory_tokens}\n"
+        f"spill_same_region = {SPILL_SAME_REGION}\nspill_other_region = {SPILL_OTHER_REGION}\n"
+    )
+
+
+def deployment_text(service: Service) -> str:
+    """Return the settings of the one deployment that a model service has."""
+    return (
+        f"[deployment]\nservice = {service.name}\nbackends = {service.name}/*\n"
+        f"memory_tokens = {service.engine.memory_tokens}\nmax_batch = {service.engine.slots}\n"
+        f"memory_margin = {MEMORY_MARGIN}\n"
+    )
+
+
+def derived_values(document: Document, team: str) -> Iterator[SettingsValue]:
+    """Yield the settings of every model service, as of the document's version."""
+    for service in document.services.values():
+        if service.engine is not None:
+            name, version = service.name, document.version
+            services, deployments = f"{ROOT}{team}/services/", f"{ROOT}{team}/deployments/"
+            yield SettingsValue(f"{services}{name}", version, service_text(service))
+            yield SettingsValue(f"{deployments}{name}", version, deployment_text(service))
+
+
+def bring_in_line(catalog: Catalog, document: Document, team: str) -> None:
+    """Make a catalog say what a document says."""
+    wanted = {value.path: value for value in derived_values(document, team)}
+    for value in wanted.values():
+        known = catalog.values.get(value.path)
+        if known is None or known.text != value.text:
+            catalog.apply(value, from_platform=True)
+    for path, known in list(catalog.values.items()):
+        if path not in wanted and known.text is not None:
+            catalog.apply(SettingsValue(path, document.version, None), from_platform=True)
+    catalog.informed = True
--- /dev/null
+++ b/papayacourse/routed/events.py
@@ -0,0 +1,41 @@
+"""Splits a stream into whole events, so that nothing of a broken one is passed on."""
+
+import re
+
+from attrs import define, field
+
+from papayacourse.exceptions import BackendProtocolError
+
+MAX_EVENT_BYTES = 256 * 1024
+EVENT_END = re.compile(rb"\r?\n\r?\n")
+
+
+@define
+class EventSplitter:
+    """Takes pieces of a stream and gives whole events.
+
+    Attributes
+    ----------
+    rest : bytearray
+        The beginning of an event that has not come whole.
+    """
+
+    rest: bytearray = field(factory=bytearray)
+
+    def feed(self, chunk: bytes) -> list[bytes]:
+        """Return the events that a piece completes, each with the empty line that ends it.
+
+        Raises
+        ------
+        BackendProtocolError
+            When an event is longer than any may be.
+        """
+        self.rest += chunk
+        events, begin = [], 0
+        for end in EVENT_END.finditer(self.rest):
+            events.append(bytes(self.rest[begin : end.end()]))
+            begin = end.end()
+        del self.rest[:begin]
+        if len(self.rest) > MAX_EVENT_BYTES:
+            raise BackendProtocolError(f"an event longer than {MAX_EVENT_BYTES} bytes")
+        return events
--- /dev/null
+++ b/papayacourse/routed/fleetview.py
@@ -0,0 +1,78 @@
+"""What a request in progress needs of its daemon: who is listed, places, budget, codec."""
+
+import random
+from collections.abc import Callable, Iterator
+
+from attrs import define
+
+from papayacourse.linkclasses import LinkClass, Place
+from papayacourse.membership import Membership
+from papayacourse.placement import Placement
+from papayacourse.routed.admitted import Admitted
+from papayacourse.routed.budget import FleetBudget
+from papayacourse.routed.seams import EngineCalls, RequestCodec
+from papayacourse.types import GenerationRequest, Host, HostState
+
+NEAREST_FIRST = (LinkClass.SAME_DOMAIN, LinkClass.SAME_REGION, LinkClass.OTHER_REGION)
+
+
+@define(eq=False)
+class FleetView:
+    """The daemon as requests in progress see it.
+
+    Attributes
+    ----------
+    note_first_event : callable
+        Called with a request whose first event has been passed on.
+    """
+
+    membership: Membership
+    placement: Placement
+    budget: FleetBudget
+    codec: RequestCodec
+    engine_calls: EngineCalls
+    note_first_event: Callable[[Admitted], None]
+
+    @property
+    def here(self) -> Place:
+        """Return where this daemon stands."""
+        return Place(self.membership.me.domain, self.membership.me.region)
+
+    def host(self, name: str) -> Host | None:
+        """Return a listed host by its name."""
+        return next((host for host in self.membership.hosts.hosts if host.name == name), None)
+
+    def is_listed(self, name: str) -> bool:
+        """Tell whether a host is listed, leaving or not."""
+        return self.host(name) is not None
+
+    def servers(self, service: str) -> Iterator[Host]:
+        """Yield the backend servers of a service."""
+        return (host for host in self.membership.hosts.hosts if host.service == service)
+
+    def stays(self, name: str) -> bool:
+        """Tell whether a host is listed and has not been told to leave."""
+        host = self.host(name)
+        return host is not None and host.state == HostState.LIVE
+
+    def backup_for(self, engine: Host, request: GenerationRequest) -> Host | None:
+        """Return an engine to keep a copy of a run, the nearest to the run's own."""
+        there = Place(engine.domain, engine.region)
+        others = [
+            host
+            for host in self.servers(request.service)
+            if host.name != engine.name and host.state == HostState.LIVE
+        ]
+        for reach in NEAREST_FIRST:
+            near = [h for h in others if there.link_to(h.domain, h.region) == reach]
+            if near:
+                return random.choice(near)
+        return None
+
+    async def rebind(
+        self, request: GenerationRequest, before: Host, now: Host, generated: int
+    ) -> None:
+        """Tell the schedulers that a run goes on at another engine."""
+        await self.placement.end(request, before.name, generated, "failed")
+        self.placement.adopt(request, now.name, now.domain)
+        self.placement.progress(request, now.name, generated)
--- /dev/null
+++ b/papayacourse/routed/front.py
@@ -0,0 +1,231 @@
+"""Serves callers: admits each request, has it answered, and says in the log what came of it."""
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from attrs import define, field
+from tornado.httputil import HTTPServerConnectionDelegate
+
+from papayacourse import logs
+from papayacourse.exceptions import RequestRefused
+from papayacourse.metrics import Metrics
+from papayacourse.quarantine import Quarantine, fingerprint
+from papayacourse.routed.admitted import Admitted, admit
+from papayacourse.routed.choice import ServerChoice
+from papayacourse.routed.document import CallerLimits, Repeat, Service
+from papayacourse.routed.documents import Documents
+from papayacourse.routed.evacuation import Evacuation
+from papayacourse.routed.exchange import CallerGone, Exchange, ExchangeOwner
+from papayacourse.routed.fleetview import FleetView
+from papayacourse.routed.generation import Generation, StreamBroken
+from papayacourse.routed.plaincall import PlainCall
+from papayacourse.routed.seams import Prompt
+from papayacourse.types import GenerationRequest, Ran
+
+TEAM = "routed"  # the team that the schedulers know all services of the document by
+PREFIX_HASH_BITS = 63
+
+
+@define(eq=False)
+class Front(ExchangeOwner, HTTPServerConnectionDelegate):
+    """What happens to callers' requests.
+
+    Attributes
+    ----------
+    busy : Counter of str
+        Requests in progress, by kind.
+    is_closing : callable
+        Tells whether the daemon has been told to stop.
+    """
+
+    documents: Documents
+    fleet: FleetView
+    choice: ServerChoice
+    evacuation: Evacuation
+    quarantine: Quarantine
+    metrics: Metrics
+    is_closing: Callable[[], bool]
+    body_room: int
+    body_bytes: int = 0
+    busy: Counter = field(factory=Counter)
+    idle: asyncio.Event = field(factory=asyncio.Event)
+    tasks: set[asyncio.Task] = field(factory=set)
+
+    # What exchanges ask.
+
+    def limits(self) -> CallerLimits:
+        """Return what callers may send."""
+        document = self.documents.current
+        return document.limits if document else CallerLimits()
+
+    def request_id(self, exchange: Exchange) -> str:
+        """Return the caller's id of a request."""
+        return logs.request()
+
+    def closing(self) -> bool:
+        """Tell whether connections are to be closed after their next answer."""
+        return self.is_closing()
+
+    # Called by tornado.
+
+    def start_request(self, _server_connection, request_connection) -> Exchange:
+        """Take the next request of a connection."""
+        return Exchange(self, request_connection)
+
+    def on_close(self, server_connection) -> None:
+        """Need to know nothing of a connection's end."""
+
+    # The work.
+
+    def begin(self, exchange: Exchange) -> asyncio.Task:
+        """Begin to work on a request that has come whole."""
+        task = asyncio.create_task(self._serve(exchange))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    @contextmanager
+    def in_progress(self, kind: str) -> Iterator[None]:
+        """Count a request for as long as it is worked on."""
+        self.busy[kind] += 1
+        self.idle.clear()
+        try:
+            yield
+        finally:
+            self.busy[kind] -= 1
+            if not self.busy.total():
+                self.idle.set()
+
+    async def _serve(self, exchange: Exchange) -> None:
+        came_at = time.monotonic()
+        outcome = Outcome(came_at)
+        with self.in_progress("requests"):
+            try:
+                await self._answer(exchange, outcome)
+            except RequestRefused as refused:
+                outcome.refused(refused)
+                await self._refuse(exchange, refused)
+            except StreamBroken as broken:
+                outcome.end, outcome.why = "cut", str(broken)
+                exchange.cut()
+            except (CallerGone, asyncio.CancelledError):
+                outcome.end = "caller gone"
+                exchange.cut()
+            except Exception as error:
+                logs.failure("request failed", error)
+                outcome.end, outcome.why = "failed", repr(error)
+                await self._fail(exchange)
+            finally:
+                exchange.release()
+                self._note(exchange, outcome)
+
+    async def _refuse(self, exchange: Exchange, refused: RequestRefused) -> None:
+        try:
+            await exchange.refuse(refused)
+        except (CallerGone, asyncio.CancelledError):
+            exchange.cut()
+
+    async def _fail(self, exchange: Exchange) -> None:
+        if exchange.begun:
+            exchange.cut()
+            return
+        await self._refuse(
+            exchange, RequestRefused(500, "internal", "an error of ours; it is logged", Ran.UNKNOWN)
+        )
+
+    async def _answer(self, exchange: Exchange, outcome: "Outcome") -> None:
+        headers = exchange.headers
+        call = self.fleet.codec.read(exchange.method, exchange.target, headers, exchange.body)
+        logs.bind(call.request_id)
+        admitted = admit(self.documents.current, call, outcome.came_at)
+        outcome.admitted = admitted
+        self.fleet.budget.note_request(admitted.service)
+        service = self.documents.current.services.get(admitted.service)
+        if admitted.route.repeat == Repeat.STREAM and service and service.engine:
+            await self._generate(exchange, admitted, service)
+            outcome.end = "streamed"
+        else:
+            await self._call(exchange, admitted)
+            outcome.end = "answered"
+
+    async def _call(self, exchange: Exchange, admitted: Admitted) -> None:
+        hosts = list(self.fleet.servers(admitted.service))
+        call = PlainCall(admitted, self.fleet.codec, self.choice, self.fleet.budget, hosts)
+        answer = await call.run()
+        await exchange.answer(answer.status, answer.headers, answer.body)
+
+    async def _generate(self, exchange: Exchange, admitted: Admitted, service: Service) -> None:
+        request = generation_request(admitted)
+        self.quarantine.check(request.fingerprint)
+        generation = Generation(
+            admitted, exchange, self.fleet, request,
+            service.engine.event_tokens, service.engine.backups,
+        )  # fmt: skip
+        self.evacuation.running.add(generation)
+        try:
+            await generation.run()
+        finally:
+            self.evacuation.running.discard(generation)
+
+    def _note(self, exchange: Exchange, outcome: "Outcome") -> None:
+        """Say once for each request what came of it."""
+        seconds = time.monotonic() - outcome.came_at
+        admitted = outcome.admitted
+        route = admitted.route.name if admitted else ""
+        account = admitted.account_name if admitted else ""
+        self.metrics.requests.add(1, {"route": route, "account": account, "end": outcome.end})
+        self.metrics.request_time.record(seconds, {"route": route, "account": account})
+        logs.info(
+            "request ended", end=outcome.end, why=outcome.why, reason=outcome.reason,
+            status=outcome.status, ran=outcome.ran, route=route, account=account,
+            service=admitted.service if admitted else "", seconds=round(seconds, 3),
+            document=self.documents.version, document_age=round(self.documents.age(), 1),
+        )  # fmt: skip
+
+
+@define
+class Outcome:
+    """What came of a request, for its log line."""
+
+    came_at: float
+    admitted: Admitted | None = None
+    end: str = ""
+    why: str = ""
+    reason: str = ""
+    status: int = 0
+    ran: str = ""
+
+    def refused(self, refused: RequestRefused) -> None:
+        """Note the refusal that the caller gets."""
+        self.end, self.why, self.reason = "refused", str(refused), refused.reason
+        self.status, self.ran = refused.status, str(refused.ran)
+
+
+def generation_request(admitted: Admitted) -> GenerationRequest:
+    """Return what the schedulers know of a request."""
+    call, prompt = admitted.call, admitted.call.prompt or Prompt("", 0, 1)
+    return GenerationRequest(
+        stream=call.request_id,
+        team=TEAM,
+        service=admitted.service,
+        account=admitted.account_name,
+        prompt="",
+        prompt_tokens=prompt.tokens,
+        max_tokens=max(1, prompt.max_output),
+        priority=-admitted.rank,
+        prefixes=growing_prefixes(prompt),
+        fingerprint=fingerprint(admitted.account_name, call.target, call.body.hex()),
+    )
+
+
+def growing_prefixes(prompt: Prompt) -> tuple[int, ...]:
+    """Return a number for each beginning of a prompt that consists of whole parts."""
+    found, text = [], prompt.model
+    for part in prompt.parts:
+        text = f"{text}/{part.name}:{part.tokens}"
+        digest = fingerprint("", "", text)
+        found.append(int(digest[:16], 16) & ((1 << PREFIX_HASH_BITS) - 1))
+    return tuple(found)
--- /dev/null
+++ b/papayacourse/routed/generation.py
@@ -0,0 +1,306 @@
+"""One generation: placed, passed on event by event, and carried over to other engines."""
+
+import asyncio
+import time
+
+from attrs import define, evolve, field
+from tornado.httputil import HTTPHeaders
+
+from papayacourse import logs
+from papayacourse.exceptions import BackendError, BackendUnreachable, RequestRefused
+from papayacourse.httpcall import HttpCall
+from papayacourse.routed.admitted import Admitted
+from papayacourse.routed.events import EventSplitter
+from papayacourse.routed.exchange import Exchange
+from papayacourse.routed.fleetview import FleetView
+from papayacourse.routed.seams import Dispatch, Resume
+from papayacourse.routed.sending import MayHaveRun, NotRun, open_call, read_whole
+from papayacourse.schedulingmessages import GrantRequest
+from papayacourse.types import GenerationRequest, Host, Ran
+
+MAX_PLACES = 4  # engines tried before the first has taken the request
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+WAIT_PART = 0.8  # part of the objective that a request may wait for a place
+STALL_GAPS = 5.0  # longest good pauses after which a silent engine is taken for lost
+MIN_STALL = 0.7  # seconds
+RESUME_HEAD = 1.5  # seconds that an engine may take to continue a run
+BACKUP_TOKENS = 150  # outputs that cannot be longer are not backed up
+FIRST_PACE = 0.012  # seconds for each token, until a run's own pace is known
+RETRY_AFTER = 0.5  # seconds
+
+
+class StreamBroken(Exception):
+    """The engine's stream ended before its end."""
+
+
+@define(eq=False)
+class Generation:
+    """A caller's generation.
+
+    Attributes
+    ----------
+    request : GenerationRequest
+        What the schedulers know of it.
+    engine : Host or None
+        Where it runs.
+    backup : Host or None
+        Where a copy of it grows.
+    moved : asyncio.Future or None
+        While it is being moved: becomes where it continues, or None when the move has failed.
+    last_id : str
+        The id of the last event passed on; empty before the first.
+    events : int
+        Events passed on.
+    unmovable : bool
+        Whether a move from its present engine has failed.
+    """
+
+    admitted: Admitted
+    exchange: Exchange
+    fleet: FleetView
+    request: GenerationRequest
+    event_tokens: int
+    backups: bool
+    engine: Host | None = None
+    backup: Host | None = None
+    moved: asyncio.Future | None = None
+    last_id: str = ""
+    events: int = 0
+    first_at: float = 0.0
+    ran: bool = False
+    unmovable: bool = False
+    resumes: int = 0
+    refused: set[str] = field(factory=set)
+
+    # Queries.
+
+    @property
+    def generated(self) -> int:
+        """Return the tokens passed on."""
+        return self.events * self.event_tokens
+
+    @property
+    def tokens_left(self) -> int:
+        """Return the most tokens that may still come."""
+        return max(1, self.request.max_tokens - self.generated)
+
+    def pace(self) -> float:
+        """Return the seconds that a token takes."""
+        if self.events < 2:
+            return FIRST_PACE
+        return (time.monotonic() - self.first_at) / ((self.events - 1) * self.event_tokens)
+
+    def time_to_end(self) -> float:
+        """Return the longest that the rest can take, in seconds."""
+        return self.tokens_left * self.pace()
+
+    # The work.
+
+    async def run(self) -> None:
+        """Answer the caller; raises RequestRefused when nothing has been answered yet."""
+        try:
+            async with asyncio.timeout_at(self._loop_deadline()):
+                await self._run()
+        except TimeoutError as error:
+            if self.exchange.begun:
+                raise StreamBroken("the time for the answer is over") from error
+            status = 504 if self.ran else 503
+            raise self._refusal(status, "too_late", "no answer in time") from error
+        finally:
+            await self._finish()
+
+    def _loop_deadline(self) -> float:
+        return asyncio.get_running_loop().time() + max(0.0, self.admitted.time_left())
+
+    async def _run(self) -> None:
+        resume = await self._start()
+        while resume is not None:
+            resume = await self._continue(resume)
+
+    async def _start(self) -> Resume | None:
+        """Begin on the first engine that takes it; returns where to go on if it broke off."""
+        why = ""
+        for number in range(MAX_PLACES):
+            if number and not self.fleet.budget.take(self.admitted.service, why):
+                break
+            await self._place()
+            try:
+                return await self._follow(None, self.admitted.time_left())
+            except BackendUnreachable as error:
+                why = str(error)
+            except NotRun as error:
+                why = str(error)
+            self._log_failed(why)
+            self.refused.add(self.engine.name)
+            await self.fleet.placement.end(self.request, self.engine.name, 0, "failed")
+        raise self._refusal(503, "engines_full", why or "no engine took the request")
+
+    async def _place(self) -> None:
+        limit = min(self.admitted.route.objective * WAIT_PART, self.admitted.time_left())
+        ask = GrantRequest(self.request, limit, tuple(self.refused))
+        asked_at = time.monotonic()
+        place = await self.fleet.placement.place(ask)
+        waited = time.monotonic() - asked_at
+        host = self.fleet.host(place.engine)
+        if host is None:
+            await self.fleet.placement.give_back(self.request)
+            raise self._refusal(503, "engine_unknown", f"{place.engine} is not listed here")
+        self.engine = host
+        self.fleet.placement.progress(self.request, host.name, 0)
+        logs.info("placed", engine=host.name, domain=host.domain, waited=round(waited, 3))
+
+    async def _follow(self, resume: Resume | None, head_limit: float) -> Resume | None:
+        """Pass on what an engine sends; returns where to continue if it breaks off."""
+        self.backup = self._choose_backup()
+        dispatch = Dispatch(
+            self.engine, self.admitted.time_left(), self.admitted.account_name,
+            self.admitted.rank, self.backup.address if self.backup else "", resume,
+        )  # fmt: skip
+        try:
+            call = await open_call(self.fleet.codec, self.admitted.call, dispatch, head_limit)
+        except MayHaveRun as error:
+            self.ran = True
+            if resume is not None:
+                raise
+            return await self._after(str(error))
+        self.ran = True
+        try:
+            await self._relay(call)
+        except BackendError as error:
+            return await self._after(str(error))
+        finally:
+            await call.__aexit__(None, None, None)
+        return None
+
+    def _choose_backup(self) -> Host | None:
+        if not self.backups or self.tokens_left < BACKUP_TOKENS:
+            return None
+        return self.fleet.backup_for(self.engine, self.request)
+
+    async def _relay(self, call: HttpCall) -> None:
+        headers = self.fleet.codec.answer_headers(call.headers)
+        if call.status != 200:
+            await self._relay_failure(call, headers)
+            return
+        call.idle_timeout = self._stall_limit()
+        splitter = EventSplitter()
+        async for chunk in call.chunks():
+            for event in splitter.feed(chunk):
+                await self._pass_on(headers, event)
+        if splitter.rest:
+            raise MayHaveRun("the stream ended within an event")
+        if not self.exchange.begun:
+            await self.exchange.begin(200, headers)
+        self.exchange.end()
+
+    def _stall_limit(self) -> float:
+        if self.backup is None:
+            return max(0.01, self.admitted.time_left())
+        return max(MIN_STALL, STALL_GAPS * self.admitted.route.max_gap)
+
+    async def _relay_failure(self, call: HttpCall, headers: HTTPHeaders) -> None:
+        """Pass on an engine's failure, or take it for a broken stream if that has begun."""
+        if self.exchange.begun:
+            raise MayHaveRun(f"{self.engine.name} answered {call.status}")
+        body = await read_whole(call, MAX_ANSWER_BYTES, self.admitted.time_left())
+        await self.exchange.answer(call.status, headers, body)
+
+    async def _pass_on(self, headers: HTTPHeaders, event: bytes) -> None:
+        event_id = self.fleet.codec.event_id(event)
+        if event_id and not follows(self.last_id, event_id):
+            if is_older(self.last_id, event_id):
+                return
+            raise MayHaveRun(f"event {event_id} after {self.last_id}")
+        if not self.exchange.begun:
+            await self.exchange.begin(200, headers, event)
+        else:
+            await self.exchange.write(event)
+        if not self.events:
+            self.first_at = time.monotonic()
+            self.fleet.note_first_event(self.admitted)
+        self.events += 1
+        self.last_id = event_id or self.last_id
+        self.fleet.placement.progress(self.request, self.engine.name, self.generated)
+
+    # Continuing elsewhere.
+
+    async def _after(self, why: str) -> Resume | None:
+        """Return where a run that has broken off continues; raises when nowhere."""
+        self._log_failed(why)
+        moved = await self.moved if self.moved is not None else None
+        self.moved = None
+        if moved is not None:
+            self.engine, handle = moved.host, moved.handle
+            return Resume(moved.holder.address, handle, self.last_id)
+        return await self._from_backup(why)
+
+    async def _from_backup(self, why: str) -> Resume:
+        backup, self.backup = self.backup, None
+        if backup is None or not self.fleet.is_listed(backup.name):
+            raise self._broken(why)
+        if not self.fleet.budget.take(self.admitted.service, "resume"):
+            raise self._broken(why)
+        await self.fleet.rebind(self.request, self.engine, backup, self.generated)
+        self.engine = backup
+        return Resume(backup.address, self.admitted.call.request_id, self.last_id)
+
+    async def _continue(self, resume: Resume) -> Resume | None:
+        """Go on with a run; returns where to go on again if it breaks off once more."""
+        self.resumes += 1
+        self.unmovable = False
+        backup = self.backup
+        logs.info(
+            "continued", engine=self.engine.name, holder=resume.holder, after=resume.after,
+            resumes=self.resumes,
+        )  # fmt: skip
+        try:
+            return await self._follow(resume, RESUME_HEAD)
+        except (BackendUnreachable, NotRun, MayHaveRun) as error:
+            self._log_failed(str(error))
+            self.backup = backup
+            return await self._from_backup(str(error))
+
+    def _broken(self, why: str) -> Exception:
+        if self.exchange.begun:
+            return StreamBroken(why)
+        return self._refusal(502, "engine_lost", why)
+
+    def _refusal(self, status: int, reason: str, detail: str) -> RequestRefused:
+        ran = Ran.UNKNOWN if self.ran else Ran.NO
+        return RequestRefused(status, reason, detail, ran, None if self.ran else RETRY_AFTER)
+
+    def _log_failed(self, why: str) -> None:
+        logs.info(
+            "engine lost", engine=self.engine.name, why=why, events=self.events,
+            moving=self.moved is not None, backup=self.backup.name if self.backup else "",
+        )  # fmt: skip
+
+    async def _finish(self) -> None:
+        """Tell the scheduler that the run has ended, and free what a move still holds."""
+        if self.moved is not None:
+            self.moved.cancel()
+        if self.engine is not None:
+            whole = self.exchange.done and not self.exchange.gone
+            outcome = "finished" if whole else "cancelled"
+            await self.fleet.placement.end(self.request, self.engine.name, self.generated, outcome)
+
+
+def follows(last: str, event_id: str) -> bool:
+    """Tell whether an event is the one after the last, as far as ids that are numbers tell."""
+    if not last or not (last.isdecimal() and event_id.isdecimal()):
+        return True
+    return int(event_id) == int(last) + 1
+
+
+def is_older(last: str, event_id: str) -> bool:
+    """Tell whether an event has been passed on already."""
+    return int(event_id) <= int(last)
+
+
+def left_over(generation: Generation) -> GenerationRequest:
+    """Return what a scheduler has to find a place for when a run moves."""
+    return evolve(
+        generation.request,
+        prompt_tokens=generation.request.prompt_tokens + generation.generated,
+        max_tokens=generation.tokens_left,
+    )
--- /dev/null
+++ b/papayacourse/routed/plaincall.py
@@ -0,0 +1,137 @@
+"""One call of a plain service: which server, and whether it may be sent again."""
+
+import time
+
+from attrs import define, field
+from tornado.httputil import HTTPHeaders
+
+from papayacourse import logs
+from papayacourse.exceptions import BackendUnreachable, RequestRefused
+from papayacourse.routed.admitted import Admitted
+from papayacourse.routed.budget import FleetBudget
+from papayacourse.routed.choice import ServerChoice
+from papayacourse.routed.document import Repeat
+from papayacourse.routed.seams import Dispatch, RequestCodec
+from papayacourse.routed.sending import MayHaveRun, NotRun, open_call, read_whole
+from papayacourse.types import Host, Ran
+
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+MAX_SENDS = 4  # servers tried for one request, those that did not run it included
+FIRST_TRY = 0.5  # part of the time left after which a repeatable request is sent elsewhere
+RETRY_AFTER = 0.3  # seconds; a place comes free in much less
+PROMISES = frozenset({408, 421, 429, 503})  # statuses that say that a request has not run
+
+
+@define
+class Answer:
+    """An engine's whole answer."""
+
+    status: int
+    headers: HTTPHeaders
+    body: bytes
+
+
+@define(eq=False)
+class PlainCall:
+    """Sends one request until it has an answer or none can be had.
+
+    Attributes
+    ----------
+    ran : set of str
+        The servers that may have run it.
+    tried : set of str
+        The servers not to be tried again.
+    failure : Answer or None
+        A server's own failure, which is the answer if no other can be had.
+    """
+
+    admitted: Admitted
+    codec: RequestCodec
+    choice: ServerChoice
+    budget: FleetBudget
+    hosts: list[Host]
+    ran: set[str] = field(factory=set)
+    tried: set[str] = field(factory=set)
+    failure: Answer | None = None
+    lost: str = ""
+
+    async def run(self) -> Answer:
+        """Return the answer; raises RequestRefused when there is none."""
+        for number in range(MAX_SENDS):
+            host = self.choice.choose(self.hosts, self.tried)
+            if host is None or (number and not self._may_send_again()):
+                break
+            answer = await self._try(host)
+            if answer is not None:
+                return answer
+        if self.failure is not None:
+            return self.failure
+        raise self._refusal()
+
+    def _may_send_again(self) -> bool:
+        route = self.admitted.route
+        if self.admitted.time_left() <= 0:
+            return False
+        if self.ran and (route.repeat != Repeat.SAFE or len(self.ran) >= route.max_engines):
+            return False
+        return self.budget.take(self.admitted.service, self.lost)
+
+    async def _try(self, host: Host) -> Answer | None:
+        """Send the request to one server; None when it may be sent to another."""
+        record = self.choice.records[host.name]
+        record.running += 1
+        failed = True
+        began = time.monotonic()
+        try:
+            answer = await self._send(host)
+            failed = False
+            return self._judge(host, answer)
+        except (BackendUnreachable, NotRun) as error:
+            self.lost = str(error)
+        except MayHaveRun as error:
+            self.ran.add(host.name)
+            self.lost = str(error)
+        finally:
+            record.running -= 1
+            record.note(failed, time.monotonic())
+        self.tried.add(host.name)
+        logs.info(
+            "send failed", server=host.name, why=self.lost, may_have_run=sorted(self.ran),
+            seconds=round(time.monotonic() - began, 3), record=round(record.failed, 2),
+        )  # fmt: skip
+        return None
+
+    def _judge(self, host: Host, answer: Answer) -> Answer | None:
+        """Return an answer that can be passed on, or keep it while another server may do better."""
+        self.ran.add(host.name)
+        if answer.status < 500:
+            return answer
+        if self.admitted.route.repeat != Repeat.SAFE:
+            if answer.status in PROMISES:
+                # It ran, so this status may not be passed on.
+                raise RequestRefused(502, "server_failed", "the server failed", Ran.YES)
+            return answer
+        self.failure = answer
+        self.lost = f"{host.name} answered {answer.status}"
+        self.tried.add(host.name)
+        return None
+
+    async def _send(self, host: Host) -> Answer:
+        left = self.admitted.time_left()
+        dispatch = Dispatch(host, left, self.admitted.account_name)
+        limit = left * FIRST_TRY if self._has_second_try() else left
+        exchange = await open_call(self.codec, self.admitted.call, dispatch, limit)
+        headers = self.codec.answer_headers(exchange.headers)
+        body = await read_whole(exchange, MAX_ANSWER_BYTES, self.admitted.time_left())
+        return Answer(exchange.status, headers, body)
+
+    def _has_second_try(self) -> bool:
+        route = self.admitted.route
+        return route.repeat == Repeat.SAFE and len(self.ran) + 1 < route.max_engines
+
+    def _refusal(self) -> RequestRefused:
+        if self.ran:
+            late = self.admitted.time_left() <= 0
+            return RequestRefused(504 if late else 502, "answer_lost", self.lost, Ran.UNKNOWN)
+        why = self.lost or "no server of the service is listed"
+        return RequestRefused(503, "no_server", why, retry_after=RETRY_AFTER)
--- /dev/null
+++ b/papayacourse/routed/reports.py
@@ -0,0 +1,40 @@
+"""Asks engines for their load through the platform's adapter."""
+
+from collections.abc import Callable
+
+from attrs import define
+
+from papayacourse.engines import CacheEvents, EngineLoad
+from papayacourse.enginewatch import EngineReports
+from papayacourse.exceptions import BackendUnreachable
+from papayacourse.ledger import EngineLedger
+from papayacourse.routed.seams import EngineCalls
+from papayacourse.types import Host
+
+REPORT_INTERVAL = 1.0  # seconds; the ledger knows what is granted, and each report has a price
+
+
+@define(eq=False)
+class AdapterReports(EngineReports):
+    """Reads the load of engines that are listed.
+
+    Attributes
+    ----------
+    host : callable
+        Returns a listed host by its name, or None.
+    """
+
+    calls: EngineCalls
+    host: Callable[[str], Host | None]
+    interval: float = REPORT_INTERVAL
+
+    async def load(self, ledger: EngineLedger) -> EngineLoad:
+        """Return an engine's load; raises BackendError."""
+        host = self.host(ledger.name)
+        if host is None:
+            raise BackendUnreachable(f"{ledger.name} is not listed")
+        return await self.calls.load(host)
+
+    async def cache_events(self, ledger: EngineLedger, after: int) -> CacheEvents:
+        """Return no events: prefixes are known from the requests routed here."""
+        return CacheEvents((), after)
--- /dev/null
+++ b/papayacourse/routed/seams.py
@@ -0,0 +1,208 @@
+"""What a platform's adapter has to provide, and the types that pass between it and the product."""
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Protocol
+
+from attrs import frozen
+from tornado.httputil import HTTPHeaders
+
+from papayacourse.engines import EngineLoad
+from papayacourse.routed.document import Document
+from papayacourse.types import Host
+
+
+@frozen
+class PromptPart:
+    """One part of a prompt; equal parts in front are computed once."""
+
+    name: str
+    tokens: int
+
+
+@frozen
+class Prompt:
+    """The size of a generation.
+
+    Attributes
+    ----------
+    tokens : int
+        The prompt's tokens.
+    max_output : int
+        The longest output, in tokens.
+    hint : int or None
+        The caller's own estimate of the output, in tokens.
+    """
+
+    model: str
+    tokens: int
+    max_output: int
+    parts: tuple[PromptPart, ...] = ()
+    hint: int | None = None
+
+
+@frozen
+class Call:
+    """A caller's request, decoded.
+
+    Attributes
+    ----------
+    request_id : str
+        The caller's own id of this try; no two tries have the same.
+    target : str
+        Path and query as they came.
+    key : str
+        The account key; empty for none.
+    patience : float or None
+        How long the caller will wait from now, in seconds.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    host: str
+    headers: HTTPHeaders
+    body: bytes
+    key: str = ""
+    patience: float | None = None
+    prompt: Prompt | None = None
+
+    @property
+    def path(self) -> str:
+        """Return the path without its query."""
+        return self.target.partition("?")[0]
+
+
+@frozen
+class Resume:
+    """Where a run that has stopped is continued from.
+
+    Attributes
+    ----------
+    holder : str
+        ``host:port`` of the engine that gave the handle, or that holds the backup.
+    handle : str
+        The handle of the copy, or the run's id for a backup.
+    after : str
+        The id of the last event that the caller has; empty for none.
+    """
+
+    holder: str
+    handle: str
+    after: str
+
+
+@frozen
+class Dispatch:
+    """What an engine is told along with a caller's request.
+
+    Attributes
+    ----------
+    engine : Host
+        The engine that is meant; another one at its address must refuse.
+    time_left : float
+        How long the caller will still wait, in seconds.
+    account : str
+        The account's name; empty for an anonymous caller.
+    rank : int or None
+        The urgency, 0 first; None leaves it to the engine.
+    backup : str
+        ``host:port`` of the engine that keeps a copy as the run goes on; empty for none.
+    """
+
+    engine: Host
+    time_left: float
+    account: str
+    rank: int | None = None
+    backup: str = ""
+    resume: Resume | None = None
+
+
+@frozen
+class Copied:
+    """An engine has copied a run.
+
+    Attributes
+    ----------
+    complete : bool
+        Whether the copy has arrived; if not, the engine that stopped still holds the run.
+    """
+
+    handle: str
+    complete: bool
+
+
+class RequestCodec(Protocol):
+    """Reads callers' requests and writes those to engines."""
+
+    def read(self, method: str, target: str, headers: HTTPHeaders, body: bytes) -> Call:
+        """Decode a caller's request; raises RequestRefused."""
+
+    def headers(self, call: Call, dispatch: Dispatch) -> HTTPHeaders:
+        """Return the headers for an engine."""
+
+    def answer_headers(self, headers: HTTPHeaders) -> HTTPHeaders:
+        """Return the headers of an engine's answer that its caller gets."""
+
+    def not_run(self, status: int, headers: HTTPHeaders) -> bool:
+        """Tell whether an answer says that the engine did not run the request."""
+
+    def belongs(self, call: Call, status: int, headers: HTTPHeaders) -> bool:
+        """Tell whether an answer is one to this call, and in full its engine's."""
+
+    def event_id(self, event: bytes) -> str:
+        """Return the id of a stream's event; empty for none."""
+
+
+class EngineCalls(Protocol):
+    """The calls to engines besides callers' requests."""
+
+    async def load(self, host: Host) -> EngineLoad:
+        """Return an engine's load; raises BackendError."""
+
+    async def copy_run(self, source: Host, run: str, target: Host, stop: bool) -> Copied:
+        """Copy a run to another engine, and stop it if asked to; raises BackendError."""
+
+    async def drop_copy(self, source: Host, handle: str) -> None:
+        """Free the memory that a copy takes; raises BackendError."""
+
+
+@frozen
+class Listed:
+    """The hosts that the platform's store has.
+
+    Attributes
+    ----------
+    revision : int
+        The store's revision as of which this holds.
+    """
+
+    revision: int
+    hosts: tuple[Host, ...]
+
+
+class Store(Protocol):
+    """The platform's store, in the product's types."""
+
+    async def document(self) -> Document | None:
+        """Return the newest settings document; raises PlatformError."""
+
+    def follow_document(self) -> AsyncIterator[Document]:
+        """Yield each newer document as it is written; raises PlatformError."""
+
+    def follow_engines(self) -> AsyncIterator[Listed]:
+        """Yield all engines listed, at first and after each change; raises PlatformError."""
+
+    async def members(self) -> Listed:
+        """Return the daemons listed; raises PlatformError."""
+
+    async def keep_listed(self, me: Host) -> None:
+        """List this daemon, or renew its entry; raises PlatformError."""
+
+    async def unlist(self) -> None:
+        """Take this daemon's entry away; raises PlatformError."""
+
+    def decode_document(self, source: bytes) -> Document:
+        """Read a document that a peer has handed on; raises PlatformError."""
+
+
+Send = Callable[[bytes], Awaitable[None]]
--- /dev/null
+++ b/papayacourse/routed/sending.py
@@ -0,0 +1,79 @@
+"""Sends a caller's request to one engine, on a connection of its own."""
+
+import asyncio
+
+from papayacourse.exceptions import (
+    BackendError,
+    BackendLinkLost,
+    BackendProtocolError,
+    BackendUnreachable,
+)
+from papayacourse.httpcall import HttpCall
+from papayacourse.routed.seams import Call, Dispatch, RequestCodec
+from papayacourse.types import Address
+
+CONNECT_TIMEOUT = 0.4  # seconds; a handshake takes 30 ms between regions
+
+
+class NotRun(BackendError):
+    """The engine says that it did not run the request."""
+
+
+class MayHaveRun(BackendError):
+    """The request was sent, and no answer that belongs to it came."""
+
+
+def connect_limit(time_left: float) -> float:
+    """Return how long a connection may take to be made, in seconds."""
+    return max(0.01, min(CONNECT_TIMEOUT, time_left))
+
+
+async def open_call(
+    codec: RequestCodec, call: Call, dispatch: Dispatch, head_limit: float
+) -> HttpCall:
+    """Send a request and return the exchange once the answer's head has come.
+
+    Parameters
+    ----------
+    head_limit : float
+        How long to wait for the head, in seconds.
+
+    Raises
+    ------
+    BackendUnreachable
+        When nothing was sent.
+    NotRun
+        When the engine says that it did not run the request.
+    MayHaveRun
+        When it may have, and its answer cannot be had.
+    """
+    exchange = HttpCall(
+        Address.parse(dispatch.engine.address), call.method, call.target,
+        codec.headers(call, dispatch), call.body,
+        connect_timeout=connect_limit(dispatch.time_left), idle_timeout=max(head_limit, 0.01),
+    )  # fmt: skip
+    try:
+        await exchange.__aenter__()
+    except BackendUnreachable:
+        raise
+    except (BackendLinkLost, BackendProtocolError) as error:
+        raise MayHaveRun(str(error)) from error
+    status, headers = exchange.status, exchange.headers
+    if codec.not_run(status, headers):
+        await exchange.__aexit__(None, None, None)
+        raise NotRun(f"{dispatch.engine.name} answered {status} without running it")
+    if not codec.belongs(call, status, headers):
+        await exchange.__aexit__(None, None, None)
+        raise MayHaveRun(f"{dispatch.engine.name} sent an answer to another request")
+    return exchange
+
+
+async def read_whole(exchange: HttpCall, limit: int, time_left: float) -> bytes:
+    """Return the whole body; raises MayHaveRun when it does not come."""
+    try:
+        async with asyncio.timeout(max(time_left, 0.0)):
+            return await exchange.read(limit)
+    except (BackendError, TimeoutError) as error:
+        raise MayHaveRun(str(error) or "no whole answer in time") from error
+    finally:
+        await exchange.__aexit__(None, None, None)
--- a/papayacourse/settingsparser.py
+++ b/papayacourse/settingsparser.py
@@ -4,9 +4,9 @@
 
 from returns.result import Failure, Result, Success
 
-from papayacourse.config import IniFile, parse_ini, read_option, unknown_options
+from papayacourse.config import parse_options
 from papayacourse.settings import ROOT, Setting, SettingsPath
-from papayacourse.settingsoptions import KINDS, Kind
+from papayacourse.settingsoptions import KINDS
 from papayacourse.types import Fault
 
 NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
@@ -36,22 +36,5 @@
     where = str(path)
     if len(text.encode()) > MAX_VALUE_BYTES:
         return Failure([Fault(where, "", "", f"longer than {MAX_VALUE_BYTES} bytes")])
-    match parse_ini(where, text):
-        case Failure(faults):
-            return Failure(faults)
-        case Success(ini):
-            return _build(where, KINDS[path.kind], ini)
-    raise AssertionError("a Result is either a success or a failure")
-
-
-def _build(where: str, kind: Kind, ini: IniFile) -> Result[Setting, list[Fault]]:
-    known = {(option.section, option.option) for option in kind.options}
-    faults = unknown_options(where, ini, known)
-    arguments: dict = {}
-    for option in kind.options:
-        match read_option(where, ini, option):
-            case Success(found):
-                arguments |= found
-            case Failure(more):
-                faults += more
-    return Failure(faults) if faults else Success(kind.cls(**arguments))
+    kind = KINDS[path.kind]
+    return parse_options(where, text, kind.options, kind.cls)
--- a/papayacourse/types.py
+++ b/papayacourse/types.py
@@ -79,6 +79,10 @@
         ``host:port`` of the service callers or daemons use there.
     mesh : str
         ``host:port`` of the daemon's mesh listener; empty for backend servers.
+    instance : str
+        What a backend server calls itself, where that is not its name.
+    slots : int
+        Requests that a backend server works on at once; 0 where that is not known.
     """
 
     name: str
@@ -89,6 +93,8 @@
     state: HostState = HostState.LIVE
     mesh: str = ""
     service: str = ""
+    instance: str = ""
+    slots: int = 0
 
 
 @frozen
