Move the runs of engines that leave, in turn, and place long runs where that is possible

A run with a backup refuses kv-move with 503 at once, and backups fill the memory that moves need. Also: a run that moves no longer counts as another copy of itself (grants); the derived service's kind was refused by its own check, so nothing spilled to other domains. Conclusion: kept; what is still lost had no near engine.

--- a/papayacourse/grants.py
+++ b/papayacourse/grants.py
@@ -17,7 +17,7 @@
 from papayacourse.fairshare import PROMPT_WEIGHT, FairQueue
 from papayacourse.farjoins import SETTLING_TIME
 from papayacourse.joins import first_id, key_part
-from papayacourse.ledger import EngineLedger, Stream
+from papayacourse.ledger import EngineLedger, Stream, take_off
 from papayacourse.lengths import LengthModel
 from papayacourse.meshmessages import ServiceLoad
 from papayacourse.reservations import Reservations
@@ -112,6 +112,9 @@
                 return answer
         elif held is not None and held.name not in request.avoid:
             return Granted(stream, held.name, held.address)
+        elif held is not None:
+            # It moves on from there, so it is no other copy of itself.
+            take_off(held, stream)
         if not self.engines.usable(request.avoid) and self.engines.is_behind():
             self.engines.refresh()
         if not self.engines.usable(request.avoid):
--- a/papayacourse/placement.py
+++ b/papayacourse/placement.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from attrs import define, evolve, field, frozen
 
@@ -31,7 +31,7 @@
     StreamState,
     StreamsUnknown,
 )
-from papayacourse.spill import Spill, has_no_place, waits
+from papayacourse.spill import PlacedElsewhere, Spill, has_no_place, waits
 from papayacourse.types import GenerationRequest
 
 ACK_TIMEOUT = 0.4  # seconds a scheduler may take to say anything
@@ -194,10 +194,19 @@
         if placed is None:
             return answer
         await self.give_back(request.generation)
+        return self._placed(request, placed)
+
+    def _placed(self, request: GrantRequest, placed: PlacedElsewhere) -> Granted:
         self.placed_in[request.generation.stream] = placed.domain
         self.asked_in[request.generation.stream] = placed.cell
         return placed.granted
 
+    async def place_in(self, domains: Iterable[str], request: GrantRequest) -> Granted | None:
+        """Return a place in one of some other failure domains, if one is free now."""
+        request = evolve(request, number=self.numbers.of(request.generation.stream))
+        placed = await self.spill.place_in(domains, request)
+        return self._placed(request, placed) if placed is not None else None
+
     async def _or_elsewhere(self, request: GrantRequest, answer: Answer) -> Answer:
         """Return the generation of a key in another failure domain, or else the answer given.
 
--- a/papayacourse/routed/derived.py
+++ b/papayacourse/routed/derived.py
@@ -16,7 +16,7 @@
 def service_text(service: Service) -> str:
     """Return a model service's settings."""
     return (
-        f"[service]\nkind = engine\nwait_limit = {WAIT_LIMIT}\n"
+        f"[service]\nkind = model\nwait_limit = {WAIT_LIMIT}\n"
         f"max_output_tokens = {service.engine.memory_tokens}\n"
         f"spill_same_region = {SPILL_SAME_REGION}\nspill_other_region = {SPILL_OTHER_REGION}\n"
     )
--- a/papayacourse/routed/document.py
+++ b/papayacourse/routed/document.py
@@ -76,15 +76,17 @@
         Its memory, in tokens.
     event_tokens : int
         Tokens in one event of a stream.
-    moves, backups : bool
-        Whether a run can be moved to another engine, and be backed up there while it runs.
+    moves : bool
+        Whether a run can be copied to another engine and continued there.
+    copy_rate : float
+        Tokens of a run that an engine copies in a second within its failure domain.
     """
 
     slots: int
     memory_tokens: int
     event_tokens: int = 1
     moves: bool = False
-    backups: bool = False
+    copy_rate: float = 10_000.0
 
 
 @frozen
--- a/papayacourse/routed/fleetview.py
+++ b/papayacourse/routed/fleetview.py
@@ -55,12 +55,12 @@
         host = self.host(name)
         return host is not None and host.state == HostState.LIVE
 
-    def backup_for(self, engine: Host, request: GenerationRequest) -> Host | None:
-        """Return an engine to keep a copy of a run, the nearest to the run's own."""
+    def nearest_other(self, engine: Host, service: str) -> Host | None:
+        """Return another engine of a service that stays, one of the nearest to an engine."""
         there = Place(engine.domain, engine.region)
         others = [
             host
-            for host in self.servers(request.service)
+            for host in self.servers(service)
             if host.name != engine.name and host.state == HostState.LIVE
         ]
         for reach in NEAREST_FIRST:
@@ -69,6 +69,27 @@
                 return random.choice(near)
         return None
 
+    def has_neighbour(self, engine: Host, service: str) -> bool:
+        """Tell whether a run can be moved from an engine within its notice: not between regions."""
+        other = self.nearest_other(engine, service)
+        if other is None:
+            return False
+        there = Place(engine.domain, engine.region)
+        return there.link_to(other.domain, other.region) != LinkClass.OTHER_REGION
+
+    def safer_domains(self, service: str) -> list[str]:
+        """Return the failure domains to prefer for long runs, the nearest first.
+
+        An engine that is alone in its region cannot have its runs moved in time. Where this
+        domain's engines are not alone there is nothing to prefer.
+        """
+        places = {h.domain: h for h in self.servers(service) if h.state == HostState.LIVE}
+        safe = {d: h for d, h in places.items() if self.has_neighbour(h, service)}
+        if self.here.domain in safe:
+            return []
+        near = sorted(safe.values(), key=lambda h: (h.region != self.here.region, random.random()))
+        return [host.domain for host in near]
+
     async def rebind(
         self, request: GenerationRequest, before: Host, now: Host, generated: int
     ) -> None:
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -160,10 +160,7 @@
     async def _generate(self, exchange: Exchange, admitted: Admitted, service: Service) -> None:
         request = generation_request(admitted)
         self.quarantine.check(request.fingerprint)
-        generation = Generation(
-            admitted, exchange, self.fleet, request,
-            service.engine.event_tokens, service.engine.backups,
-        )  # fmt: skip
+        generation = Generation(admitted, exchange, self.fleet, request, service.engine)
         self.evacuation.running.add(generation)
         try:
             await generation.run()
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -3,28 +3,28 @@
 import asyncio
 import time
 
-from attrs import define, evolve, field
+from attrs import define, field
 from tornado.httputil import HTTPHeaders
 
 from papayacourse import logs
 from papayacourse.exceptions import BackendError, BackendUnreachable, RequestRefused
 from papayacourse.httpcall import HttpCall
 from papayacourse.routed.admitted import Admitted
+from papayacourse.routed.document import EngineShape
 from papayacourse.routed.events import EventSplitter
 from papayacourse.routed.exchange import Exchange
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.seams import Dispatch, Resume
 from papayacourse.routed.sending import MayHaveRun, NotRun, open_call, read_whole
-from papayacourse.schedulingmessages import GrantRequest
+from papayacourse.routed.standby import Standby
+from papayacourse.schedulingmessages import Granted, GrantRequest
 from papayacourse.types import GenerationRequest, Host, Ran
 
 MAX_PLACES = 4  # engines tried before the first has taken the request
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 WAIT_PART = 0.8  # part of the objective that a request may wait for a place
-STALL_GAPS = 5.0  # longest good pauses after which a silent engine is taken for lost
-MIN_STALL = 0.7  # seconds
 RESUME_HEAD = 1.5  # seconds that an engine may take to continue a run
-BACKUP_TOKENS = 150  # outputs that cannot be longer are not backed up
+LONG_RUN = 1.5  # seconds; a shorter one ends within its engine's notice
 FIRST_PACE = 0.012  # seconds for each token, until a run's own pace is known
 RETRY_AFTER = 0.5  # seconds
 
@@ -43,10 +43,9 @@
         What the schedulers know of it.
     engine : Host or None
         Where it runs.
-    backup : Host or None
-        Where a copy of it grows.
     moved : asyncio.Future or None
-        While it is being moved: becomes where it continues, or None when the move has failed.
+        While it is being moved: becomes the standby where it continues, or None when the move has
+        failed.
     last_id : str
         The id of the last event passed on; empty before the first.
     events : int
@@ -59,10 +58,8 @@
     exchange: Exchange
     fleet: FleetView
     request: GenerationRequest
-    event_tokens: int
-    backups: bool
+    shape: EngineShape
     engine: Host | None = None
-    backup: Host | None = None
     moved: asyncio.Future | None = None
     last_id: str = ""
     events: int = 0
@@ -74,10 +71,30 @@
 
     # Queries.
 
+    @property
+    def run_id(self) -> str:
+        """Return what engines know the run by."""
+        return self.admitted.call.request_id
+
+    @property
+    def copy_rate(self) -> float:
+        """Return the tokens of a run that an engine copies in a second."""
+        return self.shape.copy_rate
+
+    @property
+    def memory_tokens(self) -> int:
+        """Return the memory that the run takes, in tokens."""
+        return self.request.prompt_tokens + self.generated
+
+    def can_move(self) -> bool:
+        """Tell whether the run can be moved from its present engine now."""
+        begun = self.events > 0 and self.moved is None
+        return self.shape.moves and begun and not self.unmovable
+
     @property
     def generated(self) -> int:
         """Return the tokens passed on."""
-        return self.events * self.event_tokens
+        return self.events * self.shape.event_tokens
 
     @property
     def tokens_left(self) -> int:
@@ -88,7 +105,7 @@
         """Return the seconds that a token takes."""
         if self.events < 2:
             return FIRST_PACE
-        return (time.monotonic() - self.first_at) / ((self.events - 1) * self.event_tokens)
+        return (time.monotonic() - self.first_at) / ((self.events - 1) * self.shape.event_tokens)
 
     def time_to_end(self) -> float:
         """Return the longest that the rest can take, in seconds."""
@@ -139,7 +156,7 @@
         limit = min(self.admitted.route.objective * WAIT_PART, self.admitted.time_left())
         ask = GrantRequest(self.request, limit, tuple(self.refused))
         asked_at = time.monotonic()
-        place = await self.fleet.placement.place(ask)
+        place = await self._place_safely(ask) or await self.fleet.placement.place(ask)
         waited = time.monotonic() - asked_at
         host = self.fleet.host(place.engine)
         if host is None:
@@ -149,12 +166,18 @@
         self.fleet.placement.progress(self.request, host.name, 0)
         logs.info("placed", engine=host.name, domain=host.domain, waited=round(waited, 3))
 
+    async def _place_safely(self, ask: GrantRequest) -> Granted | None:
+        """Ask for a place on an engine that a long run can be moved from."""
+        if not self.shape.moves or self.time_to_end() < LONG_RUN:
+            return None
+        domains = self.fleet.safer_domains(self.admitted.service)
+        return await self.fleet.placement.place_in(domains, ask) if domains else None
+
     async def _follow(self, resume: Resume | None, head_limit: float) -> Resume | None:
         """Pass on what an engine sends; returns where to continue if it breaks off."""
-        self.backup = self._choose_backup()
         dispatch = Dispatch(
             self.engine, self.admitted.time_left(), self.admitted.account_name,
-            self.admitted.rank, self.backup.address if self.backup else "", resume,
+            self.admitted.rank, resume,
         )  # fmt: skip
         try:
             call = await open_call(self.fleet.codec, self.admitted.call, dispatch, head_limit)
@@ -172,17 +195,12 @@
             await call.__aexit__(None, None, None)
         return None
 
-    def _choose_backup(self) -> Host | None:
-        if not self.backups or self.tokens_left < BACKUP_TOKENS:
-            return None
-        return self.fleet.backup_for(self.engine, self.request)
-
     async def _relay(self, call: HttpCall) -> None:
         headers = self.fleet.codec.answer_headers(call.headers)
         if call.status != 200:
             await self._relay_failure(call, headers)
             return
-        call.idle_timeout = self._stall_limit()
+        call.idle_timeout = max(0.01, self.admitted.time_left())
         splitter = EventSplitter()
         async for chunk in call.chunks():
             for event in splitter.feed(chunk):
@@ -193,11 +211,6 @@
             await self.exchange.begin(200, headers)
         self.exchange.end()
 
-    def _stall_limit(self) -> float:
-        if self.backup is None:
-            return max(0.01, self.admitted.time_left())
-        return max(MIN_STALL, STALL_GAPS * self.admitted.route.max_gap)
-
     async def _relay_failure(self, call: HttpCall, headers: HTTPHeaders) -> None:
         """Pass on an engine's failure, or take it for a broken stream if that has begun."""
         if self.exchange.begun:
@@ -229,26 +242,21 @@
         self._log_failed(why)
         moved = await self.moved if self.moved is not None else None
         self.moved = None
-        if moved is not None:
-            self.engine, handle = moved.host, moved.handle
-            return Resume(moved.holder.address, handle, self.last_id)
-        return await self._from_backup(why)
-
-    async def _from_backup(self, why: str) -> Resume:
-        backup, self.backup = self.backup, None
-        if backup is None or not self.fleet.is_listed(backup.name):
+        if moved is None:
             raise self._broken(why)
+        return await self._go_on_at(moved, why)
+
+    async def _go_on_at(self, standby: Standby, why: str) -> Resume:
         if not self.fleet.budget.take(self.admitted.service, "resume"):
             raise self._broken(why)
-        await self.fleet.rebind(self.request, self.engine, backup, self.generated)
-        self.engine = backup
-        return Resume(backup.address, self.admitted.call.request_id, self.last_id)
+        await self.fleet.rebind(self.request, self.engine, standby.host, self.generated)
+        self.engine = standby.host
+        return Resume(standby.holder, standby.handle, self.last_id)
 
     async def _continue(self, resume: Resume) -> Resume | None:
         """Go on with a run; returns where to go on again if it breaks off once more."""
         self.resumes += 1
         self.unmovable = False
-        backup = self.backup
         logs.info(
             "continued", engine=self.engine.name, holder=resume.holder, after=resume.after,
             resumes=self.resumes,
@@ -257,8 +265,7 @@
             return await self._follow(resume, RESUME_HEAD)
         except (BackendUnreachable, NotRun, MayHaveRun) as error:
             self._log_failed(str(error))
-            self.backup = backup
-            return await self._from_backup(str(error))
+            raise self._broken(str(error)) from error
 
     def _broken(self, why: str) -> Exception:
         if self.exchange.begun:
@@ -272,7 +279,7 @@
     def _log_failed(self, why: str) -> None:
         logs.info(
             "engine lost", engine=self.engine.name, why=why, events=self.events,
-            moving=self.moved is not None, backup=self.backup.name if self.backup else "",
+            moving=self.moved is not None,
         )  # fmt: skip
 
     async def _finish(self) -> None:
@@ -295,12 +302,3 @@
 def is_older(last: str, event_id: str) -> bool:
     """Tell whether an event has been passed on already."""
     return int(event_id) <= int(last)
-
-
-def left_over(generation: Generation) -> GenerationRequest:
-    """Return what a scheduler has to find a place for when a run moves."""
-    return evolve(
-        generation.request,
-        prompt_tokens=generation.request.prompt_tokens + generation.generated,
-        max_tokens=generation.tokens_left,
-    )
--- a/papayacourse/routed/seams.py
+++ b/papayacourse/routed/seams.py
@@ -79,9 +79,9 @@
     Attributes
     ----------
     holder : str
-        ``host:port`` of the engine that gave the handle, or that holds the backup.
+        ``host:port`` of the engine that gave the handle.
     handle : str
-        The handle of the copy, or the run's id for a backup.
+        The handle of the copy.
     after : str
         The id of the last event that the caller has; empty for none.
     """
@@ -105,15 +105,12 @@
         The account's name; empty for an anonymous caller.
     rank : int or None
         The urgency, 0 first; None leaves it to the engine.
-    backup : str
-        ``host:port`` of the engine that keeps a copy as the run goes on; empty for none.
     """
 
     engine: Host
     time_left: float
     account: str
     rank: int | None = None
-    backup: str = ""
     resume: Resume | None = None
 
 
@@ -131,6 +128,28 @@
     complete: bool
 
 
+@frozen
+class RunState:
+    """A run on an engine and the memory that it takes, in tokens."""
+
+    name: str
+    tokens: int
+
+
+@frozen
+class EngineRuns:
+    """What an engine works on.
+
+    Attributes
+    ----------
+    leaves_in : float or None
+        Seconds until it is gone, if it says so.
+    """
+
+    leaves_in: float | None
+    runs: tuple[RunState, ...]
+
+
 class RequestCodec(Protocol):
     """Reads callers' requests and writes those to engines."""
 
@@ -159,6 +178,9 @@
     async def load(self, host: Host) -> EngineLoad:
         """Return an engine's load; raises BackendError."""
 
+    async def runs(self, host: Host) -> EngineRuns:
+        """Return what an engine works on; raises BackendError."""
+
     async def copy_run(self, source: Host, run: str, target: Host, stop: bool) -> Copied:
         """Copy a run to another engine, and stop it if asked to; raises BackendError."""
 
--- a/papayacourse/spill.py
+++ b/papayacourse/spill.py
@@ -131,8 +131,14 @@
 
     async def place(self, request: GrantRequest, wait: float) -> PlacedElsewhere | None:
         """Return a place in another failure domain, if one is worth its price and free now."""
+        return await self.place_in(self._worth_asking(request, wait)[:DOMAINS_TRIED], request)
+
+    async def place_in(
+        self, domains: Iterable[str], request: GrantRequest
+    ) -> PlacedElsewhere | None:
+        """Return a place in one of some failure domains, if one is free now; the first is best."""
         now_or_never = evolve(request, wait_limit=0.0)
-        for domain in self._worth_asking(request, wait)[:DOMAINS_TRIED]:
+        for domain in domains:
             cell = self._best_cell(domain, request)
             answer = await self._ask(domain, evolve(now_or_never, cell=cell))
             self.asked[outcome(answer)] += 1
