Believe a domain's gateways where its daemons' heartbeats have ended

The daemon asked stood in for the owner and gave out a quarter of its engines: the askers took the owner for leaving. A daemon says that it leaves while it does not know enough; its heartbeats to another domain end when it is no gateway there any more, so that word stayed for ever. A daemon whose seeds name itself became its own member besides. Ruled out: memory (the ledgers' budgets were 8,108 of 34,142 tokens), and copies of one request. Change: what gateways tell counts after 3 s without a heartbeat; met() ignores oneself; a domain with engines and no known load is asked.

--- a/papayacourse/members.py
+++ b/papayacourse/members.py
@@ -20,6 +20,8 @@
         taken for dead, in seconds of the monotonic clock.
     beat : Heartbeat or None
         Its last heartbeat in full.
+    told_at : float
+        When that came.
     listed : bool
         Whether the newest host list has it.
     listed_leaving : bool
@@ -35,6 +37,7 @@
     died: float = NEVER
     leaving: bool = False
     beat: Heartbeat | None = None
+    told_at: float = NEVER
     known_since: float = field(factory=time.monotonic)
     listed: bool = False
     listed_leaving: bool = False
--- a/papayacourse/membership.py
+++ b/papayacourse/membership.py
@@ -25,6 +25,7 @@
 FORGET_AFTER = 60.0  # seconds after which a dead daemon that is not listed is forgotten
 MAX_SEED_PAUSE = 10.0  # seconds between tries to reach a seed
 CROSS_LINKS = 2  # daemons of each other domain that one gateway keeps a link to
+TOLD_COUNTS = 3.0  # seconds for which a heartbeat counts more than what gateways tell
 GATEWAYS = 2  # daemons of a domain that keep links to another one
 
 
@@ -128,12 +129,24 @@
     def live(self, domain: str | None = None) -> list[str]:
         """Return the daemons of a domain that live and stay; this one's domain by default."""
         domain = domain or self.me.domain
-        found = [m.name for m in self.members.values() if m.domain == domain and self.stays(m)]
-        found = [name for name in found if self.is_alive(name)]
+        relayed = set() if domain == self.me.domain else set(self.remote_live(domain))
+        members = (member for member in self.members.values() if member.domain == domain)
+        found = [member.name for member in members if self._serves(member, relayed)]
         if domain == self.me.domain and self.takes_duties():
             found.append(self.me.name)
         return found
 
+    def _serves(self, member: Member, relayed: set[str]) -> bool:
+        """Tell whether a daemon lives and stays, by what was last heard of it.
+
+        Its own heartbeats end once this daemon is no gateway to it any more. From then on what
+        its domain's gateways tell is newer, also where it last said that it takes no duties yet.
+        """
+        told_lately = self.clock() - member.told_at < TOLD_COUNTS
+        if member.name in relayed and not told_lately:
+            return not member.listed_leaving
+        return self.stays(member) and self.is_alive(member.name)
+
     def takes_duties(self) -> bool:
         """Tell whether this daemon may be given duties."""
         return not self.leaving and not self.listed_leaving and self.informed()
@@ -175,6 +188,9 @@
 
     def met(self, hello: Hello) -> None:
         """Note a daemon whose link has just come up."""
+        if hello.name == self.me.name:
+            # One of the seeds is this daemon's own address.
+            return
         known = self.members.get(hello.name)
         now = self.clock()
         # A replaced host's clock may be behind, so an older number counts once the newer is dead.
@@ -217,7 +233,7 @@
         member = self.members.get(peer.name)
         if member is None or beat.incarnation < member.incarnation:
             return
-        member.beat = beat
+        member.beat, member.told_at = beat, self.clock()
         if member.leaving != beat.leaving:
             member.leaving = beat.leaving
             self.changed.set()
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -27,7 +27,7 @@
 from papayacourse.routed.config import ConfigFile, RoutedConfig
 from papayacourse.routed.derived import bring_in_line
 from papayacourse.routed.directory import Directory
-from papayacourse.routed.document import CallerLimits, Document
+from papayacourse.routed.document import CallerLimits, Document, EngineShape
 from papayacourse.routed.documents import Documents
 from papayacourse.routed.evacuation import Evacuation
 from papayacourse.routed.fleetview import FleetView
@@ -101,7 +101,7 @@
         self.budget = FleetBudget(config.budget, self._daemons)
         self.fleet = FleetView(
             self.membership, self.mesh.placement, self.budget, self.adapter.codec,
-            self.adapter.engine_calls, self._note_first_event,
+            self.adapter.engine_calls, self._note_first_event, self._shape,
         )  # fmt: skip
         self.evacuation = Evacuation(self.fleet)
         self.front = Front(
@@ -252,6 +252,12 @@
         self.front.body_room = fresh.body_room
         logs.info("configuration reloaded", why=why)
 
+    def _shape(self, service: str) -> EngineShape:
+        """Return what the engines of a service can do, as far as the settings say."""
+        document = self.documents.current
+        known = document.services.get(service) if document else None
+        return known.engine if known and known.engine else EngineShape(1, 1)
+
     def _note_first_event(self, admitted: Admitted) -> None:
         seconds = time.monotonic() - admitted.came_at
         attributes = {"route": admitted.route.name, "account": admitted.account_name}
--- a/papayacourse/routed/fleetview.py
+++ b/papayacourse/routed/fleetview.py
@@ -10,6 +10,7 @@
 from papayacourse.placement import Placement
 from papayacourse.routed.admitted import Admitted
 from papayacourse.routed.budget import FleetBudget
+from papayacourse.routed.document import EngineShape
 from papayacourse.routed.seams import EngineCalls, RequestCodec
 from papayacourse.types import GenerationRequest, Host, HostState
 
@@ -24,6 +25,8 @@
     ----------
     note_first_event : callable
         Called with a request whose first event has been passed on.
+    shape : callable
+        Returns what the engines of a model service can do.
     """
 
     membership: Membership
@@ -32,6 +35,7 @@
     codec: RequestCodec
     engine_calls: EngineCalls
     note_first_event: Callable[[Admitted], None]
+    shape: Callable[[str], EngineShape]
 
     @property
     def here(self) -> Place:
@@ -55,27 +59,35 @@
         host = self.host(name)
         return host is not None and host.state == HostState.LIVE
 
-    def nearest_other(self, engine: Host, service: str) -> Host | None:
-        """Return another engine of a service that stays, one of the nearest to an engine."""
-        there = Place(engine.domain, engine.region)
-        others = [
+    def reach(self, engine: Host, other: Host) -> LinkClass:
+        """Return how far two engines are apart."""
+        return Place(engine.domain, engine.region).link_to(other.domain, other.region)
+
+    def others(self, engine: Host, service: str) -> list[Host]:
+        """Return the other engines of a service that stay."""
+        return [
             host
             for host in self.servers(service)
             if host.name != engine.name and host.state == HostState.LIVE
         ]
-        for reach in NEAREST_FIRST:
-            near = [h for h in others if there.link_to(h.domain, h.region) == reach]
-            if near:
-                return random.choice(near)
-        return None
+
+    def refuge(self, engine: Host, service: str) -> Host | None:
+        """Return an engine to move a run to: near, and best not alone in its region."""
+        others = self.others(engine, service)
+        return min(
+            others,
+            key=lambda host: (
+                NEAREST_FIRST.index(self.reach(engine, host)),
+                not self.has_neighbour(host, service),
+                random.random(),
+            ),
+            default=None,
+        )
 
     def has_neighbour(self, engine: Host, service: str) -> bool:
         """Tell whether a run can be moved from an engine within its notice: not between regions."""
-        other = self.nearest_other(engine, service)
-        if other is None:
-            return False
-        there = Place(engine.domain, engine.region)
-        return there.link_to(other.domain, other.region) != LinkClass.OTHER_REGION
+        others = self.others(engine, service)
+        return any(self.reach(engine, host) != LinkClass.OTHER_REGION for host in others)
 
     def safer_domains(self, service: str) -> list[str]:
         """Return the failure domains to prefer for long runs, the nearest first.
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -76,11 +76,6 @@
         """Return what engines know the run by."""
         return self.admitted.call.request_id
 
-    @property
-    def copy_rate(self) -> float:
-        """Return the tokens of a run that an engine copies in a second."""
-        return self.shape.copy_rate
-
     @property
     def memory_tokens(self) -> int:
         """Return the memory that the run takes, in tokens."""
@@ -171,7 +166,10 @@
         if not self.shape.moves or self.time_to_end() < LONG_RUN:
             return None
         domains = self.fleet.safer_domains(self.admitted.service)
-        return await self.fleet.placement.place_in(domains, ask) if domains else None
+        place = await self.fleet.placement.place_in(domains, ask) if domains else None
+        if domains and place is None:
+            logs.info("no safer place", domains=domains)
+        return place
 
     async def _follow(self, resume: Resume | None, head_limit: float) -> Resume | None:
         """Pass on what an engine sends; returns where to continue if it breaks off."""
@@ -237,6 +235,13 @@
 
     # Continuing elsewhere.
 
+    def note_moved(self, standby: Standby | None) -> None:
+        """Note what came of a move: where the run continues, or None when it has failed."""
+        if self.moved is not None and not self.moved.done():
+            self.moved.set_result(standby)
+        if standby is None:
+            self.moved = None
+
     async def _after(self, why: str) -> Resume | None:
         """Return where a run that has broken off continues; raises when nowhere."""
         self._log_failed(why)
--- a/papayacourse/spill.py
+++ b/papayacourse/spill.py
@@ -16,6 +16,7 @@
 from papayacourse.peers import Peers
 from papayacourse.schedulingmessages import Granted, GrantRefused, GrantRequest, Joined, Queued
 from papayacourse.settings import ServiceSettings
+from papayacourse.types import GenerationRequest
 
 ANSWER_TIMEOUT = 0.4  # seconds that another domain's scheduler may take
 DOMAINS_TRIED = 2  # other failure domains asked for one request
@@ -169,8 +170,15 @@
             load = joined(self.loads(domain, generation.team, generation.service))
             if load is not None:
                 others.append(Elsewhere(domain, regions[domain], load.expected_wait))
+            elif self._has_engines(domain, generation):
+                # Nobody has asked for the service there yet.
+                others.append(Elsewhere(domain, regions[domain], 0.0))
         return worth_asking(wait, me.region, others, service)
 
+    def _has_engines(self, domain: str, generation: GenerationRequest) -> bool:
+        layout = self.cell_map.layout(domain, generation.team, generation.service)
+        return any(layout.memory.values())
+
     def questions(self) -> Iterator[tuple[int, dict[str, str]]]:
         """Yield the questions to other domains, for the metrics."""
         for answer in ("granted", "refused", "silent"):
