Keep copies of long runs at near engines, and move the smallest runs first

Cause: an engine with seven runs cannot copy them all within its notice of 1.5 to 2.1 s (0.25 s each). Change: each long run has a copy at a near engine that is less than half full, renewed each 3 s; at the notice only its rest is copied (7 to 12 ms). A run whose engine is lost without notice, or goes silent, continues from its copy. Runs without one are moved in turn, the smallest first, since copies between regions take 1.5 s.

--- /dev/null
+++ b/papayacourse/routed/copying.py
@@ -0,0 +1,86 @@
+"""Keeps a copy of a long run at a near engine, so that it can continue there at any moment."""
+
+import asyncio
+import time
+
+from attrs import define, field
+
+from papayacourse import logs
+from papayacourse.exceptions import BackendError
+from papayacourse.linkclasses import LinkClass
+from papayacourse.routed.fleetview import FleetView
+from papayacourse.routed.generation import Generation
+from papayacourse.routed.standby import Standby
+from papayacourse.types import Host
+
+COPY_INTERVAL = 3.0  # seconds between copies; an engine drops one that is not renewed for 5
+ROOM_PART = 0.5  # part of an engine's memory that may be taken with a copy; the rest is for runs
+LONG_RUN = 2.5  # seconds that a run must still be able to take
+
+
+def is_worth_copying(generation: Generation) -> bool:
+    """Tell whether a run goes on for so long that a copy pays."""
+    return generation.can_move() and generation.time_to_end() > LONG_RUN
+
+
+@define(eq=False)
+class Copying:
+    """Keeps one run's copy.
+
+    Attributes
+    ----------
+    source : Host
+        The engine that runs it; the work ends when the run goes on elsewhere.
+    """
+
+    fleet: FleetView
+    generation: Generation
+    source: Host
+    copied_at: float = field(default=float("-inf"))
+
+    async def run(self) -> None:
+        """Copy the run again and again for as long as its engine stays."""
+        while self._goes_on():
+            await self._renew()
+            await asyncio.sleep(COPY_INTERVAL)
+
+    def _goes_on(self) -> bool:
+        generation = self.generation
+        stays = self.fleet.stays(self.source.name)
+        return stays and generation.engine == self.source and is_worth_copying(generation)
+
+    async def _renew(self) -> None:
+        generation = self.generation
+        async with generation.copy_lock:
+            copy = generation.copy
+            if copy is not None and not self.fleet.stays(copy.host.name):
+                await self.fleet.drop_copy(self.source, copy.handle)
+                copy = generation.copy = None
+            target = copy.host if copy is not None else await self._target()
+            if target is not None and self._goes_on():
+                await self._copy(target)
+
+    async def _target(self) -> Host | None:
+        """Return a near engine that has room, or None."""
+        near = self.fleet.refuge(self.source, self.generation.request.service)
+        if near is None or self.fleet.reach(self.source, near) == LinkClass.OTHER_REGION:
+            return None
+        try:
+            load = await self.fleet.engine_calls.load(near)
+        except BackendError as error:
+            logs.info("copy's target not reached", engine=near.name, why=str(error))
+            return None
+        taken = load.memory_used + self.generation.memory_tokens
+        return near if taken <= ROOM_PART * load.memory_total else None
+
+    async def _copy(self, target: Host) -> None:
+        generation, began = self.generation, time.monotonic()
+        try:
+            calls = self.fleet.engine_calls
+            copied = await calls.copy_run(self.source, generation.run_id, target, stop=False)
+        except BackendError as error:
+            logs.info("not copied", engine=self.source.name, target=target.name, why=str(error))
+            generation.copy = None
+            return
+        generation.copy = Standby(target, self.source.address, copied.handle)
+        logs.debug("copied", target=target.name, seconds=round(time.monotonic() - began, 3))
--- a/papayacourse/routed/emptying.py
+++ b/papayacourse/routed/emptying.py
@@ -11,7 +11,7 @@
 from papayacourse.exceptions import BackendError, BackendUnreachable
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.generation import Generation
-from papayacourse.routed.seams import Copied, EngineRuns, RunState
+from papayacourse.routed.seams import EngineRuns, RunState
 from papayacourse.routed.standby import Standby
 from papayacourse.routed.turns import Turn, turns
 from papayacourse.types import Host
@@ -47,6 +47,7 @@
 
     async def run(self) -> None:
         """Move one run after another until nothing is left to move."""
+        await self._move_copied()
         await self._plan()
         while (generation := self._next()) is not None:
             turn = self.planned.get(generation.run_id)
@@ -74,6 +75,13 @@
 
     # Commands.
 
+    async def _move_copied(self) -> None:
+        """Move the runs that have a copy elsewhere already; what is left of them is short."""
+        for generation in list(self.running()):
+            copy = generation.copy
+            if copy is not None and generation.can_move() and self.fleet.stays(copy.host.name):
+                await self._move(generation)
+
     async def _plan(self) -> None:
         """Work out the turns of all runs on the engine."""
         report = await self._report()
@@ -100,38 +108,42 @@
 
     async def _move(self, generation: Generation) -> None:
         generation.moved = asyncio.get_running_loop().create_future()
-        began = time.monotonic()
-        result, why, target = None, "", self.fleet.refuge(self.engine, self.service)
+        began, events = time.monotonic(), generation.events
+        result, why = None, ""
         try:
-            if target is None:
-                raise BackendUnreachable("no other engine stays")
-            result = await self._copy_and_stop(generation, target)
+            async with generation.copy_lock:
+                result = await self._copy_and_stop(generation)
         except BackendError as error:
             why = str(error)
             generation.unmovable = True
         logs.info(
             "moved" if result else "not moved", request=generation.run_id,
-            engine=self.engine.name, target=target.name if target else "",
-            why=why, events=generation.events,
-            seconds=round(time.monotonic() - began, 3),
+            engine=self.engine.name, target=result.host.name if result else "", why=why,
+            events=events, seconds=round(time.monotonic() - began, 3),
         )  # fmt: skip
         generation.note_moved(result)
 
-    async def _copy_and_stop(self, generation: Generation, target: Host) -> Standby:
+    async def _copy_and_stop(self, generation: Generation) -> Standby:
         """Copy a run while it goes on, then stop it and copy the short rest."""
-        calls = self.fleet.engine_calls
-        first = await calls.copy_run(self.engine, generation.run_id, target, stop=False)
-        try:
-            copied = await calls.copy_run(self.engine, generation.run_id, target, stop=True)
-        except BackendError:
-            await self._drop(first)
-            raise
-        host = target if copied.complete else self.engine
-        return Standby(host, self.engine.address, copied.handle)
-
-    async def _drop(self, copied: Copied) -> None:
-        try:
-            await self.fleet.engine_calls.drop_copy(self.engine, copied.handle)
-        except BackendError as error:
-            # The engines free it by themselves after a while.
-            logs.info("copy not dropped", engine=self.engine.name, why=str(error))
+        calls, run = self.fleet.engine_calls, generation.run_id
+        target = await self._copied_to(generation)
+        if target is None:
+            target = self.fleet.refuge(self.engine, self.service)
+            if target is None:
+                raise BackendUnreachable("no other engine stays")
+            first = await calls.copy_run(self.engine, run, target, stop=False)
+            generation.copy = Standby(target, self.engine.address, first.handle)
+        copied = await calls.copy_run(self.engine, run, target, stop=True)
+        generation.copy = None
+        return Standby(
+            target if copied.complete else self.engine, self.engine.address, copied.handle
+        )
+
+    async def _copied_to(self, generation: Generation) -> Host | None:
+        """Return the engine that has a copy and stays; drops a copy at one that does not."""
+        copy = generation.copy
+        if copy is None or self.fleet.stays(copy.host.name):
+            return copy.host if copy else None
+        generation.copy = None
+        await self.fleet.drop_copy(self.engine, copy.handle)
+        return None
--- a/papayacourse/routed/fleetview.py
+++ b/papayacourse/routed/fleetview.py
@@ -5,6 +5,8 @@
 
 from attrs import define
 
+from papayacourse import logs
+from papayacourse.exceptions import BackendError
 from papayacourse.linkclasses import LinkClass, Place
 from papayacourse.membership import Membership
 from papayacourse.placement import Placement
@@ -102,6 +104,14 @@
         near = sorted(safe.values(), key=lambda h: (h.region != self.here.region, random.random()))
         return [host.domain for host in near]
 
+    async def drop_copy(self, source: Host, handle: str) -> None:
+        """Free the memory that a copy takes."""
+        try:
+            await self.engine_calls.drop_copy(source, handle)
+        except BackendError as error:
+            # The engines free it by themselves after a while.
+            logs.info("copy not dropped", engine=source.name, why=str(error))
+
     async def rebind(
         self, request: GenerationRequest, before: Host, now: Host, generated: int
     ) -> None:
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -165,7 +165,7 @@
         try:
             await generation.run()
         finally:
-            self.evacuation.running.discard(generation)
+            self.evacuation.ended(generation)
 
     def _note(self, exchange: Exchange, outcome: "Outcome") -> None:
         """Say once for each request what came of it."""
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -24,6 +24,8 @@
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 WAIT_PART = 0.8  # part of the objective that a request may wait for a place
 RESUME_HEAD = 1.5  # seconds that an engine may take to continue a run
+STALL_GAPS = 8.0  # longest good pauses after which a silent engine is taken for lost
+MIN_STALL = 1.0  # seconds
 LONG_RUN = 1.5  # seconds; a shorter one ends within its engine's notice
 FIRST_PACE = 0.012  # seconds for each token, until a run's own pace is known
 RETRY_AFTER = 0.5  # seconds
@@ -52,6 +54,10 @@
         Events passed on.
     unmovable : bool
         Whether a move from its present engine has failed.
+    copy : Standby or None
+        A copy at another engine, a few seconds old at most.
+    copy_lock : asyncio.Lock
+        Held while an engine copies it; the engine refuses a second copy meanwhile.
     """
 
     admitted: Admitted
@@ -68,6 +74,8 @@
     unmovable: bool = False
     resumes: int = 0
     refused: set[str] = field(factory=set)
+    copy: Standby | None = None
+    copy_lock: asyncio.Lock = field(factory=asyncio.Lock)
 
     # Queries.
 
@@ -198,7 +206,7 @@
         if call.status != 200:
             await self._relay_failure(call, headers)
             return
-        call.idle_timeout = max(0.01, self.admitted.time_left())
+        call.idle_timeout = self._patience_with_engine()
         splitter = EventSplitter()
         async for chunk in call.chunks():
             for event in splitter.feed(chunk):
@@ -209,6 +217,12 @@
             await self.exchange.begin(200, headers)
         self.exchange.end()
 
+    def _patience_with_engine(self) -> float:
+        """Return how long an engine may be silent, in seconds."""
+        if not self.shape.moves:
+            return max(0.01, self.admitted.time_left())
+        return max(MIN_STALL, STALL_GAPS * self.admitted.route.max_gap)
+
     async def _relay_failure(self, call: HttpCall, headers: HTTPHeaders) -> None:
         """Pass on an engine's failure, or take it for a broken stream if that has begun."""
         if self.exchange.begun:
@@ -247,9 +261,11 @@
         self._log_failed(why)
         moved = await self.moved if self.moved is not None else None
         self.moved = None
-        if moved is None:
+        copy, self.copy = self.copy, None
+        standby = moved or copy
+        if standby is None or not self.fleet.is_listed(standby.host.name):
             raise self._broken(why)
-        return await self._go_on_at(moved, why)
+        return await self._go_on_at(standby, why)
 
     async def _go_on_at(self, standby: Standby, why: str) -> Resume:
         if not self.fleet.budget.take(self.admitted.service, "resume"):
--- a/papayacourse/routed/turns.py
+++ b/papayacourse/routed/turns.py
@@ -33,19 +33,18 @@
     rate : float
         Tokens a second within a failure domain.
     """
-    seconds = tokens / rate * COPY_SLOWNESS[reach]
-    return max(seconds, REGION_COPY) if reach == LinkClass.OTHER_REGION else seconds
+    return tokens / rate * COPY_SLOWNESS[reach]
 
 
 def turns(runs: Iterable[RunState], rate: float, reach: LinkClass) -> Iterator[Turn]:
-    """Yield when each run of an engine is moved, the largest first.
+    """Yield when each run of an engine is moved, the smallest first: so the most are saved.
 
     All daemons that pass on runs of the engine work this out from the same report, so that their
     moves follow each other on the engine's link. A move that waits behind another daemon's copy
     would make its stream pause.
     """
     begin = 0.0
-    for run in sorted(runs, key=lambda run: (-run.tokens, run.name)):
+    for run in sorted(runs, key=lambda run: (run.tokens, run.name)):
         end = begin + copy_time(run.tokens, rate, reach) + MOVE_OVERHEAD
         yield Turn(run.name, begin, end)
         begin = end
