Test the routed path on stand-ins of the users' store and engines

Also: where an engine has no room for a run that moves, two more are tried; a stopping daemon sends long generations elsewhere at once; while the store is away engines are asked whether they leave. Conclusion: kept for the notices that the store cannot give.

--- a/papayacourse/listener.py
+++ b/papayacourse/listener.py
@@ -8,24 +8,34 @@
 
 @define(eq=False, slots=False)
 class NotedRequest(HTTPMessageDelegate):
-    """Passes a request on, and notes that its connection is no longer idle."""
+    """Passes a request on, and notes that its connection is no longer idle.
+
+    Attributes
+    ----------
+    is_crossed : bool
+        Whether the connection was closed before the request was read from it. Nobody can be
+        answered there, so nothing is begun; the caller may send the request again.
+    """
 
     listener: "Listener"
     connection: HTTP1ServerConnection
     delegate: HTTPMessageDelegate
+    is_crossed: bool = False
 
     def headers_received(self, start_line, headers):
         """Note the request and pass its head on (called by tornado)."""
         self.listener.idle.discard(self.connection)
-        return self.delegate.headers_received(start_line, headers)
+        self.is_crossed = self.connection.stream.closed()
+        return None if self.is_crossed else self.delegate.headers_received(start_line, headers)
 
     def data_received(self, chunk: bytes):
         """Pass a piece of the body on (called by tornado)."""
-        return self.delegate.data_received(chunk)
+        return None if self.is_crossed else self.delegate.data_received(chunk)
 
     def finish(self) -> None:
         """Pass the end of the request on (called by tornado)."""
-        self.delegate.finish()
+        if not self.is_crossed and not self.connection.stream.closed():
+            self.delegate.finish()
 
     def on_connection_close(self) -> None:
         """Pass on that the caller has gone (called by tornado)."""
--- a/papayacourse/routed/copying.py
+++ b/papayacourse/routed/copying.py
@@ -14,6 +14,7 @@
 from papayacourse.types import Host
 
 COPY_INTERVAL = 3.0  # seconds between copies; an engine drops one that is not renewed for 5
+LOOK_INTERVAL = 0.3  # seconds between looks for a near engine where there is none
 ROOM_PART = 0.5  # part of an engine's memory that may be taken with a copy; the rest is for runs
 LONG_RUN = 2.5  # seconds that a run must still be able to take
 
@@ -42,7 +43,8 @@
         """Copy the run again and again for as long as its engine stays."""
         while self._goes_on():
             await self._renew()
-            await asyncio.sleep(COPY_INTERVAL)
+            waits_for_one = self.generation.copy is None and self._near() is None
+            await asyncio.sleep(LOOK_INTERVAL if waits_for_one else COPY_INTERVAL)
 
     def _goes_on(self) -> bool:
         generation = self.generation
@@ -60,11 +62,18 @@
             if target is not None and self._goes_on():
                 await self._copy(target)
 
-    async def _target(self) -> Host | None:
-        """Return a near engine that has room, or None."""
+    def _near(self) -> Host | None:
+        """Return an engine that copies reach fast, or None."""
         near = self.fleet.refuge(self.source, self.generation.request.service)
         if near is None or self.fleet.reach(self.source, near) == LinkClass.OTHER_REGION:
             return None
+        return near
+
+    async def _target(self) -> Host | None:
+        """Return a near engine that has room, or None."""
+        near = self._near()
+        if near is None:
+            return None
         try:
             load = await self.fleet.engine_calls.load(near)
         except BackendError as error:
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -90,7 +90,7 @@
         )
         self.mesh = Mesh(
             self.hello, config.mesh_key, config.seeds, self.catalog, NoHostList(), self.metrics,
-            self.spawn, AdapterReports(self.adapter.engine_calls, self.host),
+            self.spawn, AdapterReports(self.adapter.engine_calls, self.host, self._engine_leaves),
         )  # fmt: skip
         self.membership, self.duties = self.mesh.membership, self.mesh.duties
         self.documents = Documents(self.mesh.peers, self.adapter.store.decode_document, self._news)
@@ -103,7 +103,7 @@
             self.membership, self.mesh.placement, self.budget, self.adapter.codec,
             self.adapter.engine_calls, self._note_first_event, self._shape,
         )  # fmt: skip
-        self.evacuation = Evacuation(self.fleet)
+        self.evacuation = Evacuation(self.fleet, lambda: self.directory.is_away)
         self.front = Front(
             self.documents, self.fleet, ServerChoice(Place(config.domain, config.region)),
             self.evacuation, self.mesh.quarantine, self.metrics,
@@ -147,6 +147,9 @@
         """Return a listed host by its name."""
         return self.fleet.host(name)
 
+    def _engine_leaves(self, host: Host) -> None:
+        self.fleet.note_leaving(host)
+
     def is_ready(self) -> bool:
         """Tell whether callers may be sent here."""
         return self.ready and not self.lifecycle.stopping.is_set() and self.informed()
@@ -230,6 +233,7 @@
     def _listed(self, listing: HostListing) -> None:
         """Take a newer listing of hosts, and empty engines that leave."""
         self.membership.host_sync.take(listing)
+        self.fleet.forget_unlisted()
         self.front.choice.keep({host.name for host in self.membership.hosts.hosts})
         self.evacuation.look()
 
--- a/papayacourse/routed/emptying.py
+++ b/papayacourse/routed/emptying.py
@@ -8,7 +8,7 @@
 from attrs import define, field
 
 from papayacourse import logs
-from papayacourse.exceptions import BackendError, BackendUnreachable
+from papayacourse.exceptions import BackendError, BackendRefused, BackendUnreachable
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.generation import Generation
 from papayacourse.routed.seams import EngineRuns, RunState
@@ -17,6 +17,8 @@
 from papayacourse.types import Host
 
 WAIT_STEP = 0.1  # seconds between looks at what is still to be moved
+TARGETS_TRIED = 3
+NO_ROOM = 503  # an engine's status
 NOTICE = 1.4  # seconds that an engine works on after its notice, where it does not say
 LEAST_REST = 1.0  # seconds; a run that ends sooner is not moved
 
@@ -126,19 +128,31 @@
     async def _copy_and_stop(self, generation: Generation) -> Standby:
         """Copy a run while it goes on, then stop it and copy the short rest."""
         calls, run = self.fleet.engine_calls, generation.run_id
-        target = await self._copied_to(generation)
-        if target is None:
-            target = self.fleet.refuge(self.engine, self.service)
-            if target is None:
-                raise BackendUnreachable("no other engine stays")
-            first = await calls.copy_run(self.engine, run, target, stop=False)
-            generation.copy = Standby(target, self.engine.address, first.handle)
+        target = await self._copied_to(generation) or await self._copy_first(generation)
         copied = await calls.copy_run(self.engine, run, target, stop=True)
         generation.copy = None
         return Standby(
             target if copied.complete else self.engine, self.engine.address, copied.handle
         )
 
+    async def _copy_first(self, generation: Generation) -> Host:
+        """Copy a run to the first engine that has room, the nearest first."""
+        last: BackendError = BackendUnreachable("no other engine stays")
+        for target in self.fleet.refuges(self.engine, self.service)[:TARGETS_TRIED]:
+            try:
+                first = await self.fleet.engine_calls.copy_run(
+                    self.engine, generation.run_id, target, stop=False
+                )
+            except BackendRefused as error:
+                if error.status != NO_ROOM:
+                    raise
+                logs.info("no room", request=generation.run_id, target=target.name)
+                last = error
+                continue
+            generation.copy = Standby(target, self.engine.address, first.handle)
+            return target
+        raise last
+
     async def _copied_to(self, generation: Generation) -> Host | None:
         """Return the engine that has a copy and stays; drops a copy at one that does not."""
         copy = generation.copy
--- a/papayacourse/routed/evacuation.py
+++ b/papayacourse/routed/evacuation.py
@@ -1,9 +1,12 @@
 """Watches the runs in progress: has long ones copied, and engines emptied that leave."""
 
 import asyncio
+from collections.abc import Callable
 
 from attrs import define, field
 
+from papayacourse import logs
+from papayacourse.exceptions import BackendError
 from papayacourse.routed.copying import Copying, is_worth_copying
 from papayacourse.routed.emptying import Emptying
 from papayacourse.routed.fleetview import FleetView
@@ -11,6 +14,7 @@
 from papayacourse.types import Host
 
 LOOK_INTERVAL = 0.1  # seconds
+ASK_INTERVAL = 0.3  # seconds between questions to one engine; a notice may be 1.5 s
 
 
 @define(eq=False)
@@ -19,6 +23,8 @@
 
     Attributes
     ----------
+    store_is_away : callable
+        Tells whether the store cannot be read, so that it does not tell which engines leave.
     running : set of Generation
         The runs that this daemon passes on.
     emptying : dict of str to asyncio.Task
@@ -28,17 +34,42 @@
     """
 
     fleet: FleetView
+    store_is_away: Callable[[], bool]
     running: set[Generation] = field(factory=set)
     emptying: dict[str, asyncio.Task] = field(factory=dict)
     copying: dict[Generation, asyncio.Task] = field(factory=dict)
+    asking: dict[str, asyncio.Task] = field(factory=dict)
     dropping: set[asyncio.Task] = field(factory=set)
 
     async def run(self) -> None:
         """Look at the engines for ever."""
         while True:
             self.look()
+            self._ask_engines()
             await asyncio.sleep(LOOK_INTERVAL)
 
+    def _ask_engines(self) -> None:
+        """Ask the engines of long runs themselves whether they leave, while the store is away."""
+        if not self.store_is_away():
+            return
+        for generation in self.running:
+            engine = generation.engine
+            if engine is None or not is_worth_copying(generation):
+                continue
+            task = self.asking.get(engine.name)
+            if task is None or task.done():
+                self.asking[engine.name] = asyncio.create_task(self._ask(engine))
+
+    async def _ask(self, engine: Host) -> None:
+        try:
+            report = await self.fleet.engine_calls.runs(engine)
+        except BackendError as error:
+            logs.info("engine not asked", engine=engine.name, why=str(error))
+        else:
+            if report.leaves:
+                self.fleet.note_leaving(engine)
+        await asyncio.sleep(ASK_INTERVAL)
+
     def on(self, engine: str) -> list[Generation]:
         """Return the runs on an engine that this daemon passes on."""
         return [g for g in self.running if g.engine is not None and g.engine.name == engine]
--- a/papayacourse/routed/fleetview.py
+++ b/papayacourse/routed/fleetview.py
@@ -1,9 +1,10 @@
 """What a request in progress needs of its daemon: who is listed, places, budget, codec."""
 
 import random
+import time
 from collections.abc import Callable, Iterator
 
-from attrs import define
+from attrs import define, field
 
 from papayacourse import logs
 from papayacourse.exceptions import BackendError
@@ -29,6 +30,9 @@
         Called with a request whose first event has been passed on.
     shape : callable
         Returns what the engines of a model service can do.
+    said_to_leave : dict of str to float
+        The engines that have said themselves that they leave, and when that was heard; the store
+        may be away, and then the list does not tell.
     """
 
     membership: Membership
@@ -38,6 +42,7 @@
     engine_calls: EngineCalls
     note_first_event: Callable[[Admitted], None]
     shape: Callable[[str], EngineShape]
+    said_to_leave: dict[str, float] = field(factory=dict)
 
     @property
     def here(self) -> Place:
@@ -59,7 +64,23 @@
     def stays(self, name: str) -> bool:
         """Tell whether a host is listed and has not been told to leave."""
         host = self.host(name)
-        return host is not None and host.state == HostState.LIVE
+        return host is not None and self.is_live(host)
+
+    def is_live(self, host: Host) -> bool:
+        """Tell whether a listed host gets new work: nobody says that it leaves."""
+        return host.state == HostState.LIVE and host.name not in self.said_to_leave
+
+    def note_leaving(self, host: Host) -> None:
+        """Note that an engine says itself that it leaves."""
+        if host.name not in self.said_to_leave:
+            logs.info("engine says it leaves", engine=host.name, listed=host.state.value)
+            self.said_to_leave[host.name] = time.monotonic()
+
+    def forget_unlisted(self) -> None:
+        """Forget what engines said that are listed no more."""
+        listed = {host.name for host in self.membership.hosts.hosts}
+        for name in self.said_to_leave.keys() - listed:
+            del self.said_to_leave[name]
 
     def reach(self, engine: Host, other: Host) -> LinkClass:
         """Return how far two engines are apart."""
@@ -70,22 +91,24 @@
         return [
             host
             for host in self.servers(service)
-            if host.name != engine.name and host.state == HostState.LIVE
+            if host.name != engine.name and self.is_live(host)
         ]
 
-    def refuge(self, engine: Host, service: str) -> Host | None:
-        """Return an engine to move a run to: near, and best not alone in its region."""
-        others = self.others(engine, service)
-        return min(
-            others,
+    def refuges(self, engine: Host, service: str) -> list[Host]:
+        """Return the engines to move a run to: near ones first, and those not alone there."""
+        return sorted(
+            self.others(engine, service),
             key=lambda host: (
                 NEAREST_FIRST.index(self.reach(engine, host)),
                 not self.has_neighbour(host, service),
                 random.random(),
             ),
-            default=None,
         )
 
+    def refuge(self, engine: Host, service: str) -> Host | None:
+        """Return the best engine to move a run to, or None."""
+        return next(iter(self.refuges(engine, service)), None)
+
     def has_neighbour(self, engine: Host, service: str) -> bool:
         """Tell whether a run can be moved from an engine within its notice: not between regions."""
         others = self.others(engine, service)
@@ -97,7 +120,7 @@
         An engine that is alone in its region cannot have its runs moved in time. Where this
         domain's engines are not alone there is nothing to prefer.
         """
-        places = {h.domain: h for h in self.servers(service) if h.state == HostState.LIVE}
+        places = {h.domain: h for h in self.servers(service) if self.is_live(h)}
         safe = {d: h for d, h in places.items() if self.has_neighbour(h, service)}
         if self.here.domain in safe:
             return []
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -26,6 +26,8 @@
 from papayacourse.types import GenerationRequest, Ran
 
 TEAM = "routed"  # the team that the schedulers know all services of the document by
+SHORT_OUTPUT = 100  # tokens; an answer of these ends within a planned stop
+STOPPING_RETRY_AFTER = 0.1  # seconds; another daemon can serve it at once
 PREFIX_HASH_BITS = 63
 
 
@@ -145,12 +147,21 @@
         self.fleet.budget.note_request(admitted.service)
         service = self.documents.current.services.get(admitted.service)
         if admitted.route.repeat == Repeat.STREAM and service and service.engine:
+            self._refuse_while_stopping(admitted)
             await self._generate(exchange, admitted, service)
             outcome.end = "streamed"
         else:
             await self._call(exchange, admitted)
             outcome.end = "answered"
 
+    def _refuse_while_stopping(self, admitted: Admitted) -> None:
+        """Send a long generation to another daemon at once, since this one would cut it off."""
+        prompt = admitted.call.prompt
+        if self.is_closing() and prompt is not None and prompt.max_output > SHORT_OUTPUT:
+            raise RequestRefused(
+                503, "stopping", "this daemon stops", retry_after=STOPPING_RETRY_AFTER
+            )
+
     async def _call(self, exchange: Exchange, admitted: Admitted) -> None:
         hosts = list(self.fleet.servers(admitted.service))
         call = PlainCall(admitted, self.fleet.codec, self.choice, self.fleet.budget, hosts)
--- a/papayacourse/routed/reports.py
+++ b/papayacourse/routed/reports.py
@@ -22,10 +22,13 @@
     ----------
     host : callable
         Returns a listed host by its name, or None.
+    note_leaving : callable
+        Called with an engine that says that it leaves.
     """
 
     calls: EngineCalls
     host: Callable[[str], Host | None]
+    note_leaving: Callable[[Host], None]
     interval: float = REPORT_INTERVAL
 
     async def load(self, ledger: EngineLedger) -> EngineLoad:
@@ -33,7 +36,10 @@
         host = self.host(ledger.name)
         if host is None:
             raise BackendUnreachable(f"{ledger.name} is not listed")
-        return await self.calls.load(host)
+        load = await self.calls.load(host)
+        if load.leaving:
+            self.note_leaving(host)
+        return load
 
     async def cache_events(self, ledger: EngineLedger, after: int) -> CacheEvents:
         """Return no events: prefixes are known from the requests routed here."""
--- a/papayacourse/routed/seams.py
+++ b/papayacourse/routed/seams.py
@@ -144,10 +144,13 @@
     ----------
     leaves_in : float or None
         Seconds until it is gone, if it says so.
+    leaves : bool
+        Whether it says that it leaves.
     """
 
     leaves_in: float | None
     runs: tuple[RunState, ...]
+    leaves: bool = False
 
 
 class RequestCodec(Protocol):
--- /dev/null
+++ b/standins/platformengine.py
@@ -0,0 +1,334 @@
+"""The users' engines: plain services and model engines, whose runs can be copied to others."""
+
+import asyncio
+import itertools
+import json
+
+from attrs import asdict, define, field
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.iostream import StreamClosedError
+
+from standins.common import JsonHandler, parser, serve
+
+REQUEST_ID = "X-Attempt-Id"
+NOT_RUN = "X-Not-Executed"
+
+
+@define
+class Run:
+    """One request that an engine has begun to work on.
+
+    Attributes
+    ----------
+    first : int
+        The first event made here.
+    made : int
+        The last event made.
+    end : str
+        ``whole``, ``cancelled`` or ``stopped``; empty while it runs.
+    """
+
+    name: str
+    method: str = ""
+    target: str = ""
+    headers: dict = field(factory=dict)
+    body: str = ""
+    first: int = 1
+    made: int = 0
+    end: str = ""
+
+
+@define
+class Copy:
+    """The memory of another engine's run."""
+
+    run: str
+    made: int
+
+
+@define(eq=False)
+class PlatformEngine:
+    """An engine, and the switches that make it fail.
+
+    Attributes
+    ----------
+    step : float
+        Seconds for each event.
+    plain_work : float
+        Seconds for each plain call.
+    copy_time : float
+        Seconds for the first copy of a run.
+    room : bool
+        Whether copies of other engines' runs are taken.
+    fault : str
+        What goes wrong with answers: ``shed``, ``lose``, ``wrong_id``, ``garbage``, ``unframed``,
+        ``reset_unframed``, ``encoded``, ``half_event`` or ``promise``; empty for nothing.
+    """
+
+    instance: str
+    step: float = 0.01
+    plain_work: float = 0.0
+    copy_time: float = 0.05
+    room: bool = True
+    fault: str = ""
+    state: str = "ready"
+    runs: list[Run] = field(factory=list)
+    copies: dict[str, Copy] = field(factory=dict)
+    targets: dict[str, str] = field(factory=dict)
+    stopped: dict[str, Copy] = field(factory=dict)
+    handles: itertools.count = field(factory=lambda: itertools.count(1))
+
+    def running(self, name: str) -> Run | None:
+        """Return a run that has not ended."""
+        return next((r for r in self.runs if r.name == name and not r.end), None)
+
+
+class Work(JsonHandler):
+    """Any path: a caller's request."""
+
+    async def prepare(self) -> None:
+        """Refuse what this engine may not run."""
+        engine, headers = self.standin, self.request.headers
+        if headers.get("X-Expected-Instance") != engine.instance:
+            self.refuse(421)
+        elif REQUEST_ID not in headers:
+            self.refuse(400)
+        elif engine.fault == "shed":
+            self.refuse(503)
+
+    def refuse(self, status: int) -> None:
+        """Answer that the request has not run."""
+        self.set_status(status)
+        self.set_header(NOT_RUN, "1")
+        self.finish()
+
+    def sign(self) -> None:
+        """Set the headers that every answer has."""
+        name = self.request.headers[REQUEST_ID]
+        self.set_header(REQUEST_ID, "another" if self.standin.fault == "wrong_id" else name)
+        self.set_header("X-Server-Signature", f"signed.{self.standin.instance}")
+
+    async def any_method(self) -> None:
+        """Run the request."""
+        if self._finished:
+            return
+        name, headers = self.request.headers[REQUEST_ID], dict(self.request.headers.get_all())
+        body = self.request.body.decode("latin1")
+        run = Run(name, self.request.method, self.request.uri, headers, body)
+        self.standin.runs.append(run)
+        if "X-Token-Counts" in self.request.headers:
+            await self.generate(run)
+        else:
+            await self.answer(run)
+
+    get = post = put = delete = any_method
+
+    def on_connection_close(self) -> None:
+        """Cancel the run."""
+        run = self.standin.running(self.request.headers.get(REQUEST_ID, ""))
+        if run is not None:
+            run.end = "cancelled"
+
+    async def answer(self, run: Run) -> None:
+        """Answer a plain call."""
+        await asyncio.sleep(self.standin.plain_work)
+        run.end = run.end or "whole"
+        stream = self.request.connection.stream
+        match self.standin.fault:
+            case "lose":
+                stream.close()
+                self._finished = True
+                return
+            case "garbage":
+                await stream.write(b"no answer at all\r\n\r\n")
+                stream.close()
+                self._finished = True
+                return
+            case "unframed" | "reset_unframed":
+                await self.unframed(run)
+                return
+            case "encoded":
+                self.set_header("Content-Encoding", "br")
+            case "promise":
+                self.set_status(503)
+        self.sign()
+        self.finish(json.dumps({"instance": self.standin.instance, "target": run.target}))
+
+    async def unframed(self, run: Run) -> None:
+        """Answer without a length: the end of the connection is the end of the answer."""
+        stream = self.request.connection.stream
+        head = f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {run.name}\r\nX-Server-Signature: s\r\n\r\n"
+        await stream.write(head.encode() + b"first half ")
+        await asyncio.sleep(0.05)
+        if self.standin.fault == "reset_unframed":
+            linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+            stream.socket.setsockopt(1, 13, linger)  # SOL_SOCKET, SO_LINGER: reset at close
+        else:
+            await stream.write(b"second half")
+        stream.close()
+        self._finished = True
+
+    async def generate(self, run: Run) -> None:
+        """Stream events, from where a copy ends if there is one."""
+        origin = run.headers.get("Kv-From")
+        if origin is not None and not self.take_copy(run, origin.rpartition("/")[2]):
+            self.standin.runs.remove(run)
+            self.refuse(503)
+            return
+        self.sign()
+        self.set_header("Content-Type", "text/event-stream")
+        last = int(run.headers["X-Token-Counts"].split(",")[1])
+        run.first = int(run.headers.get("Last-Event-Id", 0)) + 1
+        run.made = run.first - 1
+        while run.made < last and not run.end:
+            await asyncio.sleep(self.standin.step)
+            if not run.end:
+                await self.make_event(run)
+        await self.end_stream(run)
+
+    def take_copy(self, run: Run, handle: str) -> bool:
+        """Use a copy, once; False when there is none."""
+        found = self.standin.copies.pop(handle, None) or self.standin.stopped.pop(handle, None)
+        return found is not None and found.run == run.name
+
+    async def make_event(self, run: Run) -> None:
+        """Write the next event."""
+        run.made += 1
+        text = f"id: {run.made}\ndata: token {run.made}\n\n"
+        if self.standin.fault == "half_event" and run.made == 5:
+            await self.request.connection.stream.write(b"10\r\nid: 5\nda")
+            self.request.connection.stream.close()
+            run.end = "cancelled"
+            return
+        try:
+            self.write(text)
+            await self.flush()
+        except StreamClosedError:
+            run.end = "cancelled"
+
+    async def end_stream(self, run: Run) -> None:
+        """End the answer: whole, or broken off where the run was stopped or cancelled."""
+        if run.end:
+            self.request.connection.stream.close()
+            self._finished = True
+            return
+        run.end = "whole"
+        await self.finish()
+
+
+class Move(JsonHandler):
+    """``POST /kv-move``."""
+
+    async def post(self) -> None:
+        """Copy a run to another engine; only to one at a time."""
+        engine, order = self.standin, self.body()
+        run = engine.running(order["Id"])
+        if run is None:
+            self.set_status(404)
+            self.finish()
+            return
+        before = engine.targets.get(run.name)
+        if before not in (None, order["Target"]):
+            self.set_status(503)
+            self.finish({})
+            return
+        engine.targets[run.name] = order["Target"]
+        handle = f"h{next(engine.handles)}-{engine.instance}"
+        await asyncio.sleep(0.0 if before else engine.copy_time)
+        if order["Last"] and not run.end:
+            run.end = "stopped"
+        taken = await self.send(order["Target"], handle, run)
+        if order["Last"]:
+            engine.stopped[handle] = Copy(run.name, run.made)
+        if not taken:
+            engine.targets.pop(run.name, None)
+            self.set_status(503)
+        self.finish({"Handle": handle, "Created": run.made})
+
+    async def send(self, target: str, handle: str, run: Run) -> bool:
+        """Give a copy to another engine."""
+        body = json.dumps({"handle": handle, "run": run.name, "made": run.made})
+        try:
+            request = HTTPRequest(f"http://{target}/standin-copy", "POST", body=body)
+            await AsyncHTTPClient().fetch(request)
+        except (HTTPClientError, OSError):
+            return False
+        return True
+
+
+class TakeCopy(JsonHandler):
+    """``POST /standin-copy``: between stand-ins only."""
+
+    def post(self) -> None:
+        """Take a copy, if there is room."""
+        body = self.body()
+        if not self.standin.room:
+            self.set_status(503)
+        else:
+            self.standin.copies[body["handle"]] = Copy(body["run"], body["made"])
+        self.finish()
+
+
+class Handle(JsonHandler):
+    """``DELETE /kv-handle/ID``."""
+
+    def delete(self, _handle: str) -> None:
+        """Forget where runs were copied to."""
+        self.standin.targets.clear()
+        self.finish()
+
+
+class Report(JsonHandler):
+    """``GET /report``."""
+
+    def get(self) -> None:
+        """Return the load."""
+        engine = self.standin
+        runs = [[run.name, run.made + 100, run.made, 5] for run in engine.runs if not run.end]
+        self.finish(
+            {
+                "RunningRequests": len(runs),
+                "WaitingRequests": 0,
+                "KvCacheUsed": sum(row[1] for row in runs),
+                "KvCacheTotal": 30000,
+                "State": engine.state,
+                "Runs": runs,
+            }
+        )
+
+
+class Admin(JsonHandler):
+    """``/admin``: runs and switches."""
+
+    def get(self) -> None:
+        """Return what ran."""
+        runs = [asdict(run) for run in self.standin.runs]
+        copies = [copy.run for copy in self.standin.copies.values()]
+        self.finish({"runs": runs, "copies": copies})
+
+    def post(self) -> None:
+        """Set switches."""
+        for name, value in self.body().items():
+            setattr(self.standin, name, value)
+        self.finish({})
+
+
+def main() -> None:
+    """Run the stand-in."""
+    options = parser(__doc__)
+    options.add_argument("--step", type=float, default=0.01)
+    parsed = options.parse_args()
+    shared = {"standin": PlatformEngine(parsed.name, step=parsed.step)}
+    routes = [
+        (r"/kv-move", Move, shared),
+        (r"/standin-copy", TakeCopy, shared),
+        (r"/kv-handle/(.+)", Handle, shared),
+        (r"/report", Report, shared),
+        (r"/admin", Admin, shared),
+        (r".*", Work, shared),
+    ]
+    serve(parsed, routes)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/features/routed_settings.feature
@@ -0,0 +1,70 @@
+Feature: Daemons go by the newest settings document and list of servers that they can learn of
+
+  Scenario: Without a document a daemon is not ready and refuses with 503
+    Given a platform store without a document
+    And a routed daemon "a" in "lagos" that is not waited for
+    Then "a" is not ready, and GET "/view/1" through it is answered 503
+    When document 5 is written
+    Then "a" becomes ready
+
+  Scenario: A newer document is in force at once, and an older one never again
+    Given a platform store with document 5
+    And a routed daemon "a" in "lagos"
+    When document 7 without route "view" is written
+    Then GET "/view/1" through "a" is soon answered 404
+    When document 6 is written
+    Then GET "/view/1" through "a" stays answered 404 for 1 s
+
+  Scenario: A daemon that the store turns away learns a newer document from its peers
+    Given a platform store with document 5
+    And the store is reached by "b" through a proxy
+    And routed daemons "a, b" in "lagos"
+    When the proxy of "b" refuses everything
+    And document 8 without route "view" is written
+    Then GET "/view/1" through "b" is soon answered 404
+    And the log of "b" says that document 8 came from a peer
+
+  Scenario: Changes made while watches hear nothing are found once history is forgotten
+    Given a platform store with document 5
+    And a routed daemon "a" in "lagos"
+    When the store's watches go deaf
+    And document 9 without route "view" is written
+    And the store forgets its history and hears again
+    Then GET "/view/1" through "a" is soon answered 404
+
+  Scenario: Entries that cannot be read name no server, and the others hold
+    Given a platform store with document 5
+    And an engine "desk-1" of "desk" in "lagos"
+    And entries that cannot be read
+    And a routed daemon "a" in "lagos"
+    Then GET "/view/1" through "a" is answered 200 by "desk-1"
+
+  Scenario: A server that leaves gets no new work
+    Given a platform store with document 5
+    And an engine "desk-1" of "desk" in "lagos"
+    And an engine "desk-2" of "desk" in "kano"
+    And a routed daemon "a" in "lagos"
+    When "desk-1" is listed as "draining"
+    Then GET "/view/1" through "a" is soon answered 200 by "desk-2"
+
+  Scenario: A changed configuration file is taken with a signal and without
+    Given a platform store with document 5
+    And a routed daemon "a" in "lagos"
+    When the configuration file of "a" changes
+    Then the log of "a" has a line "configuration reloaded" because of "file changed"
+    When "a" gets SIGHUP
+    Then the log of "a" has a line "configuration reloaded" because of "signal"
+
+  Scenario: A stop turns not ready at once, finishes what runs and says so
+    Given a platform store with document 5
+    And an engine "desk-1" of "desk" in "lagos"
+    And a routed daemon "a" in "lagos"
+    When "desk-1" takes 2 s for each call
+    And a caller asks for "/view/1" through "a"
+    And routed daemon "a" is asked to stop
+    Then "a" is not ready within 0.5 s
+    And the caller is answered 200
+    And routed daemon "a" exits with status 0
+
+  Scenario: Python's own module "platform" is found beside the folder of that name
+    Then "import platform" in the daemon's program gives Python's own module
--- /dev/null
+++ b/tests/features/steps/routedstream_steps.py
@@ -0,0 +1,199 @@
+"""Steps about streams of the users' engines that continue elsewhere."""
+
+import contextlib
+import http.client
+import re
+import threading
+import time
+
+from attrs import define, field
+from behave import given, step, then, when
+from routed_steps import fleet_of
+
+from standins.fleet import wait_until
+
+PLAN_LIMIT = 30.0  # seconds for a whole plan
+SOON = 8.0  # seconds
+
+
+@define(eq=False)
+class Reader:
+    """A caller that reads a stream in a thread of its own.
+
+    Attributes
+    ----------
+    ended : bool
+        Whether the answer came to its proper end.
+    """
+
+    address: str
+    headers: dict
+    status: int = 0
+    answer_headers: dict = field(factory=dict)
+    text: bytes = b""
+    ended: bool = False
+    connection: http.client.HTTPConnection | None = None
+    thread: threading.Thread | None = None
+
+    def start(self) -> None:
+        """Begin to read."""
+        self.thread = threading.Thread(target=self.read, daemon=True)
+        self.thread.start()
+
+    def read(self) -> None:
+        """Read the answer to its end."""
+        host, _, port = self.address.rpartition(":")
+        self.connection = http.client.HTTPConnection(host, int(port), timeout=PLAN_LIMIT)
+        with contextlib.suppress(OSError, http.client.HTTPException, ValueError, AttributeError):
+            self.connection.request("POST", "/plans/1", b"a plan", self.headers)
+            answer = self.connection.getresponse()
+            self.status, self.answer_headers = answer.status, dict(answer.getheaders())
+            while chunk := answer.read1(65536):
+                self.text += chunk
+            self.ended = True
+
+    def ids(self) -> list[int]:
+        """Return the ids of the events that have come."""
+        return [int(found) for found in re.findall(rb"^id: (\d+)$", self.text, re.MULTILINE)]
+
+
+def run_of(context, engine):
+    """Return the plan's runs on an engine."""
+    name = context.plan.headers["X-Attempt-Id"]
+    return [run for run in fleet_of(context).runs(engine) if run["name"] == name]
+
+
+def begin(context, count, name):
+    """Begin to stream a plan."""
+    routed = fleet_of(context)
+    headers = routed.headers(**{"X-Model": "m", "X-Token-Counts": f"1000,{count}"})
+    context.count, context.plan = count, Reader(routed.address(name), headers)
+    context.plan.start()
+
+
+@given('an engine "{name}" of "{service}" in "{domain}" that is listed last')
+def engine_later(context, name, service, domain):
+    # The first plan is begun before the daemon knows of it.
+    context.later = (name, service, domain)
+
+
+@when('a plan of {count:d} events is streamed through "{name}"')
+def stream_plan(context, count, name):
+    begin(context, count, name)
+    wait_until("the plan has begun", lambda: context.plan.ids() or context.plan.ended, SOON)
+    if hasattr(context, "later"):
+        fleet_of(context).engine(*context.later)
+        later = context.later[0]
+        wait_until(
+            "it is listed",
+            lambda: any(
+                later in line["server"] for line in fleet_of(context).lines(name, "server listed")
+            ),
+            SOON,
+        )
+        if getattr(context, "full", ""):
+            context.fleet.admin(context.full, {"room": False})
+
+
+@given('"{name}" has no room for copies')
+def no_room(context, name):
+    context.full = name
+
+
+@given('"{name}" takes {seconds:g} s to copy a run')
+def slow_copies(context, name, seconds):
+    context.fleet.admin(name, {"copy_time": seconds})
+
+
+@when('after {count:d} events "{engine}" is listed as "{state}"')
+def list_after(context, count, engine, state):
+    wait_until(f"{count} events", lambda: len(context.plan.ids()) >= count, SOON)
+    fleet_of(context).list_engine(engine, state)
+
+
+@when('the run is copied to "{engine}"')
+def run_copied(context, engine):
+    wait_until("the copy is there", lambda: context.fleet.counts(engine)["copies"], SOON)
+
+
+@when('"{engine}" is killed')
+def kill_engine(context, engine):
+    context.fleet.processes[engine].kill()
+
+
+@when('"{engine}" is frozen')
+def freeze_engine(context, engine):
+    context.fleet.processes[engine].freeze()
+    context.frozen = engine
+
+
+@when('"{engine}" says in its report that it leaves')
+def says_leaves(context, engine):
+    context.fleet.admin(engine, {"state": "draining"})
+
+
+@when('routed daemon "{name}" is killed {seconds:g} s later')
+def kill_later(context, name, seconds):
+    time.sleep(seconds)
+    context.fleet.processes[name].kill()
+
+
+@when("the caller of the plan leaves")
+def plan_caller_leaves(context):
+    context.plan.connection.sock.close()
+    context.plan.connection.close()
+
+
+@then("the plan is whole")
+def plan_whole(context):
+    context.plan.thread.join(PLAN_LIMIT)
+    assert context.plan.ended, context.plan.ids()[-3:]
+    assert context.plan.ids() == list(range(1, context.count + 1)), context.plan.ids()[-3:]
+
+
+@then("the plan ends after event {last:d} and does not look complete")
+def plan_cut(context, last):
+    context.plan.thread.join(PLAN_LIMIT)
+    assert context.plan.ids() == list(range(1, last + 1)), context.plan.ids()
+    assert not context.plan.ended and context.plan.text.endswith(b"\n\n")
+
+
+@then('the run was on "{engine}" only')
+def run_only_on(context, engine):
+    (run,) = run_of(context, engine)
+    assert run["made"] == context.count and run["end"] == "whole", run
+
+
+@then('the run went on at "{second}" where it had stopped at "{first}"')
+def went_on(context, second, first):
+    (before,), (after,) = run_of(context, first), run_of(context, second)
+    assert before["end"] == "stopped" and after["end"] == "whole", (before, after)
+    assert after["first"] <= before["made"] + 1, (before, after)
+
+
+@then('the run went on at "{second}"')
+def went_on_at(context, second):
+    (after,) = run_of(context, second)
+    assert after["end"] == "whole" and after["first"] > 1, after
+
+
+@then("no two engines worked on the run at once")
+def not_twice(context):
+    (before,), (after,) = run_of(context, "planner-1"), run_of(context, "planner-2")
+    assert before["end"] == "stopped" and after["first"] == before["made"] + 1, (before, after)
+
+
+@step("no engine works on the run after {seconds:g} s")
+def nobody_works(context, seconds):
+    time.sleep(seconds)
+    engines = [name for name in context.fleet.processes if name.startswith("planner")]
+    ends = {name: [run["end"] for run in run_of(context, name)] for name in engines}
+    assert all(all(found) for found in ends.values()), ends
+
+
+@then('a plan of {count:d} events through "{name}" is refused with {status:d} for a moment')
+def plan_refused(context, count, name, status):
+    begin(context, count, name)
+    context.plan.thread.join(SOON)
+    assert context.plan.status == status, context.plan
+    assert float(context.plan.answer_headers["Retry-After"]) <= 0.2, context.plan.answer_headers
