Ask the store for daemons less often, and gather bursts of servers' changes

Change: daemons listed are read each 15 s after the first readings, entries renewed each 4 s, and changes of servers gathered for 0.2 s.

--- a/papayacourse/routed/storefollower.py
+++ b/papayacourse/routed/storefollower.py
@@ -15,8 +15,10 @@
 
 RETRY_PAUSE = 0.25  # seconds on average after the store could not be asked
 MAX_RETRY_PAUSE = 0.6  # seconds, so that a store that is back is noticed well within its bounds
-MEMBERS_INTERVAL = 4.0  # seconds between readings of the daemons listed
-LISTING_INTERVAL = 3.0  # seconds between renewals of this daemon's own entry
+MEMBERS_INTERVAL = 15.0  # seconds between readings of the daemons listed; peers tell sooner
+FIRST_INTERVAL = 2.0  # seconds, after the first reading, while all daemons start
+LISTING_INTERVAL = 4.0  # seconds between renewals of this daemon's own entry, which lasts 12
+BURST_PAUSE = 0.2  # seconds in which more changes of servers are gathered into one answer
 
 
 @define(eq=False)
@@ -44,12 +46,14 @@
 
     async def follow_members(self) -> None:
         """Read which daemons are listed, now and then."""
+        pause = FIRST_INTERVAL
         while True:
             try:
                 self.directory.take_members(await self.store.members())
             except PlatformError as error:
                 logs.info("store not read", what="members", why=str(error))
-            await asyncio.sleep(MEMBERS_INTERVAL * random.uniform(0.8, 1.2))
+            await asyncio.sleep(pause * random.uniform(0.8, 1.2))
+            pause = min(MEMBERS_INTERVAL, pause * 2)
 
     async def stay_listed(self) -> None:
         """Keep this daemon's entry alive, for ever."""
@@ -74,6 +78,7 @@
     async def _take_engines(self) -> None:
         async for listed in self.store.follow_engines():
             self.directory.take_engines(listed)
+            await asyncio.sleep(BURST_PAUSE)
 
     async def _for_ever(self, what: str, follow: Callable[[], Awaitable[None]]) -> None:
         pause = RETRY_PAUSE
