Let two daemons of a domain follow the servers in the store and tell the others

Ruled out: polling (later, and as many calls); heartbeats alone (up to 1 s and a spread of 0.5 s, while a notice is 1.5 s). Change: the first two daemons of a domain in rendezvous order follow; they tell the others by HostsNews at each change and each 0.8 s; who hears nothing for 1.8 s follows itself.

--- a/papayacourse/hostsync.py
+++ b/papayacourse/hostsync.py
@@ -146,14 +146,20 @@
         self.wholes += 1
         return HostsUpdate(self.listing.version, self.listing.hosts, self.listing.epoch)
 
-    def peer_has(self, name: str, age: tuple[int, int]) -> None:
-        """Ask a peer for its list when that is newer, one question at a time."""
+    def peer_has(self, name: str, age: tuple[int, int], spread: float = ASK_SPREAD) -> None:
+        """Ask a peer for its list when that is newer, one question at a time.
+
+        Parameters
+        ----------
+        spread : float
+            Seconds over which this daemon's question is spread among those of others.
+        """
         busy = self.asking is not None and not self.asking.done()
         if age > self.listing.age and not busy:
-            self.asking = asyncio.create_task(self._ask(name, age))
+            self.asking = asyncio.create_task(self._ask(name, age, spread))
 
-    async def _ask(self, name: str, age: tuple[int, int]) -> None:
-        await asyncio.sleep(random.uniform(0.0, ASK_SPREAD))
+    async def _ask(self, name: str, age: tuple[int, int], spread: float) -> None:
+        await asyncio.sleep(random.uniform(0.0, spread))
         for whole in (False, True):
             if age <= self.listing.age:
                 return
--- a/papayacourse/meshmessages.py
+++ b/papayacourse/meshmessages.py
@@ -247,3 +247,11 @@
 
     version: int
     source: bytes
+
+
+@frozen
+class HostsNews:
+    """Says which host list its sender has, who follows the platform's store."""
+
+    epoch: int
+    version: int
--- a/papayacourse/messages.py
+++ b/papayacourse/messages.py
@@ -20,6 +20,7 @@
     Hello,
     HostsAsk,
     HostsChanges,
+    HostsNews,
     HostsUpdate,
     Proof,
     SettingsBuckets,
@@ -83,4 +84,5 @@
     | JoinRequest
     | DocumentAsk
     | DocumentCopy
+    | HostsNews
 )
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -36,6 +36,7 @@
 from papayacourse.routed.reports import AdapterReports
 from papayacourse.routed.seams import EngineCalls, RequestCodec, Store
 from papayacourse.routed.storefollower import StoreFollower
+from papayacourse.routed.watchers import Watchers
 from papayacourse.tasks import cancel_all
 from papayacourse.types import Address, Host, HostKind
 from papayacourse.version import __version__
@@ -114,6 +115,8 @@
             mesh=str(config.mesh),
         )  # fmt: skip
         self.follower = StoreFollower(self.adapter.store, self.documents, self.directory, me)
+        self.watchers = Watchers(self.membership, self.mesh.peers, lambda: self.follower.follows)
+        self.follower.should_follow = self.watchers.should_follow
 
     # What the lifecycle asks.
 
@@ -184,6 +187,7 @@
             self.follower.stay_listed(),
             *self.mesh.work(),
             self.evacuation.run(),
+            self.watchers.tell(),
             self._tick(),
         ):
             self.spawn(work)
@@ -231,8 +235,12 @@
         self.server.conn_params.header_timeout = document.limits.idle_time
 
     def _listed(self, listing: HostListing) -> None:
-        """Take a newer listing of hosts, and empty engines that leave."""
+        """Take a newer listing of hosts, and tell the others."""
         self.membership.host_sync.take(listing)
+        self.watchers.note_change()
+
+    def _hosts_changed(self) -> None:
+        """Forget what hosts are gone, and empty engines that leave."""
         self.fleet.forget_unlisted()
         self.front.choice.keep({host.name for host in self.membership.hosts.hosts})
         self.evacuation.look()
@@ -242,6 +250,7 @@
         while True:
             await asyncio.sleep(TICK)
             self.directory.expire()
+            self._hosts_changed()
             if self.file.changed():
                 self._reload("file changed")
 
--- a/papayacourse/routed/storefollower.py
+++ b/papayacourse/routed/storefollower.py
@@ -29,12 +29,18 @@
     ----------
     me : Host
         This daemon, as it is to be listed.
+    should_follow : callable
+        Tells whether this daemon has to follow the servers, and not another one for it.
+    follows : bool
+        Whether it does, and reaches the store.
     """
 
     store: Store
     documents: Documents
     directory: Directory
     me: Host
+    should_follow: Callable[[], bool] = lambda: True
+    follows: bool = False
 
     async def follow_document(self) -> None:
         """Take each newer document, for ever."""
@@ -76,9 +82,19 @@
             self.documents.take(document, "store")
 
     async def _take_engines(self) -> None:
-        async for listed in self.store.follow_engines():
-            self.directory.take_engines(listed)
-            await asyncio.sleep(BURST_PAUSE)
+        if not self.should_follow():
+            return
+        logs.info("following servers")
+        try:
+            async for listed in self.store.follow_engines():
+                self.directory.take_engines(listed)
+                self.follows = True
+                await asyncio.sleep(BURST_PAUSE)
+                if not self.should_follow():
+                    logs.info("servers followed by others")
+                    return
+        finally:
+            self.follows = False
 
     async def _for_ever(self, what: str, follow: Callable[[], Awaitable[None]]) -> None:
         pause = RETRY_PAUSE
