--- a/papayacourse/cmdline.py
+++ b/papayacourse/cmdline.py
@@ -1,22 +1,25 @@
 """The command line: parses, calls the library, reports."""
 
 import sys
+from collections.abc import Callable
 
 import fire
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from papayacourse import control
-from papayacourse.config import DaemonConfig, load_config
+from papayacourse.config import load_config
 from papayacourse.exceptions import ConfigError
-from papayacourse.invocation import EXIT_BAD_INPUT, Invocation, run
+from papayacourse.explain import explained
+from papayacourse.invocation import EXIT_BAD_INPUT, EXIT_FAILED, Invocation, run, switch
+from papayacourse.routed.config import load_routed
 from papayacourse.settingscommands import SettingsCommands
 from papayacourse.statuscommands import STATUS, DebugCommands, show, status_lines
 from papayacourse.version import __version__
 
 
-def loaded(file: str) -> DaemonConfig:
+def loaded(file: str, load: Callable[[str], Result] = load_config):
     """Return a configuration; raises ConfigError with its faults."""
-    match load_config(file):
+    match load(file):
         case Success(config):
             return config
         case Failure(faults):
@@ -35,11 +38,19 @@
         """Run a daemon with the configuration of an INI file."""
         return Invocation(lambda: control.serve(loaded(str(config))))
 
-    def check(self, config: str) -> Invocation:
-        """Check a daemon's configuration file."""
+    def check(self, config: str, routed: bool = False) -> Invocation:
+        """Check a daemon's configuration file.
+
+        Parameters
+        ----------
+        config : str
+            The file.
+        routed : bool
+            Whether it is that of a daemon that serves routed requests.
+        """
 
         def work() -> None:
-            loaded(str(config))
+            loaded(str(config), load_routed if switch(routed, "--routed") else load_config)
             print(f"{config}: good")
 
         return Invocation(work)
@@ -56,6 +67,22 @@
         """
         return show(daemon, key, json, STATUS, status_lines)
 
+    def explain(self, request: str) -> Invocation:
+        """Tell what became of a request, from logs on standard input.
+
+        Parameters
+        ----------
+        request : str
+            The id that the caller has.
+        """
+
+        def work() -> int:
+            lines = explained(str(request), sys.stdin)
+            print("\n".join(lines) if lines else f"the logs do not name {request}")
+            return 0 if lines else EXIT_FAILED
+
+        return Invocation(work)
+
     def version(self) -> Invocation:
         """Show the version."""
         return Invocation(lambda: print(__version__))
--- a/papayacourse/routed/copying.py
+++ b/papayacourse/routed/copying.py
@@ -77,7 +77,10 @@
         try:
             load = await self.fleet.engine_calls.load(near)
         except BackendError as error:
-            logs.info("copy's target not reached", engine=near.name, why=str(error))
+            logs.info(
+                "copy's target not reached", request=self.generation.run_id,
+                engine=near.name, why=str(error),
+            )  # fmt: skip
             return None
         taken = load.memory_used + self.generation.memory_tokens
         return near if taken <= ROOM_PART * load.memory_total else None
@@ -88,8 +91,16 @@
             calls = self.fleet.engine_calls
             copied = await calls.copy_run(self.source, generation.run_id, target, stop=False)
         except BackendError as error:
-            logs.info("not copied", engine=self.source.name, target=target.name, why=str(error))
+            logs.info(
+                "not copied", request=generation.run_id, engine=self.source.name,
+                target=target.name, why=str(error),
+            )  # fmt: skip
             generation.copy = None
             return
         generation.copy = Standby(target, self.source.address, copied.handle)
-        logs.debug("copied", target=target.name, seconds=round(time.monotonic() - began, 3))
+        logs.debug(
+            "copied",
+            request=generation.run_id,
+            target=target.name,
+            seconds=round(time.monotonic() - began, 3),
+        )
--- a/tests/features/routed.feature
+++ b/tests/features/routed.feature
@@ -80,3 +80,4 @@
     When GET "/nothing/1" is sent through "a"
     Then the log of "a" has a line "request ended" for it with reason "no_route" and the document's version and age
     And the metrics of "a" count requests by route, account and end
+    And "papayacourse explain" tells it from the log of "a" with "no_route"
--- a/tests/features/routed_parts.feature
+++ b/tests/features/routed_parts.feature
@@ -60,3 +60,11 @@
   Scenario: A daemon does not become its own member
     When a daemon meets itself through a seed
     Then it has no members
+
+  Scenario: Two daemons of a domain follow the store, and another one when it hears of none
+    Given a domain of 5 daemons that hear each other
+    Then 2 of them follow the store
+    When 1 s passes without a word of these
+    Then 2 of them follow the store
+    When 2 s pass without a word of these
+    Then 5 of them follow the store
--- a/tests/features/routed_settings.feature
+++ b/tests/features/routed_settings.feature
@@ -68,3 +68,7 @@
 
   Scenario: Python's own module "platform" is found beside the folder of that name
     Then "import platform" in the daemon's program gives Python's own module
+
+  Scenario: A configuration file with faults is refused, and each is named
+    Given a routed configuration file that lacks the store and has an unknown option
+    Then "papayacourse check --routed" names both
--- a/tests/features/steps/command_steps.py
+++ b/tests/features/steps/command_steps.py
@@ -16,6 +16,7 @@
 from papayacourse.editor import Editor, checked
 from papayacourse.exceptions import PlatformAnswerLost, PlatformUnavailable
 from papayacourse.kvstore import KeyValueStore
+from papayacourse.routed.config import OPTIONS as ROUTED
 from papayacourse.settingscommands import SettingsCommands
 from papayacourse.settingsoptions import KINDS
 from papayacourse.statuscommands import DebugCommands
@@ -91,7 +92,7 @@
 @then("docs/SETTINGS.md names every option of the daemon's file and of every settings path")
 def options_named(context):
     text = (context.root / "docs" / "SETTINGS.md").read_text()
-    options = [*OPTIONS, *(option for kind in KINDS.values() for option in kind.options)]
+    options = [*OPTIONS, *ROUTED, *(option for kind in KINDS.values() for option in kind.options)]
     named = set(re.findall(r"^\| `\[(\w+)\] (\w+)` \|", text, re.MULTILINE))
     wanted = {(option.section, option.option) for option in options}
     assert named == wanted, named ^ wanted
--- a/tests/features/steps/routed_steps.py
+++ b/tests/features/steps/routed_steps.py
@@ -421,3 +421,26 @@
     version, file = done.stdout.split()
     assert version == ".".join(map(str, sys.version_info[:3])), done.stdout
     assert str(ROOT) not in file, file
+
+
+@then('"papayacourse explain" tells it from the log of "{name}" with "{text}"')
+def explains(context, name, text):
+    routed = fleet_of(context)
+    log = (context.fleet.path / f"{name}.log").read_text()
+    done = context.fleet.command("explain", f"id-{routed.number - 1}", text=log)
+    assert done.returncode == 0 and text in done.stdout, (done.stdout, done.stderr)
+    assert context.fleet.command("explain", "nobody", text=log).returncode == 1
+
+
+@given("a routed configuration file that lacks the store and has an unknown option")
+def faulty_file(context):
+    context.file = context.fleet.path / "faulty.ini"
+    context.file.write_text("[daemon]\nname = a\ncolour = red\n")
+
+
+@then('"papayacourse check --routed" names both')
+def names_faults(context):
+    done = context.fleet.command("check", "--config", str(context.file), "--routed")
+    assert done.returncode == 2, done
+    assert "[platform] store: missing" in done.stderr, done.stderr
+    assert "[daemon] colour: unknown option" in done.stderr, done.stderr
--- a/tests/features/steps/routedparts_steps.py
+++ b/tests/features/steps/routedparts_steps.py
@@ -16,13 +16,14 @@
 from papayacourse.linkclasses import LinkClass, Place
 from papayacourse.listener import Listener
 from papayacourse.membership import Membership
-from papayacourse.meshmessages import Heartbeat, Hello
+from papayacourse.meshmessages import Heartbeat, Hello, HostsNews
 from papayacourse.peers import Peers
 from papayacourse.routed.budget import BudgetLimits, FleetBudget
 from papayacourse.routed.choice import ServerChoice
 from papayacourse.routed.directory import Directory
 from papayacourse.routed.seams import Listed, RunState
 from papayacourse.routed.turns import turns
+from papayacourse.routed.watchers import Watchers
 from papayacourse.types import Address, Host, HostKind, HostState
 from tests.steptext import names_in
 
@@ -318,3 +319,44 @@
 @then("it has no members")
 def has_no_members(context):
     assert context.membership.members == {}
+
+
+# Who follows the store.
+
+
+@given("a domain of {count:d} daemons that hear each other")
+def make_domain(context, count):
+    context.clock = Clock()
+    hellos = [
+        Hello(f"d{number}", 1, "lagos", "lagos", f"127.0.0.1:{number}", b"")
+        for number in range(count)
+    ]
+    asyncio.run(meet(context, hellos))
+
+
+async def meet(context, hellos) -> None:
+    """Let daemons that are on no network meet each other, and hear that some follow."""
+    context.watchers = []
+    for hello in hellos:
+        peers = Peers(hello, "k" * 20)
+        members = Membership(
+            hello, peers, Catalog(), HostList(Address("127.0.0.1", 2)), (), context.clock
+        )
+        watchers = Watchers(members, peers, lambda: True, context.clock)
+        for other in hellos:
+            members.met(other)
+        await watchers.heard(hello, HostsNews(0, 0))
+        for task in members.heartbeats.tasks.values():
+            task.cancel()
+        context.watchers.append(watchers)
+
+
+@then("{count:d} of them follow the store")
+def how_many_follow(context, count):
+    assert sum(watcher.should_follow() for watcher in context.watchers) == count
+
+
+@when("{seconds:g} s passes without a word of these")
+@when("{seconds:g} s pass without a word of these")
+def no_word(context, seconds):
+    context.clock.now += seconds
