Join the two daemons' background tasks, and drop what nobody uses

Cause: the routed daemon had the own daemon's task keeping a second time; two names in seams had no user. Change: tasks.BackgroundTasks. Figures: routed features, whole_path and stopping: 56 passed.

--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -39,7 +39,7 @@
 from papayacourse.retries import RetryBudgets
 from papayacourse.streams import Relay
 from papayacourse.targets import Targets
-from papayacourse.tasks import cancel_all
+from papayacourse.tasks import BackgroundTasks, cancel_all
 from papayacourse.types import Address, GenerationRequest, HostKind
 from papayacourse.version import __version__
 from papayacourse.watch import SettingsWatch
@@ -62,7 +62,7 @@
     config: DaemonConfig
     ready: bool = False
     busy: Counter = field(factory=Counter)
-    tasks: set[asyncio.Task] = field(factory=set)
+    tasks: BackgroundTasks = field(factory=BackgroundTasks)
     held: set[asyncio.Task] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
@@ -101,7 +101,7 @@
             self.catalog,
             HostList(config.hostlist),
             self.metrics,
-            self.spawn,
+            self.tasks.spawn,
         )
         self._take_parts()
         linkclasses.report(self.metrics, lambda: self.peers.traffic.by_class, self.streams)
@@ -132,7 +132,7 @@
             self.engine_reader.run(),
             self.orders.run(),
         ):
-            self.spawn(work)
+            self.tasks.spawn(work)
         self.lifecycle.listen_for_signals()
         self.ready = True
         logs.info("ready", http=str(http), mesh=str(mesh), version=__version__)
@@ -174,21 +174,9 @@
         """Tell whether settings and hosts are known, from the platform or from a peer."""
         return self.catalog.informed and self.membership.host_sync.known
 
-    def spawn(self, work) -> asyncio.Task:
-        """Run something for as long as the daemon runs; its failure is logged."""
-        task = asyncio.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self._task_done)
-        return task
-
-    def _task_done(self, task: asyncio.Task) -> None:
-        self.tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logs.failure("task failed", task.exception())
-
     async def _stop_tasks(self) -> None:
         await self.duties.close()
-        waiting = [*self.tasks, *self.held, *self.mesh.waiting()]
+        waiting = [*self.tasks.running, *self.held, *self.mesh.waiting()]
         await cancel_all(waiting)
 
     # What the handlers use.
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -37,7 +37,7 @@
 from papayacourse.routed.seams import EngineCalls, RequestCodec, Store
 from papayacourse.routed.storefollower import StoreFollower
 from papayacourse.routed.watchers import Watchers
-from papayacourse.tasks import cancel_all
+from papayacourse.tasks import BackgroundTasks, cancel_all
 from papayacourse.types import Address, Host, HostKind
 from papayacourse.version import __version__
 
@@ -76,7 +76,7 @@
     config: RoutedConfig
     adapter: Adapter
     file: ConfigFile
-    tasks: set[asyncio.Task] = field(factory=set)
+    tasks: BackgroundTasks = field(factory=BackgroundTasks)
 
     def __attrs_post_init__(self) -> None:
         config = self.config
@@ -91,7 +91,8 @@
         )
         self.mesh = Mesh(
             self.hello, config.mesh_key, config.seeds, self.catalog, NoHostList(), self.metrics,
-            self.spawn, AdapterReports(self.adapter.engine_calls, self.host, self._engine_leaves),
+            self.tasks.spawn,
+            AdapterReports(self.adapter.engine_calls, self.host, self._engine_leaves),
         )  # fmt: skip
         self.membership, self.duties = self.mesh.membership, self.mesh.duties
         self.documents = Documents(self.mesh.peers, self.adapter.store.decode_document, self._news)
@@ -168,7 +169,7 @@
         async with AsyncExitStack() as stack:
             await self._open(stack)
             await self.lifecycle.stopping.wait()
-            leaving = self.spawn(self.follower.leave())
+            leaving = self.tasks.spawn(self.follower.leave())
             status = await self.lifecycle.drain()
             leaving.cancel()
             return status
@@ -190,7 +191,7 @@
             self.watchers.tell(),
             self._tick(),
         ):
-            self.spawn(work)
+            self.tasks.spawn(work)
         self.lifecycle.listen_for_signals()
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self._reload, "signal")
         self.ready = True
@@ -213,21 +214,9 @@
         stack.push_async_callback(server.close_all_connections)
         return server
 
-    def spawn(self, work) -> asyncio.Task:
-        """Run something for as long as the daemon runs; its failure is logged."""
-        task = asyncio.create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self._task_done)
-        return task
-
-    def _task_done(self, task: asyncio.Task) -> None:
-        self.tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logs.failure("task failed", task.exception())
-
     async def _stop_tasks(self) -> None:
         await self.duties.close()
-        await cancel_all([*self.tasks, *self.mesh.waiting()])
+        await cancel_all([*self.tasks.running, *self.mesh.waiting()])
 
     def _news(self, document: Document) -> None:
         """Put a newer document in force."""
--- a/papayacourse/routed/seams.py
+++ b/papayacourse/routed/seams.py
@@ -1,6 +1,6 @@
 """What a platform's adapter has to provide, and the types that pass between it and the product."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from typing import Protocol
 
 from attrs import frozen
@@ -208,9 +208,6 @@
 class Store(Protocol):
     """The platform's store, in the product's types."""
 
-    async def document(self) -> Document | None:
-        """Return the newest settings document; raises PlatformError."""
-
     def follow_document(self) -> AsyncIterator[Document]:
         """Yield each newer document as it is written; raises PlatformError."""
 
@@ -228,6 +225,3 @@
 
     def decode_document(self, source: bytes) -> Document:
         """Read a document that a peer has handed on; raises PlatformError."""
-
-
-Send = Callable[[bytes], Awaitable[None]]
--- a/papayacourse/tasks.py
+++ b/papayacourse/tasks.py
@@ -1,7 +1,9 @@
 """Ends tasks for certain."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Coroutine, Iterable
+
+from attrs import define, field
 
 from papayacourse import logs
 
@@ -24,3 +26,22 @@
         _, pending = await asyncio.wait(pending, timeout=CANCEL_INTERVAL)
     for task in pending:
         logs.error("task does not end", task=repr(task))
+
+
+@define(eq=False)
+class BackgroundTasks:
+    """What runs for as long as its owner does; a failure is logged."""
+
+    running: set[asyncio.Task] = field(factory=set)
+
+    def spawn(self, work: Coroutine) -> asyncio.Task:
+        """Run something in the background."""
+        task = asyncio.create_task(work)
+        self.running.add(task)
+        task.add_done_callback(self._done)
+        return task
+
+    def _done(self, task: asyncio.Task) -> None:
+        self.running.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logs.failure("task failed", task.exception())
