--- a/papayacourse/messages.py
+++ b/papayacourse/messages.py
@@ -30,6 +30,7 @@
 )
 from papayacourse.schedulingmessages import (
     DrainEngine,
+    EngineLeaves,
     EnginesAsk,
     EnginesOutOfLine,
     Granted,
@@ -85,4 +86,5 @@
     | DocumentAsk
     | DocumentCopy
     | HostsNews
+    | EngineLeaves
 )
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -14,6 +14,7 @@
 
 from papayacourse import invariants, logs
 from papayacourse.catalog import Catalog
+from papayacourse.exceptions import PeerError
 from papayacourse.hostlist import HostListing
 from papayacourse.lifecycle import Lifecycle
 from papayacourse.linkclasses import Place
@@ -37,6 +38,7 @@
 from papayacourse.routed.seams import EngineCalls, RequestCodec, Store
 from papayacourse.routed.storefollower import StoreFollower
 from papayacourse.routed.watchers import Watchers
+from papayacourse.schedulingmessages import EngineLeaves
 from papayacourse.tasks import BackgroundTasks, cancel_all
 from papayacourse.types import Address, Host, HostKind
 from papayacourse.version import __version__
@@ -98,6 +100,7 @@
         self.documents = Documents(self.mesh.peers, self.adapter.store.decode_document, self._news)
         self.directory = Directory(self._listed)
         self.membership.informed = self.informed
+        self.mesh.peers.handlers[EngineLeaves] = self._told_of_leaving
         self.membership.document_version = lambda: self.documents.version
         self.membership.peer_document = self.documents.peer_has
         self.budget = FleetBudget(config.budget, self._daemons)
@@ -151,8 +154,21 @@
         """Return a listed host by its name."""
         return self.fleet.host(name)
 
-    def _engine_leaves(self, host: Host) -> None:
-        self.fleet.note_leaving(host)
+    async def _engine_leaves(self, host: Host, daemons: set[str]) -> None:
+        """Tell the daemons with runs on an engine that it leaves, which the list may not yet."""
+        if not self.fleet.note_leaving(host, "its report"):
+            return
+        for name in daemons - {self.config.name}:
+            try:
+                await self.mesh.peers.send(name, EngineLeaves(host.name))
+            except PeerError as error:
+                logs.info("leaving not told", engine=host.name, daemon=name, why=str(error))
+
+    async def _told_of_leaving(self, peer: Hello, news: EngineLeaves) -> None:
+        host = self.host(news.engine)
+        if host is not None:
+            self.fleet.note_leaving(host, f"peer {peer.name}")
+            self.evacuation.look()
 
     def is_ready(self) -> bool:
         """Tell whether callers may be sent here."""
--- a/papayacourse/routed/fleetview.py
+++ b/papayacourse/routed/fleetview.py
@@ -70,11 +70,15 @@
         """Tell whether a listed host gets new work: nobody says that it leaves."""
         return host.state == HostState.LIVE and host.name not in self.said_to_leave
 
-    def note_leaving(self, host: Host) -> None:
-        """Note that an engine says itself that it leaves."""
-        if host.name not in self.said_to_leave:
-            logs.info("engine says it leaves", engine=host.name, listed=host.state.value)
+    def note_leaving(self, host: Host, source: str) -> bool:
+        """Note that an engine says itself that it leaves; tells whether that was news."""
+        known = host.name in self.said_to_leave
+        if not known:
+            logs.info(
+                "engine says it leaves", engine=host.name, listed=host.state.value, source=source
+            )
             self.said_to_leave[host.name] = time.monotonic()
+        return not known and host.state == HostState.LIVE
 
     def forget_unlisted(self) -> None:
         """Forget what engines said that are listed no more."""
--- a/papayacourse/routed/reports.py
+++ b/papayacourse/routed/reports.py
@@ -1,6 +1,6 @@
 """Asks engines for their load through the platform's adapter."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from attrs import define
 
@@ -23,12 +23,12 @@
     host : callable
         Returns a listed host by its name, or None.
     note_leaving : callable
-        Called with an engine that says that it leaves.
+        Called with an engine that says that it leaves, and the daemons with runs there.
     """
 
     calls: EngineCalls
     host: Callable[[str], Host | None]
-    note_leaving: Callable[[Host], None]
+    note_leaving: Callable[[Host, set[str]], Awaitable[None]]
     interval: float = REPORT_INTERVAL
 
     async def load(self, ledger: EngineLedger) -> EngineLoad:
@@ -38,7 +38,8 @@
             raise BackendUnreachable(f"{ledger.name} is not listed")
         load = await self.calls.load(host)
         if load.leaving:
-            self.note_leaving(host)
+            daemons = {stream.daemon for stream in ledger.streams.values()}
+            await self.note_leaving(host, daemons)
         return load
 
     async def cache_events(self, ledger: EngineLedger, after: int) -> CacheEvents:
--- a/papayacourse/routed/storefollower.py
+++ b/papayacourse/routed/storefollower.py
@@ -84,10 +84,11 @@
     async def _take_engines(self) -> None:
         if not self.should_follow():
             return
-        logs.info("following servers")
         try:
             async for listed in self.store.follow_engines():
                 self.directory.take_engines(listed)
+                if not self.follows:
+                    logs.info("following servers", revision=listed.revision)
                 self.follows = True
                 await asyncio.sleep(BURST_PAUSE)
                 if not self.should_follow():
--- a/papayacourse/schedulingmessages.py
+++ b/papayacourse/schedulingmessages.py
@@ -198,3 +198,10 @@
     """Names engines that had something else loaded when they were last read, or some of them."""
 
     engines: tuple[str, ...]
+
+
+@frozen
+class EngineLeaves:
+    """Tells a daemon with runs on an engine that the engine has said that it leaves."""
+
+    engine: str
--- a/tests/features/routed_parts.feature
+++ b/tests/features/routed_parts.feature
@@ -68,3 +68,8 @@
     Then 2 of them follow the store
     When 2 s pass without a word of these
     Then 5 of them follow the store
+
+  Scenario: A scheduler tells the daemons with runs on an engine that it leaves
+    Given a ledger with runs of daemons "a, b" on an engine that says that it leaves
+    When its load is read
+    Then "a, b" are to be told
--- a/tests/features/steps/routedparts_steps.py
+++ b/tests/features/steps/routedparts_steps.py
@@ -12,19 +12,23 @@
 
 from papayacourse.boundedwriter import BoundedWriter
 from papayacourse.catalog import Catalog
+from papayacourse.engines import EngineLoad
 from papayacourse.hostlist import HostList
+from papayacourse.ledger import EngineLedger, Stream, put
 from papayacourse.linkclasses import LinkClass, Place
 from papayacourse.listener import Listener
 from papayacourse.membership import Membership
 from papayacourse.meshmessages import Heartbeat, Hello, HostsNews
 from papayacourse.peers import Peers
+from papayacourse.policies import Predicted
 from papayacourse.routed.budget import BudgetLimits, FleetBudget
 from papayacourse.routed.choice import ServerChoice
 from papayacourse.routed.directory import Directory
+from papayacourse.routed.reports import AdapterReports
 from papayacourse.routed.seams import Listed, RunState
 from papayacourse.routed.turns import turns
 from papayacourse.routed.watchers import Watchers
-from papayacourse.types import Address, Host, HostKind, HostState
+from papayacourse.types import Address, GenerationRequest, Host, HostKind, HostState
 from tests.steptext import names_in
 
 
@@ -360,3 +364,38 @@
 @when("{seconds:g} s pass without a word of these")
 def no_word(context, seconds):
     context.clock.now += seconds
+
+
+# Who is told that an engine leaves.
+
+
+class LeavingEngine:
+    """Calls to an engine that says that it leaves."""
+
+    async def load(self, _host) -> EngineLoad:
+        """Return its load."""
+        return EngineLoad(2, 0, 1000, 30000, 0, True)
+
+
+@given('a ledger with runs of daemons "{names}" on an engine that says that it leaves')
+def make_ledger(context, names):
+    context.ledger = EngineLedger("planner/one", "127.0.0.1:9", 30000, 24, 0.0, Predicted())
+    for name in names_in(names):
+        request = GenerationRequest(f"run-{name}", "t", "planner", "x", "", 100, 100, 0)
+        put(context.ledger, Stream(request, name))
+
+
+@when("its load is read")
+def read_load(context):
+    context.told = {}
+
+    async def note(host, daemons) -> None:
+        context.told[host.name] = daemons
+
+    reports = AdapterReports(LeavingEngine(), lambda name: server(name), note)
+    asyncio.run(reports.load(context.ledger))
+
+
+@then('"{names}" are to be told')
+def are_told(context, names):
+    assert context.told == {"planner/one": set(names_in(names))}, context.told
