Wait for a silent engine where there is no copy, and free copies on engines that fill

Change: HttpCall asks at the end of an idle time-out whether to wait on; a copy leaves an engine that is more than 0.7 full. The scenario with an engine frozen for 3 s failed first.

--- a/papayacourse/httpcall.py
+++ b/papayacourse/httpcall.py
@@ -49,6 +49,11 @@
     before_send : callable, optional
         Called once connected, before anything is sent; what it raises ends the call unsent.
 
+    Attributes
+    ----------
+    may_be_silent : callable
+        Asked at the end of an idle time-out; whether to wait for another one.
+
     Raises
     ------
     BackendGone
@@ -85,6 +90,7 @@
         self.pieces: deque[bytes] = deque()
         self.closed = False
         self.silent = False
+        self.may_be_silent: Callable[[], bool] = lambda: False
         self.waiting_since: float | None = None
         self.arrival: asyncio.Future[None] | None = None
         self.room: asyncio.Future[None] | None = None
@@ -221,6 +227,8 @@
         if self.waiting_since is None:
             return
         left = self.waiting_since + self.idle_timeout - loop.time()
+        if left <= 0 and self.may_be_silent():
+            left = self.idle_timeout
         if left > 0:
             self.watchdog = loop.call_later(left, self._watch)
             return
--- a/papayacourse/routed/copying.py
+++ b/papayacourse/routed/copying.py
@@ -15,7 +15,8 @@
 
 COPY_INTERVAL = 3.0  # seconds between copies; an engine drops one that is not renewed for 5
 LOOK_INTERVAL = 0.3  # seconds between looks for a near engine where there is none
-ROOM_PART = 0.5  # part of an engine's memory that may be taken with a copy; the rest is for runs
+ROOM_PART = 0.5  # part of an engine's memory that may be taken with a new copy
+KEEP_PART = 0.7  # part that may be taken while a copy stays; the rest is for runs
 LONG_RUN = 2.5  # seconds that a run must still be able to take
 
 
@@ -55,13 +56,19 @@
         generation = self.generation
         async with generation.copy_lock:
             copy = generation.copy
-            if copy is not None and not self.fleet.stays(copy.host.name):
-                await self.fleet.drop_copy(self.source, copy.handle)
-                copy = generation.copy = None
+            if copy is not None and not await self._may_stay(copy.host):
+                generation.copy = copy = None
             target = copy.host if copy is not None else await self._target()
             if target is not None and self._goes_on():
                 await self._copy(target)
 
+    async def _may_stay(self, host: Host) -> bool:
+        """Tell whether the copy may stay where it is; drops it where it may not."""
+        if self.fleet.stays(host.name) and await self._taken(host) <= KEEP_PART:
+            return True
+        await self.fleet.drop_copy(self.source, self.generation.copy.handle)
+        return False
+
     def _near(self) -> Host | None:
         """Return an engine that copies reach fast, or None."""
         near = self.fleet.refuge(self.source, self.generation.request.service)
@@ -74,16 +81,20 @@
         near = self._near()
         if near is None:
             return None
+        return near if await self._taken(near, with_copy=True) <= ROOM_PART else None
+
+    async def _taken(self, host: Host, with_copy: bool = False) -> float:
+        """Return the part of an engine's memory that is taken; all of it where that is unknown."""
         try:
-            load = await self.fleet.engine_calls.load(near)
+            load = await self.fleet.engine_calls.load(host)
         except BackendError as error:
             logs.info(
                 "copy's target not reached", request=self.generation.run_id,
-                engine=near.name, why=str(error),
+                engine=host.name, why=str(error),
             )  # fmt: skip
-            return None
-        taken = load.memory_used + self.generation.memory_tokens
-        return near if taken <= ROOM_PART * load.memory_total else None
+            return 1.0
+        tokens = load.memory_used + (self.generation.memory_tokens if with_copy else 0)
+        return tokens / max(1, load.memory_total)
 
     async def _copy(self, target: Host) -> None:
         generation, began = self.generation, time.monotonic()
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -207,6 +207,7 @@
             await self._relay_failure(call, headers)
             return
         call.idle_timeout = self._patience_with_engine()
+        call.may_be_silent = self._has_nowhere_to_go
         splitter = EventSplitter()
         async for chunk in call.chunks():
             for event in splitter.feed(chunk):
@@ -223,6 +224,10 @@
             return max(0.01, self.admitted.time_left())
         return max(MIN_STALL, STALL_GAPS * self.admitted.route.max_gap)
 
+    def _has_nowhere_to_go(self) -> bool:
+        """Tell whether a silent engine is all there is: it may have been paused for others."""
+        return self.copy is None and self.admitted.time_left() > 0
+
     async def _relay_failure(self, call: HttpCall, headers: HTTPHeaders) -> None:
         """Pass on an engine's failure, or take it for a broken stream if that has begun."""
         if self.exchange.begun:
--- a/tests/features/routed_streams.feature
+++ b/tests/features/routed_streams.feature
@@ -80,3 +80,9 @@
     When a plan of 400 events is streamed through "a"
     And the caller of the plan leaves
     Then no engine works on the run after 0.5 s
+
+  Scenario: An engine that falls silent for a while is waited for where there is no copy
+    When a plan of 200 events is streamed through "a"
+    And "planner-1" is frozen for 3 s
+    Then the plan is whole
+    And the run was on "planner-1" only
--- a/tests/features/steps/routedstream_steps.py
+++ b/tests/features/steps/routedstream_steps.py
@@ -127,6 +127,13 @@
     context.frozen = engine
 
 
+@when('"{engine}" is frozen for {seconds:g} s')
+def freeze_for(context, engine, seconds):
+    context.fleet.processes[engine].freeze()
+    time.sleep(seconds)
+    context.fleet.processes[engine].thaw()
+
+
 @when('"{engine}" says in its report that it leaves')
 def says_leaves(context, engine):
     context.fleet.admin(engine, {"state": "draining"})
