--- a/tests/routedfleet.py
+++ b/tests/routedfleet.py
@@ -1,10 +1,10 @@
 """Daemons on the stand-in of the users' platform, as separate processes."""
 
 import contextlib
+import itertools
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -13,16 +13,22 @@
 
 from standins.fleet import Answer, Fleet, Process, call, wait_until
 
+PORTS = {"http": 8740, "readiness": 8749, "mesh": 8748, "metrics": 9464}
 ROOT = Path(__file__).parent.parent
 HOST = "site.example"
 KEY = "key-of-organisers"
 
 
-def free_port() -> int:
-    """Return a port that nobody listens at."""
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
+hosts = itertools.count(1)
+
+
+def own_address() -> str:
+    """Return a loopback address that no other process of the tests listens at.
+
+    A port that is free on 127.0.0.1 may be taken, by any connection, before a daemon binds it.
+    """
+    number, process = next(hosts), os.getpid()
+    return f"127.{1 + process // 256 % 250}.{process % 256}.{1 + number % 250}"
 
 
 def route(name: str, prefix: str, kind: str, service: str, **more) -> dict:
@@ -65,12 +71,12 @@
 
     Attributes
     ----------
-    ports : dict of str to dict
-        By daemon and listener.
+    addresses : dict of str to str
+        The IP number of each daemon.
     """
 
     fleet: Fleet = field(factory=Fleet)
-    ports: dict[str, dict[str, int]] = field(factory=dict)
+    addresses: dict[str, str] = field(factory=dict)
     places: dict[str, dict] = field(factory=dict)
     number: int = 0
 
@@ -105,14 +111,13 @@
 
     def daemon(self, name: str, domain: str, store: str = "", wait: bool = True) -> None:
         """Start a daemon; a name may be started again."""
-        ports = self.ports.setdefault(
-            name, {part: free_port() for part in ("http", "readiness", "mesh", "metrics")}
-        )
-        seeds = ",".join(f"127.0.0.1:{p['mesh']}" for n, p in self.ports.items() if n != name)
+        ip = self.addresses.setdefault(name, own_address())
+        others = (address for other, address in self.addresses.items() if other != name)
+        seeds = ",".join(f"{address}:{PORTS['mesh']}" for address in others)
         text = (
             f"[daemon]\nname = {name}\ndomain = {domain}\nregion = {domain}\nregions =\n"
             "    lagos = lagos\n    kano = kano\n[listen]\n"
-            + "".join(f"{part} = 127.0.0.1:{port}\n" for part, port in ports.items())
+            + "".join(f"{part} = {ip}:{port}\n" for part, port in PORTS.items())
             + f"[platform]\nstore = {store or self.fleet.processes['store'].http}\n"
             f"[mesh]\nkey = {'k' * 20}\nseeds = {seeds}\n[limits]\ngrace = 8\nstop_notice = 0.5\n"
         )
@@ -136,17 +141,21 @@
     def readiness(self, name: str) -> int:
         """Return the status of a daemon's readiness page; 0 without an answer."""
         try:
-            return call(f"127.0.0.1:{self.ports[name]['readiness']}", "GET", "/readiness").status
+            return call(self.listener(name, "readiness"), "GET", "/readiness").status
         except OSError:
             return 0
 
     def metrics(self, name: str) -> str:
         """Return a daemon's metrics."""
-        return call(f"127.0.0.1:{self.ports[name]['metrics']}", "GET", "/metrics").body.decode()
+        return call(self.listener(name, "metrics"), "GET", "/metrics").body.decode()
 
     def address(self, name: str) -> str:
         """Return where a daemon serves callers."""
-        return f"127.0.0.1:{self.ports[name]['http']}"
+        return self.listener(name, "http")
+
+    def listener(self, name: str, part: str) -> str:
+        """Return the address of one of a daemon's listeners."""
+        return f"{self.addresses[name]}:{PORTS[part]}"
 
     def headers(self, **more) -> dict[str, str]:
         """Return a caller's headers, with a fresh id."""
