List nothing before the servers are known

Ruled out: the unreadable entries (no line about them, so they had not been read yet). Change: daemons are published once the servers have been read. The scenario added failed first.

--- a/papayacourse/routed/directory.py
+++ b/papayacourse/routed/directory.py
@@ -71,7 +71,9 @@
     def take_members(self, listed: Listed) -> None:
         """Take the daemons that are listed now."""
         self.members = listed
-        self._publish()
+        if self.known:
+            # Without the servers a listing would look as if there were none.
+            self._publish()
 
     def expire(self) -> None:
         """Take servers for gone that stayed missing after the store came back."""
--- a/tests/features/routed_parts.feature
+++ b/tests/features/routed_parts.feature
@@ -26,6 +26,13 @@
     And the servers listed are "one"
     Then "one" are published
 
+  Scenario: Daemons that are listed before the servers are known make no listing
+    Given a directory that has read nothing
+    When daemons "a, b" are listed
+    Then nothing is published
+    When the servers listed are "one"
+    Then "a, b, one" are published
+
   Scenario: A server that had said it leaves is not kept after an outage
     Given a directory with servers "one, two" of which "two" leaves
     When the store is lost and comes back without "two"
--- a/tests/features/steps/routedparts_steps.py
+++ b/tests/features/steps/routedparts_steps.py
@@ -140,6 +140,24 @@
     listed(context, names)
 
 
+@given("a directory that has read nothing")
+def empty_directory(context):
+    context.clock, context.revision, context.published = Clock(), 1, []
+    context.directory = Directory(context.published.append, context.clock)
+
+
+@when('daemons "{names}" are listed')
+def daemons_listed(context, names):
+    context.revision += 1
+    hosts = tuple(server(name) for name in names_in(names))
+    context.directory.take_members(Listed(context.revision, hosts))
+
+
+@then("nothing is published")
+def nothing_published(context):
+    assert context.published == []
+
+
 @given('a directory with servers "{names}" of which "{leaving}" leaves')
 def make_directory_leaving(context, names, leaving):
     make_directory(context, names)
