Let domains find each other whose daemons all began without settings

Cause: a daemon's heartbeat says that it takes no duties until it knows settings and hosts. Links to another domain are kept to daemons that take duties only, and heartbeats go where a link is needed. It is also why traffic.feature got 503 no_engine; there, besides, loads came on the same link up to a second before the heartbeat that says that their sender takes duties. Change: a link is kept to daemons without duties where a domain has no others; every linked peer is told at once when a daemon begins or ceases to take duties; what a daemon says of itself in its domain's summary counts like a heartbeat. Schedulers log each grant and refusal with the engine's ledger, and each question to another domain; a request ended without settings logs no age of them. The new scenarios failed before.

--- a/papayacourse/gateways.py
+++ b/papayacourse/gateways.py
@@ -157,8 +157,12 @@
 
     async def take_summary(self, peer: Hello, summary: DomainSummary) -> None:
         """Take a summary from its own domain or from a daemon here that passes it on."""
+        live = {hello.name for hello in summary.live}
         for hello in summary.live:
             self.membership.learn(hello)
+        if peer.domain == summary.domain:
+            # What it says of itself is newer than its last heartbeat on the same link.
+            self.membership.told_of_duties(peer.name, peer.name in live)
         before = self.remotes.get(summary.domain)
         remote = self.remotes[summary.domain] = before or Remote(summary, self.clock())
         remote.summary = summary
--- a/papayacourse/grants.py
+++ b/papayacourse/grants.py
@@ -7,7 +7,7 @@
 
 from attrs import define, field
 
-from papayacourse import invariants
+from papayacourse import invariants, logs
 from papayacourse.admission import choose
 from papayacourse.copies import Copies
 from papayacourse.delays import note_prompt
@@ -130,6 +130,7 @@
             self.tell_later(granted_to, granted)
         self.queue.discard(stream)
         if request.wait_limit <= 0:
+            self._log_refused(request, "no place is free now")
             return GrantRefused(stream, "overloaded", "no place is free now", MIN_RETRY_AFTER)
         needed = self.waits.needed(item, returns)
         if len(self.queue) >= MAX_QUEUE or self.waits.too_long(item, needed):
@@ -154,8 +155,16 @@
         wait = needed / self.waits.rate(now) if rate else 0.0
         excess = wait - request.wait_limit * WAIT_SAFETY
         again = self.reservations.book(generation.account, now, excess, rate)
+        self._log_refused(request, detail, places_needed=needed, retry_after=again)
         return GrantRefused(generation.stream, "overloaded", detail, again)
 
+    def _log_refused(self, request: GrantRequest, why: str, **inputs) -> None:
+        logs.info(
+            "not granted", request=request.generation.stream, why=why,
+            wait_limit=round(request.wait_limit, 3), queue=len(self.queue),
+            engines=[state_of(led) for led in self.engines.usable(request.avoid)], **inputs,
+        )  # fmt: skip
+
     def join(
         self, daemon: str, stream: str, avoid: tuple[str, ...]
     ) -> Granted | Joined | GrantRefused | None:
@@ -231,6 +240,10 @@
         if ledger is None:
             return None
         self.queue.discard(stream)
+        logs.info(
+            "granted", request=stream, engine=ledger.name, daemon_asking=item.daemon,
+            waited=round(now - item.since, 3), tokens=candidate.tokens, **state_of(ledger),
+        )  # fmt: skip
         self.put(ledger, candidate)
         self.grants += 1
         note_prompt(ledger, generation, self.engines.prefixes, now)
@@ -312,3 +325,15 @@
         self.queue.keep(accounts)
         self.lengths.keep(accounts)
         self.reservations.expire(self.clock())
+
+
+def state_of(ledger: EngineLedger) -> dict[str, int | bool]:
+    """Return what a ledger says of its engine, for the log; memory in tokens."""
+    return {
+        "streams": len(ledger.streams),
+        "promised": ledger.tokens,
+        "unexplained": ledger.foreign_tokens,
+        "budget": int(ledger.budget),
+        "held": ledger.held,
+        "suspect": ledger.suspect,
+    }
--- a/papayacourse/membership.py
+++ b/papayacourse/membership.py
@@ -177,9 +177,19 @@
         mine = {*self.live(), self.me.name} - ({self.me.name} if self.leaving else set())
         if self.me.name not in ranked(f"gateway/{pair}", mine)[:GATEWAYS]:
             return []
-        theirs = [m.name for m in self.members.values() if m.domain == domain and self.stays(m)]
-        theirs = self.live(domain) or [n for n in theirs if not self._failed(n)] or theirs
-        return ranked(f"gateway/{pair}", theirs)[:CROSS_LINKS]
+        return ranked(f"gateway/{pair}", self._reachable(domain))[:CROSS_LINKS]
+
+    def _reachable(self, domain: str) -> list[str]:
+        """Return the daemons of another domain to keep links to: the best kind that there is.
+
+        Those that take no duties are the last choice, but one: without a link to any of them
+        nobody would hear that they do by now.
+        """
+        members = [member for member in self.members.values() if member.domain == domain]
+        staying = [member.name for member in members if self.stays(member)]
+        known = [member.name for member in members]
+        answering = [name for name in known if not self._failed(name)]
+        return self.live(domain) or [n for n in staying if n in answering] or answering or known
 
     def _failed(self, name: str) -> bool:
         return self.peers.addresses.get(name) in self.peers.backoffs
@@ -239,6 +249,13 @@
             self.changed.set()
         await self._compare(member)
 
+    def told_of_duties(self, name: str, takes_duties: bool) -> None:
+        """Note whether a daemon has just said of itself that it takes duties."""
+        member = self.members.get(name)
+        if member is not None and member.leaving == takes_duties:
+            member.leaving = not takes_duties
+            self.changed.set()
+
     async def beaten(self, _peer: Hello, _beat: Beat) -> None:
         """Take a beat, which says no more than any frame does."""
 
@@ -289,8 +306,13 @@
 
     async def tend(self) -> None:
         """Forget daemons long gone, and keep the links that are needed, for ever."""
+        took_duties = False
         while True:
             await asyncio.sleep(CHECK_INTERVAL)
+            if self.takes_duties() != took_duties:
+                # Peers that get no heartbeats from here would go on believing the opposite.
+                took_duties = not took_duties
+                await self.heartbeats.tell_all()
             for member in list(self.members.values()):
                 if self._is_gone(member):
                     del self.members[member.name]
--- a/papayacourse/routed/documents.py
+++ b/papayacourse/routed/documents.py
@@ -46,9 +46,9 @@
         """Return the version in force; 0 before the first document."""
         return self.current.version if self.current else 0
 
-    def age(self) -> float:
-        """Return how long the document has been in force here, in seconds."""
-        return self.clock() - self.since
+    def age(self) -> float | None:
+        """Return how long the document has been in force here, in seconds; None without one."""
+        return self.clock() - self.since if self.current else None
 
     def take(self, document: Document, source: str) -> bool:
         """Put a document in force if it is newer; tells whether it was."""
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -181,6 +181,7 @@
     def _note(self, exchange: Exchange, outcome: "Outcome") -> None:
         """Say once for each request what came of it."""
         seconds = time.monotonic() - outcome.came_at
+        age = self.documents.age()
         admitted = outcome.admitted
         route = admitted.route.name if admitted else ""
         account = admitted.account_name if admitted else ""
@@ -190,7 +191,7 @@
             "request ended", end=outcome.end, why=outcome.why, reason=outcome.reason,
             status=outcome.status, ran=outcome.ran, route=route, account=account,
             service=admitted.service if admitted else "", seconds=round(seconds, 3),
-            document=self.documents.version, document_age=round(self.documents.age(), 1),
+            document=self.documents.version, document_age=None if age is None else round(age, 1),
         )  # fmt: skip
 
 
--- a/papayacourse/spill.py
+++ b/papayacourse/spill.py
@@ -143,6 +143,7 @@
             cell = self._best_cell(domain, request)
             answer = await self._ask(domain, evolve(now_or_never, cell=cell))
             self.asked[outcome(answer)] += 1
+            logs.info("other domain asked", asked=domain, cell=cell, answer=outcome(answer))
             if isinstance(answer, Granted):
                 return PlacedElsewhere(domain, cell, answer)
         return None
--- a/tests/features/steps/routedparts_steps.py
+++ b/tests/features/steps/routedparts_steps.py
@@ -13,12 +13,13 @@
 from papayacourse.boundedwriter import BoundedWriter
 from papayacourse.catalog import Catalog
 from papayacourse.engines import EngineLoad
+from papayacourse.gateways import Gateways
 from papayacourse.hostlist import HostList
 from papayacourse.ledger import EngineLedger, Stream, put
 from papayacourse.linkclasses import LinkClass, Place
 from papayacourse.listener import Listener
 from papayacourse.membership import Membership
-from papayacourse.meshmessages import Heartbeat, Hello, HostsNews
+from papayacourse.meshmessages import DomainSummary, Heartbeat, Hello, HostsNews
 from papayacourse.peers import Peers
 from papayacourse.policies import Predicted
 from papayacourse.routed.budget import BudgetLimits, FleetBudget
@@ -332,6 +333,95 @@
     assert context.membership.live("kano") == ["far"]
 
 
+class NotedPeers(Peers):
+    """Peers on no network, that note what is sent to them."""
+
+    async def send(self, name, message) -> None:
+        """Note a message."""
+        self.said.append((self.hello.name, name, message))
+
+
+@when("it sends its domain's summary, in which it serves")
+def sends_summary(context):
+    take_summary(context, (Hello("far", 1, "kano", "kano", "127.0.0.1:3", b""),))
+
+
+@when("it sends its domain's summary, in which nobody serves")
+def sends_empty_summary(context):
+    take_summary(context, ())
+
+
+def take_summary(context, live) -> None:
+    """Let the membership's gateways take a summary from "far" itself."""
+    members = context.membership
+    gateways = Gateways(members, members.peers, context.clock)
+    peer = Hello("far", 1, "kano", "kano", "127.0.0.1:3", b"")
+    asyncio.run(gateways.take_summary(peer, DomainSummary("kano", "kano", live, ())))
+
+
+@then("it is not counted among the domain's daemons")
+def is_not_counted(context):
+    assert context.membership.live("kano") == []
+
+
+@given("two domains whose daemons have heard each other say that they take no duties yet")
+def two_uninformed(context):
+    context.clock = Clock()
+    context.hellos = [
+        Hello("near", 1, "lagos", "lagos", "127.0.0.1:3", b""),
+        Hello("far", 1, "kano", "kano", "127.0.0.1:4", b""),
+    ]
+    context.said = []
+    context.sides = [uninformed(context, hello) for hello in context.hellos]
+
+    async def work() -> None:
+        for side, other in zip(context.sides, reversed(context.hellos), strict=True):
+            side.met(other)
+            await side.heard(other, Heartbeat(other.name, 1, True, 0, 0))
+            for task in side.heartbeats.tasks.values():
+                task.cancel()
+            side.peers.links = {other.name: None}
+
+    asyncio.run(work())
+
+
+def uninformed(context, hello) -> Membership:
+    """Return the membership of a daemon that knows too little, and notes what it sends."""
+    peers = NotedPeers(hello, "k" * 20)
+    peers.said = context.said
+    host_list = HostList(Address("127.0.0.1", 2))
+    members = Membership(hello, peers, Catalog(), host_list, (), context.clock)
+    members.informed = lambda: False
+    return members
+
+
+@then("each keeps a link to the other")
+def each_keeps_link(context):
+    near, far = context.sides
+    assert near.linked("kano") == ["far"], near.linked("kano")
+    assert far.linked("lagos") == ["near"], far.linked("lagos")
+
+
+@when("they know enough to take duties")
+def they_know_enough(context):
+    for side in context.sides:
+        side.informed = lambda: True
+
+
+@then("each is told so by the other within {seconds:g} s")
+def each_is_told(context, seconds):
+    async def work() -> None:
+        tending = [asyncio.create_task(side.tend()) for side in context.sides]
+        await asyncio.sleep(seconds)
+        for task in tending:
+            task.cancel()
+
+    context.said.clear()
+    asyncio.run(work())
+    told = {(sender, name) for sender, name, message in context.said if not message.leaving}
+    assert told == {("near", "far"), ("far", "near")}, context.said
+
+
 @when("a daemon meets itself through a seed")
 def meets_itself(context):
     context.membership = membership(Clock())
