--- a/papayacourse/grants.py
+++ b/papayacourse/grants.py
@@ -115,8 +115,7 @@
         elif held is not None:
             # It moves on from there, so it is no other copy of itself.
             take_off(held, stream)
-        if not self.engines.usable(request.avoid) and self.engines.is_behind():
-            self.engines.refresh()
+        self._take_news()
         if not self.engines.usable(request.avoid):
             return GrantRefused(stream, "no_engine", "no engine can serve now", MIN_RETRY_AFTER)
         if stream in self.queue:
@@ -138,6 +137,11 @@
         self._wait(item, returns)
         return self._queued(generation)
 
+    def _take_news(self) -> None:
+        """Bring the engines in line first: one that has been told to leave gets nothing more."""
+        if self.engines.is_behind():
+            self.engines.refresh()
+
     def _wait(self, item: Waiting, returns: bool) -> None:
         generation = item.request.generation
         priority, account = generation.priority, generation.account
@@ -284,6 +288,7 @@
 
     def serve(self) -> None:
         """Grant what can be granted, and tell the daemons that wait for it."""
+        self._take_news()
         for daemon, granted in self.grant_waiting():
             self.tell_later(daemon, granted)
 
--- a/papayacourse/routed/copying.py
+++ b/papayacourse/routed/copying.py
@@ -15,6 +15,7 @@
 
 COPY_INTERVAL = 3.0  # seconds between copies; an engine drops one that is not renewed for 5
 LOOK_INTERVAL = 0.3  # seconds between looks for a near engine where there is none
+TARGETS_ASKED = 2  # engines asked for room at a time
 ROOM_PART = 0.5  # part of an engine's memory that may be taken with a new copy
 KEEP_PART = 0.7  # part that may be taken while a copy stays; the rest is for runs
 LONG_RUN = 2.5  # seconds that a run must still be able to take
@@ -44,7 +45,7 @@
         """Copy the run again and again for as long as its engine stays."""
         while self._goes_on():
             await self._renew()
-            waits_for_one = self.generation.copy is None and self._near() is None
+            waits_for_one = self.generation.copy is None and not self._refuges()
             await asyncio.sleep(LOOK_INTERVAL if waits_for_one else COPY_INTERVAL)
 
     def _goes_on(self) -> bool:
@@ -57,31 +58,31 @@
         async with generation.copy_lock:
             copy = generation.copy
             if copy is not None and not await self._may_stay(copy.host):
-                generation.copy = copy = None
+                await self._forget_copy()
+                copy = None
             target = copy.host if copy is not None else await self._target()
             if target is not None and self._goes_on():
                 await self._copy(target)
 
     async def _may_stay(self, host: Host) -> bool:
-        """Tell whether the copy may stay where it is; drops it where it may not."""
-        if self.fleet.stays(host.name) and await self._taken(host) <= KEEP_PART:
-            return True
-        await self.fleet.drop_copy(self.source, self.generation.copy.handle)
-        return False
-
-    def _near(self) -> Host | None:
-        """Return an engine that copies reach fast, or None."""
-        near = self.fleet.refuge(self.source, self.generation.request.service)
-        if near is None or self.fleet.reach(self.source, near) == LinkClass.OTHER_REGION:
-            return None
-        return near
+        """Tell whether the copy may stay where it is."""
+        return self.fleet.stays(host.name) and await self._taken(host) <= KEEP_PART
+
+    def _refuges(self) -> list[Host]:
+        """Return the engines to ask for room: those of the region.
+
+        A first copy to another region keeps the links busy on which others' runs are moved.
+        """
+        found = self.fleet.refuges(self.source, self.generation.request.service)
+        near = [h for h in found if self.fleet.reach(self.source, h) != LinkClass.OTHER_REGION]
+        return near[:TARGETS_ASKED]
 
     async def _target(self) -> Host | None:
-        """Return a near engine that has room, or None."""
-        near = self._near()
-        if near is None:
-            return None
-        return near if await self._taken(near, with_copy=True) <= ROOM_PART else None
+        """Return the nearest engine that has room, or None."""
+        for host in self._refuges():
+            if await self._taken(host, with_copy=True) <= ROOM_PART:
+                return host
+        return None
 
     async def _taken(self, host: Host, with_copy: bool = False) -> float:
         """Return the part of an engine's memory that is taken; all of it where that is unknown."""
@@ -106,12 +107,16 @@
                 "not copied", request=generation.run_id, engine=self.source.name,
                 target=target.name, why=str(error),
             )  # fmt: skip
-            generation.copy = None
+            await self._forget_copy()
             return
         generation.copy = Standby(target, self.source.address, copied.handle)
-        logs.debug(
-            "copied",
-            request=generation.run_id,
-            target=target.name,
+        logs.info(
+            "copied", request=generation.run_id, engine=self.source.name, target=target.name,
             seconds=round(time.monotonic() - began, 3),
-        )
+        )  # fmt: skip
+
+    async def _forget_copy(self) -> None:
+        """Give up a copy; while its handle lasts the engine copies the run nowhere else."""
+        copy, self.generation.copy = self.generation.copy, None
+        if copy is not None:
+            await self.fleet.drop_copy(self.source, copy.handle)
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -26,13 +26,13 @@
 from papayacourse.routed.budget import FleetBudget
 from papayacourse.routed.choice import ServerChoice
 from papayacourse.routed.config import ConfigFile, RoutedConfig
-from papayacourse.routed.derived import bring_in_line
+from papayacourse.routed.derived import TEAM, bring_in_line
 from papayacourse.routed.directory import Directory
 from papayacourse.routed.document import CallerLimits, Document, EngineShape
 from papayacourse.routed.documents import Documents
 from papayacourse.routed.evacuation import Evacuation
 from papayacourse.routed.fleetview import FleetView
-from papayacourse.routed.front import TEAM, Front
+from papayacourse.routed.front import Front
 from papayacourse.routed.pages import pages
 from papayacourse.routed.reports import AdapterReports
 from papayacourse.routed.seams import EngineCalls, RequestCodec, Store
--- a/papayacourse/routed/derived.py
+++ b/papayacourse/routed/derived.py
@@ -7,6 +7,7 @@
 from papayacourse.routed.document import Document, Service
 from papayacourse.settings import ROOT
 
+TEAM = "routed"  # the team that the schedulers know all services of the document by
 SPILL_SAME_REGION = 0.05  # seconds of waiting that a place in another failure domain must save
 SPILL_OTHER_REGION = 0.3  # seconds, in another region, for its round trips and slower moves
 MEMORY_MARGIN = 0.05  # part of an engine's memory kept free
--- a/papayacourse/routed/emptying.py
+++ b/papayacourse/routed/emptying.py
@@ -9,18 +9,28 @@
 
 from papayacourse import logs
 from papayacourse.exceptions import BackendError, BackendRefused, BackendUnreachable
+from papayacourse.linkclasses import LinkClass
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.generation import Generation
 from papayacourse.routed.seams import EngineRuns, RunState
 from papayacourse.routed.standby import Standby
-from papayacourse.routed.turns import Turn, turns
+from papayacourse.routed.turns import REGION_COPY, turns
 from papayacourse.types import Host
 
 WAIT_STEP = 0.1  # seconds between looks at what is still to be moved
+ROOM_WAIT = 0.2  # seconds until engines without room are asked again
 TARGETS_TRIED = 3
 NO_ROOM = 503  # an engine's status
 NOTICE = 1.4  # seconds that an engine works on after its notice, where it does not say
+REPORT_AGE = 0.5  # seconds that what an engine says of itself may be old
+ASK_AGAIN_AFTER = 0.6  # seconds; an engine's reports lag, and the first may not tell its end yet
 LEAST_REST = 1.0  # seconds; a run that ends sooner is not moved
+LEAST_LEFT = 0.05  # seconds; with less left no move is begun
+
+
+def is_worth_moving(generation: Generation) -> bool:
+    """Tell whether a run goes on for so long that it may not end within its engine's notice."""
+    return generation.can_move() and generation.time_to_end() > LEAST_REST
 
 
 @define(eq=False)
@@ -35,45 +45,54 @@
         Since when it has been known to leave, in seconds of the monotonic clock.
     ends_at : float
         When the engine will be gone, as far as known.
-    planned : dict of str to Turn
-        When each run is moved, by its id.
+    begins : dict of str to float
+        When each run is moved, by its id, in seconds of the monotonic clock.
+    says_when : bool
+        Whether the engine itself has said when it will be gone.
     """
 
     fleet: FleetView
     engine: Host
     service: str
     running: Callable[[], list[Generation]]
-    since: float = field(factory=time.monotonic)
+    since: float
     ends_at: float = math.inf
-    planned: dict[str, Turn] = field(factory=dict)
+    begins: dict[str, float] = field(factory=dict)
+    says_when: bool = False
+    may_ask_again: bool = False
 
     async def run(self) -> None:
         """Move one run after another until nothing is left to move."""
         await self._move_copied()
         await self._plan()
         while (generation := self._next()) is not None:
-            turn = self.planned.get(generation.run_id)
-            if turn is not None and self.since + turn.end > self.ends_at:
-                logs.info(
-                    "no time to move", request=generation.run_id, engine=self.engine.name,
-                    begin=round(turn.begin, 2), left=round(self.ends_at - time.monotonic(), 2),
-                )  # fmt: skip
+            await self._ask_for_end()
+            wait = self._begin(generation) - time.monotonic()
+            if self.says_when and self._left() < LEAST_LEFT:
+                logs.info("no time to move", request=generation.run_id, engine=self.engine.name)
                 generation.unmovable = True
-            elif turn is not None and self.since + turn.begin > time.monotonic():
-                await asyncio.sleep(min(WAIT_STEP, self.since + turn.begin - time.monotonic()))
+            elif wait > 0:
+                await asyncio.sleep(min(WAIT_STEP, wait))
             else:
                 await self._move(generation)
 
     # Queries.
 
     def _next(self) -> Generation | None:
-        movable = [g for g in self.running() if g.can_move() and g.time_to_end() > LEAST_REST]
+        movable = [g for g in self.running() if is_worth_moving(g)]
         return min(movable, key=self._begin, default=None)
 
     def _begin(self, generation: Generation) -> float:
-        """Return when a run's turn begins; one that was not reported goes last."""
-        turn = self.planned.get(generation.run_id)
-        return turn.begin if turn is not None else math.inf
+        """Return when a run's turn begins; one that has begun since the report need not wait."""
+        return self.begins.get(generation.run_id, time.monotonic())
+
+    def _left(self) -> float:
+        """Return for how long the engine works on, in seconds, as far as known."""
+        return self.ends_at - time.monotonic()
+
+    def _outlives_notice(self) -> bool:
+        """Tell whether the engine works on for longer than engines do that are taken away."""
+        return not self.says_when and self._left() < 0
 
     # Commands.
 
@@ -87,18 +106,36 @@
     async def _plan(self) -> None:
         """Work out the turns of all runs on the engine."""
         report = await self._report()
-        self.ends_at = self.since + (report.leaves_in or NOTICE)
+        self._take_end(report)
         target = self.fleet.refuge(self.engine, self.service)
         if target is None:
             return
         reach = self.fleet.reach(self.engine, target)
         rate = self.fleet.shape(self.service).copy_rate
-        self.planned = {turn.run: turn for turn in turns(report.runs, rate, reach)}
+        for turn in turns(report.runs, rate, reach):
+            # Others' runs may be copied already, so a turn may come sooner than planned: what
+            # would come too late begins while there still is time for it alone.
+            latest = self.ends_at - (turn.end - turn.begin)
+            self.begins[turn.run] = min(self.since + turn.begin, latest)
         logs.info(
             "emptying", engine=self.engine.name, runs=len(report.runs),
             here=len(self.running()), leaves_in=report.leaves_in, reach=reach.value,
         )  # fmt: skip
 
+    def _take_end(self, report: EngineRuns) -> None:
+        self.says_when = report.leaves_in is not None
+        self.may_ask_again = not self.says_when
+        if self.says_when:
+            self.ends_at = time.monotonic() + report.leaves_in - REPORT_AGE
+        else:
+            self.ends_at = self.since + NOTICE
+
+    async def _ask_for_end(self) -> None:
+        """Ask the engine once more when it will be gone, if it has not said so yet."""
+        if self.may_ask_again and time.monotonic() - self.since > ASK_AGAIN_AFTER:
+            self._take_end(await self._report())
+            self.may_ask_again = False
+
     async def _report(self) -> EngineRuns:
         try:
             return await self.fleet.engine_calls.runs(self.engine)
@@ -117,7 +154,7 @@
                 result = await self._copy_and_stop(generation)
         except BackendError as error:
             why = str(error)
-            generation.unmovable = True
+            self._put_off(generation, error)
         logs.info(
             "moved" if result else "not moved", request=generation.run_id,
             engine=self.engine.name, target=result.host.name if result else "", why=why,
@@ -125,6 +162,14 @@
         )  # fmt: skip
         generation.note_moved(result)
 
+    def _put_off(self, generation: Generation, error: BackendError) -> None:
+        """Try a run again later for which there was no room; give up any other."""
+        match error:
+            case BackendRefused(status=status) if status == NO_ROOM:
+                self.begins[generation.run_id] = time.monotonic() + ROOM_WAIT
+            case _:
+                generation.unmovable = True
+
     async def _copy_and_stop(self, generation: Generation) -> Standby:
         """Copy a run while it goes on, then stop it and copy the short rest."""
         calls, run = self.fleet.engine_calls, generation.run_id
@@ -138,7 +183,7 @@
     async def _copy_first(self, generation: Generation) -> Host:
         """Copy a run to the first engine that has room, the nearest first."""
         last: BackendError = BackendUnreachable("no other engine stays")
-        for target in self.fleet.refuges(self.engine, self.service)[:TARGETS_TRIED]:
+        for target in self._targets():
             try:
                 first = await self.fleet.engine_calls.copy_run(
                     self.engine, generation.run_id, target, stop=False
@@ -153,6 +198,16 @@
             return target
         raise last
 
+    def _targets(self) -> list[Host]:
+        """Return the engines to ask for room: those of the region, others where these are none.
+
+        A copy to another region would not arrive in time, and hold up what asks here again.
+        """
+        found = self.fleet.refuges(self.engine, self.service)
+        near = [h for h in found if self.fleet.reach(self.engine, h) != LinkClass.OTHER_REGION]
+        far_arrives = self._left() > REGION_COPY or self._outlives_notice()
+        return (found if far_arrives else near or found)[:TARGETS_TRIED]
+
     async def _copied_to(self, generation: Generation) -> Host | None:
         """Return the engine that has a copy and stays; drops a copy at one that does not."""
         copy = generation.copy
--- a/papayacourse/routed/evacuation.py
+++ b/papayacourse/routed/evacuation.py
@@ -1,6 +1,7 @@
 """Watches the runs in progress: has long ones copied, and engines emptied that leave."""
 
 import asyncio
+import time
 from collections.abc import Callable
 
 from attrs import define, field
@@ -8,7 +9,7 @@
 from papayacourse import logs
 from papayacourse.exceptions import BackendError
 from papayacourse.routed.copying import Copying, is_worth_copying
-from papayacourse.routed.emptying import Emptying
+from papayacourse.routed.emptying import Emptying, is_worth_moving
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.generation import Generation
 from papayacourse.types import Host
@@ -27,6 +28,8 @@
         Tells whether the store cannot be read, so that it does not tell which engines leave.
     running : set of Generation
         The runs that this daemon passes on.
+    leaving_since : dict of str to float
+        Since when each engine has been known to leave, in seconds of the monotonic clock.
     emptying : dict of str to asyncio.Task
         The engines whose runs are being moved, by name.
     copying : dict of Generation to asyncio.Task
@@ -36,6 +39,7 @@
     fleet: FleetView
     store_is_away: Callable[[], bool]
     running: set[Generation] = field(factory=set)
+    leaving_since: dict[str, float] = field(factory=dict)
     emptying: dict[str, asyncio.Task] = field(factory=dict)
     copying: dict[Generation, asyncio.Task] = field(factory=dict)
     asking: dict[str, asyncio.Task] = field(factory=dict)
@@ -76,6 +80,7 @@
 
     def look(self) -> None:
         """Begin to empty the engines that leave."""
+        self._note_leaving()
         for tasks in (self.emptying, self.copying):
             for key in [key for key, task in tasks.items() if task.done()]:
                 del tasks[key]
@@ -83,14 +88,23 @@
             if generation.engine is None or not generation.can_move():
                 continue
             if not self.fleet.stays(generation.engine.name):
-                self._empty(generation.engine, generation.request.service)
+                if is_worth_moving(generation):
+                    self._empty(generation.engine, generation.request.service)
             elif generation not in self.copying and is_worth_copying(generation):
                 work = Copying(self.fleet, generation, generation.engine)
                 self.copying[generation] = asyncio.create_task(work.run())
 
+    def _note_leaving(self) -> None:
+        """Note since when engines leave, whether they have runs to be moved yet or not."""
+        now = time.monotonic()
+        self.leaving_since = {
+            host.name: self.leaving_since.get(host.name, now) for host in self.fleet.leaving()
+        }
+
     def _empty(self, engine: Host, service: str) -> None:
         if engine.name not in self.emptying:
-            work = Emptying(self.fleet, engine, service, lambda: self.on(engine.name))
+            since = self.leaving_since.get(engine.name, time.monotonic())
+            work = Emptying(self.fleet, engine, service, lambda: self.on(engine.name), since)
             self.emptying[engine.name] = asyncio.create_task(work.run())
 
     def ended(self, generation: Generation) -> None:
--- a/papayacourse/routed/fleetview.py
+++ b/papayacourse/routed/fleetview.py
@@ -10,12 +10,15 @@
 from papayacourse.exceptions import BackendError
 from papayacourse.linkclasses import LinkClass, Place
 from papayacourse.membership import Membership
+from papayacourse.meshmessages import ServiceLoad
 from papayacourse.placement import Placement
 from papayacourse.routed.admitted import Admitted
 from papayacourse.routed.budget import FleetBudget
+from papayacourse.routed.derived import TEAM
 from papayacourse.routed.document import EngineShape
 from papayacourse.routed.seams import EngineCalls, RequestCodec
-from papayacourse.types import GenerationRequest, Host, HostState
+from papayacourse.routed.spareroom import spare_regions
+from papayacourse.types import GenerationRequest, Host, HostKind, HostState
 
 NEAREST_FIRST = (LinkClass.SAME_DOMAIN, LinkClass.SAME_REGION, LinkClass.OTHER_REGION)
 
@@ -70,6 +73,11 @@
         """Tell whether a listed host gets new work: nobody says that it leaves."""
         return host.state == HostState.LIVE and host.name not in self.said_to_leave
 
+    def leaving(self) -> Iterator[Host]:
+        """Yield the engines that have been told to leave, as far as is known here."""
+        engines = self.membership.backends(HostKind.ENGINE)
+        return (host for host in engines if not self.is_live(host))
+
     def note_leaving(self, host: Host, source: str) -> bool:
         """Note that an engine says itself that it leaves; tells whether that was news."""
         known = host.name in self.said_to_leave
@@ -121,15 +129,22 @@
     def safer_domains(self, service: str) -> list[str]:
         """Return the failure domains to prefer for long runs, the nearest first.
 
-        An engine that is alone in its region cannot have its runs moved in time. Where this
-        domain's engines are not alone there is nothing to prefer.
+        They are those whose region could take over the runs of any one of its engines. Where this
+        domain's region can, there is nothing to prefer.
         """
-        places = {h.domain: h for h in self.servers(service) if self.is_live(h)}
-        safe = {d: h for d, h in places.items() if self.has_neighbour(h, service)}
-        if self.here.domain in safe:
+        engines = [host for host in self.servers(service) if self.is_live(host)]
+        spare = spare_regions(
+            engines, lambda domain: self.loads(domain, service), self.shape(service).memory_tokens
+        )
+        here = self.here
+        if here.region in spare and any(host.domain == here.domain for host in engines):
             return []
-        near = sorted(safe.values(), key=lambda h: (h.region != self.here.region, random.random()))
-        return [host.domain for host in near]
+        places = {host.domain: host.region for host in engines if host.region in spare}
+        return sorted(places, key=lambda domain: (places[domain] != here.region, random.random()))
+
+    def loads(self, domain: str, service: str) -> list[ServiceLoad]:
+        """Return how a service stands in a failure domain, as far as it is known."""
+        return self.placement.spill.loads(domain, TEAM, service)
 
     async def drop_copy(self, source: Host, handle: str) -> None:
         """Free the memory that a copy takes."""
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -15,6 +15,7 @@
 from papayacourse.quarantine import Quarantine, fingerprint
 from papayacourse.routed.admitted import Admitted, admit
 from papayacourse.routed.choice import ServerChoice
+from papayacourse.routed.derived import TEAM
 from papayacourse.routed.document import CallerLimits, Repeat, Service
 from papayacourse.routed.documents import Documents
 from papayacourse.routed.evacuation import Evacuation
@@ -25,7 +26,6 @@
 from papayacourse.routed.seams import Prompt
 from papayacourse.types import GenerationRequest, Ran
 
-TEAM = "routed"  # the team that the schedulers know all services of the document by
 SHORT_OUTPUT = 100  # tokens; an answer of these ends within a planned stop
 STOPPING_RETRY_AFTER = 0.1  # seconds; another daemon can serve it at once
 PREFIX_HASH_BITS = 63
@@ -148,7 +148,7 @@
         service = self.documents.current.services.get(admitted.service)
         if admitted.route.repeat == Repeat.STREAM and service and service.engine:
             self._refuse_while_stopping(admitted)
-            await self._generate(exchange, admitted, service)
+            await self._generate(exchange, outcome, service)
             outcome.end = "streamed"
         else:
             await self._call(exchange, admitted)
@@ -168,10 +168,12 @@
         answer = await call.run()
         await exchange.answer(answer.status, answer.headers, answer.body)
 
-    async def _generate(self, exchange: Exchange, admitted: Admitted, service: Service) -> None:
+    async def _generate(self, exchange: Exchange, outcome: "Outcome", service: Service) -> None:
+        admitted = outcome.admitted
         request = generation_request(admitted)
         self.quarantine.check(request.fingerprint)
         generation = Generation(admitted, exchange, self.fleet, request, service.engine)
+        outcome.generation = generation
         self.evacuation.running.add(generation)
         try:
             await generation.run()
@@ -192,6 +194,7 @@
             status=outcome.status, ran=outcome.ran, route=route, account=account,
             service=admitted.service if admitted else "", seconds=round(seconds, 3),
             document=self.documents.version, document_age=None if age is None else round(age, 1),
+            **outcome.stream(),
         )  # fmt: skip
 
 
@@ -206,6 +209,20 @@
     reason: str = ""
     status: int = 0
     ran: str = ""
+    generation: Generation | None = None
+
+    def stream(self) -> dict[str, object]:
+        """Return what became of a stream, for its log line; nothing for other requests."""
+        generation = self.generation
+        if generation is None:
+            return {}
+        waited = generation.first_at - self.came_at if generation.events else None
+        return {
+            "engine": generation.engine.name if generation.engine else "",
+            "events": generation.events,
+            "first_event": None if waited is None else round(waited, 3),
+            "resumes": generation.resumes,
+        }
 
     def refused(self, refused: RequestRefused) -> None:
         """Note the refusal that the caller gets."""
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -14,15 +14,14 @@
 from papayacourse.routed.events import EventSplitter
 from papayacourse.routed.exchange import Exchange
 from papayacourse.routed.fleetview import FleetView
+from papayacourse.routed.placing import Placing
 from papayacourse.routed.seams import Dispatch, Resume
 from papayacourse.routed.sending import MayHaveRun, NotRun, open_call, read_whole
 from papayacourse.routed.standby import Standby
-from papayacourse.schedulingmessages import Granted, GrantRequest
 from papayacourse.types import GenerationRequest, Host, Ran
 
 MAX_PLACES = 4  # engines tried before the first has taken the request
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
-WAIT_PART = 0.8  # part of the objective that a request may wait for a place
 RESUME_HEAD = 1.5  # seconds that an engine may take to continue a run
 STALL_GAPS = 8.0  # longest good pauses after which a silent engine is taken for lost
 MIN_STALL = 1.0  # seconds
@@ -73,9 +72,12 @@
     ran: bool = False
     unmovable: bool = False
     resumes: int = 0
-    refused: set[str] = field(factory=set)
     copy: Standby | None = None
     copy_lock: asyncio.Lock = field(factory=asyncio.Lock)
+    placing: Placing = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.placing = Placing(self.fleet, self.admitted, self.request)
 
     # Queries.
 
@@ -143,7 +145,8 @@
         for number in range(MAX_PLACES):
             if number and not self.fleet.budget.take(self.admitted.service, why):
                 break
-            await self._place()
+            self.engine = await self.placing.find(self._is_long())
+            self.fleet.placement.progress(self.request, self.engine.name, 0)
             try:
                 return await self._follow(None, self.admitted.time_left())
             except BackendUnreachable as error:
@@ -151,33 +154,13 @@
             except NotRun as error:
                 why = str(error)
             self._log_failed(why)
-            self.refused.add(self.engine.name)
+            self.placing.refused.add(self.engine.name)
             await self.fleet.placement.end(self.request, self.engine.name, 0, "failed")
         raise self._refusal(503, "engines_full", why or "no engine took the request")
 
-    async def _place(self) -> None:
-        limit = min(self.admitted.route.objective * WAIT_PART, self.admitted.time_left())
-        ask = GrantRequest(self.request, limit, tuple(self.refused))
-        asked_at = time.monotonic()
-        place = await self._place_safely(ask) or await self.fleet.placement.place(ask)
-        waited = time.monotonic() - asked_at
-        host = self.fleet.host(place.engine)
-        if host is None:
-            await self.fleet.placement.give_back(self.request)
-            raise self._refusal(503, "engine_unknown", f"{place.engine} is not listed here")
-        self.engine = host
-        self.fleet.placement.progress(self.request, host.name, 0)
-        logs.info("placed", engine=host.name, domain=host.domain, waited=round(waited, 3))
-
-    async def _place_safely(self, ask: GrantRequest) -> Granted | None:
-        """Ask for a place on an engine that a long run can be moved from."""
-        if not self.shape.moves or self.time_to_end() < LONG_RUN:
-            return None
-        domains = self.fleet.safer_domains(self.admitted.service)
-        place = await self.fleet.placement.place_in(domains, ask) if domains else None
-        if domains and place is None:
-            logs.info("no safer place", domains=domains)
-        return place
+    def _is_long(self) -> bool:
+        """Tell whether the run may go on for longer than its engine's notice."""
+        return self.shape.moves and self.time_to_end() >= LONG_RUN
 
     async def _follow(self, resume: Resume | None, head_limit: float) -> Resume | None:
         """Pass on what an engine sends; returns where to continue if it breaks off."""
--- a/papayacourse/routed/turns.py
+++ b/papayacourse/routed/turns.py
@@ -8,7 +8,7 @@
 from papayacourse.routed.seams import RunState
 
 MOVE_OVERHEAD = 0.06  # seconds of a move besides its copy: two calls and the short rest
-REGION_COPY = 1.2  # seconds at least for a copy to another region, whatever its size
+REGION_COPY = 1.5  # seconds at least for a first copy to another region, whatever its size
 COPY_SLOWNESS = {
     LinkClass.SAME_DOMAIN: 1.0,
     LinkClass.SAME_REGION: 2.0,
--- /dev/null
+++ b/tests/features/steps/routedmoves_steps.py
@@ -0,0 +1,185 @@
+"""Steps about how the runs of an engine that leaves are moved, without processes."""
+
+import asyncio
+import time
+
+from behave import given, then, when
+
+from papayacourse.exceptions import BackendRefused
+from papayacourse.linkclasses import Place
+from papayacourse.routed.document import EngineShape
+from papayacourse.routed.emptying import Emptying
+from papayacourse.routed.seams import Copied, EngineRuns, RunState
+from papayacourse.types import Host, HostKind
+from tests.steptext import names_in
+
+SERVICE = "planner"
+NO_ROOM = 503
+NEVER = float("inf")
+COPY_RATE = 10_000.0  # tokens a second
+
+
+def engine(name: str, region: str) -> Host:
+    """Return a listed engine."""
+    return Host(name, HostKind.ENGINE, "127.0.0.1:9", region, region, service=SERVICE)
+
+
+class Run:
+    """A run in progress, as far as moving it goes."""
+
+    def __init__(self, name: str, tokens: int):
+        self.run_id = name
+        self.memory_tokens = tokens
+        self.events = 10
+        self.copy = self.moved = None
+        self.unmovable = self.is_moved = False
+        self.copy_lock = asyncio.Lock()
+
+    def can_move(self) -> bool:
+        """Tell whether it can be moved."""
+        return not self.unmovable and not self.is_moved
+
+    def time_to_end(self) -> float:
+        """Return how long it goes on, in seconds."""
+        return 60.0
+
+    def note_moved(self, standby) -> None:
+        """Note that it has been moved."""
+        self.is_moved = standby is not None
+
+
+class Engines:
+    """Calls to engines, which are noted; some have room only after a while."""
+
+    def __init__(self):
+        self.report = EngineRuns(None, ())
+        self.room_after = {}
+        self.began = 0.0
+        self.asked = []
+        self.copied = []
+
+    async def runs(self, _engine) -> EngineRuns:
+        """Return what the engine that leaves says of itself."""
+        return self.report
+
+    async def copy_run(self, _source, run, target, stop) -> Copied:
+        """Copy a run, in no time."""
+        after = time.monotonic() - self.began
+        self.asked.append(target.name)
+        if after < self.room_after[target.name]:
+            raise BackendRefused(NO_ROOM, "/kv-move")
+        if not stop:
+            self.copied.append((run, target.name, after))
+        return Copied("h1", True)
+
+
+class Fleet:
+    """A daemon's view of the fleet."""
+
+    def __init__(self):
+        self.engine_calls = Engines()
+        self.others = []
+
+    def refuges(self, _engine, _service) -> list[Host]:
+        """Return the other engines, the nearest first."""
+        return self.others
+
+    def refuge(self, engine, service) -> Host | None:
+        """Return the nearest other engine."""
+        return next(iter(self.refuges(engine, service)), None)
+
+    def reach(self, engine, other):
+        """Return how far two engines are apart."""
+        return Place(engine.domain, engine.region).link_to(other.domain, other.region)
+
+    def shape(self, _service) -> EngineShape:
+        """Return what engines can do."""
+        return EngineShape(24, 30_000, moves=True, copy_rate=COPY_RATE)
+
+    def stays(self, _name) -> bool:
+        """Tell that an engine stays."""
+        return True
+
+
+@given('an engine that leaves, with run "{names}" of {tokens:d} tokens in its report')
+@given('an engine that leaves, with runs "{names}" of {tokens:d} tokens in its report')
+def leaving_engine(context, names, tokens):
+    context.fleet_view = Fleet()
+    context.runs = [Run(name, tokens) for name in names_in(names)]
+    states = tuple(RunState(name, tokens) for name in names_in(names))
+    context.fleet_view.engine_calls.report = EngineRuns(None, states, True)
+
+
+@given('run "{name}" of {tokens:d} tokens that is not in its report')
+def unreported_run(context, name, tokens):
+    context.runs.append(Run(name, tokens))
+
+
+@given('this daemon passes on "{name}" only')
+def passes_on(context, name):
+    context.runs = [run for run in context.runs if run.run_id == name]
+
+
+@given("it says that it leaves in {seconds:g} s")
+def says_when(context, seconds):
+    calls = context.fleet_view.engine_calls
+    calls.report = EngineRuns(seconds, calls.report.runs, True)
+
+
+def add_engine(context, name: str, region: str, room_after: float) -> None:
+    """Add an engine that stays."""
+    context.fleet_view.others.append(engine(name, region))
+    context.fleet_view.engine_calls.room_after[name] = room_after
+
+
+@given('an engine "{name}" in its region')
+def near_engine(context, name):
+    add_engine(context, name, "lagos", 0.0)
+
+
+@given('an engine "{name}" in its region that has room after {seconds:g} s')
+def near_engine_later(context, name, seconds):
+    add_engine(context, name, "lagos", seconds)
+
+
+@given('an engine "{name}" in another region')
+def far_engine(context, name):
+    add_engine(context, name, "kano", 0.0)
+
+
+@when("its runs are moved for {seconds:g} s")
+def move_runs(context, seconds):
+    async def work() -> None:
+        now = time.monotonic()
+        context.fleet_view.engine_calls.began = now
+        running = lambda: [run for run in context.runs if run.can_move()]  # noqa: E731
+        leaver = engine("leaver", "lagos")
+        emptying = Emptying(context.fleet_view, leaver, SERVICE, running, since=now)
+        try:
+            await asyncio.wait_for(emptying.run(), seconds)
+        except TimeoutError:
+            pass
+
+    asyncio.run(work())
+
+
+def copied_after(context, name: str, target: str) -> float:
+    """Return when a run was copied to an engine, in seconds since the notice."""
+    found = context.fleet_view.engine_calls.copied
+    return next((after for run, where, after in found if (run, where) == (name, target)), NEVER)
+
+
+@then('"{name}" was copied to "{target}" within {seconds:g} s')
+def copied_within(context, name, target, seconds):
+    assert copied_after(context, name, target) <= seconds, context.fleet_view.engine_calls.copied
+
+
+@then('"{name}" was copied to "{target}" after {seconds:g} s')
+def copied_late(context, name, target, seconds):
+    after = copied_after(context, name, target)
+    assert seconds <= after < NEVER, context.fleet_view.engine_calls.copied
+
+
+@then('nothing was asked of "{target}"')
+def not_asked(context, target):
+    assert target not in context.fleet_view.engine_calls.asked
