--- a/papayacourse/routed/emptying.py
+++ b/papayacourse/routed/emptying.py
@@ -8,19 +8,18 @@
 from attrs import define, field
 
 from papayacourse import logs
-from papayacourse.exceptions import BackendError, BackendRefused, BackendUnreachable
+from papayacourse.exceptions import BackendError, BackendRefused
 from papayacourse.linkclasses import LinkClass
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.generation import Generation
+from papayacourse.routed.moving import NO_ROOM, Move
 from papayacourse.routed.seams import EngineRuns, RunState
-from papayacourse.routed.standby import Standby
 from papayacourse.routed.turns import REGION_COPY, turns
 from papayacourse.types import Host
 
 WAIT_STEP = 0.1  # seconds between looks at what is still to be moved
 ROOM_WAIT = 0.2  # seconds until engines without room are asked again
 TARGETS_TRIED = 3
-NO_ROOM = 503  # an engine's status
 NOTICE = 1.4  # seconds that an engine works on after its notice, where it does not say
 REPORT_AGE = 0.5  # seconds that what an engine says of itself may be old
 ASK_AGAIN_AFTER = 0.6  # seconds; an engine's reports lag, and the first may not tell its end yet
@@ -146,57 +145,16 @@
             return EngineRuns(None, tuple(states))
 
     async def _move(self, generation: Generation) -> None:
-        generation.moved = asyncio.get_running_loop().create_future()
-        began, events = time.monotonic(), generation.events
-        result, why = None, ""
+        move = Move(self.fleet, self.engine, generation)
+        targets = self._targets()
         try:
-            async with generation.copy_lock:
-                result = await self._copy_and_stop(generation)
-        except BackendError as error:
-            why = str(error)
-            self._put_off(generation, error)
-        logs.info(
-            "moved" if result else "not moved", request=generation.run_id,
-            engine=self.engine.name, target=result.host.name if result else "", why=why,
-            events=events, seconds=round(time.monotonic() - began, 3),
-        )  # fmt: skip
-        generation.note_moved(result)
-
-    def _put_off(self, generation: Generation, error: BackendError) -> None:
-        """Try a run again later for which there was no room; give up any other."""
-        match error:
-            case BackendRefused(status=status) if status == NO_ROOM:
-                self.begins[generation.run_id] = time.monotonic() + ROOM_WAIT
-            case _:
+            await move.run(targets)
+        except BackendRefused as error:
+            if error.status != NO_ROOM:
                 generation.unmovable = True
-
-    async def _copy_and_stop(self, generation: Generation) -> Standby:
-        """Copy a run while it goes on, then stop it and copy the short rest."""
-        calls, run = self.fleet.engine_calls, generation.run_id
-        target = await self._copied_to(generation) or await self._copy_first(generation)
-        copied = await calls.copy_run(self.engine, run, target, stop=True)
-        generation.copy = None
-        return Standby(
-            target if copied.complete else self.engine, self.engine.address, copied.handle
-        )
-
-    async def _copy_first(self, generation: Generation) -> Host:
-        """Copy a run to the first engine that has room, the nearest first."""
-        last: BackendError = BackendUnreachable("no other engine stays")
-        for target in self._targets():
-            try:
-                first = await self.fleet.engine_calls.copy_run(
-                    self.engine, generation.run_id, target, stop=False
-                )
-            except BackendRefused as error:
-                if error.status != NO_ROOM:
-                    raise
-                logs.info("no room", request=generation.run_id, target=target.name)
-                last = error
-                continue
-            generation.copy = Standby(target, self.engine.address, first.handle)
-            return target
-        raise last
+            self.begins[generation.run_id] = time.monotonic() + ROOM_WAIT
+        except BackendError:
+            generation.unmovable = True
 
     def _targets(self) -> list[Host]:
         """Return the engines to ask for room: those of the region, others where these are none.
@@ -207,12 +165,3 @@
         near = [h for h in found if self.fleet.reach(self.engine, h) != LinkClass.OTHER_REGION]
         far_arrives = self._left() > REGION_COPY or self._outlives_notice()
         return (found if far_arrives else near or found)[:TARGETS_TRIED]
-
-    async def _copied_to(self, generation: Generation) -> Host | None:
-        """Return the engine that has a copy and stays; drops a copy at one that does not."""
-        copy = generation.copy
-        if copy is None or self.fleet.stays(copy.host.name):
-            return copy.host if copy else None
-        generation.copy = None
-        await self.fleet.drop_copy(self.engine, copy.handle)
-        return None
--- /dev/null
+++ b/papayacourse/routed/moving.py
@@ -0,0 +1,93 @@
+"""Moves one run from its engine to another one."""
+
+import asyncio
+import time
+from collections.abc import Iterable
+
+from attrs import define
+
+from papayacourse import logs
+from papayacourse.exceptions import BackendError, BackendRefused, BackendUnreachable
+from papayacourse.routed.fleetview import FleetView
+from papayacourse.routed.generation import Generation
+from papayacourse.routed.standby import Standby
+from papayacourse.types import Host
+
+NO_ROOM = 503  # an engine's status
+
+
+@define(eq=False)
+class Move:
+    """One run's move.
+
+    Attributes
+    ----------
+    engine : Host
+        Where it runs.
+    """
+
+    fleet: FleetView
+    engine: Host
+    generation: Generation
+
+    async def run(self, targets: Iterable[Host]) -> None:
+        """Move the run to where it has a copy, or to the first of some engines that has room.
+
+        Raises
+        ------
+        BackendError
+            When it stays where it is.
+        """
+        generation = self.generation
+        generation.moved = asyncio.get_running_loop().create_future()
+        began, events = time.monotonic(), generation.events
+        result, why = None, ""
+        try:
+            async with generation.copy_lock:
+                result = await self._copy_and_stop(targets)
+        except BackendError as error:
+            why = str(error)
+            raise
+        finally:
+            logs.info(
+                "moved" if result else "not moved", request=generation.run_id,
+                engine=self.engine.name, target=result.host.name if result else "", why=why,
+                events=events, seconds=round(time.monotonic() - began, 3),
+            )  # fmt: skip
+            generation.note_moved(result)
+
+    async def _copy_and_stop(self, targets: Iterable[Host]) -> Standby:
+        """Copy the run while it goes on, then stop it and copy the short rest."""
+        calls, run = self.fleet.engine_calls, self.generation.run_id
+        target = await self._copied_to() or await self._copy_first(targets)
+        copied = await calls.copy_run(self.engine, run, target, stop=True)
+        self.generation.copy = None
+        return Standby(
+            target if copied.complete else self.engine, self.engine.address, copied.handle
+        )
+
+    async def _copy_first(self, targets: Iterable[Host]) -> Host:
+        """Copy the run to the first engine that has room."""
+        run = self.generation.run_id
+        last: BackendError = BackendUnreachable("no other engine stays")
+        for target in targets:
+            try:
+                first = await self.fleet.engine_calls.copy_run(self.engine, run, target, stop=False)
+            except BackendRefused as error:
+                if error.status != NO_ROOM:
+                    raise
+                logs.info("no room", request=run, target=target.name)
+                last = error
+                continue
+            self.generation.copy = Standby(target, self.engine.address, first.handle)
+            return target
+        raise last
+
+    async def _copied_to(self) -> Host | None:
+        """Return the engine that has a copy and stays; drops a copy at one that does not."""
+        copy = self.generation.copy
+        if copy is None or self.fleet.stays(copy.host.name):
+            return copy.host if copy else None
+        self.generation.copy = None
+        await self.fleet.drop_copy(self.engine, copy.handle)
+        return None
