Write the own daemon's log to standard output as well

Cause: the users read logs from standard output only; the own daemon still wrote to standard error, without a bound, and waited for whoever read it. Change: one logs.start, bounded and never waiting, for both daemons. The tests' fleet sends both outputs of a process to its log and finds there the lines that are no log lines, such as the one that says it is ready.

--- a/papayacourse/logs.py
+++ b/papayacourse/logs.py
@@ -35,7 +35,9 @@
 
 
 def start(level: str, daemon: str) -> None:
-    """Send every log line at or above a level to standard error.
+    """Send every log line at or above a level to standard output.
+
+    A bounded number is written each second, and nothing waits for whoever reads them.
 
     Parameters
     ----------
@@ -44,14 +46,6 @@
     daemon : str
         The daemon's name, written on every line.
     """
-    global threshold
-    threshold = LogLevel[level.upper()]
-    eliot.add_global_fields(daemon=daemon)
-    eliot.to_file(sys.stderr)
-
-
-def start_bounded(level: str, daemon: str) -> None:
-    """Send log lines to standard output, a bounded number each second, and never wait for it."""
     global threshold, output
     threshold = LogLevel[level.upper()]
     eliot.add_global_fields(daemon=daemon)
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -284,12 +284,12 @@
 
 def serve(file: str, make_adapter: Callable[[RoutedConfig], Adapter]) -> int:
     """Run a daemon with the configuration of a file; returns its exit status."""
-    logs.start_bounded("info", "")
+    logs.start("info", "")
     source = ConfigFile(file)
     config = source.read()
     if config is None:
         return EXIT_BAD_CONFIG
-    logs.start_bounded(config.log_level, config.name)
+    logs.start(config.log_level, config.name)
     try:
         return asyncio.run(RoutedDaemon(config, make_adapter(config), source).run())
     except OSError as error:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -3,7 +3,6 @@
 import http.client
 import json
 import os
-import select
 import signal
 import subprocess
 import sys
@@ -33,6 +32,7 @@
     log: Path
     ready: dict = field(factory=dict)
     frozen: bool = False
+    read_to: int = 0
 
     @property
     def http(self) -> str:
@@ -40,17 +40,30 @@
         return self.ready["http"]
 
     def read_line(self, limit: float = READY_LIMIT) -> dict:
-        """Return the next JSON line it prints."""
+        """Return the next JSON line it prints that is no line of its log."""
         deadline = time.monotonic() + limit
         while time.monotonic() < deadline:
-            if select.select([self.popen.stdout], [], [], 0.1)[0]:
-                line = self.popen.stdout.readline()
-                if line:
-                    return json.loads(line)
-            if self.popen.poll() is not None:
+            ended = self.popen.poll() is not None
+            found = self._next_line()
+            if found is not None:
+                return found
+            if ended:
                 break
+            time.sleep(CONDITION_POLL)
         raise FleetError(f"{self.name} is not ready: {self.log.read_text()[-2000:]}")
 
+    def _next_line(self) -> dict | None:
+        """Return what it has printed since the last line, if that is whole by now."""
+        with self.log.open("rb") as printed:
+            printed.seek(self.read_to)
+            for line in printed:
+                if not line.endswith(b"\n"):
+                    break
+                self.read_to += len(line)
+                if line.startswith(b"{") and b'"message_type"' not in line:
+                    return json.loads(line)
+        return None
+
     def kill(self) -> None:
         """End it at once."""
         self.popen.kill()
@@ -138,7 +151,6 @@
         for process in self.processes.values():
             if process.popen.poll() is None:
                 process.kill()
-            process.popen.stdout.close()
         self.folder.cleanup()
 
     @property
@@ -147,12 +159,13 @@
         return Path(self.folder.name)
 
     def start(self, name: str, command: list[str]) -> Process:
-        """Start a process and wait for its first line."""
+        """Start a process and wait for its first line besides its log's."""
         log = self.path / f"{name}.log"
-        with log.open("ab") as errors:
-            # Unbuffered, so that select tells of every line that has not been read.
-            popen = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=errors, bufsize=0)
-        process = Process(name, popen, log)
+        with log.open("ab") as output:
+            # A process that is started again goes on in the same file.
+            before = log.stat().st_size
+            popen = subprocess.Popen(command, stdout=output, stderr=output)
+        process = Process(name, popen, log, read_to=before)
         self.processes[name] = process
         process.ready = process.read_line()
         return process
--- a/tests/features/steps/engine_steps.py
+++ b/tests/features/steps/engine_steps.py
@@ -103,7 +103,6 @@
     fleet.processes[daemon].freeze()
     port = fleet.processes[engine].http.rpartition(":")[2]
     fleet.processes[engine].kill()
-    fleet.processes[engine].popen.stdout.close()
     fleet.standin("engine", engine, "--port", port, "--step", "0.004")
     body = {
         "stream": stream, "prompt": "plan [len=2000]", "prompt_tokens": 4, "max_tokens": 20000,
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -71,7 +71,6 @@
 @when('daemon "{name}" is started again')
 def start_again(context, name):
     host = context.fleet.hosts[name]
-    context.fleet.processes[name].popen.stdout.close()
     context.fleet.daemon(name, host["domain"], host["region"])
 
 
--- a/tests/features/steps/reporting_steps.py
+++ b/tests/features/steps/reporting_steps.py
@@ -104,7 +104,6 @@
 def start_again(context, name):
     """Start a daemon that was killed under its name."""
     host = context.fleet.hosts[name]
-    context.fleet.processes[name].popen.stdout.close()
     context.fleet.daemon(name, host["domain"], host["region"])
     context.fleet.wait_settled(*order(context), paths=context.paths)
 
--- a/tests/features/steps/stopping_steps.py
+++ b/tests/features/steps/stopping_steps.py
@@ -64,7 +64,6 @@
         process = context.fleet.processes[name]
         process.terminate()
         context.exits.append(process.wait(STOP_LIMIT))
-        process.popen.stdout.close()
         host = context.fleet.hosts[name]
         context.fleet.daemon(name, host["domain"], host["region"])
         wait_until(f"{name} is ready", lambda n=name: is_ready(context.fleet.processes[n].http))
--- a/tests/routedfleet.py
+++ b/tests/routedfleet.py
@@ -135,7 +135,6 @@
                 [sys.executable, str(ROOT / "platform" / "run.py")],
                 stdout=output, stderr=output, env=environment,
             )  # fmt: skip
-        popen.stdout = log.open("rb")
         self.fleet.processes[name] = Process(name, popen, log)
 
     def readiness(self, name: str) -> int:
