Hold back prompts that an engine would compute too late, and learn the rate it computes at

Engines compute prompts in chunks between steps, about 7,000 tokens a second; the schedulers looked at memory only, so an engine that is empty, or the only one of its domain, got every prompt. Ruled out: memory (the ledgers had room) and queues inside engines for want of it (held was False). Change: promptqueue.py follows the prompts that each engine has yet to compute, by a rate learnt from each stream's first two reports; `[deployment] prompt_wait` (0: no limit, as before; 0.9 s on the users' platform) is the longest that a prompt may wait there, but where none is before it. A request for which no engine is as quick waits in the queue or is placed in another domain. Tried first: the rate from the first report and the engine's mean pace; it was taken for 45,000 to 136,000, since that pace begins at 44 ms. The scenario of prompts that come at once failed before (all six were put on the engines).

--- a/papayacourse/delays.py
+++ b/papayacourse/delays.py
@@ -49,9 +49,18 @@
     return (len(ledger.streams) + 1) * caused + met
 
 
-def note_prompt(
+def takes_prompt(
     ledger: EngineLedger, generation: GenerationRequest, prefixes: PrefixIndex, now: float
-) -> None:
-    """Note that an engine works on a prompt, and holds it from now on."""
-    ledger.prompt_rate.note(uncached_tokens(ledger.name, generation, prefixes, now), now)
+) -> bool:
+    """Tell whether an engine would compute a prompt soon enough."""
+    uncached = uncached_tokens(ledger.name, generation, prefixes, now)
+    return ledger.prompt_queue.takes(uncached, ledger.prompt_wait, now)
+
+
+def note_prompt(ledger: EngineLedger, stream: Stream, prefixes: PrefixIndex, now: float) -> None:
+    """Note that an engine works on a stream's prompt, and holds it from now on."""
+    generation = stream.generation
+    uncached = uncached_tokens(ledger.name, generation, prefixes, now)
+    ledger.prompt_rate.note(uncached, now)
+    stream.prompts_ahead = ledger.prompt_queue.note(uncached, now)
     prefixes.note(ledger.name, generation.prefixes, now)
--- a/papayacourse/enginelist.py
+++ b/papayacourse/enginelist.py
@@ -163,6 +163,7 @@
         ledger.margin = deployment.memory_margin
         ledger.policy = POLICIES[deployment.policy]
         ledger.decode_batch = deployment.decode_batch
+        ledger.prompt_wait = deployment.prompt_wait
         ledger.spread = deployment.memory_spread
         ledger.affinity_bound = deployment.affinity_bound
         ledger.by_template = deployment.length_templates
--- a/papayacourse/grants.py
+++ b/papayacourse/grants.py
@@ -10,7 +10,7 @@
 from papayacourse import invariants, logs
 from papayacourse.admission import choose
 from papayacourse.copies import Copies
-from papayacourse.delays import note_prompt
+from papayacourse.delays import note_prompt, takes_prompt
 from papayacourse.enginelist import EngineList
 from papayacourse.estimates import WAIT_SAFETY, Waiting, Waits
 from papayacourse.exceptions import RequestRefused
@@ -250,7 +250,7 @@
         )  # fmt: skip
         self.put(ledger, candidate)
         self.grants += 1
-        note_prompt(ledger, generation, self.engines.prefixes, now)
+        note_prompt(ledger, candidate, self.engines.prefixes, now)
         self.places.note_grant(generation.account, now, generation.prompt_tokens)
         self.backlog.note_grant(now)
         # Charged in advance, or the accounts' order would be as old as the last reports.
@@ -262,8 +262,9 @@
     def _choose(
         self, candidate: Stream, usable: list[EngineLedger], now: float
     ) -> EngineLedger | None:
-        prefixes = self.engines.prefixes
-        for ledgers in self.copies.choices(candidate.generation.fingerprint, usable):
+        prefixes, generation = self.engines.prefixes, candidate.generation
+        quick = [led for led in usable if takes_prompt(led, generation, prefixes, now)]
+        for ledgers in self.copies.choices(generation.fingerprint, quick):
             ledger = choose(ledgers, candidate, self.lengths, self.grants, now, prefixes)
             if ledger is not None:
                 return ledger
@@ -339,6 +340,8 @@
         "promised": ledger.tokens,
         "unexplained": ledger.foreign_tokens,
         "budget": int(ledger.budget),
+        "prompts": int(ledger.prompt_queue.tokens),
+        "prompt_rate": int(ledger.prompt_queue.rate),
         "held": ledger.held,
         "suspect": ledger.suspect,
     }
--- a/papayacourse/ledger.py
+++ b/papayacourse/ledger.py
@@ -8,6 +8,7 @@
 
 from papayacourse.lengths import LengthModel, Template, remaining
 from papayacourse.policies import EngineChoice, LeastDelay, Policy
+from papayacourse.promptqueue import PromptQueue
 from papayacourse.promptrate import PromptRate
 from papayacourse.types import GenerationRequest
 
@@ -66,6 +67,9 @@
         When it was granted.
     charged : float
         The output tokens that its account has been charged for.
+    prompts_ahead : float
+        The prompt tokens that its engine had to compute until its first token, its own included;
+        0 once that has been learnt from.
     template : Template
         What its output's length is learnt by.
     """
@@ -76,6 +80,7 @@
     seen_at: float = 0.0
     granted_at: float = 0.0
     charged: float = 0.0
+    prompts_ahead: float = 0.0
     forecast: "Forecast | None" = None
     template: Template = field(init=False)
 
@@ -120,6 +125,10 @@
         How one of several engines on which a stream fits is chosen.
     prompt_rate : PromptRate
         The prompt tokens that it has had to compute lately.
+    prompt_queue : PromptQueue
+        The prompts that it has yet to compute.
+    prompt_wait : float
+        The longest that a prompt may wait there until it is computed, in seconds; 0 for no limit.
     pace : float
         Its seconds between two tokens of a stream.
     held : bool
@@ -151,6 +160,8 @@
     by_template: bool = True
     choice: EngineChoice = field(factory=LeastDelay)
     prompt_rate: PromptRate = field(factory=PromptRate)
+    prompt_queue: PromptQueue = field(factory=PromptQueue)
+    prompt_wait: float = 0.0
     pace: float = FIRST_PACE
     held: bool = False
     suspect: bool = False
--- a/papayacourse/routed/derived.py
+++ b/papayacourse/routed/derived.py
@@ -11,6 +11,7 @@
 SPILL_SAME_REGION = 0.05  # seconds of waiting that a place in another failure domain must save
 SPILL_OTHER_REGION = 0.3  # seconds, in another region, for its round trips and slower moves
 MEMORY_MARGIN = 0.05  # part of an engine's memory kept free
+PROMPT_WAIT = 0.9  # seconds until an engine has computed a prompt; most objectives are 1.5 and more
 WAIT_LIMIT = 1.5  # seconds, for the estimates of a queue; each request brings its own limit
 
 
@@ -28,7 +29,7 @@
     return (
         f"[deployment]\nservice = {service.name}\nbackends = {service.name}/*\n"
         f"memory_tokens = {service.engine.memory_tokens}\nmax_batch = {service.engine.slots}\n"
-        f"memory_margin = {MEMORY_MARGIN}\n"
+        f"memory_margin = {MEMORY_MARGIN}\nprompt_wait = {PROMPT_WAIT}\n"
     )
 
 
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -177,6 +177,9 @@
             self.watch.progressed(ledger.name)
             ledger.suspect = False
             pace = (now - stream.seen_at) / (generated - stream.generated)
+            first_at = stream.seen_at - stream.generated * pace
+            ledger.prompt_queue.learn(stream.prompts_ahead, first_at - stream.granted_at)
+            stream.prompts_ahead = 0.0
             pace = min(max(pace, PACE_RANGE[0]), PACE_RANGE[1])
             ledger.pace += (pace - ledger.pace) * PACE_WEIGHT
         if generated > stream.charged:
@@ -224,4 +227,5 @@
             self.waiting.serve()
             for _ in range(LOOKS):
                 self.waiting.look()
+                self.waiting.serve()
                 await asyncio.sleep(self.watch.reports.interval / LOOKS)
--- a/papayacourse/settings.py
+++ b/papayacourse/settings.py
@@ -134,6 +134,9 @@
     decode_batch : int
         The most decodes at once under the predicted policy, so that tokens keep their pace; 0
         leaves it to ``max_batch``.
+    prompt_wait : float
+        The longest that a prompt should wait on an engine until it is computed, in seconds; a
+        request for which no engine is as quick waits in the queue. 0 sets no limit.
     length_templates : bool
         Whether the lengths of outputs are learnt by how a prompt begins, besides by account.
     engine_choice : str
@@ -159,6 +162,7 @@
     memory_spread: float = 1.0
     affinity_bound: float | None = 0.5
     decode_batch: int = 0
+    prompt_wait: float = 0.0
     length_templates: bool = True
     engine_choice: str = "least-delay"
     policy: str = "predicted"
--- a/papayacourse/settingsoptions.py
+++ b/papayacourse/settingsoptions.py
@@ -182,6 +182,7 @@
             may_be_left_out("deployment", "memory_spread", "memory_spread", not_negative),
             may_be_left_out("deployment", "affinity_bound", "affinity_bound", affinity),
             may_be_left_out("deployment", "decode_batch", "decode_batch", positive(int)),
+            may_be_left_out("deployment", "prompt_wait", "prompt_wait", not_negative),
             may_be_left_out("deployment", "length_templates", "length_templates", yes_or_no),
             may_be_left_out("deployment", "engine_choice", "engine_choice", engine_choice),
             may_be_left_out("deployment", "policy", "policy", policy_name),
--- a/tests/features/routed_places.feature
+++ b/tests/features/routed_places.feature
@@ -38,3 +38,26 @@
   Scenario: A region of which nothing is known yet counts as free
     Given 2 engines in a region of which nothing is known
     Then the region can take over the runs of any one of them
+
+  Scenario: Prompts that come at once are spread by what engines have yet to compute
+    Given a scheduler with engines "one, two" of 30000 tokens
+    When 6 runs of 3000 tokens come at once
+    Then 2 are put on each engine, and 2 wait
+    When 0.5 s pass and the queue is served
+    Then the 2 that waited are put on engines
+
+  Scenario: A prompt that takes longer than it may begins on an engine that computes no other
+    Given a scheduler with engines "one" of 30000 tokens
+    When 1 runs of 20000 tokens come at once
+    Then 1 are put on each engine, and 0 wait
+
+  Scenario Outline: An engine's rate is learnt from its first tokens
+    Given an engine that computes <rate> prompt tokens a second
+    When 40 prompts of 4000 tokens come <pause> s after each other
+    Then its rate is taken for <rate> within 20 in 100
+
+    Examples:
+      | rate  | pause |
+      | 7000  | 0.7   |
+      | 2000  | 1.5   |
+      | 50000 | 0.1   |
--- a/tests/features/steps/routedplaces_steps.py
+++ b/tests/features/steps/routedplaces_steps.py
@@ -1,6 +1,8 @@
 """Steps about where long runs are put, without processes."""
 
 import asyncio
+import time
+from collections import Counter
 
 from behave import given, then, when
 
@@ -11,6 +13,7 @@
 from papayacourse.membership import Membership
 from papayacourse.meshmessages import Hello, ServiceLoad
 from papayacourse.peers import Peers
+from papayacourse.promptqueue import PromptQueue
 from papayacourse.routed.admitted import Admitted
 from papayacourse.routed.derived import TEAM, bring_in_line
 from papayacourse.routed.document import (
@@ -114,6 +117,9 @@
 def one_waits(context, one, two, waits):
     for name, tokens in (("run-1", one), ("run-2", two)):
         assert isinstance(ask(context, name, tokens), Granted)
+        for ledger in context.scheduler.ledgers.values():
+            # Its prompt has been computed by now.
+            ledger.prompt_queue = PromptQueue()
     assert not isinstance(ask(context, "waits", waits), Granted)
 
 
@@ -132,6 +138,56 @@
     assert placed == [("waits", f"{SERVICE}/{name}")], placed
 
 
+@when("{count:d} runs of {tokens:d} tokens come at once")
+def come_at_once(context, count, tokens):
+    answers = [ask(context, f"run-{number}", tokens) for number in range(count)]
+    context.granted = [answer for answer in answers if isinstance(answer, Granted)]
+    context.waiting = len(answers) - len(context.granted)
+
+
+@then("{count:d} are put on each engine, and {waiting:d} wait")
+def put_on_each(context, count, waiting):
+    names = [f"{SERVICE}/{name}" for name in context.engines]
+    found = Counter(answer.engine for answer in context.granted)
+    assert found == dict.fromkeys(names, count), found
+    assert context.waiting == waiting, context.waiting
+
+
+@when("{seconds:g} s pass and the queue is served")
+def time_passes(context, seconds):
+    time.sleep(seconds)
+    serve_queue(context)
+
+
+@then("the {count:d} that waited are put on engines")
+def waited_are_put(context, count):
+    assert len(context.told) == count, context.told
+
+
+# What engines compute prompts at.
+
+
+@given("an engine that computes {rate:d} prompt tokens a second")
+def computing_engine(context, rate):
+    context.true_rate, context.prompts = rate, PromptQueue()
+
+
+@when("{count:d} prompts of {tokens:d} tokens come {pause:g} s after each other")
+def prompts_come(context, count, tokens, pause):
+    idle_at, now = 0.0, 0.0
+    for _ in range(count):
+        ahead = context.prompts.note(tokens, now)
+        idle_at = max(idle_at, now) + tokens / context.true_rate
+        context.prompts.learn(ahead, idle_at - now)
+        now += pause
+
+
+@then("its rate is taken for {rate:d} within {part:d} in 100")
+def rate_is_learnt(context, rate, part):
+    found = context.prompts.rate
+    assert abs(found - rate) <= rate * part / 100, found
+
+
 # Daemons that know less than schedulers.
 
 
