--- a/tests/features/steps/stream_steps.py
+++ b/tests/features/steps/stream_steps.py
@@ -14,8 +14,17 @@
 RECEIVE_BUFFER = 16 * 1024  # bytes, so that what a caller does not read stays at the daemon
 
 
+def is_served(context, caller) -> bool:
+    """Tell whether the daemon that a caller reads from lives."""
+    processes = context.fleet.processes.values()
+    return any(p.popen.poll() is None and p.ready.get("http") == caller.address for p in processes)
+
+
 def resume(context, daemon, method):
     before = context.caller
+    if not is_served(context, before):
+        # What its daemon sent before it was killed may still lie in the caller's socket.
+        before.join()
     context.parts = [*getattr(context, "parts", []), before]
     options = {"last_event_id": before.cursor, "method": method}
     context.caller = caller_of(context.fleet, daemon, before.prompt, **options).start()
