--- a/papayacourse/exceptions.py
+++ b/papayacourse/exceptions.py
@@ -124,6 +124,10 @@
         self.detail = detail
 
 
+class BackendNoRoom(BackendRefused):
+    """The backend server has no room, or does not reach the one that should have it."""
+
+
 class BackendLinkLost(BackendError):
     """The link broke or stalled after something was sent."""
 
--- a/papayacourse/grants.py
+++ b/papayacourse/grants.py
@@ -7,7 +7,7 @@
 
 from attrs import define, field
 
-from papayacourse import invariants, logs
+from papayacourse import invariants
 from papayacourse.admission import choose
 from papayacourse.copies import Copies
 from papayacourse.delays import note_prompt, takes_prompt
@@ -16,6 +16,7 @@
 from papayacourse.exceptions import RequestRefused
 from papayacourse.fairshare import PROMPT_WEIGHT, FairQueue
 from papayacourse.farjoins import SETTLING_TIME
+from papayacourse.grantlog import log_granted, log_refused
 from papayacourse.joins import first_id, key_part
 from papayacourse.ledger import EngineLedger, Stream, take_off
 from papayacourse.lengths import LengthModel
@@ -163,11 +164,8 @@
         return GrantRefused(generation.stream, "overloaded", detail, again)
 
     def _log_refused(self, request: GrantRequest, why: str, **inputs) -> None:
-        logs.info(
-            "not granted", request=request.generation.stream, why=why,
-            wait_limit=round(request.wait_limit, 3), queue=len(self.queue),
-            engines=[state_of(led) for led in self.engines.usable(request.avoid)], **inputs,
-        )  # fmt: skip
+        usable = self.engines.usable(request.avoid)
+        log_refused(request, usable, why, queue=len(self.queue), **inputs)
 
     def join(
         self, daemon: str, stream: str, avoid: tuple[str, ...]
@@ -244,10 +242,7 @@
         if ledger is None:
             return None
         self.queue.discard(stream)
-        logs.info(
-            "granted", request=stream, engine=ledger.name, daemon_asking=item.daemon,
-            waited=round(now - item.since, 3), tokens=candidate.tokens, **state_of(ledger),
-        )  # fmt: skip
+        log_granted(ledger, candidate, now - item.since)
         self.put(ledger, candidate)
         self.grants += 1
         note_prompt(ledger, candidate, self.engines.prefixes, now)
@@ -331,17 +326,3 @@
         self.queue.keep(accounts)
         self.lengths.keep(accounts)
         self.reservations.expire(self.clock())
-
-
-def state_of(ledger: EngineLedger) -> dict[str, int | bool]:
-    """Return what a ledger says of its engine, for the log; memory in tokens."""
-    return {
-        "streams": len(ledger.streams),
-        "promised": ledger.tokens,
-        "unexplained": ledger.foreign_tokens,
-        "budget": int(ledger.budget),
-        "prompts": int(ledger.prompt_queue.tokens),
-        "prompt_rate": int(ledger.prompt_queue.rate),
-        "held": ledger.held,
-        "suspect": ledger.suspect,
-    }
--- a/papayacourse/promptqueue.py
+++ b/papayacourse/promptqueue.py
@@ -9,9 +9,9 @@
 
 from attrs import define
 
-FIRST_RATE = 7000.0  # prompt tokens a second, until an engine's own rate is known
-RATE_RANGE = (500.0, 200_000.0)  # prompt tokens a second that can be believed
-RATE_WEIGHT = 0.2  # of one prompt
+FIRST_SPEED = 7000.0  # prompt tokens a second, until an engine's own speed is known
+SPEED_RANGE = (500.0, 200_000.0)  # prompt tokens a second that can be believed
+SPEED_WEIGHT = 0.2  # of one prompt
 LEAST_LEARNT_FROM = 2000  # prompt tokens; fewer take hardly longer than the rest of a first step
 
 
@@ -21,13 +21,13 @@
 
     Attributes
     ----------
-    rate : float
+    speed : float
         The prompt tokens that it computes a second while it has any to compute.
     tokens : float
         Those still to be computed at ``noted_at``, in seconds of the monotonic clock.
     """
 
-    rate: float = FIRST_RATE
+    speed: float = FIRST_SPEED
     tokens: float = 0.0
     noted_at: float = -math.inf
 
@@ -35,11 +35,11 @@
         """Return the prompt tokens still to be computed."""
         if self.tokens <= 0:
             return 0.0
-        return max(0.0, self.tokens - self.rate * (now - self.noted_at))
+        return max(0.0, self.tokens - self.speed * (now - self.noted_at))
 
     def wait(self, tokens: int, now: float) -> float:
         """Return how long a prompt takes that is given to it now, in seconds."""
-        return (self.waiting(now) + tokens) / self.rate
+        return (self.waiting(now) + tokens) / self.speed
 
     def takes(self, tokens: int, limit: float, now: float) -> bool:
         """Tell whether a prompt would be computed within a limit, or would be the first.
@@ -59,9 +59,9 @@
     def learn(self, tokens: float, seconds: float) -> None:
         """Note that so many tokens were computed in so many seconds.
 
-        Where the rate is taken for too low, too many tokens seem to wait, so that it rises.
+        Where the speed is taken for too low, too many tokens seem to wait, so that it rises.
         """
         if tokens < LEAST_LEARNT_FROM or seconds <= 0:
             return
-        sample = min(max(tokens / seconds, RATE_RANGE[0]), RATE_RANGE[1])
-        self.rate += (sample - self.rate) * RATE_WEIGHT
+        sample = min(max(tokens / seconds, SPEED_RANGE[0]), SPEED_RANGE[1])
+        self.speed += (sample - self.speed) * SPEED_WEIGHT
--- a/papayacourse/routed/copying.py
+++ b/papayacourse/routed/copying.py
@@ -3,11 +3,10 @@
 import asyncio
 import time
 
-from attrs import define, field
+from attrs import define
 
 from papayacourse import logs
 from papayacourse.exceptions import BackendError
-from papayacourse.linkclasses import LinkClass
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.generation import Generation
 from papayacourse.routed.standby import Standby
@@ -39,7 +38,6 @@
     fleet: FleetView
     generation: Generation
     source: Host
-    copied_at: float = field(default=float("-inf"))
 
     async def run(self) -> None:
         """Copy the run again and again for as long as its engine stays."""
@@ -74,7 +72,7 @@
         A first copy to another region keeps the links busy on which others' runs are moved.
         """
         found = self.fleet.refuges(self.source, self.generation.request.service)
-        near = [h for h in found if self.fleet.reach(self.source, h) != LinkClass.OTHER_REGION]
+        near = [host for host in found if self.fleet.is_near(self.source, host)]
         return near[:TARGETS_ASKED]
 
     async def _target(self) -> Host | None:
--- a/papayacourse/routed/document.py
+++ b/papayacourse/routed/document.py
@@ -5,6 +5,8 @@
 
 from attrs import field, frozen
 
+DEFAULT_COPY_RATE = 10_000.0  # tokens a second, where a document does not say
+
 
 class Repeat(enum.Enum):
     """What a route's requests allow when it is not known whether one has run."""
@@ -86,7 +88,7 @@
     memory_tokens: int
     event_tokens: int = 1
     moves: bool = False
-    copy_rate: float = 10_000.0
+    copy_rate: float = DEFAULT_COPY_RATE
 
 
 @frozen
--- a/papayacourse/routed/emptying.py
+++ b/papayacourse/routed/emptying.py
@@ -8,11 +8,10 @@
 from attrs import define, field
 
 from papayacourse import logs
-from papayacourse.exceptions import BackendError, BackendRefused
-from papayacourse.linkclasses import LinkClass
+from papayacourse.exceptions import BackendError, BackendNoRoom
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.generation import Generation
-from papayacourse.routed.moving import NO_ROOM, Move
+from papayacourse.routed.moving import Move
 from papayacourse.routed.seams import EngineRuns, RunState
 from papayacourse.routed.turns import REGION_COPY, turns
 from papayacourse.types import Host
@@ -58,7 +57,7 @@
     ends_at: float = math.inf
     begins: dict[str, float] = field(factory=dict)
     says_when: bool = False
-    may_ask_again: bool = False
+    asked_again: bool = False
 
     async def run(self) -> None:
         """Move one run after another until nothing is left to move."""
@@ -123,7 +122,6 @@
 
     def _take_end(self, report: EngineRuns) -> None:
         self.says_when = report.leaves_in is not None
-        self.may_ask_again = not self.says_when
         if self.says_when:
             self.ends_at = time.monotonic() + report.leaves_in - REPORT_AGE
         else:
@@ -131,9 +129,10 @@
 
     async def _ask_for_end(self) -> None:
         """Ask the engine once more when it will be gone, if it has not said so yet."""
-        if self.may_ask_again and time.monotonic() - self.since > ASK_AGAIN_AFTER:
+        late = time.monotonic() - self.since > ASK_AGAIN_AFTER
+        if late and not self.says_when and not self.asked_again:
+            self.asked_again = True
             self._take_end(await self._report())
-            self.may_ask_again = False
 
     async def _report(self) -> EngineRuns:
         try:
@@ -149,9 +148,7 @@
         targets = self._targets()
         try:
             await move.run(targets)
-        except BackendRefused as error:
-            if error.status != NO_ROOM:
-                generation.unmovable = True
+        except BackendNoRoom:
             self.begins[generation.run_id] = time.monotonic() + ROOM_WAIT
         except BackendError:
             generation.unmovable = True
@@ -162,6 +159,6 @@
         A copy to another region would not arrive in time, and hold up what asks here again.
         """
         found = self.fleet.refuges(self.engine, self.service)
-        near = [h for h in found if self.fleet.reach(self.engine, h) != LinkClass.OTHER_REGION]
+        near = [host for host in found if self.fleet.is_near(self.engine, host)]
         far_arrives = self._left() > REGION_COPY or self._outlives_notice()
         return (found if far_arrives else near or found)[:TARGETS_TRIED]
--- a/papayacourse/routed/fleetview.py
+++ b/papayacourse/routed/fleetview.py
@@ -1,7 +1,6 @@
 """What a request in progress needs of its daemon: who is listed, places, budget, codec."""
 
 import random
-import time
 from collections.abc import Callable, Iterator
 
 from attrs import define, field
@@ -33,9 +32,9 @@
         Called with a request whose first event has been passed on.
     shape : callable
         Returns what the engines of a model service can do.
-    said_to_leave : dict of str to float
-        The engines that have said themselves that they leave, and when that was heard; the store
-        may be away, and then the list does not tell.
+    said_to_leave : set of str
+        The engines that have said themselves that they leave; the store may be away, and then the
+        list does not tell.
     """
 
     membership: Membership
@@ -45,7 +44,7 @@
     engine_calls: EngineCalls
     note_first_event: Callable[[Admitted], None]
     shape: Callable[[str], EngineShape]
-    said_to_leave: dict[str, float] = field(factory=dict)
+    said_to_leave: set[str] = field(factory=set)
 
     @property
     def here(self) -> Place:
@@ -85,19 +84,21 @@
             logs.info(
                 "engine says it leaves", engine=host.name, listed=host.state.value, source=source
             )
-            self.said_to_leave[host.name] = time.monotonic()
+            self.said_to_leave.add(host.name)
         return not known and host.state == HostState.LIVE
 
     def forget_unlisted(self) -> None:
         """Forget what engines said that are listed no more."""
-        listed = {host.name for host in self.membership.hosts.hosts}
-        for name in self.said_to_leave.keys() - listed:
-            del self.said_to_leave[name]
+        self.said_to_leave &= {host.name for host in self.membership.hosts.hosts}
 
     def reach(self, engine: Host, other: Host) -> LinkClass:
         """Return how far two engines are apart."""
         return Place(engine.domain, engine.region).link_to(other.domain, other.region)
 
+    def is_near(self, engine: Host, other: Host) -> bool:
+        """Tell whether a run can be copied from one engine to another within a notice."""
+        return self.reach(engine, other) != LinkClass.OTHER_REGION
+
     def others(self, engine: Host, service: str) -> list[Host]:
         """Return the other engines of a service that stay."""
         return [
@@ -122,9 +123,8 @@
         return next(iter(self.refuges(engine, service)), None)
 
     def has_neighbour(self, engine: Host, service: str) -> bool:
-        """Tell whether a run can be moved from an engine within its notice: not between regions."""
-        others = self.others(engine, service)
-        return any(self.reach(engine, host) != LinkClass.OTHER_REGION for host in others)
+        """Tell whether a run can be moved from an engine within its notice."""
+        return any(self.is_near(engine, host) for host in self.others(engine, service))
 
     def safer_domains(self, service: str) -> list[str]:
         """Return the failure domains to prefer for long runs, the nearest first.
--- a/papayacourse/routed/moving.py
+++ b/papayacourse/routed/moving.py
@@ -7,14 +7,12 @@
 from attrs import define
 
 from papayacourse import logs
-from papayacourse.exceptions import BackendError, BackendRefused, BackendUnreachable
+from papayacourse.exceptions import BackendError, BackendNoRoom, BackendUnreachable
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.generation import Generation
 from papayacourse.routed.standby import Standby
 from papayacourse.types import Host
 
-NO_ROOM = 503  # an engine's status
-
 
 @define(eq=False)
 class Move:
@@ -73,9 +71,7 @@
         for target in targets:
             try:
                 first = await self.fleet.engine_calls.copy_run(self.engine, run, target, stop=False)
-            except BackendRefused as error:
-                if error.status != NO_ROOM:
-                    raise
+            except BackendNoRoom as error:
                 logs.info("no room", request=run, target=target.name)
                 last = error
                 continue
--- /dev/null
+++ b/tests/features/steps/routedmembers_steps.py
@@ -0,0 +1,190 @@
+"""Steps about who knows whom, and who follows the store, without processes."""
+
+import asyncio
+
+from behave import given, then, when
+from routedparts_steps import Clock
+
+from papayacourse.catalog import Catalog
+from papayacourse.gateways import Gateways
+from papayacourse.hostlist import HostList
+from papayacourse.membership import Membership
+from papayacourse.meshmessages import DomainSummary, Heartbeat, Hello, HostsNews
+from papayacourse.peers import Peers
+from papayacourse.routed.watchers import Watchers
+from papayacourse.types import Address
+
+
+def membership(clock: Clock) -> Membership:
+    """Return the membership of a daemon that is on no network."""
+    hello = Hello("me", 1, "lagos", "lagos", "127.0.0.1:1", b"")
+    address = Address("127.0.0.1", 2)
+    return Membership(hello, Peers(hello, "k" * 20), Catalog(), HostList(address), (), clock)
+
+
+@given("a member of another domain that said it takes no duties {seconds:g} s ago")
+def told_long_ago(context, seconds):
+    async def work() -> None:
+        context.clock = Clock()
+        context.membership = membership(context.clock)
+        peer = Hello("far", 1, "kano", "kano", "127.0.0.1:3", b"")
+        context.membership.met(peer)
+        await context.membership.heard(peer, Heartbeat("far", 1, True, 0, 0))
+        context.clock.now += seconds
+        # Other frames still come from it.
+        context.membership.heard_from(peer)
+        for task in context.membership.heartbeats.tasks.values():
+            task.cancel()
+
+    asyncio.run(work())
+
+
+@when("that domain's gateways say that it serves")
+def gateways_say(context):
+    context.membership.remote_live = lambda domain: ["far"] if domain == "kano" else []
+
+
+@then("it is counted among the domain's daemons")
+def is_counted(context):
+    assert context.membership.live("kano") == ["far"]
+
+
+class NotedPeers(Peers):
+    """Peers on no network, that note what is sent to them."""
+
+    async def send(self, name, message) -> None:
+        """Note a message."""
+        self.said.append((self.hello.name, name, message))
+
+
+@when("it sends its domain's summary, in which it serves")
+def sends_summary(context):
+    take_summary(context, (Hello("far", 1, "kano", "kano", "127.0.0.1:3", b""),))
+
+
+@when("it sends its domain's summary, in which nobody serves")
+def sends_empty_summary(context):
+    take_summary(context, ())
+
+
+def take_summary(context, live) -> None:
+    """Let the membership's gateways take a summary from "far" itself."""
+    members = context.membership
+    gateways = Gateways(members, members.peers, context.clock)
+    peer = Hello("far", 1, "kano", "kano", "127.0.0.1:3", b"")
+    asyncio.run(gateways.take_summary(peer, DomainSummary("kano", "kano", live, ())))
+
+
+@then("it is not counted among the domain's daemons")
+def is_not_counted(context):
+    assert context.membership.live("kano") == []
+
+
+@given("two domains whose daemons have heard each other say that they take no duties yet")
+def two_uninformed(context):
+    context.clock = Clock()
+    context.hellos = [
+        Hello("near", 1, "lagos", "lagos", "127.0.0.1:3", b""),
+        Hello("far", 1, "kano", "kano", "127.0.0.1:4", b""),
+    ]
+    context.said = []
+    context.sides = [uninformed(context, hello) for hello in context.hellos]
+
+    async def work() -> None:
+        for side, other in zip(context.sides, reversed(context.hellos), strict=True):
+            side.met(other)
+            await side.heard(other, Heartbeat(other.name, 1, True, 0, 0))
+            for task in side.heartbeats.tasks.values():
+                task.cancel()
+            side.peers.links = {other.name: None}
+
+    asyncio.run(work())
+
+
+def uninformed(context, hello) -> Membership:
+    """Return the membership of a daemon that knows too little, and notes what it sends."""
+    peers = NotedPeers(hello, "k" * 20)
+    peers.said = context.said
+    host_list = HostList(Address("127.0.0.1", 2))
+    members = Membership(hello, peers, Catalog(), host_list, (), context.clock)
+    members.informed = lambda: False
+    return members
+
+
+@then("each keeps a link to the other")
+def each_keeps_link(context):
+    near, far = context.sides
+    assert near.linked("kano") == ["far"], near.linked("kano")
+    assert far.linked("lagos") == ["near"], far.linked("lagos")
+
+
+@when("they know enough to take duties")
+def they_know_enough(context):
+    for side in context.sides:
+        side.informed = lambda: True
+
+
+@then("each is told so by the other within {seconds:g} s")
+def each_is_told(context, seconds):
+    async def work() -> None:
+        tending = [asyncio.create_task(side.tend()) for side in context.sides]
+        await asyncio.sleep(seconds)
+        for task in tending:
+            task.cancel()
+
+    context.said.clear()
+    asyncio.run(work())
+    told = {(sender, name) for sender, name, message in context.said if not message.leaving}
+    assert told == {("near", "far"), ("far", "near")}, context.said
+
+
+@when("a daemon meets itself through a seed")
+def meets_itself(context):
+    context.membership = membership(Clock())
+    context.membership.met(context.membership.me)
+
+
+@then("it has no members")
+def has_no_members(context):
+    assert context.membership.members == {}
+
+
+# Who follows the store.
+
+
+@given("a domain of {count:d} daemons that hear each other")
+def make_domain(context, count):
+    context.clock = Clock()
+    hellos = [
+        Hello(f"d{number}", 1, "lagos", "lagos", f"127.0.0.1:{number}", b"")
+        for number in range(count)
+    ]
+    asyncio.run(meet(context, hellos))
+
+
+async def meet(context, hellos) -> None:
+    """Let daemons that are on no network meet each other, and hear that some follow."""
+    context.watchers = []
+    for hello in hellos:
+        peers = Peers(hello, "k" * 20)
+        members = Membership(
+            hello, peers, Catalog(), HostList(Address("127.0.0.1", 2)), (), context.clock
+        )
+        watchers = Watchers(members, peers, lambda: True, context.clock)
+        for other in hellos:
+            members.met(other)
+        await watchers.heard(hello, HostsNews(0, 0))
+        for task in members.heartbeats.tasks.values():
+            task.cancel()
+        context.watchers.append(watchers)
+
+
+@then("{count:d} of them follow the store")
+def how_many_follow(context, count):
+    assert sum(watcher.should_follow() for watcher in context.watchers) == count
+
+
+@when("{seconds:g} s passes without a word of these")
+@when("{seconds:g} s pass without a word of these")
+def no_word(context, seconds):
+    context.clock.now += seconds
--- a/tests/features/steps/routedmoves_steps.py
+++ b/tests/features/steps/routedmoves_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from papayacourse.exceptions import BackendRefused
+from papayacourse.exceptions import BackendNoRoom
 from papayacourse.linkclasses import Place
 from papayacourse.routed.document import EngineShape
 from papayacourse.routed.emptying import Emptying
@@ -67,7 +67,7 @@
         after = time.monotonic() - self.began
         self.asked.append(target.name)
         if after < self.room_after[target.name]:
-            raise BackendRefused(NO_ROOM, "/kv-move")
+            raise BackendNoRoom(NO_ROOM, "/kv-move")
         if not stop:
             self.copied.append((run, target.name, after))
         return Copied("h1", True)
@@ -92,6 +92,10 @@
         """Return how far two engines are apart."""
         return Place(engine.domain, engine.region).link_to(other.domain, other.region)
 
+    def is_near(self, engine, other) -> bool:
+        """Tell whether two engines are in one region."""
+        return engine.region == other.region
+
     def shape(self, _service) -> EngineShape:
         """Return what engines can do."""
         return EngineShape(24, 30_000, moves=True, copy_rate=COPY_RATE)
--- a/tests/features/steps/routedplaces_steps.py
+++ b/tests/features/steps/routedplaces_steps.py
@@ -184,7 +184,7 @@
 
 @then("its rate is taken for {rate:d} within {part:d} in 100")
 def rate_is_learnt(context, rate, part):
-    found = context.prompts.rate
+    found = context.prompts.speed
     assert abs(found - rate) <= rate * part / 100, found
 
 
