Heed what engines say in their answers: that they leave, or want to be left alone

Cause: a header on an answer that says that its engine leaves was passed on unread, and the daemon went on sending to it until the list said so; Retry-After of an engine's 503 was ignored, so retries, reports and copies went on reaching it. Change: the adapter decodes both into an EngineNotice, which is taken as soon as an answer's head is read, also of a refusal, of one that breaks off, and of reports and copies. No new request goes there; schedulers are asked for places elsewhere; a request whose servers all want a pause is refused at once, with the end of the earliest pause. The engine's scheduler is told that it leaves, gives it nothing more and tells the daemons with runs there. In a pause one call may still save a run.

--- a/papayacourse/duties.py
+++ b/papayacourse/duties.py
@@ -79,6 +79,15 @@
         self.used[cell] = self.clock()
         return self.schedulers[cell]
 
+    def empty(self, cell: Cell, engine: str, seconds: float) -> set[str]:
+        """Give an engine of a cell no new work for a time; returns the daemons with runs there."""
+        scheduler = self.schedulers.get(cell)
+        if scheduler is None:
+            return set()
+        scheduler.drain(engine, seconds)
+        ledger = scheduler.ledgers.get(engine)
+        return {stream.daemon for stream in ledger.streams.values()} if ledger else set()
+
     def hand_over(self) -> int:
         """Send every waiting request to the next owner; returns how many there were."""
         if not self.may_hand_over():
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -33,9 +33,10 @@
 from papayacourse.routed.evacuation import Evacuation
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.front import Front
+from papayacourse.routed.notices import EngineNotices, HeededCalls
 from papayacourse.routed.pages import pages
 from papayacourse.routed.reports import AdapterReports
-from papayacourse.routed.seams import EngineCalls, RequestCodec, Store
+from papayacourse.routed.seams import EngineCalls, EngineNotice, RequestCodec, Store
 from papayacourse.routed.storefollower import StoreFollower
 from papayacourse.routed.watchers import Watchers
 from papayacourse.schedulingmessages import EngineLeaves
@@ -46,16 +47,23 @@
 HARD_LIMIT_FACTOR = 4  # what tornado bounds, against what the document allows
 SEND_BUFFER_BYTES = 64 * 1024  # in the kernel, for each caller
 EXIT_BAD_CONFIG = 2
+LEAVING_TIME = 60.0  # seconds for which an engine that has said that it leaves gets no work
 TICK = 0.25  # seconds between looks at what time changes
 
 
 @define
 class Adapter:
-    """What a platform's adapter brings: its store, its codec and its calls to engines."""
+    """What a platform's adapter brings.
+
+    Attributes
+    ----------
+    make_engine_calls : callable
+        Returns the calls to engines, given what takes the notices in their answers.
+    """
 
     store: Store
     codec: RequestCodec
-    engine_calls: EngineCalls
+    make_engine_calls: Callable[[Callable[[Host, EngineNotice], None]], EngineCalls]
 
 
 class NoHostList:
@@ -88,6 +96,8 @@
         self.catalog = Catalog()
         self.ready = False
         self.looked_at: HostListing | None = None
+        self.notices = EngineNotices(on_leaving=lambda host: self.tasks.spawn(self._spread(host)))
+        engine_calls = HeededCalls(self.adapter.make_engine_calls(self.notices.take), self.notices)
         incarnation = time.time_ns()
         self.hello = Hello(
             config.name, incarnation, config.domain, config.region, str(config.mesh), b""
@@ -95,7 +105,7 @@
         self.mesh = Mesh(
             self.hello, config.mesh_key, config.seeds, self.catalog, NoHostList(), self.metrics,
             self.tasks.spawn,
-            AdapterReports(self.adapter.engine_calls, self.host, self._engine_leaves),
+            AdapterReports(engine_calls, self.host, self._engine_leaves),
         )  # fmt: skip
         self.membership, self.duties = self.mesh.membership, self.mesh.duties
         self.metrics.watch_totals("papayacourse_mesh_frames", "", self.mesh.peers.traffic.labelled)
@@ -111,7 +121,7 @@
         self.budget = FleetBudget(config.budget, self._daemons)
         self.fleet = FleetView(
             self.membership, self.mesh.placement, self.budget, self.adapter.codec,
-            self.adapter.engine_calls, self._note_first_event, self._shape,
+            engine_calls, self.notices, self._note_first_event, self._shape,
         )  # fmt: skip
         self.evacuation = Evacuation(self.fleet, lambda: self.directory.is_away)
         self.front = Front(
@@ -163,22 +173,32 @@
         """Return a listed host by its name."""
         return self.fleet.host(name)
 
-    async def _engine_leaves(self, host: Host, daemons: set[str]) -> None:
-        """Tell the daemons with runs on an engine that it leaves, which the list may not yet."""
-        if not self.fleet.note_leaving(host, "its report"):
-            return
-        for name in daemons - {self.config.name}:
-            try:
-                await self.mesh.peers.send(name, EngineLeaves(host.name))
-            except PeerError as error:
-                logs.info("leaving not told", engine=host.name, daemon=name, why=str(error))
+    async def _engine_leaves(self, host: Host, _daemons: set[str]) -> None:
+        """Take an engine's report that it leaves, which the list may not tell yet."""
+        self.notices.note_leaving(host, "its report")
 
     async def _told_of_leaving(self, peer: Hello, news: EngineLeaves) -> None:
         host = self.host(news.engine)
         if host is not None:
-            self.fleet.note_leaving(host, f"peer {peer.name}")
+            self.notices.note_leaving(host, f"peer {peer.name}")
             self.evacuation.look()
 
+    async def _spread(self, host: Host) -> None:
+        """Tell the engine's scheduler that it leaves, or as its scheduler the daemons with runs."""
+        self.evacuation.look()
+        if (TEAM, host.service) not in self.catalog.model_services():
+            return
+        cell = self.mesh.cell_map.of_engine(host.domain, TEAM, host.service, host.name)
+        owner = next(iter(self.membership.owners(cell.duty, host.domain)), None)
+        names = {owner} if owner else set()
+        if owner == self.config.name:
+            names = self.mesh.duties.empty(cell, host.name, LEAVING_TIME)
+        for name in names - {self.config.name}:
+            try:
+                await self.mesh.peers.send(name, EngineLeaves(host.name))
+            except PeerError as error:
+                logs.info("leaving not told", engine=host.name, daemon=name, why=str(error))
+
     def is_ready(self) -> bool:
         """Tell whether callers may be sent here."""
         return self.ready and not self.lifecycle.stopping.is_set() and self.informed()
@@ -251,7 +271,7 @@
         if self.membership.hosts is self.looked_at:
             return
         self.looked_at = self.membership.hosts
-        self.fleet.forget_unlisted()
+        self.notices.forget_unlisted(self.looked_at.by_name)
         self.front.choice.keep(self.looked_at.by_name.keys())
         self.evacuation.look()
 
--- a/papayacourse/routed/evacuation.py
+++ b/papayacourse/routed/evacuation.py
@@ -71,7 +71,7 @@
             logs.info("engine not asked", engine=engine.name, why=str(error))
         else:
             if report.leaves:
-                self.fleet.note_leaving(engine, "its report")
+                self.fleet.notices.note_leaving(engine, "its report")
         await asyncio.sleep(ASK_INTERVAL)
 
     def on(self, engine: str) -> list[Generation]:
--- a/papayacourse/routed/fleetview.py
+++ b/papayacourse/routed/fleetview.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable, Iterator
 
-from attrs import define, field
+from attrs import define
 
 from papayacourse import logs
 from papayacourse.exceptions import BackendError
@@ -15,6 +15,7 @@
 from papayacourse.routed.budget import FleetBudget
 from papayacourse.routed.derived import TEAM
 from papayacourse.routed.document import EngineShape
+from papayacourse.routed.notices import EngineNotices
 from papayacourse.routed.seams import EngineCalls, RequestCodec
 from papayacourse.routed.spareroom import spare_regions
 from papayacourse.types import GenerationRequest, Host, HostKind, HostState
@@ -32,9 +33,8 @@
         Called with a request whose first event has been passed on.
     shape : callable
         Returns what the engines of a model service can do.
-    said_to_leave : set of str
-        The engines that have said themselves that they leave; the store may be away, and then the
-        list does not tell.
+    notices : EngineNotices
+        What engines have said of themselves, which the list may not tell yet.
     """
 
     membership: Membership
@@ -42,9 +42,9 @@
     budget: FleetBudget
     codec: RequestCodec
     engine_calls: EngineCalls
+    notices: EngineNotices
     note_first_event: Callable[[Admitted], None]
     shape: Callable[[str], EngineShape]
-    said_to_leave: set[str] = field(factory=set)
 
     @property
     def here(self) -> Place:
@@ -70,27 +70,13 @@
 
     def is_live(self, host: Host) -> bool:
         """Tell whether a listed host gets new work: nobody says that it leaves."""
-        return host.state == HostState.LIVE and host.name not in self.said_to_leave
+        return host.state == HostState.LIVE and not self.notices.is_leaving(host.name)
 
     def leaving(self) -> Iterator[Host]:
         """Yield the engines that have been told to leave, as far as is known here."""
         engines = self.membership.backends(HostKind.ENGINE)
         return (host for host in engines if not self.is_live(host))
 
-    def note_leaving(self, host: Host, source: str) -> bool:
-        """Note that an engine says itself that it leaves; tells whether that was news."""
-        known = host.name in self.said_to_leave
-        if not known:
-            logs.info(
-                "engine says it leaves", engine=host.name, listed=host.state.value, source=source
-            )
-            self.said_to_leave.add(host.name)
-        return not known and host.state == HostState.LIVE
-
-    def forget_unlisted(self) -> None:
-        """Forget what engines said that are listed no more."""
-        self.said_to_leave &= self.membership.hosts.by_name.keys()
-
     def reach(self, engine: Host, other: Host) -> LinkClass:
         """Return how far two engines are apart."""
         return Place(engine.domain, engine.region).link_to(other.domain, other.region)
@@ -104,7 +90,7 @@
         return [
             host
             for host in self.servers(service)
-            if host.name != engine.name and self.is_live(host)
+            if host.name != engine.name and self.notices.takes_work(host)
         ]
 
     def refuges(self, engine: Host, service: str) -> list[Host]:
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -164,7 +164,9 @@
 
     async def _call(self, exchange: Exchange, admitted: Admitted) -> None:
         hosts = list(self.fleet.servers(admitted.service))
-        call = PlainCall(admitted, self.fleet.codec, self.choice, self.fleet.budget, hosts)
+        call = PlainCall(
+            admitted, self.fleet.codec, self.choice, self.fleet.notices, self.fleet.budget, hosts
+        )
         answer = await call.run()
         await exchange.answer(answer.status, answer.headers, answer.body)
 
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -7,7 +7,12 @@
 from tornado.httputil import HTTPHeaders
 
 from papayacourse import logs
-from papayacourse.exceptions import BackendError, BackendUnreachable, RequestRefused
+from papayacourse.exceptions import (
+    BackendError,
+    BackendRefused,
+    BackendUnreachable,
+    RequestRefused,
+)
 from papayacourse.httpcall import HttpCall
 from papayacourse.routed.admitted import Admitted
 from papayacourse.routed.document import EngineShape
@@ -169,7 +174,7 @@
             self.admitted.rank, resume,
         )  # fmt: skip
         try:
-            call = await open_call(self.fleet.codec, self.admitted.call, dispatch, head_limit)
+            call = await self._open(dispatch, head_limit)
         except MayHaveRun as error:
             self.ran = True
             if resume is not None:
@@ -184,6 +189,10 @@
             await call.__aexit__(None, None, None)
         return None
 
+    async def _open(self, dispatch: Dispatch, head_limit: float) -> HttpCall:
+        fleet = self.fleet
+        return await open_call(fleet.codec, fleet.notices, self.admitted.call, dispatch, head_limit)
+
     async def _relay(self, call: HttpCall) -> None:
         headers = self.fleet.codec.answer_headers(call.headers)
         if call.status != 200:
@@ -271,8 +280,9 @@
             resumes=self.resumes,
         )  # fmt: skip
         try:
+            self.fleet.notices.allow(self.engine, saves_run=True)
             return await self._follow(resume, RESUME_HEAD)
-        except (BackendUnreachable, NotRun, MayHaveRun) as error:
+        except (BackendRefused, BackendUnreachable, NotRun, MayHaveRun) as error:
             self._log_failed(str(error))
             raise self._broken(str(error)) from error
 
--- a/papayacourse/routed/placing.py
+++ b/papayacourse/routed/placing.py
@@ -8,6 +8,7 @@
 from papayacourse import logs
 from papayacourse.routed.admitted import Admitted
 from papayacourse.routed.fleetview import FleetView
+from papayacourse.routed.sending import left_alone
 from papayacourse.schedulingmessages import Granted, GrantRequest
 from papayacourse.types import GenerationRequest, Host
 
@@ -47,17 +48,30 @@
             When no place came free in time.
         """
         while True:
+            self._refuse_if_paused()
             place = await self._place(is_long)
             host = await self._listed(place.engine)
-            if host is not None:
+            if host is not None and self.fleet.notices.takes_work(host):
                 return host
-            logs.info("engine not listed here", engine=place.engine)
+            logs.info("engine takes no work", engine=place.engine, is_listed=host is not None)
             self.refused.add(place.engine)
             await self.fleet.placement.give_back(self.request)
 
+    def _refuse_if_paused(self) -> None:
+        """Refuse at once a request whose every engine wants to be left alone."""
+        pause = self.fleet.notices.earliest(self.fleet.servers(self.admitted.service))
+        if pause is not None:
+            raise left_alone(pause)
+
+    def _avoided(self) -> tuple[str, ...]:
+        """Return the engines that must not be granted."""
+        servers = self.fleet.servers(self.admitted.service)
+        idle = {host.name for host in servers if not self.fleet.notices.takes_work(host)}
+        return tuple(sorted(self.refused | idle))
+
     async def _place(self, is_long: bool) -> Granted:
         limit = min(self.admitted.route.objective * WAIT_PART, self.admitted.time_left())
-        ask = GrantRequest(self.request, limit, tuple(self.refused))
+        ask = GrantRequest(self.request, limit, self._avoided())
         asked_at = time.monotonic()
         place = await self._place_safely(ask) if is_long else None
         place = place or await self.fleet.placement.place(ask)
--- a/papayacourse/routed/plaincall.py
+++ b/papayacourse/routed/plaincall.py
@@ -11,8 +11,9 @@
 from papayacourse.routed.budget import FleetBudget
 from papayacourse.routed.choice import ServerChoice
 from papayacourse.routed.document import Repeat
+from papayacourse.routed.notices import EngineNotices
 from papayacourse.routed.seams import Dispatch, RequestCodec
-from papayacourse.routed.sending import MayHaveRun, NotRun, open_call, read_whole
+from papayacourse.routed.sending import MayHaveRun, NotRun, left_alone, open_call, read_whole
 from papayacourse.types import Host, Ran
 
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
@@ -48,6 +49,7 @@
     admitted: Admitted
     codec: RequestCodec
     choice: ServerChoice
+    notices: EngineNotices
     budget: FleetBudget
     hosts: list[Host]
     ran: set[str] = field(factory=set)
@@ -58,7 +60,7 @@
     async def run(self) -> Answer:
         """Return the answer; raises RequestRefused when there is none."""
         for number in range(MAX_SENDS):
-            host = self.choice.choose(self.hosts, self.tried)
+            host = self.choice.choose(filter(self.notices.takes_work, self.hosts), self.tried)
             if host is None or (number and not self._may_send_again()):
                 break
             answer = await self._try(host)
@@ -120,7 +122,7 @@
         left = self.admitted.time_left()
         dispatch = Dispatch(host, left, self.admitted.account_name)
         limit = left * FIRST_TRY if self._has_second_try() else left
-        exchange = await open_call(self.codec, self.admitted.call, dispatch, limit)
+        exchange = await open_call(self.codec, self.notices, self.admitted.call, dispatch, limit)
         headers = self.codec.answer_headers(exchange.headers)
         body = await read_whole(exchange, MAX_ANSWER_BYTES, self.admitted.time_left())
         return Answer(exchange.status, headers, body)
@@ -133,5 +135,8 @@
         if self.ran:
             late = self.admitted.time_left() <= 0
             return RequestRefused(504 if late else 502, "answer_lost", self.lost, Ran.UNKNOWN)
+        pause = self.notices.earliest(self.hosts)
+        if pause is not None:
+            return left_alone(pause)
         why = self.lost or "no server of the service is listed"
         return RequestRefused(503, "no_server", why, retry_after=RETRY_AFTER)
--- a/papayacourse/routed/seams.py
+++ b/papayacourse/routed/seams.py
@@ -114,6 +114,22 @@
     resume: Resume | None = None
 
 
+@frozen
+class EngineNotice:
+    """What an answer of an engine says of the engine.
+
+    Attributes
+    ----------
+    leaves : bool
+        Whether it leaves.
+    pause : float or None
+        For how long it wants to be sent nothing, in seconds.
+    """
+
+    leaves: bool = False
+    pause: float | None = None
+
+
 @frozen
 class Copied:
     """An engine has copied a run.
@@ -171,6 +187,9 @@
     def belongs(self, call: Call, status: int, headers: HTTPHeaders) -> bool:
         """Tell whether an answer is one to this call, and in full its engine's."""
 
+    def notice(self, status: int, headers: HTTPHeaders) -> EngineNotice:
+        """Return what an answer says of its engine."""
+
     def event_id(self, event: bytes) -> str:
         """Return the id of a stream's event; empty for none."""
 
--- a/papayacourse/routed/sending.py
+++ b/papayacourse/routed/sending.py
@@ -1,17 +1,21 @@
 """Sends a caller's request to one engine, on a connection of its own."""
 
 import asyncio
+import random
 
 from papayacourse.exceptions import (
     BackendError,
     BackendLinkLost,
     BackendProtocolError,
     BackendUnreachable,
+    RequestRefused,
 )
 from papayacourse.httpcall import HttpCall
+from papayacourse.routed.notices import EngineNotices
 from papayacourse.routed.seams import Call, Dispatch, RequestCodec
 from papayacourse.types import Address
 
+RETURN_SLACK = 0.4  # seconds after the end of a pause over which callers return
 CONNECT_TIMEOUT = 0.4  # seconds; a handshake takes 30 ms between regions
 
 
@@ -29,7 +33,7 @@
 
 
 async def open_call(
-    codec: RequestCodec, call: Call, dispatch: Dispatch, head_limit: float
+    codec: RequestCodec, notices: EngineNotices, call: Call, dispatch: Dispatch, head_limit: float
 ) -> HttpCall:
     """Send a request and return the exchange once the answer's head has come.
 
@@ -59,6 +63,7 @@
     except (BackendLinkLost, BackendProtocolError) as error:
         raise MayHaveRun(str(error)) from error
     status, headers = exchange.status, exchange.headers
+    notices.take(dispatch.engine, codec.notice(status, headers))
     if codec.not_run(status, headers):
         await exchange.__aexit__(None, None, None)
         raise NotRun(f"{dispatch.engine.name} answered {status} without running it")
@@ -77,3 +82,11 @@
         raise MayHaveRun(str(error) or "no whole answer in time") from error
     finally:
         await exchange.__aexit__(None, None, None)
+
+
+def left_alone(pause: float) -> RequestRefused:
+    """Refuse a request whose every server wants to be left alone for so many seconds."""
+    # Callers come back spread out, so that the first free server does not get them all at once.
+    retry_after = pause + RETURN_SLACK * random.uniform(0.5, 1.0)
+    why = "every server of the service wants to be left alone"
+    return RequestRefused(503, "servers_paused", why, retry_after=retry_after)
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -63,6 +63,12 @@
     fault : str
         What goes wrong with answers: ``shed``, ``lose``, ``wrong_id``, ``garbage``, ``unframed``,
         ``reset_unframed``, ``encoded``, ``half_event`` or ``promise``; empty for nothing.
+    says_leaving : str
+        Which answers say that it leaves: ``all``, ``requests`` or none.
+    pause : float
+        The seconds for which it wants to be left alone when it sheds a request; 0 for none.
+    arrivals : list of str
+        The method and path of each call that came, also of one that was turned away.
     """
 
     instance: str
@@ -72,6 +78,9 @@
     room: bool = True
     fault: str = ""
     state: str = "ready"
+    says_leaving: str = ""
+    pause: float = 0.0
+    arrivals: list[str] = field(factory=list)
     runs: list[Run] = field(factory=list)
     copies: dict[str, Copy] = field(factory=dict)
     targets: dict[str, str] = field(factory=dict)
@@ -83,12 +92,27 @@
         return next((r for r in self.runs if r.name == name and not r.end), None)
 
 
-class Work(JsonHandler):
+class EngineHandler(JsonHandler):
+    """What all answers of an engine share."""
+
+    kind = "orders"
+
+    async def prepare(self) -> None:
+        """Say that the engine leaves, if it is to say so."""
+        if self.standin.says_leaving in ("all", self.kind):
+            self.set_header("Server-Leaving", "1")
+
+
+class Work(EngineHandler):
     """Any path: a caller's request."""
 
+    kind = "requests"
+
     async def prepare(self) -> None:
         """Refuse what this engine may not run."""
+        await super().prepare()
         engine, headers = self.standin, self.request.headers
+        engine.arrivals.append(f"{self.request.method} {self.request.path}")
         if headers.get("X-Expected-Instance") != engine.instance:
             self.refuse(421)
         elif REQUEST_ID not in headers:
@@ -100,6 +124,8 @@
         """Answer that the request has not run."""
         self.set_status(status)
         self.set_header(NOT_RUN, "1")
+        if status == 503 and self.standin.pause:
+            self.set_header("Retry-After", str(self.standin.pause))
         self.finish()
 
     def sign(self) -> None:
@@ -157,7 +183,9 @@
     async def unframed(self, run: Run) -> None:
         """Answer without a length: the end of the connection is the end of the answer."""
         stream = self.request.connection.stream
-        head = f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {run.name}\r\nX-Server-Signature: s\r\n\r\n"
+        leaving = "Server-Leaving: 1\r\n" if self.standin.says_leaving else ""
+        head = f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {run.name}\r\nX-Server-Signature: s\r\n"
+        head += f"{leaving}\r\n"
         await stream.write(head.encode() + b"first half ")
         await asyncio.sleep(0.05)
         if self.standin.fault == "reset_unframed":
@@ -216,7 +244,7 @@
         await self.finish()
 
 
-class Move(JsonHandler):
+class Move(EngineHandler):
     """``POST /kv-move``."""
 
     async def post(self) -> None:
@@ -278,12 +306,13 @@
         self.finish()
 
 
-class Report(JsonHandler):
+class Report(EngineHandler):
     """``GET /report``."""
 
     def get(self) -> None:
         """Return the load."""
         engine = self.standin
+        engine.arrivals.append("GET /report")
         runs = [[run.name, run.made + 100, run.made, 5] for run in engine.runs if not run.end]
         self.finish(
             {
@@ -304,7 +333,7 @@
         """Return what ran."""
         runs = [asdict(run) for run in self.standin.runs]
         copies = [copy.run for copy in self.standin.copies.values()]
-        self.finish({"runs": runs, "copies": copies})
+        self.finish({"runs": runs, "copies": copies, "arrivals": self.standin.arrivals})
 
     def post(self) -> None:
         """Set switches."""
--- a/tests/features/steps/routedplaces_steps.py
+++ b/tests/features/steps/routedplaces_steps.py
@@ -25,6 +25,7 @@
     Service,
     Share,
 )
+from papayacourse.routed.notices import EngineNotices
 from papayacourse.routed.placing import Placing
 from papayacourse.routed.spareroom import spare_regions
 from papayacourse.scheduler import Scheduler
@@ -214,6 +215,11 @@
     def __init__(self, placement):
         self.placement = placement
         self.known = {}
+        self.notices = EngineNotices()
+
+    def servers(self, _service):
+        """Return the engines that are known from the start."""
+        return map(engine, self.known)
 
     def host(self, name):
         """Return a host that is known by now."""
