Wake a daemon at common moments only, and let one daemon of a domain follow the store

Change: periodic work waits for common moments (ticks.py), of another phase in each process; the file is read once a second; without runs emptying looks twice a second; one daemon follows the store, the next in rank after 1.3 s without a word, any other after 1.8 s. Protocol version 3.

--- a/papayacourse/duties.py
+++ b/papayacourse/duties.py
@@ -13,6 +13,7 @@
 from papayacourse.meshmessages import ServiceLoad
 from papayacourse.scheduler import Scheduler
 from papayacourse.schedulingmessages import NotScheduler
+from papayacourse.ticks import next_tick
 
 IDLE_SCHEDULER = 30.0  # seconds after which a scheduler without the duty is dropped
 TEND_INTERVAL = 1.0  # seconds
@@ -101,7 +102,7 @@
     async def tend(self) -> None:
         """Hand over what waits when told to leave, and drop idle schedulers, for ever."""
         while True:
-            await asyncio.sleep(TEND_INTERVAL)
+            await next_tick(TEND_INTERVAL)
             self.hand_over()
             for cell, scheduler in list(self.schedulers.items()):
                 busy = len(scheduler.waiting.queue) or any(
--- a/papayacourse/gateways.py
+++ b/papayacourse/gateways.py
@@ -1,6 +1,5 @@
 """What failure domains tell each other: their live daemons and loads, over a few links."""
 
-import asyncio
 import time
 from collections.abc import Callable
 
@@ -13,6 +12,7 @@
 from papayacourse.membership import Membership
 from papayacourse.meshmessages import DomainLoads, DomainSummary, Hello, ServiceLoad
 from papayacourse.peers import Peers
+from papayacourse.ticks import next_tick
 
 SUMMARY_INTERVAL = 1.0  # seconds
 FULL_SUMMARY_INTERVAL = 10.0  # seconds after which a summary is sent in full, changed or not
@@ -186,7 +186,7 @@
     async def run(self) -> None:
         """Send news for ever."""
         while True:
-            await asyncio.sleep(SUMMARY_INTERVAL)
+            await next_tick(SUMMARY_INTERVAL)
             fed: set[tuple[str, str]] = set()
             if self.membership.far_links:
                 fed |= await self._feed(sorted(self.membership.far_links), self._own_summary())
--- a/papayacourse/heartbeats.py
+++ b/papayacourse/heartbeats.py
@@ -13,6 +13,7 @@
 from papayacourse.loads import significant_change
 from papayacourse.meshmessages import Beat, Heartbeat
 from papayacourse.peers import Peers
+from papayacourse.ticks import next_tick
 
 CHECK_INTERVAL = 1.0  # seconds between looks at what a heartbeat would say
 BEAT_INTERVAL = 2.0  # seconds without any frame to a peer before which it gets a beat
@@ -81,7 +82,7 @@
     async def run(self) -> None:
         """Look at all peers again and again, for ever."""
         while True:
-            await asyncio.sleep(LOOK_INTERVAL * random.uniform(0.9, 1.0))
+            await next_tick(LOOK_INTERVAL)
             self.look()
 
     def look(self) -> None:
--- a/papayacourse/liveness.py
+++ b/papayacourse/liveness.py
@@ -18,6 +18,7 @@
 from papayacourse.meshmessages import Beat, DeathReport, Hello
 from papayacourse.peers import Peers
 from papayacourse.ring import neighbours
+from papayacourse.ticks import next_tick
 
 WATCH_INTERVAL = 0.25  # seconds between looks
 DEAD_AFTER = 4.0  # seconds without a frame
@@ -112,7 +113,7 @@
     async def run(self) -> None:
         """Look again and again, for ever."""
         while True:
-            await asyncio.sleep(WATCH_INTERVAL)
+            await next_tick(WATCH_INTERVAL)
             self.look()
 
     def look(self) -> None:
--- a/papayacourse/membership.py
+++ b/papayacourse/membership.py
@@ -20,6 +20,7 @@
 from papayacourse.peers import Peers
 from papayacourse.rendezvous import ranked
 from papayacourse.settingsync import SettingsSync
+from papayacourse.ticks import next_tick
 from papayacourse.types import Address, Host, HostKind, HostState
 
 FORGET_AFTER = 60.0  # seconds after which a dead daemon that is not listed is forgotten
@@ -276,7 +277,7 @@
     async def catch_up(self) -> None:
         """Ask a peer that knows better, again and again, for what an earlier try did not bring."""
         while True:
-            await asyncio.sleep(CHECK_INTERVAL)
+            await next_tick(CHECK_INTERVAL)
             told = [m for m in self.members.values() if m.beat and self.is_alive(m.name)]
             for member in random.sample(told, len(told)):
                 await self._compare(member)
@@ -320,7 +321,7 @@
         """Forget daemons long gone, and keep the links that are needed, for ever."""
         took_duties = False
         while True:
-            await asyncio.sleep(CHECK_INTERVAL)
+            await next_tick(CHECK_INTERVAL)
             if self.takes_duties() != took_duties:
                 # Peers that get no heartbeats from here would go on believing the opposite.
                 took_duties = not took_duties
--- a/papayacourse/peers.py
+++ b/papayacourse/peers.py
@@ -22,6 +22,7 @@
 from papayacourse.meshmessages import CallFailed, Done, Hello
 from papayacourse.messages import Message
 from papayacourse.tasks import cancel_all
+from papayacourse.ticks import next_tick
 from papayacourse.traffic import Traffic
 from papayacourse.types import Address
 from papayacourse.wire import Frame, decode, encode
@@ -214,7 +215,7 @@
     async def tend(self) -> None:
         """Close links on which nothing comes any more, for ever."""
         while True:
-            await asyncio.sleep(TEND_INTERVAL)
+            await next_tick(TEND_INTERVAL)
             for link in self.all_links():
                 watched_for = time.monotonic() - self.silent_since(link.peer.name)
                 if min(link.silent_for(), watched_for) > LINK_SILENCE:
--- a/papayacourse/reporting.py
+++ b/papayacourse/reporting.py
@@ -18,6 +18,7 @@
     StreamState,
     StreamsUnknown,
 )
+from papayacourse.ticks import next_tick
 
 REPORT_INTERVAL = 1.0  # seconds
 CELL_REPORT_INTERVAL = 1.8  # seconds, where a service has several schedulers; below that of beats
@@ -73,7 +74,7 @@
         part of the engines until every daemon has spoken.
         """
         while True:
-            await asyncio.sleep(OWNER_CHECK)
+            await next_tick(OWNER_CHECK)
             await asyncio.gather(*(self._report(*due) for due in list(self._due())))
 
     def _due(self) -> Iterator[tuple[Audience, Owner, list[StreamState]]]:
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -41,6 +41,7 @@
 from papayacourse.routed.watchers import Watchers
 from papayacourse.schedulingmessages import EngineLeaves
 from papayacourse.tasks import BackgroundTasks, cancel_all
+from papayacourse.ticks import next_tick
 from papayacourse.types import Address, Host, HostKind
 from papayacourse.version import __version__
 
@@ -48,6 +49,7 @@
 SEND_BUFFER_BYTES = 64 * 1024  # in the kernel, for each caller
 EXIT_BAD_CONFIG = 2
 LEAVING_TIME = 60.0  # seconds for which an engine that has said that it leaves gets no work
+FILE_INTERVAL = 1.0  # seconds between looks at the configuration file
 TICK = 0.25  # seconds between looks at what time changes
 
 
@@ -139,7 +141,7 @@
             self.directory.store_answers,
         )  # fmt: skip
         self.follower.should_follow = self.watchers.should_follow
-        self.follower.on_contact = self.watchers.note_contact
+        self.follower.on_contact = self.watchers.tell
 
     # What the lifecycle asks.
 
@@ -231,8 +233,8 @@
             self.follower.stay_listed(),
             *self.mesh.work(),
             self.evacuation.run(),
-            self.watchers.tell(),
             self._tick(),
+            self._watch_file(),
         ):
             self.tasks.spawn(work)
         self.lifecycle.listen_for_signals()
@@ -278,9 +280,14 @@
     async def _tick(self) -> None:
         """Look at what time alone changes, for ever."""
         while True:
-            await asyncio.sleep(TICK)
+            await next_tick(TICK)
             self.directory.expire()
             self._hosts_changed()
+
+    async def _watch_file(self) -> None:
+        """Take a configuration file that changes without a signal, for ever."""
+        while True:
+            await next_tick(FILE_INTERVAL)
             if self.file.changed():
                 self._reload("file changed")
 
--- a/papayacourse/routed/evacuation.py
+++ b/papayacourse/routed/evacuation.py
@@ -12,9 +12,11 @@
 from papayacourse.routed.emptying import Emptying, is_worth_moving
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.generation import Generation
+from papayacourse.ticks import next_tick
 from papayacourse.types import Host
 
 LOOK_INTERVAL = 0.1  # seconds
+IDLE_INTERVAL = 0.5  # seconds, while no run is passed on; a changed list is looked at when it comes
 ASK_INTERVAL = 0.3  # seconds between questions to one engine; a notice may be 1.5 s
 
 
@@ -50,7 +52,10 @@
         while True:
             self.look()
             self._ask_engines()
-            await asyncio.sleep(LOOK_INTERVAL)
+            if self.running:
+                await asyncio.sleep(LOOK_INTERVAL)
+            else:
+                await next_tick(IDLE_INTERVAL)
 
     def _ask_engines(self) -> None:
         """Ask the engines of long runs themselves whether they leave, while the store is away."""
--- a/papayacourse/routed/storefollower.py
+++ b/papayacourse/routed/storefollower.py
@@ -11,9 +11,11 @@
 from papayacourse.routed.directory import Directory
 from papayacourse.routed.documents import Documents
 from papayacourse.routed.seams import Store, StoreNews
+from papayacourse.ticks import next_tick
 from papayacourse.types import Host
 
 RETRY_PAUSE = 0.25  # seconds on average after the store could not be asked
+DUTY_CHECK = 0.25  # seconds between looks at whether others follow the store
 MAX_RETRY_PAUSE = 0.6  # seconds, so that a store that is back is noticed well within its bounds
 LISTING_INTERVAL = 8.0  # seconds between renewals of this daemon's own entry
 ENTRY_TTL = 24.0  # seconds that the entry outlives its last renewal
@@ -49,15 +51,17 @@
         """Follow the store whenever this daemon has to, for ever."""
         pause = RETRY_PAUSE
         while True:
+            if not self.should_follow():
+                await next_tick(DUTY_CHECK)
+                continue
             try:
-                if self.should_follow():
-                    await self._follow()
+                await self._follow()
                 pause = RETRY_PAUSE
             except PlatformError as error:
-                pause = min(MAX_RETRY_PAUSE, pause * 1.5)
                 logs.info("store not followed", why=str(error))
                 self.directory.store_lost(str(error))
-            await asyncio.sleep(pause * random.uniform(0.5, 1.0))
+                await asyncio.sleep(pause * random.uniform(0.5, 1.0))
+                pause = min(MAX_RETRY_PAUSE, pause * 1.5)
 
     async def _follow(self) -> None:
         """Take what the store has, for as long as this daemon has to."""
--- a/papayacourse/routed/watchers.py
+++ b/papayacourse/routed/watchers.py
@@ -1,10 +1,9 @@
-"""Decides which daemons follow the platform's store; they tell the others of their domain.
+"""Decides which daemon follows the platform's store; it tells the others of its domain.
 
-A follower tells the others each time that it has heard from the store, so that its silence means
+The follower tells the others each time that it has heard from the store, so that its silence means
 that it has lost the store, or is gone.
 """
 
-import asyncio
 import time
 from collections.abc import Callable
 
@@ -17,8 +16,8 @@
 from papayacourse.rendezvous import ranked, weight
 from papayacourse.routed.documents import Documents
 
-WATCHERS = 2  # daemons of a failure domain that follow the store
-NEWS_TIMEOUT = 1.8  # seconds without a word of any follower after which a daemon follows itself
+SPARE_TIMEOUT = 1.3  # seconds without a word after which the daemon next in rank follows itself
+NEWS_TIMEOUT = 1.8  # seconds after which any daemon does
 DUTY = "store"
 
 
@@ -46,7 +45,6 @@
     clock: Callable[[], float] = time.monotonic
     heard_at: dict[str, float] = field(factory=dict)
     told: int = 0
-    contact: asyncio.Event = field(factory=asyncio.Event)
 
     def __attrs_post_init__(self) -> None:
         self.peers.handlers[PlatformNews] = self.heard
@@ -62,23 +60,27 @@
     def should_follow(self) -> bool:
         """Tell whether this daemon has to follow the store."""
         me = self.membership.me.name
-        if me in ranked(DUTY, sorted({*self.membership.live(), me}))[:WATCHERS]:
+        first, second = [*ranked(DUTY, sorted({*self.membership.live(), me})), ""][:2]
+        if me == first:
             return True
-        return not any(comes_before(name, me) for name in self._followers())
+        patience = SPARE_TIMEOUT if me == second else NEWS_TIMEOUT
+        return not any(comes_before(name, me) for name in self._heard_within(patience))
 
     def is_told(self) -> bool:
         """Tell whether this domain hears at once what is new in the store."""
-        return self.follows() or bool(self._followers())
+        return self.follows() or bool(self._heard_within(NEWS_TIMEOUT))
 
-    def _followers(self) -> list[str]:
-        """Return the other daemons that have followed the store until just now."""
-        since = self.clock() - NEWS_TIMEOUT
+    def _heard_within(self, seconds: float) -> list[str]:
+        """Return the other daemons that have said lately that they follow the store."""
+        since = self.clock() - seconds
         return [name for name, at in self.heard_at.items() if at > since]
 
     # Commands.
 
     async def heard(self, peer: Hello, news: PlatformNews) -> None:
         """Take a follower's word, and ask it at once for what it knows better."""
+        lately = self._heard_within(NEWS_TIMEOUT)
+        self.heard_at = {name: self.heard_at[name] for name in lately}
         self.heard_at[peer.name] = self.clock()
         self.on_heard()
         if news.changes is not None:
@@ -86,17 +88,10 @@
         self.host_sync.peer_has(peer.name, (news.epoch, news.version), spread=0.0)
         await self.documents.peer_has(peer.name, news.document_version)
 
-    def note_contact(self) -> None:
-        """Note that the store has just been heard from."""
-        self.contact.set()
-
-    async def tell(self) -> None:
-        """Tell the daemons of this domain each time that the store has been heard from."""
-        while True:
-            await self.contact.wait()
-            self.contact.clear()
-            if self.should_follow():
-                self._tell_all()
+    def tell(self) -> None:
+        """Tell the daemons of this domain what is new: the store has just been heard from."""
+        if self.should_follow():
+            self._tell_all()
 
     def _tell_all(self) -> None:
         epoch, version = self.host_sync.listing.age
--- a/papayacourse/wire.py
+++ b/papayacourse/wire.py
@@ -15,7 +15,7 @@
 from papayacourse.exceptions import MalformedMessage
 from papayacourse.messages import Message
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 MAX_FRAME_BYTES = 2 * 1024 * 1024
 
 CLASSES = Message.__args__
