--- a/tests/features/routed_settings.feature
+++ b/tests/features/routed_settings.feature
@@ -24,6 +24,22 @@
     Then GET "/view/1" through "b" is soon answered 404
     And the log of "b" says that document 8 came from a peer
 
+  Scenario: Whichever daemon of a domain stands still, the others soon have a newer document
+    Given a platform store with document 5
+    And routed daemons "a, b, c" in "lagos"
+    When routed daemon "a" stands still
+    And document 8 without route "view" is written
+    Then GET "/view/1" through "b" is answered 404 within 2.5 s
+    And GET "/view/1" through "c" is answered 404 within 2.5 s
+    When "b" stands still in place of "a"
+    And document 9 is written
+    Then GET "/view/1" through "a" is answered 503 within 2.5 s
+    And GET "/view/1" through "c" is answered 503 within 2.5 s
+    When "c" stands still in place of "b"
+    And document 10 without route "view" is written
+    Then GET "/view/1" through "a" is answered 404 within 2.5 s
+    And GET "/view/1" through "b" is answered 404 within 2.5 s
+
   Scenario: Changes made while watches hear nothing are found once history is forgotten
     Given a platform store with document 5
     And a routed daemon "a" in "lagos"
--- a/tests/features/steps/routedmembers_steps.py
+++ b/tests/features/steps/routedmembers_steps.py
@@ -1,8 +1,10 @@
 """Steps about who knows whom, and who follows the store, without processes."""
 
 import asyncio
+import time
 
 from behave import given, then, when
+from routed_steps import fleet_of
 from routedparts_steps import Clock
 
 from papayacourse.catalog import Catalog
@@ -17,6 +19,9 @@
 from papayacourse.routed.documents import Documents
 from papayacourse.routed.watchers import DUTY, Watchers
 from papayacourse.types import Address, Host, HostKind
+from standins.fleet import wait_until
+
+WAKE_TIME = 2.0  # seconds
 
 
 def membership(clock: Clock) -> Membership:
@@ -258,3 +263,27 @@
     host_sync = context.membership.host_sync
     assert name in host_sync.listing.by_name
     assert host_sync.asking is None
+
+
+# Daemons that stand still.
+
+
+@when('routed daemon "{name}" stands still')
+def stands_still(context, name):
+    context.fleet.processes[name].freeze()
+
+
+@when('"{other}" stands still in place of "{name}"')
+def goes_on(context, name, other):
+    context.fleet.processes[name].thaw()
+    # It has to be heard again before another one goes.
+    time.sleep(WAKE_TIME)
+    context.fleet.processes[other].freeze()
+
+
+@then('GET "{path}" through "{name}" is answered {status:d} within {seconds:g} s')
+def answered_within(context, path, name, status, seconds):
+    fleet = fleet_of(context)
+    wait_until(
+        f"{name} answers {status}", lambda: fleet.ask(name, "GET", path).status == status, seconds
+    )
