Let a stream that may be resumed go on as a new run at another engine

Cause: on a route that says so (the short kind of further/) a stream whose engine crashed, broke off inside an event or failed was cut off or failed, though it may run on as many engines as the route allows; only copies were used, and short runs have none. Change: without a copy the daemon asks for a place elsewhere, within the retry budget and the route's number of engines, and sends the request with the id of its last event; before the first event it is begun anew. A refusal by the schedulers is then no promise that nothing ran, and becomes a broken stream or 502. Tests: three scenarios in routed_streams.feature.

--- a/papayacourse/routed/document.py
+++ b/papayacourse/routed/document.py
@@ -44,6 +44,8 @@
         On how many backend servers one request may run.
     anonymous : bool
         Whether requests need no account's key.
+    resumable : bool
+        Whether a stream that has broken off may go on as a new run after its last event.
     """
 
     name: str
@@ -57,6 +59,7 @@
     rank: int = 0
     max_engines: int = 1
     anonymous: bool = False
+    resumable: bool = False
 
     def service(self) -> str:
         """Draw the service that a new request goes to."""
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -33,6 +33,7 @@
 LONG_RUN = 1.5  # seconds; a shorter one ends within its engine's notice
 FIRST_PACE = 0.012  # seconds for each token, until a run's own pace is known
 RETRY_AFTER = 0.5  # seconds
+SERVER_ERROR = 500  # the least status of a failure of the engine itself
 
 
 class StreamBroken(Exception):
@@ -58,6 +59,8 @@
         Events passed on.
     unmovable : bool
         Whether a move from its present engine has failed.
+    runs : int
+        Engines that may have begun to work on it, those that went on with a run left out.
     copy : Standby or None
         A copy at another engine, a few seconds old at most.
     copy_lock : asyncio.Lock
@@ -77,6 +80,7 @@
     ran: bool = False
     unmovable: bool = False
     resumes: int = 0
+    runs: int = 0
     copy: Standby | None = None
     copy_lock: asyncio.Lock = field(factory=asyncio.Lock)
     placing: Placing = field(init=False)
@@ -176,11 +180,11 @@
         try:
             call = await self._open(dispatch, head_limit)
         except MayHaveRun as error:
-            self.ran = True
-            if resume is not None:
+            self._note_run(resume)
+            if resume is not None and resume.handle:
                 raise
             return await self._after(str(error))
-        self.ran = True
+        self._note_run(resume)
         try:
             await self._relay(call)
         except BackendError as error:
@@ -189,6 +193,12 @@
             await call.__aexit__(None, None, None)
         return None
 
+    def _note_run(self, resume: Resume | None) -> None:
+        """Note that an engine may have begun to work, unless it goes on with a run."""
+        self.ran = True
+        if resume is None or not resume.handle:
+            self.runs += 1
+
     async def _open(self, dispatch: Dispatch, head_limit: float) -> HttpCall:
         fleet = self.fleet
         return await open_call(fleet.codec, fleet.notices, self.admitted.call, dispatch, head_limit)
@@ -222,7 +232,7 @@
 
     async def _relay_failure(self, call: HttpCall, headers: HTTPHeaders) -> None:
         """Pass on an engine's failure, or take it for a broken stream if that has begun."""
-        if self.exchange.begun:
+        if self.exchange.begun or (call.status >= SERVER_ERROR and self._may_run_anew()):
             raise MayHaveRun(f"{self.engine.name} answered {call.status}")
         body = await read_whole(call, MAX_ANSWER_BYTES, self.admitted.time_left())
         await self.exchange.answer(call.status, headers, body)
@@ -260,9 +270,31 @@
         self.moved = None
         copy, self.copy = self.copy, None
         standby = moved or copy
-        if standby is None or not self.fleet.is_listed(standby.host.name):
+        if standby is not None and self.fleet.is_listed(standby.host.name):
+            return await self._go_on_at(standby, why)
+        if not self._may_run_anew():
             raise self._broken(why)
-        return await self._go_on_at(standby, why)
+        return Resume("", "", self.last_id)
+
+    def _may_run_anew(self) -> bool:
+        """Tell whether another engine may generate the rest from the beginning."""
+        route = self.admitted.route
+        return route.resumable and self.runs < route.max_engines and not self.exchange.gone
+
+    async def _run_anew(self, resume: Resume) -> Resume | None:
+        """Have another engine generate the rest; returns where to go on if it breaks off too."""
+        await self.fleet.placement.end(self.request, self.engine.name, self.generated, "failed")
+        self.placing.refused.add(self.engine.name)
+        if not self.fleet.budget.take(self.admitted.service, "new run"):
+            raise self._broken("no budget for a new run")
+        try:
+            self.engine = await self.placing.find(self._is_long())
+        except RequestRefused as error:
+            # It may have run, so that what the schedulers say of it is not true any more.
+            raise self._broken(str(error)) from error
+        self.fleet.placement.progress(self.request, self.engine.name, self.generated)
+        logs.info("run anew", engine=self.engine.name, after=resume.after, runs=self.runs)
+        return await self._follow(resume, self.admitted.time_left())
 
     async def _go_on_at(self, standby: Standby, why: str) -> Resume:
         if not self.fleet.budget.take(self.admitted.service, "resume"):
@@ -280,6 +312,8 @@
             resumes=self.resumes,
         )  # fmt: skip
         try:
+            if not resume.handle:
+                return await self._run_anew(resume)
             self.fleet.notices.allow(self.engine, saves_run=True)
             return await self._follow(resume, RESUME_HEAD)
         except (BackendRefused, BackendUnreachable, NotRun, MayHaveRun) as error:
--- a/papayacourse/routed/seams.py
+++ b/papayacourse/routed/seams.py
@@ -79,9 +79,9 @@
     Attributes
     ----------
     holder : str
-        ``host:port`` of the engine that gave the handle.
+        ``host:port`` of the engine that gave the handle; empty for a new run.
     handle : str
-        The handle of the copy.
+        The handle of the copy; empty for a new run.
     after : str
         The id of the last event that the caller has; empty for none.
     """
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -62,7 +62,7 @@
         Whether copies of other engines' runs are taken.
     fault : str
         What goes wrong with answers: ``shed``, ``lose``, ``wrong_id``, ``garbage``, ``unframed``,
-        ``reset_unframed``, ``encoded``, ``half_event`` or ``promise``; empty for nothing.
+        ``reset_unframed``, ``encoded``, ``half_event``, ``fail`` or ``promise``; empty for nothing.
     says_leaving : str
         Which answers say that it leaves: ``all``, ``requests`` or none.
     pause : float
@@ -198,6 +198,12 @@
 
     async def generate(self, run: Run) -> None:
         """Stream events, from where a copy ends if there is one."""
+        if self.standin.fault == "fail":
+            run.end = "failed"
+            self.sign()
+            self.set_status(500)
+            self.finish()
+            return
         origin = run.headers.get("Kv-From")
         if origin is not None and not self.take_copy(run, origin.rpartition("/")[2]):
             self.standin.runs.remove(run)
@@ -223,7 +229,7 @@
         """Write the next event."""
         run.made += 1
         text = f"id: {run.made}\ndata: token {run.made}\n\n"
-        if self.standin.fault == "half_event" and run.made == 5:
+        if self.standin.fault == "half_event" and run.made == 5 and run.first == 1:
             await self.request.connection.stream.write(b"10\r\nid: 5\nda")
             self.request.connection.stream.close()
             run.end = "cancelled"
--- a/tests/features/routed_streams.feature
+++ b/tests/features/routed_streams.feature
@@ -86,3 +86,28 @@
     And "planner-1" is frozen for 3 s
     Then the plan is whole
     And the run was on "planner-1" only
+
+  Scenario: A stream that may be resumed goes on as a new run at another engine
+    Given an engine "planner-2" of "planner" in "lagos"
+    When document 6 lets plans be resumed on 2 engines
+    And "planner-1" has fault "half_event"
+    And "planner-2" has fault "half_event"
+    And a plan of 10 events is streamed through "a"
+    Then the plan is whole
+    And the rest came from a new run at another engine
+
+  Scenario: It runs on no more engines than its route allows
+    Given an engine "planner-2" of "planner" in "lagos"
+    When document 6 lets plans be resumed on 1 engines
+    And "planner-1" has fault "half_event"
+    And "planner-2" has fault "half_event"
+    And a plan of 10 events is streamed through "a"
+    Then the plan ends after event 4 and does not look complete
+
+  Scenario: So does one that its engine fails, and the last engine's failure is passed on
+    Given an engine "planner-2" of "planner" in "lagos"
+    When document 6 lets plans be resumed on 2 engines
+    And "planner-1" has fault "fail"
+    And "planner-2" has fault "fail"
+    And a plan of 10 events is streamed through "a"
+    Then the plan is answered 500 after a run at each engine
--- a/tests/features/steps/routedstream_steps.py
+++ b/tests/features/steps/routedstream_steps.py
@@ -11,6 +11,7 @@
 from routed_steps import fleet_of
 
 from standins.fleet import wait_until
+from tests.routedfleet import document, route
 
 PLAN_LIMIT = 30.0  # seconds for a whole plan
 SOON = 8.0  # seconds
@@ -95,6 +96,19 @@
             context.fleet.admin(context.full, {"room": False})
 
 
+@when("document {version:d} lets plans be resumed on {count:d} engines")
+def plans_resumable(context, version, count):
+    routed = fleet_of(context)
+    plans = route("again", "/plans/", "streaming", "planner", Resumable=True, MaxAttempts=count)
+    routed.write({"op/config": document(version, plans, without="plans")})
+    in_force = "document in force"
+    wait_until(
+        "it is in force",
+        lambda: any(line["version"] == version for line in routed.lines("a", in_force)),
+        SOON,
+    )
+
+
 @given('"{name}" has no room for copies')
 def no_room(context, name):
     context.full = name
@@ -114,6 +128,8 @@
 @when('the run is copied to "{engine}"')
 def run_copied(context, engine):
     wait_until("the copy is there", lambda: context.fleet.counts(engine)["copies"], SOON)
+    # The daemon can go on from it once it has the engine's answer.
+    wait_until("the daemon knows", lambda: fleet_of(context).lines("a", "copied"), SOON)
 
 
 @when('"{engine}" is killed')
@@ -184,6 +200,22 @@
     assert after["end"] == "whole" and after["first"] > 1, after
 
 
+@then("the rest came from a new run at another engine")
+def went_on_anew(context):
+    runs = [run for name in ("planner-1", "planner-2") for run in run_of(context, name)]
+    first, second = sorted(runs, key=lambda run: run["first"])
+    assert (first["first"], second["first"]) == (1, 5), runs
+    assert (first["end"], second["end"]) == ("cancelled", "whole"), runs
+
+
+@then("the plan is answered {status:d} after a run at each engine")
+def failed_at_each(context, status):
+    context.plan.thread.join(SOON)
+    assert context.plan.status == status, context.plan
+    ends = [run["end"] for name in ("planner-1", "planner-2") for run in run_of(context, name)]
+    assert ends == ["failed", "failed"], ends
+
+
 @then("no two engines worked on the run at once")
 def not_twice(context):
     (before,), (after,) = run_of(context, "planner-1"), run_of(context, "planner-2")
