Tell the daemons with runs on an engine at each of its reports that says it leaves

A report's header is taken before the report itself, so that the report was no news any more and only the engine's owner was told by it; daemons whose runs another scheduler had placed were not. A resume says by name whether it goes on from a copy; ids of events are compared where events are split.

--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -98,7 +98,9 @@
         self.catalog = Catalog()
         self.ready = False
         self.looked_at: HostListing | None = None
-        self.notices = EngineNotices(on_leaving=lambda host: self.tasks.spawn(self._spread(host)))
+        self.notices = EngineNotices(
+            on_leaving=lambda host: self.tasks.spawn(self._spread_leaving(host))
+        )
         engine_calls = HeededCalls(self.adapter.make_engine_calls(self.notices.take), self.notices)
         incarnation = time.time_ns()
         self.hello = Hello(
@@ -175,9 +177,13 @@
         """Return a listed host by its name."""
         return self.fleet.host(name)
 
-    async def _engine_leaves(self, host: Host, _daemons: set[str]) -> None:
-        """Take an engine's report that it leaves, which the list may not tell yet."""
+    async def _engine_leaves(self, host: Host, daemons: set[str]) -> None:
+        """Take an engine's report that it leaves, and tell the daemons with runs there.
+
+        They are told at each report until it is gone, since runs may have come meanwhile.
+        """
         self.notices.note_leaving(host, "its report")
+        await self._tell_leaving(host, daemons)
 
     async def _told_of_leaving(self, peer: Hello, news: EngineLeaves) -> None:
         host = self.host(news.engine)
@@ -185,17 +191,20 @@
             self.notices.note_leaving(host, f"peer {peer.name}")
             self.evacuation.look()
 
-    async def _spread(self, host: Host) -> None:
+    async def _spread_leaving(self, host: Host) -> None:
         """Tell the engine's scheduler that it leaves, or as its scheduler the daemons with runs."""
         self.evacuation.look()
         if (TEAM, host.service) not in self.catalog.model_services():
             return
         cell = self.mesh.cell_map.of_engine(host.domain, TEAM, host.service, host.name)
-        owner = next(iter(self.membership.owners(cell.duty, host.domain)), None)
-        names = {owner} if owner else set()
-        if owner == self.config.name:
-            names = self.mesh.duties.empty(cell, host.name, LEAVING_TIME)
-        for name in names - {self.config.name}:
+        owners = self.membership.owners(cell.duty, host.domain)[:1]
+        if owners == [self.config.name]:
+            await self._tell_leaving(host, self.mesh.duties.empty(cell, host.name, LEAVING_TIME))
+        else:
+            await self._tell_leaving(host, set(owners))
+
+    async def _tell_leaving(self, host: Host, daemons: set[str]) -> None:
+        for name in daemons - {self.config.name}:
             try:
                 await self.mesh.peers.send(name, EngineLeaves(host.name))
             except PeerError as error:
--- a/papayacourse/routed/events.py
+++ b/papayacourse/routed/events.py
@@ -39,3 +39,15 @@
         if len(self.rest) > MAX_EVENT_BYTES:
             raise BackendProtocolError(f"an event longer than {MAX_EVENT_BYTES} bytes")
         return events
+
+
+def follows(last: str, event_id: str) -> bool:
+    """Tell whether an event is the one after the last, as far as ids that are numbers tell."""
+    if not last or not (last.isdecimal() and event_id.isdecimal()):
+        return True
+    return int(event_id) == int(last) + 1
+
+
+def is_older(last: str, event_id: str) -> bool:
+    """Tell whether an event has been passed on already."""
+    return int(event_id) <= int(last)
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -16,7 +16,7 @@
 from papayacourse.httpcall import HttpCall
 from papayacourse.routed.admitted import Admitted
 from papayacourse.routed.document import EngineShape
-from papayacourse.routed.events import EventSplitter
+from papayacourse.routed.events import EventSplitter, follows, is_older
 from papayacourse.routed.exchange import Exchange
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.placing import Placing
@@ -181,7 +181,7 @@
             call = await self._open(dispatch, head_limit)
         except MayHaveRun as error:
             self._note_run(resume)
-            if resume is not None and resume.handle:
+            if resume is not None and resume.from_copy:
                 raise
             return await self._after(str(error))
         self._note_run(resume)
@@ -196,7 +196,7 @@
     def _note_run(self, resume: Resume | None) -> None:
         """Note that an engine may have begun to work, unless it goes on with a run."""
         self.ran = True
-        if resume is None or not resume.handle:
+        if resume is None or not resume.from_copy:
             self.runs += 1
 
     async def _open(self, dispatch: Dispatch, head_limit: float) -> HttpCall:
@@ -312,7 +312,7 @@
             resumes=self.resumes,
         )  # fmt: skip
         try:
-            if not resume.handle:
+            if not resume.from_copy:
                 return await self._run_anew(resume)
             self.fleet.notices.allow(self.engine, saves_run=True)
             return await self._follow(resume, RESUME_HEAD)
@@ -343,15 +343,3 @@
             whole = self.exchange.done and not self.exchange.gone
             outcome = "finished" if whole else "cancelled"
             await self.fleet.placement.end(self.request, self.engine.name, self.generated, outcome)
-
-
-def follows(last: str, event_id: str) -> bool:
-    """Tell whether an event is the one after the last, as far as ids that are numbers tell."""
-    if not last or not (last.isdecimal() and event_id.isdecimal()):
-        return True
-    return int(event_id) == int(last) + 1
-
-
-def is_older(last: str, event_id: str) -> bool:
-    """Tell whether an event has been passed on already."""
-    return int(event_id) <= int(last)
--- a/papayacourse/routed/seams.py
+++ b/papayacourse/routed/seams.py
@@ -90,6 +90,11 @@
     handle: str
     after: str
 
+    @property
+    def from_copy(self) -> bool:
+        """Tell whether the run goes on from a copy of its memory."""
+        return bool(self.handle)
+
 
 @frozen
 class Dispatch:
