--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -3,6 +3,9 @@
 import asyncio
 import itertools
 import json
+import os
+import re
+import signal
 
 from attrs import asdict, define, field
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
@@ -12,6 +15,7 @@
 
 REQUEST_ID = "X-Attempt-Id"
 NOT_RUN = "X-Not-Executed"
+DEADLY = re.compile(r"\[(crash|hang)=(\d+)\]")  # in a body: how, and after how many events
 
 
 @define
@@ -142,6 +146,7 @@
         body = self.request.body.decode("latin1")
         run = Run(name, self.request.method, self.request.uri, headers, body)
         self.standin.runs.append(run)
+        die_if_due(run)
         if "X-Token-Counts" in self.request.headers:
             await self.generate(run)
         else:
@@ -239,6 +244,7 @@
             await self.flush()
         except StreamClosedError:
             run.end = "cancelled"
+        die_if_due(run)
 
     async def end_stream(self, run: Run) -> None:
         """End the answer: whole, or broken off where the run was stopped or cancelled."""
@@ -250,6 +256,13 @@
         await self.finish()
 
 
+def die_if_due(run: Run) -> None:
+    """End this engine, or stop it for good, if the run's body says that it does that now."""
+    match DEADLY.search(run.body):
+        case re.Match() as found if run.made >= int(found[2]):
+            os.kill(os.getpid(), signal.SIGKILL if found[1] == "crash" else signal.SIGSTOP)
+
+
 class Move(EngineHandler):
     """``POST /kv-move``."""
 
--- a/tests/routedfleet.py
+++ b/tests/routedfleet.py
@@ -17,6 +17,7 @@
 ROOT = Path(__file__).parent.parent
 HOST = "site.example"
 KEY = "key-of-organisers"
+MESH_KEY = "k" * 20
 
 
 hosts = itertools.count(1)
@@ -111,7 +112,7 @@
 
     def daemon(
         self, name: str, domain: str, store: str = "", wait: bool = True,
-        most_seeds: int | None = None,
+        most_seeds: int | None = None, mesh_key: str = MESH_KEY,
     ) -> None:  # fmt: skip
         """Start a daemon; a name may be started again."""
         ip = self.addresses.setdefault(name, own_address())
@@ -122,7 +123,7 @@
             "    lagos = lagos\n    kano = kano\n[listen]\n"
             + "".join(f"{part} = {ip}:{port}\n" for part, port in PORTS.items())
             + f"[platform]\nstore = {store or self.fleet.processes['store'].http}\n"
-            f"[mesh]\nkey = {'k' * 20}\nseeds = {seeds}\n[limits]\ngrace = 8\nstop_notice = 0.5\n"
+            f"[mesh]\nkey = {mesh_key}\nseeds = {seeds}\n[limits]\ngrace = 8\nstop_notice = 0.5\n"
         )
         (self.fleet.path / f"{name}.ini").write_text(text)
         self.start(name)
