Log by what a request is recognised when it comes again

Repeats of one request have ids of their own, so that no log line joined them. 'request ended' now has the fingerprint; it is worked out for plain calls too, over the body's bytes instead of their hexadecimal text.

--- a/papayacourse/routed/admitted.py
+++ b/papayacourse/routed/admitted.py
@@ -1,7 +1,9 @@
 """A request that the settings allow: its route, account, service and time."""
 
 import time
+from functools import cached_property
 
+import xxhash
 from attrs import define, field
 
 from papayacourse.exceptions import RequestRefused
@@ -11,7 +13,7 @@
 NO_SETTINGS_RETRY_AFTER = 1.0  # seconds
 
 
-@define(eq=False)
+@define(eq=False, slots=False)
 class Admitted:
     """What is known of a request before it is sent anywhere.
 
@@ -43,6 +45,14 @@
             return self.account.rank
         return self.route.rank
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """Return what the request is recognised by when its caller sends it again."""
+        call = self.call
+        hashed = xxhash.xxh3_128(f"{self.account_name}\0{call.target}\0".encode())
+        hashed.update(call.body)
+        return hashed.hexdigest()
+
     def time_left(self) -> float:
         """Return how long the answer can still be waited for, in seconds."""
         return self.deadline - time.monotonic()
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -195,6 +195,7 @@
             "request ended", end=outcome.end, why=outcome.why, reason=outcome.reason,
             status=outcome.status, ran=outcome.ran, route=route, account=account,
             service=admitted.service if admitted else "", seconds=round(seconds, 3),
+            fingerprint=admitted.fingerprint if admitted else "",
             document=self.documents.version, document_age=None if age is None else round(age, 1),
             **outcome.stream(),
         )  # fmt: skip
@@ -245,7 +246,7 @@
         max_tokens=max(1, prompt.max_output),
         priority=-admitted.rank,
         prefixes=growing_prefixes(prompt),
-        fingerprint=fingerprint(admitted.account_name, call.target, call.body.hex()),
+        fingerprint=admitted.fingerprint,
     )
 
 
