Count servers that end under a request, on the routed path too, and refuse it after the third

Seen by callers: a request that crashes the server it runs on was sent to a further server each time it came again; all of a service's servers could end under it, and the streams beside it were cut off.

Cause: the quarantine was asked by the routed front, but nothing on that path ever gave it a strike, and plain calls did not even ask. A promise that one front kept was taken for kept by both. Ruled out as the cause: strikes that come too late (no daemon's log had one), and a daemon's own repeats (they add one or two servers for each attempt, but it went on without them for calls that may not repeat).

Change: routed.deaths watches every run. One that ends without a whole answer is a question: it counts against the request where nobody listens at the server's address any more, or where the server, silent, vanishes from the list within 6 s without ever having said that it leaves. A broken answer of a server that lives, and a server that leaves, count for nothing. A whole answer absolves. Strikes reach all daemons in one encoded message; a domain's own are not passed on inside it.

Here a request is refused from its third server on, so that two ends beside it condemn nobody; the own interface keeps its two. Who has two runs apart from other suspects; plain calls of a suspect are sent to a server of its own by rendezvous, the same at every daemon. The refusal is a 503 with a true Retry-After: it has not run, and a 4xx would count as denying a proper request.

Open, and still listed: daemons that all start again, domains cut from each other, and a call whose servers are killed (its retries run out).

--- a/papayacourse/exceptions.py
+++ b/papayacourse/exceptions.py
@@ -132,6 +132,10 @@
     """The link broke or stalled after something was sent."""
 
 
+class BackendUnanswered(BackendLinkLost):
+    """The backend server took a request and did not begin its answer in time."""
+
+
 class BackendSilent(BackendLinkLost):
     """The backend server began its answer and then went silent."""
 
--- a/papayacourse/httpcall.py
+++ b/papayacourse/httpcall.py
@@ -14,6 +14,7 @@
     BackendLinkLost,
     BackendProtocolError,
     BackendSilent,
+    BackendUnanswered,
     BackendUnreachable,
 )
 from papayacourse.types import Address
@@ -97,19 +98,14 @@
         self.watchdog: asyncio.TimerHandle | None = None
 
     async def __aenter__(self) -> "HttpCall":
-        link = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        # Set before connecting, so that a reader who stops holds the sender up early.
-        link.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        self.stream = IOStream(link, max_buffer_size=READ_BUFFER_BYTES, read_chunk_size=CHUNK_BYTES)
-        self.stream.set_nodelay(True)
+        self.stream = await connect(self.address, self.connect_timeout)
         try:
-            await self._connect()
             self.before_send()
             self.reader = asyncio.ensure_future(self._exchange())
             await asyncio.wait_for(asyncio.shield(self.head), self.idle_timeout)
         except TimeoutError as error:
             await self.__aexit__(None, None, None)
-            raise BackendLinkLost(f"{self.address} did not answer in time") from error
+            raise BackendUnanswered(f"{self.address} did not answer in time") from error
         except BaseException:
             await self.__aexit__(None, None, None)
             raise
@@ -126,15 +122,6 @@
         if self.head.done() and not self.head.cancelled():
             self.head.exception()
 
-    async def _connect(self) -> None:
-        target = (self.address.host, self.address.port)
-        try:
-            await asyncio.wait_for(self.stream.connect(target), self.connect_timeout)
-        except (TimeoutError, StreamClosedError, OSError) as error:
-            if isinstance(getattr(error, "real_error", error), ConnectionRefusedError):
-                raise BackendGone(f"nobody listens at {self.address}") from error
-            raise BackendUnreachable(f"no connection to {self.address}") from error
-
     async def _exchange(self) -> None:
         parameters = HTTP1ConnectionParameters(
             no_keep_alive=True,
@@ -247,6 +234,25 @@
         return b"".join(parts)
 
 
+async def connect(address: Address, timeout: float) -> IOStream:
+    """Open a connection within so many seconds; raises BackendUnreachable or BackendGone."""
+    link = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    # Set before connecting, so that a reader who stops holds the sender up early.
+    link.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    stream = IOStream(link, max_buffer_size=READ_BUFFER_BYTES, read_chunk_size=CHUNK_BYTES)
+    stream.set_nodelay(True)
+    try:
+        await asyncio.wait_for(stream.connect((address.host, address.port)), timeout)
+    except BaseException as error:
+        stream.close()
+        if isinstance(getattr(error, "real_error", error), ConnectionRefusedError):
+            raise BackendGone(f"nobody listens at {address}") from error
+        if isinstance(error, TimeoutError | StreamClosedError | OSError):
+            raise BackendUnreachable(f"no connection to {address}") from error
+        raise
+    return stream
+
+
 def wake(future: asyncio.Future[None] | None) -> None:
     """Let a task go on that may be waiting."""
     if future is not None and not future.done():
--- a/papayacourse/mesh.py
+++ b/papayacourse/mesh.py
@@ -16,7 +16,7 @@
 from papayacourse.metrics import Metrics
 from papayacourse.peers import Peers
 from papayacourse.placement import Placement
-from papayacourse.quarantine import Quarantine
+from papayacourse.quarantine import STRIKES, Quarantine
 from papayacourse.scheduler import Scheduler
 from papayacourse.scheduling import Scheduling
 from papayacourse.types import Address
@@ -36,6 +36,8 @@
         Runs a coroutine for as long as the daemon runs.
     reports : EngineReports
         Reads what an engine says of its load and its cache.
+    strikes : int
+        How many different engines a request may take down.
     """
 
     hello: Hello
@@ -46,13 +48,17 @@
     metrics: Metrics
     spawn: Callable[[Coroutine], object]
     reports: EngineReports = field(factory=EngineReports)
+    strikes: int = STRIKES
 
     def __attrs_post_init__(self) -> None:
         self.peers = Peers(self.hello, self.key)
         self.membership = Membership(
             self.hello, self.peers, self.catalog, self.host_list, self.seeds
         )
-        self.quarantine = Quarantine(self.peers, lambda: self.metrics.quarantines.add(1))
+        self.quarantine = Quarantine(
+            self.peers, lambda: self.metrics.quarantines.add(1), self.metrics.strikes.add,
+            self.strikes,
+        )  # fmt: skip
         self.peers.on_met = self._met
         self.gateways = Gateways(self.membership, self.peers)
         self.cell_map = CellMap(self.catalog, self.membership.host_sync)
--- a/papayacourse/metrics.py
+++ b/papayacourse/metrics.py
@@ -54,6 +54,7 @@
         self.retries = meter.create_counter("papayacourse_retries")
         self.resumes = meter.create_counter("papayacourse_resumes")
         self.preemptions = meter.create_counter("papayacourse_preemptions")
+        self.strikes = meter.create_counter("papayacourse_strikes")
         self.quarantines = meter.create_counter("papayacourse_quarantines")
         self.platform_calls = meter.create_counter("papayacourse_platform_calls")
         self.violations = meter.create_counter("papayacourse_invariant_violations")
--- a/papayacourse/quarantine.py
+++ b/papayacourse/quarantine.py
@@ -1,18 +1,21 @@
 """Stops requests that crash each engine which runs them, without harming their neighbours."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterator
 
 import xxhash
 from attrs import define, field
 
 from papayacourse import logs
+from papayacourse.batches import batched
 from papayacourse.callmessages import Absolved, Strike, StrikesUpdate
 from papayacourse.exceptions import PeerError, RequestRefused
 from papayacourse.meshmessages import Hello
 from papayacourse.peers import Peers
 
 STRIKES = 2  # different engines that a request may take down
+STRIKES_IN_MESSAGE = 1000
+QUARANTINED = "quarantined"  # the reason of a refusal
 QUARANTINE_TIME = 600.0  # seconds that a strike counts
 MAX_FINGERPRINTS = 10_000
 
@@ -33,6 +36,16 @@
 
     Attributes
     ----------
+    count : callable
+        Called for each request that is refused, for metrics.
+    count_strikes : callable
+        Called with the number of strikes that this daemon gives, for metrics.
+    limit : int
+        How many different engines a request may take down.
+    on_struck : callable
+        Called with the fingerprint of a request that this daemon has given a strike.
+    on_absolved : callable
+        Called with the fingerprint of a request that has been absolved, here or elsewhere.
     strikes : dict of str to dict of str to float
         By fingerprint and engine: when the strike expires, in seconds since 1970.
     condemned : set of str
@@ -41,6 +54,10 @@
 
     peers: Peers
     count: Callable[[], None] = lambda: None
+    count_strikes: Callable[[int], None] = lambda _number: None
+    limit: int = STRIKES
+    on_struck: Callable[[str], None] = lambda _fingerprint: None
+    on_absolved: Callable[[str], None] = lambda _fingerprint: None
     clock: Callable[[], float] = time.time
     strikes: dict[str, dict[str, float]] = field(factory=dict)
     condemned: set[str] = field(factory=set)
@@ -59,19 +76,27 @@
     def unexplained(self, request: str) -> set[str]:
         """Return those of a request's engines whose death no condemned request explains.
 
-        Who shares two engines with a condemned request is not excused by it, since either of
-        them may have taken down both.
+        Who shares as many engines with a condemned request as condemn one is not excused by it,
+        since either of them may have taken down all of them.
         """
         engines = self.engines(request)
         if not engines or request in self.condemned:
             return engines
         shared = (engines & self.engines(other) for other in self.condemned)
-        return engines.difference(*(both for both in shared if len(both) == 1))
+        return engines.difference(*(both for both in shared if len(both) < self.limit))
 
     def is_suspect(self, request: str) -> bool:
-        """Tell whether a request must run apart from other suspects."""
+        """Tell whether a request must run apart from others: one more strike is too many."""
+        return len(self.unexplained(request)) >= max(1, self.limit - 1)
+
+    def is_struck(self, request: str) -> bool:
+        """Tell whether an engine has died while a request ran, of which nobody else is to blame."""
         return bool(self.unexplained(request))
 
+    def is_condemned(self, request: str) -> bool:
+        """Tell whether a request has taken down too many engines."""
+        return request in self.condemned and len(self.engines(request)) >= self.limit
+
     def check(self, request: str) -> None:
         """Refuse a request that has taken down too many engines.
 
@@ -80,22 +105,23 @@
         RequestRefused
             With the time after which it may be tried again.
         """
-        if request not in self.condemned or len(self.engines(request)) < STRIKES:
+        if not self.is_condemned(request):
             return
         self.count()
         left = min(self.strikes[request].values()) - self.clock()
-        detail = f"{STRIKES} engines died while they ran this request"
-        raise RequestRefused(422, "quarantined", detail, retry_after=max(left, 1.0))
+        detail = f"{self.limit} engines died while they ran this request"
+        raise RequestRefused(422, QUARANTINED, detail, retry_after=max(left, 1.0))
 
-    def known(self) -> tuple[Strike, ...]:
-        """Return every strike that still counts, for a daemon that has just been met."""
+    def strikes_of(self, request: str) -> tuple[Strike, ...]:
+        """Return the strikes of a request that still count."""
         now = self.clock()
-        return tuple(
-            Strike(request, engine, end)
-            for request, engines in self.strikes.items()
-            for engine, end in engines.items()
-            if end > now
-        )
+        engines = self.strikes.get(request, {})
+        return tuple(Strike(request, name, end) for name, end in engines.items() if end > now)
+
+    def known(self) -> Iterator[Strike]:
+        """Yield every strike that still counts, for a daemon that has just been met."""
+        for request in list(self.strikes):
+            yield from self.strikes_of(request)
 
     def counts(self) -> dict[str, int]:
         """Return how many requests have strikes, and how many must not run, for operators."""
@@ -103,25 +129,43 @@
 
     # Commands.
 
-    async def strike(self, request: str, engine: str) -> None:
-        """Note that an engine died while it ran a request, and tell every daemon."""
-        struck = Strike(request, engine, self.clock() + QUARANTINE_TIME)
-        logs.warning("strike", fingerprint=request, engine=engine)
-        await self.take_strikes(None, StrikesUpdate((struck,)))
+    def strike(self, engine: str, requests: Collection[str]) -> None:
+        """Note that an engine died while it ran some requests, and tell every daemon."""
+        expires = self.clock() + QUARANTINE_TIME
+        struck = tuple(Strike(request, engine, expires) for request in requests)
+        self.count_strikes(len(struck))
+        self._take_all(None, struck)
+        for strike in struck:
+            logs.warning(
+                "strike", fingerprint=strike.fingerprint, engine=engine,
+                engines=len(self.engines(strike.fingerprint)),
+                unexplained=len(self.unexplained(strike.fingerprint)),
+                condemned=self.is_condemned(strike.fingerprint),
+            )  # fmt: skip
+            self.on_struck(strike.fingerprint)
 
     async def take_strikes(self, peer: Hello | None, update: StrikesUpdate) -> None:
         """Take strikes, and pass on those that are new here."""
-        new = tuple(strike for strike in update.strikes if self._take(strike))
-        if new:
-            self._forget_old()
-            await self._spread(StrikesUpdate(new), peer)
+        self._take_all(peer, update.strikes)
+
+    def _take_all(self, peer: Hello | None, strikes: tuple[Strike, ...]) -> None:
+        before = set(self.condemned)
+        new = tuple(strike for strike in strikes if self._take(strike))
+        if not new:
+            return
+        self._forget_old()
+        self._spread(StrikesUpdate(new), peer)
+        for request in self.condemned - before:
+            source = peer.name if peer else "here"
+            engines = sorted(self.engines(request))
+            logs.warning("request condemned", fingerprint=request, engines=engines, source=source)
 
     def _take(self, strike: Strike) -> bool:
         engines = self.strikes.setdefault(strike.fingerprint, {})
         if engines.get(strike.engine, 0.0) >= strike.expires:
             return False
         engines[strike.engine] = strike.expires
-        if len(self.unexplained(strike.fingerprint)) >= STRIKES:
+        if len(self.unexplained(strike.fingerprint)) >= self.limit:
             self.condemned.add(strike.fingerprint)
         return True
 
@@ -143,22 +187,31 @@
     async def take_absolution(self, peer: Hello | None, note: Absolved) -> None:
         """Clear a suspect, and pass that on if it was known here."""
         self.condemned.discard(note.fingerprint)
-        if self.strikes.pop(note.fingerprint, None) is not None:
-            await self._spread(note, peer)
+        if self.strikes.pop(note.fingerprint, None) is None:
+            return
+        logs.info("request absolved", fingerprint=note.fingerprint)
+        self._spread(note, peer)
+        self.on_absolved(note.fingerprint)
 
     async def greet(self, name: str) -> None:
         """Tell a daemon that has just been met every strike."""
-        known = self.known()
-        if known:
-            await self._send(name, StrikesUpdate(known))
-
-    async def _spread(self, message: StrikesUpdate | Absolved, source: Hello | None) -> None:
-        for name in list(self.peers.links):
-            if source is None or name != source.name:
-                await self._send(name, message)
-
-    async def _send(self, name: str, message: StrikesUpdate | Absolved) -> None:
-        try:
-            await self.peers.send(name, message)
-        except PeerError as error:
-            logs.debug("strikes not sent", peer=name, why=str(error))
+        for strikes in batched(self.known(), STRIKES_IN_MESSAGE):
+            try:
+                await self.peers.send(name, StrikesUpdate(strikes))
+            except PeerError as error:
+                logs.info("strikes not sent", peer=name, why=str(error))
+                return
+
+    def _spread(self, message: StrikesUpdate | Absolved, source: Hello | None) -> None:
+        """Tell all peers, or those that its source has not told already."""
+        self.peers.tell_each(
+            [name for name, link in self.peers.links.items() if self._is_untold(link.peer, source)],
+            message,
+        )
+
+    def _is_untold(self, peer: Hello, source: Hello | None) -> bool:
+        if source is None:
+            return True
+        # Each daemon has a link to all of its own domain.
+        here = self.peers.hello.domain
+        return peer.name != source.name and not peer.domain == source.domain == here
--- a/papayacourse/routed/choice.py
+++ b/papayacourse/routed/choice.py
@@ -2,11 +2,12 @@
 
 import time
 from collections import defaultdict
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Iterator
 
 from attrs import define, field
 
 from papayacourse.linkclasses import LinkClass, Place
+from papayacourse.rendezvous import ranked
 from papayacourse.types import Host, HostState
 
 RECORD_WEIGHT = 0.25  # of the last call in a server's record
@@ -65,10 +66,30 @@
         link = LINK_COST[self.here.link_to(host.domain, host.region)]
         return record.is_poor(self.clock()), link + fullness
 
-    def choose(self, hosts: Iterable[Host], avoid: Collection[str]) -> Host | None:
-        """Return the best server that stays and is not to be avoided, or None."""
+    def choose(
+        self, hosts: Iterable[Host], avoid: Collection[str], suspect: str = ""
+    ) -> Host | None:
+        """Return the best server that stays and is not to be avoided, or None.
+
+        Parameters
+        ----------
+        suspect : str
+            The fingerprint of a request under which a server has ended. All daemons send it to
+            the same server, and other suspects mostly to others, so that a further end is not
+            counted against all of them.
+        """
         staying = (host for host in hosts if host.state == HostState.LIVE)
-        return min((h for h in staying if h.name not in avoid), key=self.cost, default=None)
+        fit = [host for host in staying if host.name not in avoid]
+        if suspect:
+            return next(self._apart(fit, suspect), None)
+        return min(fit, key=self.cost, default=None)
+
+    def _apart(self, hosts: list[Host], suspect: str) -> Iterator[Host]:
+        """Yield servers in an order of the request's own, those with a poor record last."""
+        by_name = {host.name: host for host in hosts}
+        order = [by_name[name] for name in ranked(suspect, sorted(by_name))]
+        now = self.clock()
+        yield from sorted(order, key=lambda host: self.records[host.name].is_poor(now))
 
     def keep(self, names: Collection[str]) -> None:
         """Forget the servers that are no longer listed."""
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -26,6 +26,7 @@
 from papayacourse.routed.budget import FleetBudget
 from papayacourse.routed.choice import ServerChoice
 from papayacourse.routed.config import ConfigFile, RoutedConfig
+from papayacourse.routed.deaths import ServerDeaths
 from papayacourse.routed.derived import TEAM, bring_in_line
 from papayacourse.routed.directory import Directory
 from papayacourse.routed.document import CallerLimits, Document, EngineShape
@@ -48,6 +49,7 @@
 HARD_LIMIT_FACTOR = 4  # what tornado bounds, against what the document allows
 SEND_BUFFER_BYTES = 64 * 1024  # in the kernel, for each caller
 EXIT_BAD_CONFIG = 2
+MAX_DEATHS = 3  # different servers that may end under a request
 LEAVING_TIME = 60.0  # seconds for which an engine that has said that it leaves gets no work
 FILE_INTERVAL = 1.0  # seconds between looks at the configuration file
 TICK = 0.25  # seconds between looks at what time changes
@@ -109,8 +111,9 @@
         self.mesh = Mesh(
             self.hello, config.mesh_key, config.seeds, self.catalog, NoHostList(), self.metrics,
             self.tasks.spawn,
-            AdapterReports(engine_calls, self.host, self._engine_leaves),
+            AdapterReports(engine_calls, self.host, self._engine_leaves), MAX_DEATHS,
         )  # fmt: skip
+        self.deaths = ServerDeaths(self.mesh.quarantine, self.host, self.notices.is_leaving)
         self.membership, self.duties = self.mesh.membership, self.mesh.duties
         self.metrics.watch_totals("papayacourse_mesh_frames", "", self.mesh.peers.traffic.labelled)
         self.documents = Documents(self.mesh.peers, self.adapter.store.decode_document, self._news)
@@ -125,7 +128,7 @@
         self.budget = FleetBudget(config.budget, self._daemons)
         self.fleet = FleetView(
             self.membership, self.mesh.placement, self.budget, self.adapter.codec,
-            engine_calls, self.notices, self._note_first_event, self._shape,
+            engine_calls, self.notices, self.deaths, self._note_first_event, self._shape,
         )  # fmt: skip
         self.evacuation = Evacuation(self.fleet, lambda: self.directory.is_away)
         self.front = Front(
@@ -284,6 +287,7 @@
         self.looked_at = self.membership.hosts
         self.notices.forget_unlisted(self.looked_at.by_name)
         self.front.choice.keep(self.looked_at.by_name.keys())
+        self.deaths.take_list(self.looked_at.by_name.values())
         self.evacuation.look()
 
     async def _tick(self) -> None:
@@ -292,6 +296,7 @@
             await next_tick(TICK)
             self.directory.expire()
             self._hosts_changed()
+            self.deaths.look()
 
     async def _watch_file(self) -> None:
         """Take a configuration file that changes without a signal, for ever."""
--- /dev/null
+++ b/papayacourse/routed/deaths.py
@@ -0,0 +1,194 @@
+"""Finds out which servers ended while they ran a request, and counts that against the request."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator, Callable, Iterable
+from contextlib import asynccontextmanager
+
+from attrs import define, field
+
+from papayacourse import logs
+from papayacourse.exceptions import BackendGone, BackendLinkLost, BackendUnreachable
+from papayacourse.httpcall import connect
+from papayacourse.quarantine import Quarantine
+from papayacourse.routed.sending import MayHaveRun, is_silence
+from papayacourse.types import Address, Host, HostState
+
+PROBE_TIMEOUT = 0.2  # seconds that a server may take to accept a connection
+PROBE_PAUSES = (0.0, 0.015, 0.1)  # seconds before each probe: a process's sockets close one by one
+VERDICT_WAIT = 0.05  # seconds that a lost run waits for it, so that its repeats come after it
+LISTING_LAG = 6.0  # seconds in which a server that has ended without a word leaves the list
+SIGN_OF_LIFE = 1.0  # seconds for which what a server has sent shows that it lives
+KEPT = 120.0  # seconds for which it is remembered why a server has gone
+MAX_LOST_RUNS = 1000  # of one server, kept until it is known what became of it
+
+
+@define(eq=False)
+class WatchedRun:
+    """A run on a server.
+
+    Attributes
+    ----------
+    heard_at : float
+        When the server last sent something of it, in seconds of the clock.
+    """
+
+    clock: Callable[[], float]
+    heard_at: float = float("-inf")
+
+    def heard(self) -> None:
+        """Note that the server has just sent something."""
+        self.heard_at = self.clock()
+
+    def is_silent(self) -> bool:
+        """Tell whether nothing has come lately."""
+        return self.clock() - self.heard_at > SIGN_OF_LIFE
+
+
+@define(eq=False)
+class ServerDeaths:
+    """Tells servers that ended under a request from links that broke and servers that left.
+
+    A run that ends without a whole answer is a question, not yet a death. It counts as one where
+    nobody listens at the server's address any more, or where the server vanishes from the list
+    soon afterwards without ever having said that it leaves.
+
+    Attributes
+    ----------
+    listed : callable
+        Returns a listed server by its name, or None.
+    says_it_leaves : callable
+        Tells by a server's name whether it has said that it leaves.
+    lost : dict of str to dict of str to float
+        By server and fingerprint: when a run was lost whose server may still be alive.
+    gone : dict of str to float
+        The servers whose end was announced, and when that was last seen.
+    dead : dict of str to float
+        The servers that were found to have ended without a word, and when.
+    looking : dict of str to asyncio.Task
+        What finds out whether a server has ended, by server; one answers all who ask.
+    """
+
+    quarantine: Quarantine
+    listed: Callable[[str], Host | None]
+    says_it_leaves: Callable[[str], bool]
+    clock: Callable[[], float] = time.monotonic
+    lost: dict[str, dict[str, float]] = field(factory=dict)
+    gone: dict[str, float] = field(factory=dict)
+    dead: dict[str, float] = field(factory=dict)
+    looking: dict[str, asyncio.Task] = field(factory=dict)
+
+    @asynccontextmanager
+    async def watching(self, server: Host, fingerprint: str) -> AsyncIterator[WatchedRun]:
+        """Watch one run; a lost one is noted, and looked into before its error goes on."""
+        run = WatchedRun(self.clock)
+        try:
+            yield run
+        except (MayHaveRun, BackendLinkLost) as error:
+            if is_silence(error):
+                self._note_silent(server, fingerprint)
+            else:
+                await self._note_closed(server, fingerprint)
+            raise
+        except BackendGone:
+            if server.name in self.lost:
+                self._count(server.name, "nobody listens at its address")
+            raise
+        except asyncio.CancelledError:
+            # The caller has gone or its time is over: it may have waited for a dead server.
+            if run.is_silent():
+                self._note_silent(server, fingerprint)
+            raise
+
+    # Queries.
+
+    def is_announced(self, server: Host) -> bool:
+        """Tell whether a server's end is its own doing or its operator's."""
+        listed = self.listed(server.name) or server
+        is_leaving = listed.state != HostState.LIVE or self.says_it_leaves(server.name)
+        return is_leaving or server.name in self.gone
+
+    # Commands.
+
+    async def survived(self, fingerprint: str) -> None:
+        """Take a request for harmless: a server has brought it to its end."""
+        for runs in self.lost.values():
+            runs.pop(fingerprint, None)
+        await self.quarantine.absolve(fingerprint)
+
+    def take_list(self, hosts: Iterable[Host]) -> None:
+        """Note which servers are listed as leaving."""
+        now = self.clock()
+        leaving = {host.name: now for host in hosts if host.state != HostState.LIVE}
+        self.gone = {n: at for n, at in self.gone.items() if now - at < KEPT} | leaving
+        self.dead = {name: at for name, at in self.dead.items() if now - at < KEPT}
+
+    def look(self) -> None:
+        """Decide about lost runs, as far as the list tells by now."""
+        now = self.clock()
+        for name in list(self.lost):
+            self._look_at(name, now)
+
+    def _look_at(self, name: str, now: float) -> None:
+        if self.says_it_leaves(name) or name in self.gone:
+            del self.lost[name]
+        elif self.listed(name) is None:
+            self._count(name, "vanished from the list")
+        else:
+            self.lost[name] = {f: at for f, at in self.lost[name].items() if now - at < LISTING_LAG}
+            if not self.lost[name]:
+                del self.lost[name]
+
+    def _note_silent(self, server: Host, fingerprint: str) -> None:
+        """Note a run whose server has fallen silent, perhaps for good."""
+        if self.is_announced(server):
+            return
+        self._note(server.name, fingerprint)
+        if server.name in self.dead or self.listed(server.name) is None:
+            self._count(server.name, "vanished from the list")
+
+    async def _note_closed(self, server: Host, fingerprint: str) -> None:
+        """Note a run whose connection has ended, and see whether its server has ended with it."""
+        left = self.listed(server.name) is None and server.name not in self.dead
+        if left or self.is_announced(server):
+            # One that has left the list of its own accord serves on for a while, and then ends.
+            return
+        self._note(server.name, fingerprint)
+        task = self.looking.get(server.name)
+        if task is None:
+            task = self.looking[server.name] = asyncio.create_task(self._look_into(server))
+            task.add_done_callback(lambda _: self.looking.pop(server.name, None))
+        await asyncio.wait([task], timeout=VERDICT_WAIT)
+
+    async def _look_into(self, server: Host) -> None:
+        """Find out whether a server has ended that does not answer any more."""
+        if server.name in self.dead or await is_deserted(server):
+            self._count(server.name, "nobody listens at its address")
+
+    def _note(self, name: str, fingerprint: str) -> None:
+        runs = self.lost.setdefault(name, {})
+        runs[fingerprint] = self.clock()
+        if len(runs) > MAX_LOST_RUNS:
+            del runs[next(iter(runs))]
+
+    def _count(self, name: str, why: str) -> None:
+        """Count a server's end against all that it ran."""
+        self.dead[name] = self.clock()
+        requests = tuple(self.lost.pop(name, ()))
+        if requests:
+            logs.warning("server ended", server=name, why=why, requests=len(requests))
+            self.quarantine.strike(name, requests)
+
+
+async def is_deserted(server: Host) -> bool:
+    """Tell whether nobody listens at a server's address."""
+    for pause in PROBE_PAUSES:
+        await asyncio.sleep(pause)
+        try:
+            stream = await connect(Address.parse(server.address), PROBE_TIMEOUT)
+        except BackendGone:
+            return True
+        except BackendUnreachable:
+            return False
+        stream.close()
+    return False
--- a/papayacourse/routed/fleetview.py
+++ b/papayacourse/routed/fleetview.py
@@ -13,6 +13,7 @@
 from papayacourse.placement import Placement
 from papayacourse.routed.admitted import Admitted
 from papayacourse.routed.budget import FleetBudget
+from papayacourse.routed.deaths import ServerDeaths
 from papayacourse.routed.derived import TEAM
 from papayacourse.routed.document import EngineShape
 from papayacourse.routed.notices import EngineNotices
@@ -35,6 +36,8 @@
         Returns what the engines of a model service can do.
     notices : EngineNotices
         What engines have said of themselves, which the list may not tell yet.
+    deaths : ServerDeaths
+        Watches runs, and finds out which servers end under them.
     """
 
     membership: Membership
@@ -43,6 +46,7 @@
     codec: RequestCodec
     engine_calls: EngineCalls
     notices: EngineNotices
+    deaths: ServerDeaths
     note_first_event: Callable[[Admitted], None]
     shape: Callable[[str], EngineShape]
 
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -12,7 +12,7 @@
 from papayacourse import logs
 from papayacourse.exceptions import RequestRefused
 from papayacourse.metrics import Metrics
-from papayacourse.quarantine import Quarantine, fingerprint
+from papayacourse.quarantine import QUARANTINED, Quarantine, fingerprint
 from papayacourse.routed.admitted import Admitted, admit
 from papayacourse.routed.choice import ServerChoice
 from papayacourse.routed.derived import TEAM
@@ -107,7 +107,8 @@
         with self.in_progress("requests"):
             try:
                 await self._answer(exchange, outcome)
-            except RequestRefused as refused:
+            except RequestRefused as error:
+                refused = as_not_run(error)
                 outcome.refused(refused)
                 await self._refuse(exchange, refused)
             except StreamBroken as broken:
@@ -144,6 +145,7 @@
         logs.bind(call.request_id)
         admitted = admit(self.documents.current, call, outcome.came_at)
         outcome.admitted = admitted
+        self.quarantine.check(admitted.fingerprint)
         self.fleet.budget.note_request(admitted.service)
         service = self.documents.current.services.get(admitted.service)
         if admitted.route.repeat == Repeat.STREAM and service and service.engine:
@@ -165,15 +167,15 @@
     async def _call(self, exchange: Exchange, admitted: Admitted) -> None:
         hosts = list(self.fleet.servers(admitted.service))
         call = PlainCall(
-            admitted, self.fleet.codec, self.choice, self.fleet.notices, self.fleet.budget, hosts
-        )
+            admitted, self.fleet.codec, self.choice, self.fleet.notices, self.fleet.deaths,
+            self.fleet.budget, hosts,
+        )  # fmt: skip
         answer = await call.run()
         await exchange.answer(answer.status, answer.headers, answer.body)
 
     async def _generate(self, exchange: Exchange, outcome: "Outcome", service: Service) -> None:
         admitted = outcome.admitted
         request = generation_request(admitted)
-        self.quarantine.check(request.fingerprint)
         generation = Generation(admitted, exchange, self.fleet, request, service.engine)
         outcome.generation = generation
         self.evacuation.running.add(generation)
@@ -233,6 +235,13 @@
         self.status, self.ran = refused.status, str(refused.ran)
 
 
+def as_not_run(refused: RequestRefused) -> RequestRefused:
+    """Give a refusal the status by which callers here learn that a request has not run."""
+    if refused.reason != QUARANTINED:
+        return refused
+    return RequestRefused(503, refused.reason, refused.detail, refused.ran, refused.retry_after)
+
+
 def generation_request(admitted: Admitted) -> GenerationRequest:
     """Return what the schedulers know of a request."""
     call, prompt = admitted.call, admitted.call.prompt or Prompt("", 0, 1)
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from contextlib import AbstractAsyncContextManager
 
 from attrs import define, field
 from tornado.httputil import HTTPHeaders
@@ -9,12 +10,14 @@
 from papayacourse import logs
 from papayacourse.exceptions import (
     BackendError,
+    BackendGone,
     BackendRefused,
     BackendUnreachable,
     RequestRefused,
 )
 from papayacourse.httpcall import HttpCall
 from papayacourse.routed.admitted import Admitted
+from papayacourse.routed.deaths import WatchedRun
 from papayacourse.routed.document import EngineShape
 from papayacourse.routed.events import EventSplitter, follows, is_older
 from papayacourse.routed.exchange import Exchange
@@ -158,13 +161,12 @@
             self.fleet.placement.progress(self.request, self.engine.name, 0)
             try:
                 return await self._follow(None, self.admitted.time_left())
-            except BackendUnreachable as error:
-                why = str(error)
-            except NotRun as error:
+            except (BackendUnreachable, NotRun) as error:
                 why = str(error)
+                outcome = "gone" if isinstance(error, BackendGone) else "failed"
             self._log_failed(why)
             self.placing.refused.add(self.engine.name)
-            await self.fleet.placement.end(self.request, self.engine.name, 0, "failed")
+            await self.fleet.placement.end(self.request, self.engine.name, 0, outcome)
         raise self._refusal(503, "engines_full", why or "no engine took the request")
 
     def _is_long(self) -> bool:
@@ -178,7 +180,8 @@
             self.admitted.rank, resume,
         )  # fmt: skip
         try:
-            call = await self._open(dispatch, head_limit)
+            async with self._watching():
+                call = await self._open(dispatch, head_limit)
         except MayHaveRun as error:
             self._note_run(resume)
             if resume is not None and resume.from_copy:
@@ -186,7 +189,8 @@
             return await self._after(str(error))
         self._note_run(resume)
         try:
-            await self._relay(call)
+            async with self._watching() as run:
+                await self._relay(call, run)
         except BackendError as error:
             return await self._after(str(error))
         finally:
@@ -203,7 +207,12 @@
         fleet = self.fleet
         return await open_call(fleet.codec, fleet.notices, self.admitted.call, dispatch, head_limit)
 
-    async def _relay(self, call: HttpCall) -> None:
+    def _watching(self) -> AbstractAsyncContextManager[WatchedRun]:
+        """Watch what becomes of the engine while it runs this request."""
+        return self.fleet.deaths.watching(self.engine, self.request.fingerprint)
+
+    async def _relay(self, call: HttpCall, run: WatchedRun) -> None:
+        run.heard()
         headers = self.fleet.codec.answer_headers(call.headers)
         if call.status != 200:
             await self._relay_failure(call, headers)
@@ -212,6 +221,7 @@
         call.may_be_silent = self._has_nowhere_to_go
         splitter = EventSplitter()
         async for chunk in call.chunks():
+            run.heard()
             for event in splitter.feed(chunk):
                 await self._pass_on(headers, event)
         if splitter.rest:
@@ -219,6 +229,7 @@
         if not self.exchange.begun:
             await self.exchange.begin(200, headers)
         self.exchange.end()
+        await self.fleet.deaths.survived(self.request.fingerprint)
 
     def _patience_with_engine(self) -> float:
         """Return how long an engine may be silent, in seconds."""
--- a/papayacourse/routed/plaincall.py
+++ b/papayacourse/routed/plaincall.py
@@ -10,6 +10,7 @@
 from papayacourse.routed.admitted import Admitted
 from papayacourse.routed.budget import FleetBudget
 from papayacourse.routed.choice import ServerChoice
+from papayacourse.routed.deaths import ServerDeaths
 from papayacourse.routed.document import Repeat
 from papayacourse.routed.notices import EngineNotices
 from papayacourse.routed.seams import Dispatch, RequestCodec
@@ -19,6 +20,7 @@
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 MAX_SENDS = 4  # servers tried for one request, those that did not run it included
 FIRST_TRY = 0.5  # part of the time left after which a repeatable request is sent elsewhere
+SERVER_ERROR = 500  # the least status of a failure of the server itself
 RETRY_AFTER = 0.3  # seconds; a place comes free in much less
 PROMISES = frozenset({408, 421, 429, 503})  # statuses that say that a request has not run
 
@@ -50,6 +52,7 @@
     codec: RequestCodec
     choice: ServerChoice
     notices: EngineNotices
+    deaths: ServerDeaths
     budget: FleetBudget
     hosts: list[Host]
     ran: set[str] = field(factory=set)
@@ -60,7 +63,8 @@
     async def run(self) -> Answer:
         """Return the answer; raises RequestRefused when there is none."""
         for number in range(MAX_SENDS):
-            host = self.choice.choose(filter(self.notices.takes_work, self.hosts), self.tried)
+            hosts = filter(self.notices.takes_work, self.hosts)
+            host = self.choice.choose(hosts, self.tried, self._suspect())
             if host is None or (number and not self._may_send_again()):
                 break
             answer = await self._try(host)
@@ -70,12 +74,19 @@
             return self.failure
         raise self._refusal()
 
+    def _suspect(self) -> str:
+        """Return the request's fingerprint if a server has ended under it, else nothing."""
+        fingerprint = self.admitted.fingerprint
+        return fingerprint if self.deaths.quarantine.is_struck(fingerprint) else ""
+
     def _may_send_again(self) -> bool:
         route = self.admitted.route
         if self.admitted.time_left() <= 0:
             return False
         if self.ran and (route.repeat != Repeat.SAFE or len(self.ran) >= route.max_engines):
             return False
+        if self.deaths.quarantine.is_condemned(self.admitted.fingerprint):
+            return False
         return self.budget.take(self.admitted.service, self.lost)
 
     async def _try(self, host: Host) -> Answer | None:
@@ -87,6 +98,8 @@
         try:
             answer = await self._send(host)
             failed = False
+            if answer.status < SERVER_ERROR:
+                await self.deaths.survived(self.admitted.fingerprint)
             return self._judge(host, answer)
         except (BackendUnreachable, NotRun) as error:
             self.lost = str(error)
@@ -106,7 +119,7 @@
     def _judge(self, host: Host, answer: Answer) -> Answer | None:
         """Return an answer that can be passed on, or keep it while another server may do better."""
         self.ran.add(host.name)
-        if answer.status < 500:
+        if answer.status < SERVER_ERROR:
             return answer
         if self.admitted.route.repeat != Repeat.SAFE:
             if answer.status in PROMISES:
@@ -122,9 +135,12 @@
         left = self.admitted.time_left()
         dispatch = Dispatch(host, left, self.admitted.account_name)
         limit = left * FIRST_TRY if self._has_second_try() else left
-        exchange = await open_call(self.codec, self.notices, self.admitted.call, dispatch, limit)
+        call = self.admitted.call
+        async with self.deaths.watching(host, self.admitted.fingerprint) as run:
+            exchange = await open_call(self.codec, self.notices, call, dispatch, limit)
+            run.heard()
+            body = await read_whole(exchange, MAX_ANSWER_BYTES, self.admitted.time_left())
         headers = self.codec.answer_headers(exchange.headers)
-        body = await read_whole(exchange, MAX_ANSWER_BYTES, self.admitted.time_left())
         return Answer(exchange.status, headers, body)
 
     def _has_second_try(self) -> bool:
--- a/papayacourse/routed/sending.py
+++ b/papayacourse/routed/sending.py
@@ -7,6 +7,8 @@
     BackendError,
     BackendLinkLost,
     BackendProtocolError,
+    BackendSilent,
+    BackendUnanswered,
     BackendUnreachable,
     RequestRefused,
 )
@@ -27,6 +29,12 @@
     """The request was sent, and no answer that belongs to it came."""
 
 
+def is_silence(error: BackendError) -> bool:
+    """Tell whether a run was lost because nothing came any more, rather than by a break."""
+    silence = (BackendSilent, BackendUnanswered, TimeoutError)
+    return isinstance(error, silence) or isinstance(error.__cause__, silence)
+
+
 def connect_limit(time_left: float) -> float:
     """Return how long a connection may take to be made, in seconds."""
     return max(0.01, min(CONNECT_TIMEOUT, time_left))
--- a/papayacourse/streams.py
+++ b/papayacourse/streams.py
@@ -156,7 +156,7 @@
         except EngineLost as error:
             # It may have another reader; without one, the scheduler finds that nobody reports it.
             self.placement.forget(self.generation)
-            await self._strike(error)
+            self._strike(error)
             raise self._broken(error) from error
 
     async def joining(self, first: "Relay") -> AsyncIterator[list[EngineEvent]]:
@@ -346,7 +346,7 @@
         logs.warning("engine lost", stream=self.generation.stream, why=str(error))
         if not self.reports:
             return
-        await self._strike(error)
+        self._strike(error)
         if isinstance(error, EngineOutOfReach):
             task = asyncio.create_task(cancel_firmly(self.address, self.generation.stream))
             self.cancelling.add(task)
@@ -354,11 +354,11 @@
         gone = isinstance(error.__cause__, BackendGone)
         await self._finish("gone" if gone else "failed")
 
-    async def _strike(self, error: EngineLost) -> None:
+    def _strike(self, error: EngineLost) -> None:
         """Count an engine's death against the request, unless the engine was to leave anyway."""
         leaving = self.placement.membership.is_leaving(self.engine)
         if isinstance(error, EngineDied) and not leaving and self.generation.fingerprint:
-            await self.quarantine.strike(self.generation.fingerprint, self.engine)
+            self.quarantine.strike(self.engine, (self.generation.fingerprint,))
 
     def _pay_for_restart(self, error: EngineLost) -> None:
         ran = self._ran()
