Send a request on without charge where no server has had it

Seen by callers: of five servers two or three had been killed a moment before, and a call was refused with 503 no_server though two servers stood idle.

Cause: sending a request to a further server was paid for from the retry budget even where nobody had listened at the first one's address, so nothing had arrived that could be repeated; and a server that was gone was tried again by each call until three of them had failed there. The budget counts arrivals beyond the first.

Change: only a request that has come to a server pays for its next send (plain calls and generations); tries at deserted addresses do not count among the four sends; the first of them gives the server a poor record, for the usual 3 s. A server that cannot be reached for another reason counts as before, since each such try takes 0.4 s.

--- a/papayacourse/routed/choice.py
+++ b/papayacourse/routed/choice.py
@@ -46,6 +46,10 @@
         if failed:
             self.failed_at = now
 
+    def gone(self) -> None:
+        """Note that nobody listens at the server's address; the next call may go there later."""
+        self.failed = 1.0
+
     def is_poor(self, now: float) -> bool:
         """Tell whether the server is to be left alone for now."""
         return self.failed >= POOR_RECORD and now - self.failed_at < RECORD_LIFE
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -153,9 +153,9 @@
 
     async def _start(self) -> Resume | None:
         """Begin on the first engine that takes it; returns where to go on if it broke off."""
-        why = ""
-        for number in range(MAX_PLACES):
-            if number and not self.fleet.budget.take(self.admitted.service, why):
+        why, arrived = "", False
+        for _ in range(MAX_PLACES):
+            if arrived and not self.fleet.budget.take(self.admitted.service, why):
                 break
             self.engine = await self.placing.find(self._is_long())
             self.fleet.placement.progress(self.request, self.engine.name, 0)
@@ -164,6 +164,7 @@
             except (BackendUnreachable, NotRun) as error:
                 why = str(error)
                 outcome = "gone" if isinstance(error, BackendGone) else "failed"
+                arrived = arrived or isinstance(error, NotRun)
             self._log_failed(why)
             self.placing.refused.add(self.engine.name)
             await self.fleet.placement.end(self.request, self.engine.name, 0, outcome)
--- a/papayacourse/routed/plaincall.py
+++ b/papayacourse/routed/plaincall.py
@@ -6,7 +6,7 @@
 from tornado.httputil import HTTPHeaders
 
 from papayacourse import logs
-from papayacourse.exceptions import BackendUnreachable, RequestRefused
+from papayacourse.exceptions import BackendGone, BackendUnreachable, RequestRefused
 from papayacourse.routed.admitted import Admitted
 from papayacourse.routed.budget import FleetBudget
 from papayacourse.routed.choice import ServerChoice
@@ -18,7 +18,7 @@
 from papayacourse.types import Host, Ran
 
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
-MAX_SENDS = 4  # servers tried for one request, those that did not run it included
+MAX_SENDS = 4  # servers tried for one request, but those where nobody listens
 FIRST_TRY = 0.5  # part of the time left after which a repeatable request is sent elsewhere
 SERVER_ERROR = 500  # the least status of a failure of the server itself
 RETRY_AFTER = 0.3  # seconds; a place comes free in much less
@@ -44,6 +44,10 @@
         The servers that may have run it.
     tried : set of str
         The servers not to be tried again.
+    sends : int
+        How often it was tried to send it to a server that may be there.
+    arrived : bool
+        Whether it has come to any server, so that sending it again is a repeat.
     failure : Answer or None
         A server's own failure, which is the answer if no other can be had.
     """
@@ -57,15 +61,17 @@
     hosts: list[Host]
     ran: set[str] = field(factory=set)
     tried: set[str] = field(factory=set)
+    sends: int = 0
+    arrived: bool = False
     failure: Answer | None = None
     lost: str = ""
 
     async def run(self) -> Answer:
         """Return the answer; raises RequestRefused when there is none."""
-        for number in range(MAX_SENDS):
+        while self.sends < MAX_SENDS:
             hosts = filter(self.notices.takes_work, self.hosts)
             host = self.choice.choose(hosts, self.tried, self._suspect())
-            if host is None or (number and not self._may_send_again()):
+            if host is None or (self.tried and not self._may_send_again()):
                 break
             answer = await self._try(host)
             if answer is not None:
@@ -87,23 +93,31 @@
             return False
         if self.deaths.quarantine.is_condemned(self.admitted.fingerprint):
             return False
-        return self.budget.take(self.admitted.service, self.lost)
+        return not self.arrived or self.budget.take(self.admitted.service, self.lost)
 
     async def _try(self, host: Host) -> Answer | None:
         """Send the request to one server; None when it may be sent to another."""
         record = self.choice.records[host.name]
         record.running += 1
+        self.sends += 1
         failed = True
         began = time.monotonic()
         try:
             answer = await self._send(host)
-            failed = False
+            self.arrived, failed = True, False
             if answer.status < SERVER_ERROR:
                 await self.deaths.survived(self.admitted.fingerprint)
             return self._judge(host, answer)
-        except (BackendUnreachable, NotRun) as error:
+        except BackendUnreachable as error:
+            self.lost = str(error)
+            if isinstance(error, BackendGone):
+                self.sends -= 1
+                record.gone()
+        except NotRun as error:
+            self.arrived = True
             self.lost = str(error)
         except MayHaveRun as error:
+            self.arrived = True
             self.ran.add(host.name)
             self.lost = str(error)
         finally:
