Give short answers of servers a time in which they have to come whole

Seen by operators: an engine whose load report trickled was never asked for another one, so that its scheduler went on with old figures.

Cause: the time-out of a call started anew with each byte. Only some callers had a time of their own around it.

Change: a body that is read whole has to come within the call's idle time-out altogether, in the one place that all callers share (reports, moves, orders, host list).

--- a/papayacourse/httpcall.py
+++ b/papayacourse/httpcall.py
@@ -223,14 +223,22 @@
         wake(self.arrival)
 
     async def read(self, limit: int = MAX_READ_BYTES) -> bytes:
-        """Return the whole body, which may not be longer than the limit in bytes."""
+        """Return the whole body, which may not be longer than the limit in bytes.
+
+        It has to come within the idle time-out altogether, or one that sends a byte now and then
+        would never end.
+        """
         parts: list[bytes] = []
         size = 0
-        async for chunk in self.chunks():
-            size += len(chunk)
-            if size > limit:
-                raise BackendProtocolError(f"{self.address} sent more than {limit} bytes")
-            parts.append(chunk)
+        try:
+            async with asyncio.timeout(self.idle_timeout):
+                async for chunk in self.chunks():
+                    size += len(chunk)
+                    if size > limit:
+                        raise BackendProtocolError(f"{self.address} sent more than {limit} bytes")
+                    parts.append(chunk)
+        except TimeoutError as error:
+            raise BackendSilent(f"{self.address} sent no whole answer in time") from error
         return b"".join(parts)
 
 
