End streams whose bytes bring no new event

Seen by callers: a plan whose engine sent comments, or one old event again and again, as fast as it could, kept its caller waiting until its time was over, and the daemon busy with bytes that reached nobody.

Cause: each piece of the connection counted as a sign of life, whether it brought an event or not; only one event's length was bounded.

Change: noise.Noise, for the routed path and the own interface: no more than 256 KB without a new event, and once there was an event, no longer than a silent engine may take, counted from the first byte that brought none, so that an engine which was paused may go on with a piece of an event. More events than tokens were asked for end a stream too. One MAX_EVENT_BYTES where two stood. An id of more than 18 digits is no number to count by (one of over 4,300 was an error of ours).

--- a/papayacourse/engines.py
+++ b/papayacourse/engines.py
@@ -12,13 +12,13 @@
     BackendRefused,
 )
 from papayacourse.httpcall import HttpCall
+from papayacourse.noise import MAX_EVENT_BYTES, Noise
 from papayacourse.types import Address, GenerationRequest
 
 CONNECT_TIMEOUT = 1.0  # seconds
 SILENCE_TIMEOUT = 5.0  # seconds without an event before the link counts as stalled
 CONTROL_TIMEOUT = 2.0  # seconds
 ORDER_TIMEOUT = 3.0  # seconds, loading from the weight store included
-MAX_EVENT_BYTES = 256 * 1024
 GENERATION_HEADER = "X-Generation"  # the engine's mark of one generation, unlike any other's
 
 
@@ -203,11 +203,12 @@
 
     async def batches(self) -> AsyncIterator[list[EngineEvent]]:
         """Yield the events of each piece that the connection delivers."""
-        buffer = bytearray()
+        buffer, noise = bytearray(), Noise(SILENCE_TIMEOUT)
         async for chunk in self.call.chunks():
             self.count(len(chunk))
             buffer += chunk
             batch = list(parse_events(split_events(buffer)))
+            noise.note(len(chunk), bool(batch))
             if batch:
                 yield batch
 
--- a/papayacourse/routed/events.py
+++ b/papayacourse/routed/events.py
@@ -5,8 +5,9 @@
 from attrs import define, field
 
 from papayacourse.exceptions import BackendProtocolError
+from papayacourse.noise import MAX_EVENT_BYTES
 
-MAX_EVENT_BYTES = 256 * 1024
+MAX_ID_DIGITS = 18
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 
 
@@ -43,11 +44,16 @@
 
 def follows(last: str, event_id: str) -> bool:
     """Tell whether an event is the one after the last, as far as ids that are numbers tell."""
-    if not last or not (last.isdecimal() and event_id.isdecimal()):
+    if not last or not (is_number(last) and is_number(event_id)):
         return True
     return int(event_id) == int(last) + 1
 
 
+def is_number(event_id: str) -> bool:
+    """Tell whether an id is a number that events may be counted by."""
+    return event_id.isdecimal() and len(event_id) <= MAX_ID_DIGITS
+
+
 def is_older(last: str, event_id: str) -> bool:
     """Tell whether an event has been passed on already."""
     return int(event_id) <= int(last)
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -16,6 +16,7 @@
     RequestRefused,
 )
 from papayacourse.httpcall import HttpCall
+from papayacourse.noise import Noise
 from papayacourse.routed.admitted import Admitted
 from papayacourse.routed.deaths import WatchedRun
 from papayacourse.routed.document import EngineShape
@@ -34,6 +35,7 @@
 STALL_GAPS = 8.0  # longest good pauses after which a silent engine is taken for lost
 MIN_STALL = 1.0  # seconds
 LONG_RUN = 1.5  # seconds; a shorter one ends within its engine's notice
+MORE_EVENTS = 16  # that may come besides one for each token
 FIRST_PACE = 0.012  # seconds for each token, until a run's own pace is known
 RETRY_AFTER = 0.5  # seconds
 SERVER_ERROR = 500  # the least status of a failure of the engine itself
@@ -220,11 +222,13 @@
             return
         call.idle_timeout = self._patience_with_engine()
         call.may_be_silent = self._has_nowhere_to_go
-        splitter = EventSplitter()
+        splitter, noise = EventSplitter(), Noise(call.idle_timeout)
         async for chunk in call.chunks():
             run.heard()
+            before = self.last_id
             for event in splitter.feed(chunk):
                 await self._pass_on(headers, event)
+            noise.note(len(chunk), self.last_id != before)
         if splitter.rest:
             raise MayHaveRun("the stream ended within an event")
         if not self.exchange.begun:
@@ -263,6 +267,8 @@
             self.first_at = time.monotonic()
             self.fleet.note_first_event(self.admitted)
         self.events += 1
+        if self.admitted.call.prompt and self.events > self.request.max_tokens + MORE_EVENTS:
+            raise MayHaveRun(f"more than {self.request.max_tokens} tokens came")
         self.last_id = event_id or self.last_id
         self.fleet.placement.progress(self.request, self.engine.name, self.generated)
 
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -1,6 +1,7 @@
 """The users' engines: plain services and model engines, whose runs can be copied to others."""
 
 import asyncio
+import contextlib
 import itertools
 import json
 import os
@@ -15,6 +16,18 @@
 
 REQUEST_ID = "X-Attempt-Id"
 NOT_RUN = "X-Not-Executed"
+NOISE = b"n" * 1000
+ENDLESS = {
+    "endless_noise": (b"", b"\x00\x81\xfe" * 300),
+    "endless_line": (b"HTTP/1.1 200 OK\r\nX-Noise: ", NOISE),
+    "endless_head": (b"HTTP/1.1 200 OK\r\n", b"X-Noise: " + NOISE + b"\r\n"),
+    "endless_interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+    "endless_body": (b"HEAD\r\n", NOISE),
+    "endless_chunks": (b"HEADTransfer-Encoding: chunked\r\n\r\n", b"3e8\r\n" + NOISE + b"\r\n"),
+    "endless_event": (b"HEAD\r\n", NOISE),
+    "endless_comments": (b"HEAD\r\n", b": noise\n\n"),
+    "endless_old": (b"HEAD\r\n", b"id: 1\ndata: token 1\n\n"),
+}  # what an answer begins with, and what then comes again and again; HEAD is a good answer's head
 DEADLY = re.compile(r"\[(crash|hang)=(\d+)\]")  # in a body: how, and after how many events
 
 
@@ -66,7 +79,12 @@
         Whether copies of other engines' runs are taken.
     fault : str
         What goes wrong with answers: ``shed``, ``lose``, ``wrong_id``, ``garbage``, ``unframed``,
-        ``reset_unframed``, ``encoded``, ``half_event``, ``fail`` or ``promise``; empty for nothing.
+        ``reset_unframed``, ``encoded``, ``half_event``, ``fail``, ``promise`` or a name of
+        ``ENDLESS``; empty for nothing.
+    report_fault : str
+        What goes wrong with reports: a name of ``ENDLESS``; empty for nothing.
+    noise_pause : float
+        Seconds between the pieces of an answer without end.
     says_leaving : str
         Which answers say that it leaves: ``all``, ``requests`` or none.
     pause : float
@@ -81,6 +99,8 @@
     copy_time: float = 0.05
     room: bool = True
     fault: str = ""
+    report_fault: str = ""
+    noise_pause: float = 0.0
     state: str = "ready"
     says_leaving: str = ""
     pause: float = 0.0
@@ -106,6 +126,19 @@
         if self.standin.says_leaving in ("all", self.kind):
             self.set_header("Server-Leaving", "1")
 
+    async def answer_for_ever(self, fault: str, run: Run) -> None:
+        """Write bytes without end, until the other side closes."""
+        begin, more = ENDLESS[fault]
+        head = f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {run.name}\r\nX-Server-Signature: s\r\n"
+        stream = self.request.connection.stream
+        self._finished = True
+        with contextlib.suppress(StreamClosedError):
+            await stream.write(begin.replace(b"HEAD", head.encode()))
+            while True:
+                await stream.write(more)
+                await asyncio.sleep(self.standin.noise_pause)
+        run.end = "cancelled"
+
 
 class Work(EngineHandler):
     """Any path: a caller's request."""
@@ -147,7 +180,9 @@
         run = Run(name, self.request.method, self.request.uri, headers, body)
         self.standin.runs.append(run)
         die_if_due(run)
-        if "X-Token-Counts" in self.request.headers:
+        if self.standin.fault in ENDLESS:
+            await self.answer_for_ever(self.standin.fault, run)
+        elif "X-Token-Counts" in self.request.headers:
             await self.generate(run)
         else:
             await self.answer(run)
@@ -328,10 +363,13 @@
 class Report(EngineHandler):
     """``GET /report``."""
 
-    def get(self) -> None:
+    async def get(self) -> None:
         """Return the load."""
         engine = self.standin
         engine.arrivals.append("GET /report")
+        if engine.report_fault:
+            await self.answer_for_ever(engine.report_fault, Run("report"))
+            return
         runs = [[run.name, run.made + 100, run.made, 5] for run in engine.runs if not run.end]
         self.finish(
             {
--- /dev/null
+++ b/tests/features/routed_endless.feature
@@ -0,0 +1,98 @@
+Feature: Bytes without end from a server in trouble are cut off, and the daemon stays as it was
+
+  # Guards against an answer that fills the daemon, or keeps it and the caller waiting for ever.
+  Scenario Outline: A call goes to another server where it may, and is cut off in any case
+    Given a platform store with document 5
+    And an engine "desk-1" of "desk" in "lagos"
+    And an engine "desk-2" of "desk" in "kano"
+    And a routed daemon "a" in "lagos"
+    When "desk-1" has fault "<fault>"
+    Then GET "/view/1" through "a" is answered 200 by "desk-2"
+    And POST "/book/1" through "a" is answered 502
+    And "desk-1" has no open run soon
+    And the peak memory of "a" is under 150 MB
+
+    Examples:
+      | fault           |
+      | endless_noise   |
+      | endless_line    |
+      | endless_head    |
+      | endless_interim |
+      | endless_body    |
+      | endless_chunks  |
+
+  Scenario Outline: A plan ends, with a head that came or without one
+    Given a platform store with document 5
+    And an engine "plan-1" of "planner" in "lagos"
+    And a routed daemon "a" in "lagos"
+    When "plan-1" has fault "<fault>"
+    And a plan of 20 events is asked for through "a" by a caller that waits 12 s
+    Then it has ended within <limit> s, and not as a whole answer
+    And "plan-1" has no open run soon
+    And the peak memory of "a" is under 150 MB
+
+    Examples:
+      | fault            | limit |
+      | endless_noise    | 5     |
+      | endless_head     | 5     |
+      | endless_interim  | 5     |
+      | endless_event    | 5     |
+      | endless_comments | 5     |
+      | endless_old      | 5     |
+
+  Scenario Outline: Bytes that trickle end with the caller's time
+    Given a platform store with document 5
+    And an engine "<engine>" of "<service>" in "lagos"
+    And a routed daemon "a" in "lagos"
+    When "<engine>" has fault "<fault>"
+    And "<engine>" sends a piece each 0.2 s
+    And <kind> of 20 events is asked for through "a" by a caller that waits 3 s
+    Then it has ended within 4 s, and not as a whole answer
+    And "<engine>" has no open run soon
+
+    Examples:
+      | engine | service | kind   | fault          |
+      | desk-1 | desk    | a call | endless_line   |
+      | desk-1 | desk    | a call | endless_body   |
+      | plan-1 | planner | a plan | endless_head   |
+      | plan-1 | planner | a plan | endless_event  |
+      | plan-1 | planner | a plan | endless_old    |
+
+  Scenario: Many such answers at once do not fill the daemon
+    Given a platform store with document 5
+    And an engine "desk-1" of "desk" in "lagos"
+    And an engine "plan-1" of "planner" in "lagos"
+    And a routed daemon "a" in "lagos"
+    When "desk-1" has fault "endless_body"
+    And 40 calls of "/book/1" are made at once through "a"
+    Then the peak memory of "a" is under 150 MB
+    And no call was answered 200
+    And another plan is served through "a"
+
+  # Guards against a load report that never ends, which kept its engine from being asked again.
+  Scenario Outline: Reports without end are given up, and asked for again
+    Given a platform store with document 5
+    And an engine "plan-1" of "planner" in "lagos"
+    And a routed daemon "a" in "lagos"
+    When "plan-1" reports with fault "<fault>" and a piece each <pause> s
+    Then reports are still asked of "plan-1" 4 s later
+    And the peak memory of "a" is under 150 MB
+
+    Examples:
+      | fault           | pause |
+      | endless_noise   | 0     |
+      | endless_interim | 0     |
+      | endless_body    | 0     |
+      | endless_body    | 0.3   |
+      | endless_line    | 0.3   |
+
+  Scenario: A stream is told from bytes without end, whatever its pace
+    Given a stream whose engine may send bytes for 1.5 s without a new event
+    Then it may send 200000 bytes over 30 s before its first event
+    When an event comes
+    Then it may pause for 30 s, and complete the next event in three pieces
+    And bytes that bring no event for 1.6 s end it
+
+  Scenario: The own interface gives up an engine whose bytes bring no event
+    Given an engine of the own protocol that sends comments without end
+    Then a stream from it is given up within 5 s
--- /dev/null
+++ b/tests/features/steps/routedendless_steps.py
@@ -0,0 +1,177 @@
+"""Steps about servers whose bytes do not end."""
+
+import asyncio
+import contextlib
+import http.client
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from behave import given, then, when
+from routed_steps import fleet_of
+from routedcrashes_steps import PATHS
+from routedparts_steps import Clock
+
+from papayacourse.engines import EngineStream
+from papayacourse.exceptions import BackendProtocolError
+from papayacourse.noise import Noise
+from papayacourse.types import GenerationRequest
+from standins.fleet import call, wait_until
+
+MEGABYTE = 1024  # kilobytes
+SOON = 5.0  # seconds
+
+
+def peak_memory(context, name) -> float:
+    """Return a process's peak resident memory, in megabytes."""
+    status = Path(f"/proc/{context.fleet.processes[name].popen.pid}/status").read_text()
+    line = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+    return int(line.split()[1]) / MEGABYTE
+
+
+@when('"{name}" sends a piece each {pause:g} s')
+def set_pause(context, name, pause):
+    context.fleet.admin(name, {"noise_pause": pause})
+
+
+@when('"{name}" reports with fault "{fault}" and a piece each {pause:g} s')
+def set_report_fault(context, name, fault, pause):
+    context.fleet.admin(name, {"report_fault": fault, "noise_pause": pause})
+
+
+@when('a {kind} of {count:d} events is asked for through "{name}" by a caller that waits {wait:g} s')  # noqa: E501  # fmt: skip
+def ask_and_wait(context, kind, count, name, wait):
+    routed = fleet_of(context)
+    headers = routed.headers(X_Time_Remaining=str(int(wait * 1000)))
+    if kind == "plan":
+        headers |= {"X-Model": "m", "X-Token-Counts": f"1000,{count}"}
+    context.status, context.whole = 0, False
+
+    def ask():
+        try:
+            answer = call(routed.address(name), "POST", PATHS[kind], b"x", headers)
+            context.status, context.whole = answer.status, True
+        except (OSError, http.client.HTTPException):
+            context.whole = False
+
+    context.began = time.monotonic()
+    context.asking = threading.Thread(target=ask, daemon=True)
+    context.asking.start()
+
+
+@then("it has ended within {limit:g} s, and not as a whole answer")
+def has_ended(context, limit):
+    context.asking.join(context.began + limit - time.monotonic())
+    assert not context.asking.is_alive(), "it goes on"
+    assert not context.whole or context.status >= 500, context.status
+
+
+@then('"{name}" has no open run soon')
+def no_open_run(context, name):
+    wait_until(
+        "its connections are closed",
+        lambda: all(run["end"] for run in fleet_of(context).runs(name)),
+        SOON,
+    )
+
+
+@then('the peak memory of "{name}" is under {limit:g} MB')
+def memory_under(context, name, limit):
+    peak = peak_memory(context, name)
+    assert peak < limit, peak
+
+
+@when('{count:d} calls of "{path}" are made at once through "{name}"')
+def many_calls(context, count, path, name):
+    routed = fleet_of(context)
+    with ThreadPoolExecutor(count) as pool:
+        asked = [pool.submit(routed.ask, name, "POST", path, b"x") for _ in range(count)]
+    context.statuses = [one.result().status for one in asked]
+
+
+@then("no call was answered 200")
+def none_served(context):
+    assert 200 not in context.statuses, context.statuses
+
+
+@then('reports are still asked of "{name}" {seconds:g} s later')
+def still_asked(context, name, seconds):
+    time.sleep(seconds)
+    before = context.fleet.counts(name)["arrivals"].count("GET /report")
+    wait_until(
+        "another report is asked for",
+        lambda: context.fleet.counts(name)["arrivals"].count("GET /report") > before,
+        SOON,
+    )
+
+
+# The parts, without processes.
+
+
+@given("a stream whose engine may send bytes for {patience:g} s without a new event")
+def make_noise(context, patience):
+    context.clock = Clock()
+    context.noise = Noise(patience, context.clock)
+
+
+@then("it may send {size:d} bytes over {seconds:g} s before its first event")
+def before_first(context, size, seconds):
+    for _ in range(10):
+        context.clock.now += seconds / 10
+        context.noise.note(size // 10, False)
+
+
+@when("an event comes")
+def event_comes(context):
+    context.noise.note(100, True)
+
+
+@then("it may pause for {seconds:g} s, and complete the next event in three pieces")
+def pause_and_go_on(context, seconds):
+    context.clock.now += seconds
+    for has_event in (False, False, True):
+        context.noise.note(10, has_event)
+        context.clock.now += 0.5
+
+
+@then("bytes that bring no event for {seconds:g} s end it")
+def noise_ends(context, seconds):
+    context.noise.note(1, False)
+    context.clock.now += seconds
+    try:
+        context.noise.note(1, False)
+    except BackendProtocolError:
+        return
+    raise AssertionError("it goes on")
+
+
+@given("an engine of the own protocol that sends comments without end")
+def own_engine(context):
+    async def serve_noise(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
+        with contextlib.suppress(OSError):
+            while True:
+                writer.write(b": noise\n\n" * 100)
+                await writer.drain()
+
+    context.serve_noise = serve_noise
+
+
+@then("a stream from it is given up within {seconds:g} s")
+def given_up(context, seconds):
+    async def read():
+        async with await asyncio.start_server(context.serve_noise, "127.0.0.1", 0) as server:
+            port = server.sockets[0].getsockname()[1]
+            request = GenerationRequest("s", "t", "planner", "x", "p", 10, 10, 0)
+            async with asyncio.timeout(seconds):
+                async with EngineStream(f"127.0.0.1:{port}", request) as stream:
+                    async for _ in stream.batches():
+                        raise AssertionError("an event came")
+
+    try:
+        asyncio.run(read())
+    except BackendProtocolError:
+        return
+    raise AssertionError("it was not given up")
