Bound the memory of all answers that are read whole together

Seen by operators: forty calls to a server whose bodies did not end took a daemon to 380 MB, on hosts that have 150: it would have been killed, and all its streams with it.

Cause: each answer was bounded (8 MB), all of them together were not. Requests have had such a bound.

Change: routed.answerroom: 32 MB for all answers that are read whole, from the first byte until the caller has the last; one that finds no room counts as lost, and its connection is closed at once.

Evidence: 'Many such answers at once do not fill the daemon' failed before (380 MB); it passes now.

--- a/papayacourse/routed/fleetview.py
+++ b/papayacourse/routed/fleetview.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable, Iterator
 
-from attrs import define
+from attrs import define, field
 
 from papayacourse import logs
 from papayacourse.exceptions import BackendError
@@ -12,6 +12,7 @@
 from papayacourse.meshmessages import ServiceLoad
 from papayacourse.placement import Placement
 from papayacourse.routed.admitted import Admitted
+from papayacourse.routed.answerroom import AnswerRoom
 from papayacourse.routed.budget import FleetBudget
 from papayacourse.routed.deaths import ServerDeaths
 from papayacourse.routed.derived import TEAM
@@ -36,6 +37,8 @@
         Returns what the engines of a model service can do.
     notices : EngineNotices
         What engines have said of themselves, which the list may not tell yet.
+    answers : AnswerRoom
+        The memory for answers that are read whole.
     deaths : ServerDeaths
         Watches runs, and finds out which servers end under them.
     """
@@ -49,6 +52,7 @@
     deaths: ServerDeaths
     note_first_event: Callable[[Admitted], None]
     shape: Callable[[str], EngineShape]
+    answers: AnswerRoom = field(factory=AnswerRoom)
 
     @property
     def here(self) -> Place:
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -166,12 +166,13 @@
 
     async def _call(self, exchange: Exchange, admitted: Admitted) -> None:
         hosts = list(self.fleet.servers(admitted.service))
-        call = PlainCall(
-            admitted, self.fleet.codec, self.choice, self.fleet.notices, self.fleet.deaths,
-            self.fleet.budget, hosts,
-        )  # fmt: skip
-        answer = await call.run()
-        await exchange.answer(answer.status, answer.headers, answer.body)
+        with self.fleet.answers.share() as share:
+            call = PlainCall(
+                admitted, self.fleet.codec, self.choice, self.fleet.notices, self.fleet.deaths,
+                self.fleet.budget, hosts, share,
+            )  # fmt: skip
+            answer = await call.run()
+            await exchange.answer(answer.status, answer.headers, answer.body)
 
     async def _generate(self, exchange: Exchange, outcome: "Outcome", service: Service) -> None:
         admitted = outcome.admitted
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -30,7 +30,6 @@
 from papayacourse.types import GenerationRequest, Host, Ran
 
 MAX_PLACES = 4  # engines tried before the first has taken the request
-MAX_ANSWER_BYTES = 8 * 1024 * 1024
 RESUME_HEAD = 1.5  # seconds that an engine may take to continue a run
 STALL_GAPS = 8.0  # longest good pauses after which a silent engine is taken for lost
 MIN_STALL = 1.0  # seconds
@@ -250,8 +249,9 @@
         """Pass on an engine's failure, or take it for a broken stream if that has begun."""
         if self.exchange.begun or (call.status >= SERVER_ERROR and self._may_run_anew()):
             raise MayHaveRun(f"{self.engine.name} answered {call.status}")
-        body = await read_whole(call, MAX_ANSWER_BYTES, self.admitted.time_left())
-        await self.exchange.answer(call.status, headers, body)
+        with self.fleet.answers.share() as share:
+            body = await read_whole(call, share, self.admitted.time_left())
+            await self.exchange.answer(call.status, headers, body)
 
     async def _pass_on(self, headers: HTTPHeaders, event: bytes) -> None:
         event_id = self.fleet.codec.event_id(event)
--- a/papayacourse/routed/plaincall.py
+++ b/papayacourse/routed/plaincall.py
@@ -8,6 +8,7 @@
 from papayacourse import logs
 from papayacourse.exceptions import BackendGone, BackendUnreachable, RequestRefused
 from papayacourse.routed.admitted import Admitted
+from papayacourse.routed.answerroom import AnswerShare
 from papayacourse.routed.budget import FleetBudget
 from papayacourse.routed.choice import ServerChoice
 from papayacourse.routed.deaths import ServerDeaths
@@ -17,7 +18,6 @@
 from papayacourse.routed.sending import MayHaveRun, NotRun, left_alone, open_call, read_whole
 from papayacourse.types import Host, Ran
 
-MAX_ANSWER_BYTES = 8 * 1024 * 1024
 MAX_SENDS = 4  # servers tried for one request, but those where nobody listens
 FIRST_TRY = 0.5  # part of the time left after which a repeatable request is sent elsewhere
 SERVER_ERROR = 500  # the least status of a failure of the server itself
@@ -40,6 +40,8 @@
 
     Attributes
     ----------
+    share : AnswerShare
+        The room for its answer.
     ran : set of str
         The servers that may have run it.
     tried : set of str
@@ -59,6 +61,7 @@
     deaths: ServerDeaths
     budget: FleetBudget
     hosts: list[Host]
+    share: AnswerShare
     ran: set[str] = field(factory=set)
     tried: set[str] = field(factory=set)
     sends: int = 0
@@ -153,7 +156,7 @@
         async with self.deaths.watching(host, self.admitted.fingerprint) as run:
             exchange = await open_call(self.codec, self.notices, call, dispatch, limit)
             run.heard()
-            body = await read_whole(exchange, MAX_ANSWER_BYTES, self.admitted.time_left())
+            body = await read_whole(exchange, self.share, self.admitted.time_left())
         headers = self.codec.answer_headers(exchange.headers)
         return Answer(exchange.status, headers, body)
 
--- a/papayacourse/routed/sending.py
+++ b/papayacourse/routed/sending.py
@@ -13,6 +13,7 @@
     RequestRefused,
 )
 from papayacourse.httpcall import HttpCall
+from papayacourse.routed.answerroom import AnswerShare
 from papayacourse.routed.notices import EngineNotices
 from papayacourse.routed.seams import Call, Dispatch, RequestCodec
 from papayacourse.types import Address
@@ -81,11 +82,16 @@
     return exchange
 
 
-async def read_whole(exchange: HttpCall, limit: int, time_left: float) -> bytes:
-    """Return the whole body; raises MayHaveRun when it does not come."""
+async def read_whole(exchange: HttpCall, share: AnswerShare, time_left: float) -> bytes:
+    """Return the whole body; raises MayHaveRun when it does not come, or does not fit."""
+    share.release()
+    parts: list[bytes] = []
     try:
         async with asyncio.timeout(max(time_left, 0.0)):
-            return await exchange.read(limit)
+            async for chunk in exchange.chunks():
+                share.take(len(chunk))
+                parts.append(chunk)
+        return b"".join(parts)
     except (BackendError, TimeoutError) as error:
         raise MayHaveRun(str(error) or "no whole answer in time") from error
     finally:
