Never say that a generation has not run once an engine has been sent it

Seen by callers: a plan whose engine had been sent it and was silent until the caller's time was over was answered 503, ran: no; so was one that its engine had run and failed with a 503 of its own. Callers send such a request again: it could have run twice.

Cause: what had been sent was noted only once a head had come or the connection had broken; the time-out of the whole request came between. Plain calls refused to pass on a false promise, generations did not.

Change: a generation notes that it is sent when its connection stands, until the engine says that it did not run it; the rule about statuses stands once, for both. Ruled out: plain calls (their time-out is their send's own).

Evidence: 'What an engine has been sent is not called "not run"', both examples, failed before.

--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -25,7 +25,13 @@
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.placing import Placing
 from papayacourse.routed.seams import Dispatch, Resume
-from papayacourse.routed.sending import MayHaveRun, NotRun, open_call, read_whole
+from papayacourse.routed.sending import (
+    MayHaveRun,
+    NotRun,
+    open_call,
+    read_whole,
+    refuse_false_promise,
+)
 from papayacourse.routed.standby import Standby
 from papayacourse.types import GenerationRequest, Host, Ran
 
@@ -61,6 +67,10 @@
         The id of the last event passed on; empty before the first.
     events : int
         Events passed on.
+    ran : bool
+        Whether an engine may have begun to work on it.
+    is_sent : bool
+        Whether the present engine has been sent it, and has not said what comes of it.
     unmovable : bool
         Whether a move from its present engine has failed.
     runs : int
@@ -82,6 +92,7 @@
     events: int = 0
     first_at: float = 0.0
     ran: bool = False
+    is_sent: bool = False
     unmovable: bool = False
     resumes: int = 0
     runs: int = 0
@@ -139,7 +150,7 @@
         except TimeoutError as error:
             if self.exchange.begun:
                 raise StreamBroken("the time for the answer is over") from error
-            status = 504 if self.ran else 503
+            status = 504 if self._may_have_run() else 503
             raise self._refusal(status, "too_late", "no answer in time") from error
         finally:
             await self._finish()
@@ -163,6 +174,7 @@
             try:
                 return await self._follow(None, self.admitted.time_left())
             except (BackendUnreachable, NotRun) as error:
+                self.is_sent = False
                 why = str(error)
                 outcome = "gone" if isinstance(error, BackendGone) else "failed"
                 arrived = arrived or isinstance(error, NotRun)
@@ -207,7 +219,15 @@
 
     async def _open(self, dispatch: Dispatch, head_limit: float) -> HttpCall:
         fleet = self.fleet
-        return await open_call(fleet.codec, fleet.notices, self.admitted.call, dispatch, head_limit)
+        return await open_call(
+            fleet.codec, fleet.notices, self.admitted.call, dispatch, head_limit, self._note_sent
+        )
+
+    def _note_sent(self) -> None:
+        self.is_sent = True
+
+    def _may_have_run(self) -> bool:
+        return self.ran or self.is_sent
 
     def _watching(self) -> AbstractAsyncContextManager[WatchedRun]:
         """Watch what becomes of the engine while it runs this request."""
@@ -249,6 +269,7 @@
         """Pass on an engine's failure, or take it for a broken stream if that has begun."""
         if self.exchange.begun or (call.status >= SERVER_ERROR and self._may_run_anew()):
             raise MayHaveRun(f"{self.engine.name} answered {call.status}")
+        refuse_false_promise(call.status)
         with self.fleet.answers.share() as share:
             body = await read_whole(call, share, self.admitted.time_left())
             await self.exchange.answer(call.status, headers, body)
@@ -344,8 +365,9 @@
         return self._refusal(502, "engine_lost", why)
 
     def _refusal(self, status: int, reason: str, detail: str) -> RequestRefused:
-        ran = Ran.UNKNOWN if self.ran else Ran.NO
-        return RequestRefused(status, reason, detail, ran, None if self.ran else RETRY_AFTER)
+        if self._may_have_run():
+            return RequestRefused(status, reason, detail, Ran.UNKNOWN)
+        return RequestRefused(status, reason, detail, Ran.NO, RETRY_AFTER)
 
     def _log_failed(self, why: str) -> None:
         logs.info(
--- a/papayacourse/routed/plaincall.py
+++ b/papayacourse/routed/plaincall.py
@@ -15,14 +15,20 @@
 from papayacourse.routed.document import Repeat
 from papayacourse.routed.notices import EngineNotices
 from papayacourse.routed.seams import Dispatch, RequestCodec
-from papayacourse.routed.sending import MayHaveRun, NotRun, left_alone, open_call, read_whole
+from papayacourse.routed.sending import (
+    MayHaveRun,
+    NotRun,
+    left_alone,
+    open_call,
+    read_whole,
+    refuse_false_promise,
+)
 from papayacourse.types import Host, Ran
 
 MAX_SENDS = 4  # servers tried for one request, but those where nobody listens
 FIRST_TRY = 0.5  # part of the time left after which a repeatable request is sent elsewhere
 SERVER_ERROR = 500  # the least status of a failure of the server itself
 RETRY_AFTER = 0.3  # seconds; a place comes free in much less
-PROMISES = frozenset({408, 421, 429, 503})  # statuses that say that a request has not run
 
 
 @define
@@ -139,9 +145,7 @@
         if answer.status < SERVER_ERROR:
             return answer
         if self.admitted.route.repeat != Repeat.SAFE:
-            if answer.status in PROMISES:
-                # It ran, so this status may not be passed on.
-                raise RequestRefused(502, "server_failed", "the server failed", Ran.YES)
+            refuse_false_promise(answer.status)
             return answer
         self.failure = answer
         self.lost = f"{host.name} answered {answer.status}"
--- a/papayacourse/routed/sending.py
+++ b/papayacourse/routed/sending.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from papayacourse.exceptions import (
     BackendError,
@@ -16,9 +17,10 @@
 from papayacourse.routed.answerroom import AnswerShare
 from papayacourse.routed.notices import EngineNotices
 from papayacourse.routed.seams import Call, Dispatch, RequestCodec
-from papayacourse.types import Address
+from papayacourse.types import Address, Ran
 
 RETURN_SLACK = 0.4  # seconds after the end of a pause over which callers return
+PROMISES = frozenset({408, 421, 429, 503})  # statuses that say that a request has not run
 CONNECT_TIMEOUT = 0.4  # seconds; a handshake takes 30 ms between regions
 
 
@@ -36,20 +38,29 @@
     return isinstance(error, silence) or isinstance(error.__cause__, silence)
 
 
+def refuse_false_promise(status: int) -> None:
+    """Refuse with another status what ran and whose status says that it did not."""
+    if status in PROMISES:
+        raise RequestRefused(502, "server_failed", "the server failed", Ran.YES)
+
+
 def connect_limit(time_left: float) -> float:
     """Return how long a connection may take to be made, in seconds."""
     return max(0.01, min(CONNECT_TIMEOUT, time_left))
 
 
 async def open_call(
-    codec: RequestCodec, notices: EngineNotices, call: Call, dispatch: Dispatch, head_limit: float
-) -> HttpCall:
+    codec: RequestCodec, notices: EngineNotices, call: Call, dispatch: Dispatch, head_limit: float,
+    before_send: Callable[[], None] = lambda: None,
+) -> HttpCall:  # fmt: skip
     """Send a request and return the exchange once the answer's head has come.
 
     Parameters
     ----------
     head_limit : float
         How long to wait for the head, in seconds.
+    before_send : callable, optional
+        Called once connected, before anything is sent.
 
     Raises
     ------
@@ -64,6 +75,7 @@
         Address.parse(dispatch.engine.address), call.method, call.target,
         codec.headers(call, dispatch), call.body,
         connect_timeout=connect_limit(dispatch.time_left), idle_timeout=max(head_limit, 0.01),
+        before_send=before_send,
     )  # fmt: skip
     try:
         await exchange.__aenter__()
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -28,6 +28,8 @@
     "endless_comments": (b"HEAD\r\n", b": noise\n\n"),
     "endless_old": (b"HEAD\r\n", b"id: 1\ndata: token 1\n\n"),
 }  # what an answer begins with, and what then comes again and again; HEAD is a good answer's head
+FAILURES = {"fail": 500, "promise": 503}  # the status of a generation that ran and failed
+MUTE_TIME = 60.0  # seconds
 DEADLY = re.compile(r"\[(crash|hang)=(\d+)\]")  # in a body: how, and after how many events
 
 
@@ -79,8 +81,8 @@
         Whether copies of other engines' runs are taken.
     fault : str
         What goes wrong with answers: ``shed``, ``lose``, ``wrong_id``, ``garbage``, ``unframed``,
-        ``reset_unframed``, ``encoded``, ``half_event``, ``fail``, ``promise`` or a name of
-        ``ENDLESS``; empty for nothing.
+        ``reset_unframed``, ``encoded``, ``half_event``, ``fail``, ``promise``, ``mute`` or
+        a name of ``ENDLESS``; empty for nothing.
     report_fault : str
         What goes wrong with reports: a name of ``ENDLESS``; empty for nothing.
     noise_pause : float
@@ -238,12 +240,15 @@
 
     async def generate(self, run: Run) -> None:
         """Stream events, from where a copy ends if there is one."""
-        if self.standin.fault == "fail":
+        if self.standin.fault in FAILURES:
             run.end = "failed"
             self.sign()
-            self.set_status(500)
+            self.set_status(FAILURES[self.standin.fault])
             self.finish()
             return
+        if self.standin.fault == "mute":
+            await asyncio.sleep(MUTE_TIME)
+            return
         origin = run.headers.get("Kv-From")
         if origin is not None and not self.take_copy(run, origin.rpartition("/")[2]):
             self.standin.runs.remove(run)
--- a/tests/features/routed.feature
+++ b/tests/features/routed.feature
@@ -81,3 +81,15 @@
     Then the log of "a" has a line "request ended" for it with reason "no_route" and the document's version and age
     And the metrics of "a" count requests by route, account and end
     And "papayacourse explain" tells it from the log of "a" with "no_route"
+
+  # Guards against "not run" being said of a plan that an engine has.
+  Scenario Outline: What an engine has been sent is not called "not run"
+    Given an engine "plan-1" of "planner" in "lagos"
+    When "plan-1" has fault "<fault>"
+    Then a plan of a caller with 1500 ms through "a" is answered <status> with ran "<ran>"
+    And "plan-1" has run it
+
+    Examples:
+      | fault   | status | ran     |
+      | mute    | 504    | unknown |
+      | promise | 502    | yes     |
--- a/tests/features/steps/routedrequests_steps.py
+++ b/tests/features/steps/routedrequests_steps.py
@@ -159,3 +159,21 @@
         return [run["end"] for run in fleet_of(context).runs(engine)] == ["cancelled"]
 
     wait_until("the call is cancelled", cancelled, seconds)
+
+
+@then('a plan of a caller with {patience:d} ms through "{name}" is answered {status:d} with ran "{ran}"')  # noqa: E501  # fmt: skip
+def plan_answered(context, patience, name, status, ran):
+    headers = {"X_Model": "m", "X_Token_Counts": "1000,50", "X_Time_Remaining": str(patience)}
+    routed = fleet_of(context)
+    # The daemon may have to hear of the engine first.
+    wait_until(
+        "the engine is listed",
+        lambda: any("plan-1" in line["server"] for line in routed.lines(name, "server listed")),
+    )
+    answer = routed.ask(name, "POST", "/plans/1", b"x", **headers)
+    assert (answer.status, answer.json["ran"]) == (status, ran), answer.body
+
+
+@then('"{engine}" has run it')
+def has_run_it(context, engine):
+    assert fleet_of(context).runs(engine)
