Count servers that end under a plain call in the own interface, too

Seen by callers: a call, repeatable or not, that crashes the plain service it runs on took down all five services of a deployment in six tries.

Cause: as on the routed path, only generations gave strikes and asked the quarantine.

Change: routed.deaths becomes deaths, used by both interfaces; Guard stands between one request and the servers. A condemned call is refused with 422, ran: no, before its record is written or with the intent withdrawn, and an answer that is recorded already is still given. Servers are passed on as hosts instead of bare addresses. The routed path's MayHaveRun is the project's BackendAnswerLost now.

--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -19,6 +19,7 @@
 from papayacourse.catalog import Catalog, Client
 from papayacourse.config import DaemonConfig
 from papayacourse.cursor import CursorSigner
+from papayacourse.deaths import ServerDeaths
 from papayacourse.enginelist import permitted
 from papayacourse.enginereader import EngineReader
 from papayacourse.exceptions import RequestRefused
@@ -40,7 +41,7 @@
 from papayacourse.streams import Relay
 from papayacourse.targets import Targets
 from papayacourse.tasks import BackgroundTasks, cancel_all
-from papayacourse.types import Address, GenerationRequest, HostKind
+from papayacourse.types import Address, GenerationRequest, Host, HostKind
 from papayacourse.version import __version__
 from papayacourse.watch import SettingsWatch
 
@@ -119,6 +120,9 @@
             WeightBudget(config.weight_rate),
             self.scheduling.drain,
         )
+        self.deaths = ServerDeaths(
+            self.quarantine, lambda: self.membership.hosts, self.membership.is_leaving
+        )
         self.once = OnceRouter(self.records, self.membership, self.peers, self)
         mesh = await stack.enter_async_context(self.peers.listening(config.mesh))
         advertised = str(config.advertise_mesh or mesh)
@@ -131,6 +135,7 @@
             *self.mesh.work(),
             self.engine_reader.run(),
             self.orders.run(),
+            self.deaths.run(),
         ):
             self.tasks.spawn(work)
         self.lifecycle.listen_for_signals()
@@ -244,8 +249,8 @@
         finally:
             self.joins.remove(relay)
 
-    def plain_addresses(self, team: str, service: str) -> list[str]:
-        """Return the addresses of a plain service's backend servers, this domain's first."""
+    def plain_servers(self, team: str, service: str) -> list[Host]:
+        """Return a plain service's backend servers, this domain's first."""
         hosts = [
             host
             for deployment in self.catalog.deployments(team, service)
@@ -255,7 +260,7 @@
         hosts.sort(
             key=lambda host: (host.domain != self.config.domain, host.region != self.config.region)
         )
-        return [host.address for host in hosts]
+        return hosts
 
     def is_operator(self, authorization: str) -> bool:
         """Tell whether a header carries the mesh key."""
--- a/papayacourse/routed/deaths.py
+++ b/papayacourse/deaths.py
@@ -2,16 +2,26 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from papayacourse import logs
-from papayacourse.exceptions import BackendGone, BackendLinkLost, BackendUnreachable
+from papayacourse.exceptions import (
+    BackendAnswerLost,
+    BackendError,
+    BackendGone,
+    BackendLinkLost,
+    BackendProtocolError,
+    BackendSilent,
+    BackendUnanswered,
+    BackendUnreachable,
+)
+from papayacourse.hostlist import HostListing
 from papayacourse.httpcall import connect
 from papayacourse.quarantine import Quarantine
-from papayacourse.routed.sending import MayHaveRun, is_silence
+from papayacourse.ticks import next_tick
 from papayacourse.types import Address, Host, HostState
 
 PROBE_TIMEOUT = 0.2  # seconds that a server may take to accept a connection
@@ -20,6 +30,8 @@
 LISTING_LAG = 6.0  # seconds in which a server that has ended without a word leaves the list
 SIGN_OF_LIFE = 1.0  # seconds for which what a server has sent shows that it lives
 KEPT = 120.0  # seconds for which it is remembered why a server has gone
+LOOK_INTERVAL = 0.25  # seconds
+SERVER_ERROR = 500  # the least status of a failure of the server itself
 MAX_LOST_RUNS = 1000  # of one server, kept until it is known what became of it
 
 
@@ -31,20 +43,33 @@
     ----------
     heard_at : float
         When the server last sent something of it, in seconds of the clock.
+    has_ended_well : bool
+        Whether the server has brought it to its end.
     """
 
     clock: Callable[[], float]
     heard_at: float = float("-inf")
+    has_ended_well: bool = False
 
     def heard(self) -> None:
         """Note that the server has just sent something."""
         self.heard_at = self.clock()
 
+    def answered(self, status: int) -> None:
+        """Note that a whole answer has come; a failure of the server shows nothing."""
+        self.has_ended_well = status < SERVER_ERROR
+
     def is_silent(self) -> bool:
         """Tell whether nothing has come lately."""
         return self.clock() - self.heard_at > SIGN_OF_LIFE
 
 
+def is_silence(error: BackendError) -> bool:
+    """Tell whether a run was lost because nothing came any more, rather than by a break."""
+    silence = (BackendSilent, BackendUnanswered, TimeoutError)
+    return isinstance(error, silence) or isinstance(error.__cause__, silence)
+
+
 async def is_deserted(server: Host) -> bool:
     """Tell whether nobody listens at a server's address."""
     for pause in PROBE_PAUSES:
@@ -69,8 +94,8 @@
 
     Attributes
     ----------
-    listed : callable
-        Returns a listed server by its name, or None.
+    listing : callable
+        Returns the newest host list.
     says_it_leaves : callable
         Tells by a server's name whether it has said that it leaves.
     is_deserted : callable
@@ -81,18 +106,21 @@
         The servers whose end was announced, and when that was last seen.
     dead : dict of str to float
         The servers that were found to have ended without a word, and when.
+    looked_at : HostListing or None
+        The list that was taken last.
     looking : dict of str to asyncio.Task
         What finds out whether a server has ended, by server; one answers all who ask.
     """
 
     quarantine: Quarantine
-    listed: Callable[[str], Host | None]
+    listing: Callable[[], HostListing]
     says_it_leaves: Callable[[str], bool]
     is_deserted: Callable[[Host], Awaitable[bool]] = is_deserted
     clock: Callable[[], float] = time.monotonic
     lost: dict[str, dict[str, float]] = field(factory=dict)
     gone: dict[str, float] = field(factory=dict)
     dead: dict[str, float] = field(factory=dict)
+    looked_at: HostListing | None = None
     looking: dict[str, asyncio.Task] = field(factory=dict)
 
     @asynccontextmanager
@@ -101,7 +129,9 @@
         run = WatchedRun(self.clock)
         try:
             yield run
-        except (MayHaveRun, BackendLinkLost) as error:
+            if run.has_ended_well:
+                await self._survived(fingerprint)
+        except (BackendAnswerLost, BackendLinkLost, BackendProtocolError) as error:
             if is_silence(error):
                 self._note_silent(server, fingerprint)
             else:
@@ -119,6 +149,10 @@
 
     # Queries.
 
+    def listed(self, name: str) -> Host | None:
+        """Return a listed server by its name."""
+        return self.listing().by_name.get(name)
+
     def is_announced(self, server: Host) -> bool:
         """Tell whether a server's end is its own doing or its operator's."""
         listed = self.listed(server.name) or server
@@ -127,21 +161,30 @@
 
     # Commands.
 
-    async def survived(self, fingerprint: str) -> None:
+    async def run(self) -> None:
+        """Look at the list again and again, for ever."""
+        while True:
+            await next_tick(LOOK_INTERVAL)
+            self.look()
+
+    async def _survived(self, fingerprint: str) -> None:
         """Take a request for harmless: a server has brought it to its end."""
         for runs in self.lost.values():
             runs.pop(fingerprint, None)
         await self.quarantine.absolve(fingerprint)
 
-    def take_list(self, hosts: Iterable[Host]) -> None:
+    def _take_list(self, listing: HostListing) -> None:
         """Note which servers are listed as leaving."""
-        now = self.clock()
-        leaving = {host.name: now for host in hosts if host.state != HostState.LIVE}
+        now, self.looked_at = self.clock(), listing
+        leaving = {host.name: now for host in listing.hosts if host.state != HostState.LIVE}
         self.gone = {n: at for n, at in self.gone.items() if now - at < KEPT} | leaving
         self.dead = {name: at for name, at in self.dead.items() if now - at < KEPT}
 
     def look(self) -> None:
         """Decide about lost runs, as far as the list tells by now."""
+        listing = self.listing()
+        if listing is not self.looked_at:
+            self._take_list(listing)
         now = self.clock()
         for name in list(self.lost):
             self._look_at(name, now)
@@ -195,3 +238,29 @@
         if requests:
             logs.warning("server ended", server=name, why=why, requests=len(requests))
             self.quarantine.strike(name, requests)
+
+
+@frozen
+class Guard:
+    """What stands between one request and the servers.
+
+    Attributes
+    ----------
+    fingerprint : str
+        What the request is recognised by.
+    """
+
+    deaths: ServerDeaths
+    fingerprint: str
+
+    def check(self) -> None:
+        """Refuse a request under which too many servers have ended; raises RequestRefused."""
+        self.deaths.quarantine.check(self.fingerprint)
+
+    def is_condemned(self) -> bool:
+        """Tell whether too many servers have ended under it."""
+        return self.deaths.quarantine.is_condemned(self.fingerprint)
+
+    def watching(self, server: Host) -> AbstractAsyncContextManager[WatchedRun]:
+        """Watch its run on a server."""
+        return self.deaths.watching(server, self.fingerprint)
--- a/papayacourse/exceptions.py
+++ b/papayacourse/exceptions.py
@@ -140,6 +140,10 @@
     """The backend server began its answer and then went silent."""
 
 
+class BackendAnswerLost(BackendError):
+    """A request was sent, and no answer that belongs to it came: it may have run."""
+
+
 class BackendProtocolError(BackendError):
     """The backend server sent something that does not belong to the request."""
 
--- a/papayacourse/once.py
+++ b/papayacourse/once.py
@@ -11,14 +11,15 @@
 from papayacourse import logs
 from papayacourse.buckets import bucket_of, bucket_prefix, key_hash
 from papayacourse.callmessages import CallAnswer, CallRefused, RunOnce
+from papayacourse.deaths import Guard, ServerDeaths
 from papayacourse.exceptions import PeerError, RequestRefused
 from papayacourse.membership import Membership
 from papayacourse.meshmessages import Hello
 from papayacourse.peers import Peers
-from papayacourse.plain import PlainCall
+from papayacourse.plain import PlainCall, fingerprint_of
 from papayacourse.records import Records
 from papayacourse.settings import ServiceSettings
-from papayacourse.types import Ran
+from papayacourse.types import Host, Ran
 
 MAX_ROUTED_BYTES = 256 * 1024  # of a call's body; a longer one runs where it came in
 MAX_ROUTED_ANSWER = 1024 * 1024  # bytes
@@ -44,8 +45,10 @@
 class Here(Protocol):
     """What the daemon tells about services."""
 
-    def plain_addresses(self, team: str, service: str) -> list[str]:
-        """Return the addresses of a plain service's backend servers."""
+    deaths: ServerDeaths
+
+    def plain_servers(self, team: str, service: str) -> list[Host]:
+        """Return a plain service's backend servers."""
 
     def working(self, duty: str):
         """Count work for another daemon."""
@@ -145,7 +148,8 @@
             key.team,
             key_hash(key.team, key.service, key.account, key.key),
             call,
-            self.here.plain_addresses(key.team, key.service),
+            self.here.plain_servers(key.team, key.service),
+            Guard(self.here.deaths, fingerprint_of(key.team, key.service, key.account, call)),
             settings,
         )
 
--- a/papayacourse/plain.py
+++ b/papayacourse/plain.py
@@ -3,10 +3,12 @@
 import asyncio
 from collections.abc import Callable
 
+import xxhash
 from attrs import frozen
 from tornado.httputil import HTTPHeaders
 
 from papayacourse.callmessages import CallAnswer
+from papayacourse.deaths import Guard
 from papayacourse.exceptions import (
     BackendError,
     BackendLinkLost,
@@ -14,8 +16,7 @@
     BackendUnreachable,
 )
 from papayacourse.httpcall import HttpCall
-from papayacourse.retries import RetryBudget
-from papayacourse.types import Address
+from papayacourse.types import Address, Host
 
 CONNECT_TIMEOUT = 1.0  # seconds
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
@@ -50,6 +51,14 @@
     body: bytes
 
 
+def fingerprint_of(team: str, service: str, account: str, call: PlainCall) -> str:
+    """Return what a call is recognised by when it is made again."""
+    text = f"{team}\0{service}\0{account}\0{call.method} {call.path}\0"
+    hashed = xxhash.xxh3_128(text.encode())
+    hashed.update(call.body)
+    return hashed.hexdigest()
+
+
 def passed_on(headers: HTTPHeaders) -> tuple[tuple[str, str], ...]:
     """Return the headers that go through, repeated ones kept apart."""
     return tuple((name, v) for name, v in headers.get_all() if name.lower() not in HOP_HEADERS)
@@ -66,7 +75,11 @@
 
 
 async def forward(
-    address: str, call: PlainCall, timeout: float, before_send: Callable[[], None] = check_nothing
+    server: Host,
+    call: PlainCall,
+    timeout: float,
+    guard: Guard,
+    before_send: Callable[[], None] = check_nothing,
 ) -> CallAnswer:
     """Make the call and return the whole answer.
 
@@ -74,6 +87,8 @@
     ----------
     timeout : float
         The longest the call may take, in seconds.
+    guard : Guard
+        Watches the run, so that its server's end is counted against the call.
     before_send : callable
         Called once connected; raises BackendUnreachable when the call may not be sent any more.
 
@@ -87,51 +102,59 @@
     headers = HTTPHeaders()
     for name, value in call.headers:
         headers.add(name, value)
+    address = server.address
     exchange = HttpCall(
         Address.parse(address), call.method, call.path, headers, call.body,
         connect_timeout=CONNECT_TIMEOUT, idle_timeout=timeout, before_send=before_send,
     )  # fmt: skip
-    try:
-        async with asyncio.timeout(timeout), exchange:
-            body = await exchange.read(MAX_ANSWER_BYTES)
-    except TimeoutError as error:
-        raise BackendLinkLost(f"{address} did not answer in {timeout} s") from error
-    if not has_expected_id(call, exchange.headers):
-        raise BackendProtocolError(f"{address} sent the answer to another request")
+    async with guard.watching(server) as run:
+        try:
+            async with asyncio.timeout(timeout), exchange:
+                body = await exchange.read(MAX_ANSWER_BYTES)
+        except TimeoutError as error:
+            raise BackendLinkLost(f"{address} did not answer in {timeout} s") from error
+        if not has_expected_id(call, exchange.headers):
+            raise BackendProtocolError(f"{address} sent the answer to another request")
+        run.answered(exchange.status)
     return CallAnswer(exchange.status, passed_on(exchange.headers), body)
 
 
 async def forward_to_any(
-    addresses: list[str],
+    servers: list[Host],
     call: PlainCall,
     timeout: float,
+    guard: Guard,
     before_send: Callable[[], None] = check_nothing,
 ) -> CallAnswer:
-    """Make the call at the first address that can be connected to."""
+    """Make the call at the first server that can be connected to."""
     last: BackendError = BackendUnreachable("no backend server is in service")
-    for address in addresses:
+    for server in servers:
         try:
-            return await forward(address, call, timeout, before_send)
+            return await forward(server, call, timeout, guard, before_send)
         except BackendUnreachable as error:
             last = error
     raise last
 
 
 async def forward_repeatable(
-    addresses: list[str], call: PlainCall, timeout: float, budget: RetryBudget
+    servers: list[Host],
+    call: PlainCall,
+    timeout: float,
+    guard: Guard,
+    may_repeat: Callable[[], bool],
 ) -> CallAnswer:
     """Make a call that may run twice if its method is idempotent.
 
-    One that may have been sent is made again, at the next address, only if HTTP calls its method
-    idempotent and the budget allows it.
+    One that may have been sent is made again, at the next server, only if HTTP calls its method
+    idempotent and ``may_repeat`` allows it.
     """
     last: BackendError = BackendUnreachable("no backend server is in service")
     may_have_run: BackendError | None = None
-    for address in addresses:
-        if may_have_run and not budget.take():
+    for server in servers:
+        if may_have_run and not may_repeat():
             break
         try:
-            return await forward(address, call, timeout)
+            return await forward(server, call, timeout, guard)
         except BackendUnreachable as error:
             last = error
         except BackendLinkLost as error:
--- a/papayacourse/plaincalls.py
+++ b/papayacourse/plaincalls.py
@@ -4,9 +4,16 @@
 
 from papayacourse.callmessages import CallAnswer
 from papayacourse.catalog import Client
+from papayacourse.deaths import Guard
 from papayacourse.exceptions import BackendError, BackendUnreachable, RequestRefused
 from papayacourse.once import CallerKey
-from papayacourse.plain import REQUEST_ID, PlainCall, forward_repeatable, passed_on
+from papayacourse.plain import (
+    REQUEST_ID,
+    PlainCall,
+    fingerprint_of,
+    forward_repeatable,
+    passed_on,
+)
 from papayacourse.settings import ServiceSettings
 from papayacourse.types import HostKind, Ran
 from papayacourse.web import Handler
@@ -59,9 +66,12 @@
     ) -> CallAnswer:
         budget = self.daemon.retries.of(client.team, name, settings)
         budget.earn()
-        addresses = self.daemon.plain_addresses(client.team, name)
+        servers = self.daemon.plain_servers(client.team, name)
+        guard = Guard(self.daemon.deaths, fingerprint_of(client.team, name, client.name, call))
+        guard.check()
+        may_repeat = lambda: not guard.is_condemned() and budget.take()  # noqa: E731
         try:
-            return await forward_repeatable(addresses, call, settings.call_timeout, budget)
+            return await forward_repeatable(servers, call, settings.call_timeout, guard, may_repeat)
         except BackendUnreachable as error:
             raise RequestRefused(503, "no_backend", str(error), retry_after=1.0) from error
         except BackendError as error:
--- a/papayacourse/records.py
+++ b/papayacourse/records.py
@@ -30,6 +30,7 @@
 )
 from papayacourse.bucketwriter import BucketWriter
 from papayacourse.callmessages import CallAnswer
+from papayacourse.deaths import Guard
 from papayacourse.exceptions import (
     BackendError,
     BackendUnreachable,
@@ -41,7 +42,7 @@
 from papayacourse.kvstore import KeyValueStore
 from papayacourse.plain import PlainCall, forward_to_any
 from papayacourse.settings import ServiceSettings, TeamSettings
-from papayacourse.types import Ran
+from papayacourse.types import Host, Ran
 
 RETRY_AFTER = 2.0  # seconds
 MAX_INTENT_AGE = 10.0  # seconds from the start of an intent's write to the send
@@ -177,7 +178,8 @@
         team: str,
         key: bytes,
         call: PlainCall,
-        addresses: list[str],
+        servers: list[Host],
+        guard: Guard,
         settings: ServiceSettings,
     ) -> CallAnswer:
         """Run a call unless its record says that it ran, or may have.
@@ -189,7 +191,7 @@
         """
         deadline = time.monotonic() + OUTCOME_WAIT
         while True:
-            answer = await self._run_or_repeat(team, key, call, addresses, settings)
+            answer = await self._run_or_repeat(team, key, call, servers, guard, settings)
             if answer is not None:
                 return answer
             if time.monotonic() > deadline:
@@ -202,7 +204,8 @@
         team: str,
         key: bytes,
         call: PlainCall,
-        addresses: list[str],
+        servers: list[Host],
+        guard: Guard,
         settings: ServiceSettings,
     ) -> CallAnswer | None:
         """Run a call or answer from its record; None if an intent was met that is withdrawn now."""
@@ -218,7 +221,7 @@
             found = await self._intend(writer, mine)
             if isinstance(found, Record) and found.intent == mine:
                 invariants.check(found.outcome is None, "own_intent_is_open", key=key.hex())
-                return await self._send(writer, mine, call, addresses, settings, clock.check)
+                return await self._send(writer, mine, call, servers, guard, settings, clock.check)
         finally:
             self.running.discard(nonce)
         return await self._earlier(writer, found, mine)
@@ -228,12 +231,18 @@
         writer: BucketWriter,
         mine: Intent,
         call: PlainCall,
-        addresses: list[str],
+        servers: list[Host],
+        guard: Guard,
         settings: ServiceSettings,
         may_send: Callable[[], None],
     ) -> CallAnswer:
         try:
-            answer = await forward_to_any(addresses, call, settings.call_timeout, may_send)
+            guard.check()
+        except RequestRefused:
+            await self._persist(writer, Release(mine.key, mine.nonce))
+            raise
+        try:
+            answer = await forward_to_any(servers, call, settings.call_timeout, guard, may_send)
         except BackendUnreachable as error:
             await self._persist(writer, Release(mine.key, mine.nonce))
             raise RequestRefused(503, "no_backend", str(error), retry_after=RETRY_AFTER) from error
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -14,6 +14,7 @@
 
 from papayacourse import invariants, logs
 from papayacourse.catalog import Catalog
+from papayacourse.deaths import ServerDeaths
 from papayacourse.exceptions import PeerError
 from papayacourse.hostlist import HostListing
 from papayacourse.lifecycle import Lifecycle
@@ -26,7 +27,6 @@
 from papayacourse.routed.budget import FleetBudget
 from papayacourse.routed.choice import ServerChoice
 from papayacourse.routed.config import ConfigFile, RoutedConfig
-from papayacourse.routed.deaths import ServerDeaths
 from papayacourse.routed.derived import TEAM, bring_in_line
 from papayacourse.routed.directory import Directory
 from papayacourse.routed.document import CallerLimits, Document, EngineShape
@@ -114,7 +114,9 @@
             self.tasks.spawn,
             AdapterReports(engine_calls, self.host, self._engine_leaves), MAX_DEATHS,
         )  # fmt: skip
-        self.deaths = ServerDeaths(self.mesh.quarantine, self.host, self.notices.is_leaving)
+        self.deaths = ServerDeaths(
+            self.mesh.quarantine, lambda: self.membership.hosts, self.notices.is_leaving
+        )
         self.kept_strikes = KeptStrikes(self.adapter.store, self.mesh.quarantine)
         self.membership, self.duties = self.mesh.membership, self.mesh.duties
         self.metrics.watch_totals("papayacourse_mesh_frames", "", self.mesh.peers.traffic.labelled)
@@ -248,6 +250,7 @@
             self.follower.follow(),
             self.follower.stay_listed(),
             self.kept_strikes.run(),
+            self.deaths.run(),
             *self.mesh.work(),
             self.evacuation.run(),
             self._tick(),
@@ -292,7 +295,6 @@
         self.looked_at = self.membership.hosts
         self.notices.forget_unlisted(self.looked_at.by_name)
         self.front.choice.keep(self.looked_at.by_name.keys())
-        self.deaths.take_list(self.looked_at.by_name.values())
         self.evacuation.look()
 
     async def _tick(self) -> None:
@@ -301,7 +303,6 @@
             await next_tick(TICK)
             self.directory.expire()
             self._hosts_changed()
-            self.deaths.look()
 
     async def _watch_file(self) -> None:
         """Take a configuration file that changes without a signal, for ever."""
--- a/papayacourse/routed/fleetview.py
+++ b/papayacourse/routed/fleetview.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 
 from papayacourse import logs
+from papayacourse.deaths import ServerDeaths
 from papayacourse.exceptions import BackendError
 from papayacourse.linkclasses import LinkClass, Place
 from papayacourse.membership import Membership
@@ -14,7 +15,6 @@
 from papayacourse.routed.admitted import Admitted
 from papayacourse.routed.answerroom import AnswerRoom
 from papayacourse.routed.budget import FleetBudget
-from papayacourse.routed.deaths import ServerDeaths
 from papayacourse.routed.derived import TEAM
 from papayacourse.routed.document import EngineShape
 from papayacourse.routed.notices import EngineNotices
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -8,6 +8,7 @@
 from tornado.httputil import HTTPHeaders
 
 from papayacourse import logs
+from papayacourse.deaths import SERVER_ERROR, WatchedRun
 from papayacourse.exceptions import (
     BackendError,
     BackendGone,
@@ -18,7 +19,6 @@
 from papayacourse.httpcall import HttpCall
 from papayacourse.noise import Noise
 from papayacourse.routed.admitted import Admitted
-from papayacourse.routed.deaths import WatchedRun
 from papayacourse.routed.document import EngineShape
 from papayacourse.routed.events import EventSplitter, follows, is_older
 from papayacourse.routed.exchange import Exchange
@@ -26,7 +26,7 @@
 from papayacourse.routed.placing import Placing
 from papayacourse.routed.seams import Dispatch, Resume
 from papayacourse.routed.sending import (
-    MayHaveRun,
+    BackendAnswerLost,
     NotRun,
     open_call,
     read_whole,
@@ -43,7 +43,6 @@
 MORE_EVENTS = 16  # that may come besides one for each token
 FIRST_PACE = 0.012  # seconds for each token, until a run's own pace is known
 RETRY_AFTER = 0.5  # seconds
-SERVER_ERROR = 500  # the least status of a failure of the engine itself
 
 
 class StreamBroken(Exception):
@@ -196,7 +195,7 @@
         try:
             async with self._watching():
                 call = await self._open(dispatch, head_limit)
-        except MayHaveRun as error:
+        except BackendAnswerLost as error:
             self._note_run(resume)
             if resume is not None and resume.from_copy:
                 raise
@@ -249,11 +248,11 @@
                 await self._pass_on(headers, event)
             noise.note(len(chunk), self.last_id != before)
         if splitter.rest:
-            raise MayHaveRun("the stream ended within an event")
+            raise BackendAnswerLost("the stream ended within an event")
         if not self.exchange.begun:
             await self.exchange.begin(200, headers)
         self.exchange.end()
-        await self.fleet.deaths.survived(self.request.fingerprint)
+        run.answered(call.status)
 
     def _patience_with_engine(self) -> float:
         """Return how long an engine may be silent, in seconds."""
@@ -268,7 +267,7 @@
     async def _relay_failure(self, call: HttpCall, headers: HTTPHeaders) -> None:
         """Pass on an engine's failure, or take it for a broken stream if that has begun."""
         if self.exchange.begun or (call.status >= SERVER_ERROR and self._may_run_anew()):
-            raise MayHaveRun(f"{self.engine.name} answered {call.status}")
+            raise BackendAnswerLost(f"{self.engine.name} answered {call.status}")
         refuse_false_promise(call.status)
         with self.fleet.answers.share() as share:
             body = await read_whole(call, share, self.admitted.time_left())
@@ -279,7 +278,7 @@
         if event_id and not follows(self.last_id, event_id):
             if is_older(self.last_id, event_id):
                 return
-            raise MayHaveRun(f"event {event_id} after {self.last_id}")
+            raise BackendAnswerLost(f"event {event_id} after {self.last_id}")
         if not self.exchange.begun:
             await self.exchange.begin(200, headers, event)
         else:
@@ -289,7 +288,7 @@
             self.fleet.note_first_event(self.admitted)
         self.events += 1
         if self.admitted.call.prompt and self.events > self.request.max_tokens + MORE_EVENTS:
-            raise MayHaveRun(f"more than {self.request.max_tokens} tokens came")
+            raise BackendAnswerLost(f"more than {self.request.max_tokens} tokens came")
         self.last_id = event_id or self.last_id
         self.fleet.placement.progress(self.request, self.engine.name, self.generated)
 
@@ -355,7 +354,7 @@
                 return await self._run_anew(resume)
             self.fleet.notices.allow(self.engine, saves_run=True)
             return await self._follow(resume, RESUME_HEAD)
-        except (BackendRefused, BackendUnreachable, NotRun, MayHaveRun) as error:
+        except (BackendRefused, BackendUnreachable, NotRun, BackendAnswerLost) as error:
             self._log_failed(str(error))
             raise self._broken(str(error)) from error
 
--- a/papayacourse/routed/plaincall.py
+++ b/papayacourse/routed/plaincall.py
@@ -6,17 +6,17 @@
 from tornado.httputil import HTTPHeaders
 
 from papayacourse import logs
+from papayacourse.deaths import SERVER_ERROR, ServerDeaths
 from papayacourse.exceptions import BackendGone, BackendUnreachable, RequestRefused
 from papayacourse.routed.admitted import Admitted
 from papayacourse.routed.answerroom import AnswerShare
 from papayacourse.routed.budget import FleetBudget
 from papayacourse.routed.choice import ServerChoice
-from papayacourse.routed.deaths import ServerDeaths
 from papayacourse.routed.document import Repeat
 from papayacourse.routed.notices import EngineNotices
 from papayacourse.routed.seams import Dispatch, RequestCodec
 from papayacourse.routed.sending import (
-    MayHaveRun,
+    BackendAnswerLost,
     NotRun,
     left_alone,
     open_call,
@@ -27,7 +27,6 @@
 
 MAX_SENDS = 4  # servers tried for one request, but those where nobody listens
 FIRST_TRY = 0.5  # part of the time left after which a repeatable request is sent elsewhere
-SERVER_ERROR = 500  # the least status of a failure of the server itself
 RETRY_AFTER = 0.3  # seconds; a place comes free in much less
 
 
@@ -114,8 +113,6 @@
         try:
             answer = await self._send(host)
             self.arrived, failed = True, False
-            if answer.status < SERVER_ERROR:
-                await self.deaths.survived(self.admitted.fingerprint)
             return self._judge(host, answer)
         except BackendUnreachable as error:
             self.lost = str(error)
@@ -125,7 +122,7 @@
         except NotRun as error:
             self.arrived = True
             self.lost = str(error)
-        except MayHaveRun as error:
+        except BackendAnswerLost as error:
             self.arrived = True
             self.ran.add(host.name)
             self.lost = str(error)
@@ -161,6 +158,7 @@
             exchange = await open_call(self.codec, self.notices, call, dispatch, limit)
             run.heard()
             body = await read_whole(exchange, self.share, self.admitted.time_left())
+            run.answered(exchange.status)
         headers = self.codec.answer_headers(exchange.headers)
         return Answer(exchange.status, headers, body)
 
--- a/papayacourse/routed/sending.py
+++ b/papayacourse/routed/sending.py
@@ -5,11 +5,10 @@
 from collections.abc import Callable
 
 from papayacourse.exceptions import (
+    BackendAnswerLost,
     BackendError,
     BackendLinkLost,
     BackendProtocolError,
-    BackendSilent,
-    BackendUnanswered,
     BackendUnreachable,
     RequestRefused,
 )
@@ -28,16 +27,6 @@
     """The engine says that it did not run the request."""
 
 
-class MayHaveRun(BackendError):
-    """The request was sent, and no answer that belongs to it came."""
-
-
-def is_silence(error: BackendError) -> bool:
-    """Tell whether a run was lost because nothing came any more, rather than by a break."""
-    silence = (BackendSilent, BackendUnanswered, TimeoutError)
-    return isinstance(error, silence) or isinstance(error.__cause__, silence)
-
-
 def refuse_false_promise(status: int) -> None:
     """Refuse with another status what ran and whose status says that it did not."""
     if status in PROMISES:
@@ -68,7 +57,7 @@
         When nothing was sent.
     NotRun
         When the engine says that it did not run the request.
-    MayHaveRun
+    BackendAnswerLost
         When it may have, and its answer cannot be had.
     """
     exchange = HttpCall(
@@ -82,7 +71,7 @@
     except BackendUnreachable:
         raise
     except (BackendLinkLost, BackendProtocolError) as error:
-        raise MayHaveRun(str(error)) from error
+        raise BackendAnswerLost(str(error)) from error
     status, headers = exchange.status, exchange.headers
     notices.take(dispatch.engine, codec.notice(status, headers))
     if codec.not_run(status, headers):
@@ -90,12 +79,12 @@
         raise NotRun(f"{dispatch.engine.name} answered {status} without running it")
     if not codec.belongs(call, status, headers):
         await exchange.__aexit__(None, None, None)
-        raise MayHaveRun(f"{dispatch.engine.name} sent an answer to another request")
+        raise BackendAnswerLost(f"{dispatch.engine.name} sent an answer to another request")
     return exchange
 
 
 async def read_whole(exchange: HttpCall, share: AnswerShare, time_left: float) -> bytes:
-    """Return the whole body; raises MayHaveRun when it does not come, or does not fit."""
+    """Return the whole body; raises BackendAnswerLost when it does not come, or does not fit."""
     share.release()
     parts: list[bytes] = []
     try:
@@ -105,7 +94,7 @@
                 parts.append(chunk)
         return b"".join(parts)
     except (BackendError, TimeoutError) as error:
-        raise MayHaveRun(str(error) or "no whole answer in time") from error
+        raise BackendAnswerLost(str(error) or "no whole answer in time") from error
     finally:
         await exchange.__aexit__(None, None, None)
 
--- a/standins/plainservice.py
+++ b/standins/plainservice.py
@@ -1,12 +1,16 @@
 """A plain service that counts how often each key ran."""
 
 import asyncio
+import os
+import signal
 from collections import Counter
 
 from attrs import define, field
 
 from standins.common import JsonHandler, parser, serve
 
+DEADLY = b"[crash]"  # in a body: the service ends when it begins to run the call
+
 
 @define(eq=False)
 class PlainService:
@@ -45,6 +49,8 @@
             return
         await service.hold("hold_before")
         service.calls += 1
+        if DEADLY in self.request.body:
+            os.kill(os.getpid(), signal.SIGKILL)
         if key:
             service.ran[key] += 1
         await service.hold("hold_after")
--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -51,3 +51,17 @@
     And a caller sends "plan [crash=3] [len=50]" 1 times in turn through "b"
     Then 2 engines "planner" have died
     And the last answers are 422 "quarantined" with ran "no" and Retry-After
+
+  # Guards against a plain call being sent on and on while its servers end (incident BUDGET).
+  Scenario Outline: A call that crashes plain services takes down two at most
+    Given 5 plain service "ledger" in domain "accra-1" of region "accra"
+    And daemons "a, b" in domain "accra-1" of region "accra"
+    When a <kind> whose body crashes is made 6 times in turn through "a, b"
+    Then 2 engines "ledger" have died
+    And the last answers are 422 "quarantined" with ran "no" and Retry-After
+    And a <kind> whose body is harmless is answered 200 through "b"
+
+    Examples:
+      | kind            |
+      | refund          |
+      | repeatable call |
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -9,6 +9,8 @@
 from tests.balancer import is_ready
 from tests.callers import StreamingCaller, bearer, check_whole
 from tests.features.steps.fleet_steps import start_daemons
+from tests.refunds import pay
+from tests.steptext import names_in
 
 ASKS = 6  # times that a neighbour asks before it gives up
 
@@ -150,3 +152,27 @@
         caller.join()
         assert caller.done, caller.error or caller.broken
         check_whole(caller.texts, count)
+
+
+def make_call(context, kind, body, number, daemon):
+    """Make a call of the plain service, each with a key of its own."""
+    address = context.fleet.processes[daemon].http
+    if kind == "refund":
+        return pay(address, f"key-{body['refund']}-{number}", body)
+    path = "/services/deposit-ledger/balances/7"
+    return call(address, "PUT", path, body, bearer("depots"))
+
+
+@when('a {kind} whose body crashes is made {times:d} times in turn through "{daemons}"')
+def make_deadly_calls(context, kind, times, daemons):
+    names = names_in(daemons)
+    context.answers = [
+        make_call(context, kind, {"refund": "[crash]"}, number, names[number % len(names)])
+        for number in range(times)
+    ]
+
+
+@then('a {kind} whose body is harmless is answered 200 through "{daemon}"')
+def harmless_served(context, kind, daemon):
+    answer = make_call(context, kind, {"refund": "harmless"}, 1, daemon)
+    assert answer.status == 200, answer.body
--- a/tests/features/steps/routeddeaths_steps.py
+++ b/tests/features/steps/routeddeaths_steps.py
@@ -9,9 +9,10 @@
 from routedparts_steps import Clock, server
 
 from papayacourse.callmessages import Strike, StrikesUpdate
+from papayacourse.deaths import ServerDeaths
 from papayacourse.exceptions import BackendLinkLost, BackendUnanswered, PlatformUnavailable
+from papayacourse.hostlist import HostListing
 from papayacourse.quarantine import Quarantine
-from papayacourse.routed.deaths import ServerDeaths
 from papayacourse.routed.keptstrikes import KeptStrikes
 from papayacourse.types import Host, HostState
 from tests.steptext import names_in
@@ -52,7 +53,7 @@
         self.listed[self.host.name] = self.host
         self.quarantine = Quarantine(NoPeers(), limit=3, clock=self.clock)
         self.deaths = ServerDeaths(
-            self.quarantine, self.listed.get, lambda _name: False, self.probe, self.clock
+            self.quarantine, self.listing, lambda _name: False, self.probe, self.clock
         )
 
     async def probe(self, _host) -> bool:
@@ -61,9 +62,12 @@
         await asyncio.sleep(0)
         return self.deserted
 
+    def listing(self) -> HostListing:
+        """Return the list as it is."""
+        return HostListing(1, tuple(self.listed.values()))
+
     def look(self) -> None:
         """Take the list as it is."""
-        self.deaths.take_list(self.listed.values())
         self.deaths.look()
 
     async def lose(self, error: BaseException, fingerprint: str = REQUEST, heard=False) -> None:
@@ -127,7 +131,11 @@
 
 @when("the request comes to its end on another server")
 def comes_to_end(context):
-    asyncio.run(context.scene.deaths.survived(REQUEST))
+    async def run_well():
+        async with context.scene.deaths.watching(server("desk-2"), REQUEST) as run:
+            run.answered(200)
+
+    asyncio.run(run_well())
 
 
 @when("all connections are closed at once, and nobody listens there")
