Do not carry a condemned run on to another engine, and probe a dying server again

Seen by callers: a plan that crashes its engines late went on from its copy at a fourth engine, in the same attempt, just after it had been condemned by the third.

Cause: the quarantine was asked where a run is placed; a run that goes on from a copy is not placed.

Change: a run whose request is condemned is broken off instead of continued; a probe that fails in another way than by refusal is followed by the next one. A request is guarded by one object from its admission on.

--- a/papayacourse/deaths.py
+++ b/papayacourse/deaths.py
@@ -79,7 +79,7 @@
         except BackendGone:
             return True
         except BackendUnreachable:
-            return False
+            continue
         stream.close()
     return False
 
@@ -261,6 +261,10 @@
         """Tell whether too many servers have ended under it."""
         return self.deaths.quarantine.is_condemned(self.fingerprint)
 
+    def is_struck(self) -> bool:
+        """Tell whether a server has ended under it, for which nothing else is to blame."""
+        return self.deaths.quarantine.is_struck(self.fingerprint)
+
     def watching(self, server: Host) -> AbstractAsyncContextManager[WatchedRun]:
         """Watch its run on a server."""
         return self.deaths.watching(server, self.fingerprint)
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -137,7 +137,7 @@
         self.evacuation = Evacuation(self.fleet, lambda: self.directory.is_away)
         self.front = Front(
             self.documents, self.fleet, ServerChoice(Place(config.domain, config.region)),
-            self.evacuation, self.mesh.quarantine, self.metrics,
+            self.evacuation, self.metrics,
             self.lifecycle.stopping.is_set, config.body_room,
         )  # fmt: skip
         me = Host(
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -10,9 +10,10 @@
 from tornado.httputil import HTTPServerConnectionDelegate
 
 from papayacourse import logs
+from papayacourse.deaths import Guard
 from papayacourse.exceptions import RequestRefused
 from papayacourse.metrics import Metrics
-from papayacourse.quarantine import QUARANTINED, Quarantine, fingerprint
+from papayacourse.quarantine import QUARANTINED, fingerprint
 from papayacourse.routed.admitted import Admitted, admit
 from papayacourse.routed.choice import ServerChoice
 from papayacourse.routed.derived import TEAM
@@ -47,7 +48,6 @@
     fleet: FleetView
     choice: ServerChoice
     evacuation: Evacuation
-    quarantine: Quarantine
     metrics: Metrics
     is_closing: Callable[[], bool]
     body_room: int
@@ -145,7 +145,8 @@
         logs.bind(call.request_id)
         admitted = admit(self.documents.current, call, outcome.came_at)
         outcome.admitted = admitted
-        self.quarantine.check(admitted.fingerprint)
+        guard = Guard(self.fleet.deaths, admitted.fingerprint)
+        guard.check()
         self.fleet.budget.note_request(admitted.service)
         service = self.documents.current.services.get(admitted.service)
         if admitted.route.repeat == Repeat.STREAM and service and service.engine:
@@ -153,7 +154,7 @@
             await self._generate(exchange, outcome, service)
             outcome.end = "streamed"
         else:
-            await self._call(exchange, admitted)
+            await self._call(exchange, admitted, guard)
             outcome.end = "answered"
 
     def _refuse_while_stopping(self, admitted: Admitted) -> None:
@@ -164,11 +165,11 @@
                 503, "stopping", "this daemon stops", retry_after=STOPPING_RETRY_AFTER
             )
 
-    async def _call(self, exchange: Exchange, admitted: Admitted) -> None:
+    async def _call(self, exchange: Exchange, admitted: Admitted, guard: Guard) -> None:
         hosts = list(self.fleet.servers(admitted.service))
         with self.fleet.answers.share() as share:
             call = PlainCall(
-                admitted, self.fleet.codec, self.choice, self.fleet.notices, self.fleet.deaths,
+                admitted, self.fleet.codec, self.choice, self.fleet.notices, guard,
                 self.fleet.budget, hosts, share,
             )  # fmt: skip
             answer = await call.run()
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -307,6 +307,8 @@
         moved = await self.moved if self.moved is not None else None
         self.moved = None
         copy, self.copy = self.copy, None
+        if self.fleet.deaths.quarantine.is_condemned(self.request.fingerprint):
+            raise self._broken(why)
         standby = moved or copy
         if standby is not None and self.fleet.is_listed(standby.host.name):
             return await self._go_on_at(standby, why)
--- a/papayacourse/routed/plaincall.py
+++ b/papayacourse/routed/plaincall.py
@@ -6,7 +6,7 @@
 from tornado.httputil import HTTPHeaders
 
 from papayacourse import logs
-from papayacourse.deaths import SERVER_ERROR, ServerDeaths
+from papayacourse.deaths import SERVER_ERROR, Guard
 from papayacourse.exceptions import BackendGone, BackendUnreachable, RequestRefused
 from papayacourse.routed.admitted import Admitted
 from papayacourse.routed.answerroom import AnswerShare
@@ -63,7 +63,7 @@
     codec: RequestCodec
     choice: ServerChoice
     notices: EngineNotices
-    deaths: ServerDeaths
+    guard: Guard
     budget: FleetBudget
     hosts: list[Host]
     share: AnswerShare
@@ -90,8 +90,7 @@
 
     def _suspect(self) -> str:
         """Return the request's fingerprint if a server has ended under it, else nothing."""
-        fingerprint = self.admitted.fingerprint
-        return fingerprint if self.deaths.quarantine.is_struck(fingerprint) else ""
+        return self.guard.fingerprint if self.guard.is_struck() else ""
 
     def _may_send_again(self) -> bool:
         route = self.admitted.route
@@ -99,7 +98,7 @@
             return False
         if self.ran and (route.repeat != Repeat.SAFE or len(self.ran) >= route.max_engines):
             return False
-        if self.deaths.quarantine.is_condemned(self.admitted.fingerprint):
+        if self.guard.is_condemned():
             return False
         return not self.arrived or self.budget.take(self.admitted.service, self.lost)
 
@@ -154,7 +153,7 @@
         dispatch = Dispatch(host, left, self.admitted.account_name)
         limit = left * FIRST_TRY if self._has_second_try() else left
         call = self.admitted.call
-        async with self.deaths.watching(host, self.admitted.fingerprint) as run:
+        async with self.guard.watching(host) as run:
             exchange = await open_call(self.codec, self.notices, call, dispatch, limit)
             run.heard()
             body = await read_whole(exchange, self.share, self.admitted.time_left())
--- a/tests/features/routed_crashes.feature
+++ b/tests/features/routed_crashes.feature
@@ -18,6 +18,17 @@
       | plan            | planner | [crash=3] |
       | resumable plan  | planner | [crash=3] |
 
+  # Guards against a run that is carried from engine to engine by its copies, and crashes each.
+  Scenario: A plan that crashes late, and has copies, takes down three engines at most
+    Given a platform store with document 5
+    And 7 engines of "planner" in "lagos"
+    And routed daemons "a, b" in "lagos"
+    When long plan "[crash=450]" is sent 4 times in turn through "a, b"
+    Then 3 engines at most have ended
+    And one attempt went on from a copy
+    And the last 1 answers are 503 "quarantined" with ran "no" and Retry-After
+    And another plan is served through "b"
+
   # Guards against a server's end that goes uncounted because it falls silent rather than closes.
   Scenario Outline: It counts as well where its servers fall silent
     Given a platform store with document 5 and resumable plans
--- a/tests/features/steps/routedcrashes_steps.py
+++ b/tests/features/steps/routedcrashes_steps.py
@@ -19,9 +19,10 @@
 POLL = 0.02  # seconds
 CUT = Answer(0, {}, b"")  # no whole answer came
 PLAN = {"X_Model": "m", "X_Token_Counts": "1000,20"}
+LONG_PLAN = PLAN | {"X_Token_Counts": "1000,600"}
 PATHS = {
     "call": "/book/1", "repeatable call": "/view/1", "plan": "/plans/1",
-    "resumable plan": "/again/1",
+    "resumable plan": "/again/1", "long plan": "/plans/1",
 }  # fmt: skip
 
 
@@ -65,7 +66,13 @@
 
 def send(context, kind: str, body: str, daemon: str, **more) -> Answer:
     """Send a request; CUT where no whole answer comes."""
-    extra = PLAN if "plan" in kind else {}
+    match kind:
+        case "long plan":
+            extra = LONG_PLAN
+        case "plan" | "resumable plan":
+            extra = PLAN
+        case _:
+            extra = {}
     try:
         return fleet_of(context).ask(daemon, "POST", PATHS[kind], body.encode(), **(extra | more))
     except (OSError, http.client.HTTPException):
@@ -248,3 +255,9 @@
         thread.join()
     refused = [n for n, found in context.neighbours.items() if why in map(reason, found)]
     assert not refused, refused
+
+
+@then("one attempt went on from a copy")
+def went_on(context):
+    routed = fleet_of(context)
+    assert any(routed.lines(name, "continued") for name in routed.addresses)
