Bound the memory of plain answers in the own interface, too

What is bounded there is the reading; an answer that has come whole (8 MB at most) is not counted while its caller reads it.

Evidence: 'Nor do those of plain services fill a daemon of the own interface' failed before.

--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -16,6 +16,7 @@
 from tornado.web import Application
 
 from papayacourse import invariants, linkclasses, logs, routes
+from papayacourse.answerroom import AnswerRoom
 from papayacourse.catalog import Catalog, Client
 from papayacourse.config import DaemonConfig
 from papayacourse.cursor import CursorSigner
@@ -120,6 +121,7 @@
             WeightBudget(config.weight_rate),
             self.scheduling.drain,
         )
+        self.answers = AnswerRoom()
         self.deaths = ServerDeaths(
             self.quarantine, lambda: self.membership.hosts, self.membership.is_leaving
         )
--- a/papayacourse/deaths.py
+++ b/papayacourse/deaths.py
@@ -8,6 +8,7 @@
 from attrs import define, field, frozen
 
 from papayacourse import logs
+from papayacourse.answerroom import AnswerRoom
 from papayacourse.exceptions import (
     BackendAnswerLost,
     BackendError,
@@ -246,11 +247,14 @@
 
     Attributes
     ----------
+    answers : AnswerRoom
+        The memory for answers that are read whole.
     fingerprint : str
         What the request is recognised by.
     """
 
     deaths: ServerDeaths
+    answers: AnswerRoom
     fingerprint: str
 
     def check(self) -> None:
--- a/papayacourse/httpcall.py
+++ b/papayacourse/httpcall.py
@@ -222,11 +222,18 @@
         self.silent = True
         wake(self.arrival)
 
-    async def read(self, limit: int = MAX_READ_BYTES) -> bytes:
+    async def read(
+        self, limit: int = MAX_READ_BYTES, take: Callable[[int], None] = lambda _size: None
+    ) -> bytes:
         """Return the whole body, which may not be longer than the limit in bytes.
 
         It has to come within the idle time-out altogether, or one that sends a byte now and then
         would never end.
+
+        Parameters
+        ----------
+        take : callable
+            Called with the size of each piece; raises BackendProtocolError to refuse it.
         """
         parts: list[bytes] = []
         size = 0
@@ -236,6 +243,7 @@
                     size += len(chunk)
                     if size > limit:
                         raise BackendProtocolError(f"{self.address} sent more than {limit} bytes")
+                    take(len(chunk))
                     parts.append(chunk)
         except TimeoutError as error:
             raise BackendSilent(f"{self.address} sent no whole answer in time") from error
--- a/papayacourse/once.py
+++ b/papayacourse/once.py
@@ -9,6 +9,7 @@
 from attrs import define, frozen
 
 from papayacourse import logs
+from papayacourse.answerroom import AnswerRoom
 from papayacourse.buckets import bucket_of, bucket_prefix, key_hash
 from papayacourse.callmessages import CallAnswer, CallRefused, RunOnce
 from papayacourse.deaths import Guard, ServerDeaths
@@ -46,6 +47,7 @@
     """What the daemon tells about services."""
 
     deaths: ServerDeaths
+    answers: AnswerRoom
 
     def plain_servers(self, team: str, service: str) -> list[Host]:
         """Return a plain service's backend servers."""
@@ -149,7 +151,11 @@
             key_hash(key.team, key.service, key.account, key.key),
             call,
             self.here.plain_servers(key.team, key.service),
-            Guard(self.here.deaths, fingerprint_of(key.team, key.service, key.account, call)),
+            Guard(
+                self.here.deaths,
+                self.here.answers,
+                fingerprint_of(key.team, key.service, key.account, call),
+            ),
             settings,
         )
 
--- a/papayacourse/plain.py
+++ b/papayacourse/plain.py
@@ -7,6 +7,7 @@
 from attrs import frozen
 from tornado.httputil import HTTPHeaders
 
+from papayacourse.answerroom import MAX_ANSWER_BYTES
 from papayacourse.callmessages import CallAnswer
 from papayacourse.deaths import Guard
 from papayacourse.exceptions import (
@@ -19,7 +20,6 @@
 from papayacourse.types import Address, Host
 
 CONNECT_TIMEOUT = 1.0  # seconds
-MAX_ANSWER_BYTES = 8 * 1024 * 1024
 IDEMPOTENT = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
 REQUEST_ID = "x-request-id"
 
@@ -109,8 +109,9 @@
     )  # fmt: skip
     async with guard.watching(server) as run:
         try:
-            async with asyncio.timeout(timeout), exchange:
-                body = await exchange.read(MAX_ANSWER_BYTES)
+            with guard.answers.share() as share:
+                async with asyncio.timeout(timeout), exchange:
+                    body = await exchange.read(MAX_ANSWER_BYTES, share.take)
         except TimeoutError as error:
             raise BackendLinkLost(f"{address} did not answer in {timeout} s") from error
         if not has_expected_id(call, exchange.headers):
--- a/papayacourse/plaincalls.py
+++ b/papayacourse/plaincalls.py
@@ -67,7 +67,8 @@
         budget = self.daemon.retries.of(client.team, name, settings)
         budget.earn()
         servers = self.daemon.plain_servers(client.team, name)
-        guard = Guard(self.daemon.deaths, fingerprint_of(client.team, name, client.name, call))
+        fingerprint = fingerprint_of(client.team, name, client.name, call)
+        guard = Guard(self.daemon.deaths, self.daemon.answers, fingerprint)
         guard.check()
         may_repeat = lambda: not guard.is_condemned() and budget.take()  # noqa: E731
         try:
--- a/papayacourse/routed/fleetview.py
+++ b/papayacourse/routed/fleetview.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 
 from papayacourse import logs
+from papayacourse.answerroom import AnswerRoom
 from papayacourse.deaths import ServerDeaths
 from papayacourse.exceptions import BackendError
 from papayacourse.linkclasses import LinkClass, Place
@@ -13,7 +14,6 @@
 from papayacourse.meshmessages import ServiceLoad
 from papayacourse.placement import Placement
 from papayacourse.routed.admitted import Admitted
-from papayacourse.routed.answerroom import AnswerRoom
 from papayacourse.routed.budget import FleetBudget
 from papayacourse.routed.derived import TEAM
 from papayacourse.routed.document import EngineShape
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -145,7 +145,7 @@
         logs.bind(call.request_id)
         admitted = admit(self.documents.current, call, outcome.came_at)
         outcome.admitted = admitted
-        guard = Guard(self.fleet.deaths, admitted.fingerprint)
+        guard = Guard(self.fleet.deaths, self.fleet.answers, admitted.fingerprint)
         guard.check()
         self.fleet.budget.note_request(admitted.service)
         service = self.documents.current.services.get(admitted.service)
@@ -167,7 +167,7 @@
 
     async def _call(self, exchange: Exchange, admitted: Admitted, guard: Guard) -> None:
         hosts = list(self.fleet.servers(admitted.service))
-        with self.fleet.answers.share() as share:
+        with guard.answers.share() as share:
             call = PlainCall(
                 admitted, self.fleet.codec, self.choice, self.fleet.notices, guard,
                 self.fleet.budget, hosts, share,
--- a/papayacourse/routed/plaincall.py
+++ b/papayacourse/routed/plaincall.py
@@ -6,10 +6,10 @@
 from tornado.httputil import HTTPHeaders
 
 from papayacourse import logs
+from papayacourse.answerroom import AnswerShare
 from papayacourse.deaths import SERVER_ERROR, Guard
 from papayacourse.exceptions import BackendGone, BackendUnreachable, RequestRefused
 from papayacourse.routed.admitted import Admitted
-from papayacourse.routed.answerroom import AnswerShare
 from papayacourse.routed.budget import FleetBudget
 from papayacourse.routed.choice import ServerChoice
 from papayacourse.routed.document import Repeat
--- a/papayacourse/routed/sending.py
+++ b/papayacourse/routed/sending.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 
+from papayacourse.answerroom import AnswerShare
 from papayacourse.exceptions import (
     BackendAnswerLost,
     BackendError,
@@ -13,7 +14,6 @@
     RequestRefused,
 )
 from papayacourse.httpcall import HttpCall
-from papayacourse.routed.answerroom import AnswerShare
 from papayacourse.routed.notices import EngineNotices
 from papayacourse.routed.seams import Call, Dispatch, RequestCodec
 from papayacourse.types import Address, Ran
--- a/standins/plainservice.py
+++ b/standins/plainservice.py
@@ -1,14 +1,17 @@
 """A plain service that counts how often each key ran."""
 
 import asyncio
+import contextlib
 import os
 import signal
 from collections import Counter
 
 from attrs import define, field
+from tornado.iostream import StreamClosedError
 
 from standins.common import JsonHandler, parser, serve
 
+ENDLESS = b"[endless]"  # in a body: the answer does not end
 DEADLY = b"[crash]"  # in a body: the service ends when it begins to run the call
 
 
@@ -49,6 +52,9 @@
             return
         await service.hold("hold_before")
         service.calls += 1
+        if ENDLESS in self.request.body:
+            await self.answer_for_ever()
+            return
         if DEADLY in self.request.body:
             os.kill(os.getpid(), signal.SIGKILL)
         if key:
@@ -74,6 +80,15 @@
             }
         )
 
+    async def answer_for_ever(self) -> None:
+        """Write a body without end, until the other side closes."""
+        self._finished = True
+        stream = self.request.connection.stream
+        with contextlib.suppress(StreamClosedError):
+            await stream.write(b"HTTP/1.1 200 OK\r\n\r\n")
+            while True:
+                await stream.write(b"n" * 65536)
+
     get = post = put = patch = delete = _run
 
 
--- a/tests/features/routed_endless.feature
+++ b/tests/features/endless.feature
@@ -96,3 +96,11 @@
   Scenario: The own interface gives up an engine whose bytes bring no event
     Given an engine of the own protocol that sends comments without end
     Then a stream from it is given up within 5 s
+
+  Scenario: Nor do those of plain services fill a daemon of the own interface
+    Given a platform with both teams' settings
+    And 1 plain service "ledger" in domain "accra-1" of region "accra"
+    And daemons "a" in domain "accra-1" of region "accra"
+    When 40 repeatable calls whose answers do not end are made at once through "a"
+    Then each of them is answered 502 "answer_lost"
+    And the peak memory of "a" is under 150 MB
--- a/tests/features/steps/routedendless_steps.py
+++ b/tests/features/steps/endless_steps.py
@@ -18,7 +18,9 @@
 from papayacourse.noise import Noise
 from papayacourse.types import GenerationRequest
 from standins.fleet import call, wait_until
+from tests.callers import bearer
 
+BALANCES = "/services/deposit-ledger/balances"
 MEGABYTE = 1024  # kilobytes
 SOON = 5.0  # seconds
 
@@ -175,3 +177,23 @@
     except BackendProtocolError:
         return
     raise AssertionError("it was not given up")
+
+
+@when('{count:d} repeatable calls whose answers do not end are made at once through "{name}"')
+def endless_calls(context, count, name):
+    address = context.fleet.processes[name].http
+    with ThreadPoolExecutor(count) as pool:
+        context.answers = list(
+            pool.map(
+                lambda number: call(
+                    address, "PUT", f"{BALANCES}/{number}", b"[endless]", bearer("depots")
+                ),
+                range(count),
+            )
+        )
+
+
+@then('each of them is answered {status:d} "{reason}"')
+def each_answered(context, status, reason):
+    found = {(answer.status, answer.json["reason"]) for answer in context.answers}
+    assert found == {(status, reason)}, found
