Let a suspect wait a moment for strikes from other failure domains

Seen: three engines died for two, once at load 16.

Ruled out: a strike that was slow on its way (it took 1 ms).

Change: where there are several domains a suspect is not granted an engine within a second of its latest strike.

--- a/papayacourse/copies.py
+++ b/papayacourse/copies.py
@@ -29,6 +29,8 @@
         Returns the failure domains that are known.
     is_suspect : callable
         Tells by a request's fingerprint whether an engine has died while it ran.
+    is_just_struck : callable
+        Tells whether that was only a moment ago.
     harmless : dict of str to float
         The fingerprints of requests that have come to their end lately, the latest last, and
         until when that counts.
@@ -38,6 +40,7 @@
     domains: Callable[[], Collection[str]]
     clock: Callable[[], float] = time.monotonic
     is_suspect: Callable[[str], bool] = lambda _fingerprint: False
+    is_just_struck: Callable[[str], bool] = lambda _fingerprint: False
     harmless: dict[str, float] = field(factory=dict)
 
     # Queries.
@@ -74,9 +77,11 @@
         """Return the engines without a suspect, or none while the same suspect runs.
 
         Suspects run apart, so that an engine's death strikes only one of them again; the same
-        suspect does not run twice at once.
+        suspect does not run twice at once. Copies of it in another failure domain may be about to
+        bring the strike that condemns it, so it waits a moment for that.
         """
-        if self._running(fingerprint):
+        elsewhere = len(self.domains()) > 1 and self.is_just_struck(fingerprint)
+        if elsewhere or self._running(fingerprint):
             return []
         return [led for led in ledgers if not any(map(self.is_suspect, led.fingerprints))]
 
--- a/papayacourse/mesh.py
+++ b/papayacourse/mesh.py
@@ -97,6 +97,7 @@
             cell, self.catalog, self.membership, self.cell_map, self.scheduling.tell
         )
         scheduler.waiting.copies.is_suspect = self.quarantine.is_suspect
+        scheduler.waiting.copies.is_just_struck = self.quarantine.is_just_struck
         scheduler.waiting.check_quarantine = self.quarantine.check
         scheduler.watch.reports = self.reports
         attributes = {"team": cell.team, "service": cell.service}
--- a/papayacourse/quarantine.py
+++ b/papayacourse/quarantine.py
@@ -14,6 +14,7 @@
 from papayacourse.peers import Peers
 
 STRIKES = 2  # different engines that a request may take down
+SETTLING_TIME = 1.0  # seconds in which copies that were sent at once have all struck
 STRIKES_IN_MESSAGE = 1000
 QUARANTINED = "quarantined"  # the reason of a refusal
 QUARANTINE_TIME = 600.0  # seconds that a strike counts
@@ -92,6 +93,11 @@
         """Tell whether a request must run apart from others: one more strike is too many."""
         return len(self.unexplained(request)) >= max(1, self.limit - 1)
 
+    def is_just_struck(self, request: str) -> bool:
+        """Tell whether a request's latest strike was given only a moment ago."""
+        given_at = max(self.strikes.get(request, {}).values(), default=0.0) - QUARANTINE_TIME
+        return 0 <= self.clock() - given_at < SETTLING_TIME
+
     def is_struck(self, request: str) -> bool:
         """Tell whether an engine has died while a request ran, of which nobody else is to blame."""
         return bool(self.unexplained(request))
--- a/tests/features/routed_deaths.feature
+++ b/tests/features/deaths.feature
@@ -90,3 +90,16 @@
     Then "neighbour" need not run apart and is not condemned
     When "neighbour" runs on server "c", which ends
     Then "neighbour" has 1 strike
+
+  # Guards against a suspect that runs once more while its copy in another domain is about to crash.
+  Scenario Outline: A suspect waits a moment for strikes from other failure domains
+    Given a scheduler's 3 engines in one of <domains> failure domains
+    When a request has just got a strike
+    Then <now> of them may run it
+    When a second has passed since the strike
+    Then 3 of them may run it
+
+    Examples:
+      | domains | now |
+      | 1       | 3   |
+      | 2       | 0   |
--- a/tests/features/steps/routeddeaths_steps.py
+++ b/tests/features/steps/deaths_steps.py
@@ -9,9 +9,12 @@
 from routedparts_steps import Clock, server
 
 from papayacourse.callmessages import Strike, StrikesUpdate
+from papayacourse.copies import Copies
 from papayacourse.deaths import ServerDeaths
 from papayacourse.exceptions import BackendLinkLost, BackendUnanswered, PlatformUnavailable
 from papayacourse.hostlist import HostListing
+from papayacourse.ledger import EngineLedger
+from papayacourse.policies import Predicted
 from papayacourse.quarantine import Quarantine
 from papayacourse.routed.keptstrikes import KeptStrikes
 from papayacourse.types import Host, HostState
@@ -286,3 +289,38 @@
 @then('"{name}" has {count:d} strike')
 def named_has_strikes(context, name, count):
     assert len(context.quarantine.strikes_of(name)) == count
+
+
+# When a suspect runs again.
+
+
+@given("a scheduler's {count:d} engines in one of {domains:d} failure domains")
+def make_copies(context, count, domains):
+    context.clock = Clock()
+    context.quarantine = Quarantine(NoPeers(), clock=context.clock)
+    context.ledgers = {
+        f"engine-{number}": EngineLedger(
+            f"engine-{number}", "127.0.0.1:9", 30000, 24, 0.0, Predicted()
+        )
+        for number in range(count)
+    }
+    context.copies = Copies(
+        context.ledgers, lambda: range(domains), context.clock,
+        context.quarantine.is_suspect, context.quarantine.is_just_struck,
+    )  # fmt: skip
+
+
+@when("a request has just got a strike")
+def just_struck(context):
+    context.quarantine.strike("engine-9", (REQUEST,))
+
+
+@when("a second has passed since the strike")
+def strike_settles(context):
+    context.clock.now += 1.1
+
+
+@then("{count:d} of them may run it")
+def may_run(context, count):
+    choices = context.copies.choices(REQUEST, list(context.ledgers.values()))
+    assert sum(map(len, choices)) == count
