Do not take a server for dead that has started again under its name

Seen by callers of the own interface, where a host's name does not tell its starts apart: for two minutes after a plain service had ended and come back, each connection that broke there was a strike, though it lived.

Cause: a server that was found to have ended was remembered as dead by its name alone. Change: a whole answer from it ends that. Evidence: the scenario in deaths.feature failed before.

--- a/papayacourse/deaths.py
+++ b/papayacourse/deaths.py
@@ -131,6 +131,8 @@
         try:
             yield run
             if run.has_ended_well:
+                # Where a server's name does not tell its starts apart, it may be back.
+                self.dead.pop(server.name, None)
                 await self._survived(fingerprint)
         except (BackendAnswerLost, BackendLinkLost, BackendProtocolError) as error:
             if is_silence(error):
--- a/tests/features/deaths.feature
+++ b/tests/features/deaths.feature
@@ -103,3 +103,12 @@
       | domains | now |
       | 1       | 3   |
       | 2       | 0   |
+
+  # Guards against a server that is back under its name being taken for dead at each broken connection.
+  Scenario: A server that has started again under its name is not dead any more
+    Given a request that runs on a listed server
+    When the connection of the run is closed, and nobody listens there
+    Then the request has 1 strike
+    When another request comes to its end on that server
+    And that request's next run there is closed, and the server still listens
+    Then that request has no strike
--- a/tests/features/steps/deaths_steps.py
+++ b/tests/features/steps/deaths_steps.py
@@ -324,3 +324,23 @@
 def may_run(context, count):
     choices = context.copies.choices(REQUEST, list(context.ledgers.values()))
     assert sum(map(len, choices)) == count
+
+
+@when("another request comes to its end on that server")
+def other_ends_well(context):
+    async def run_well():
+        async with context.scene.deaths.watching(context.scene.host, "other") as run:
+            run.answered(200)
+
+    asyncio.run(run_well())
+
+
+@when("that request's next run there is closed, and the server still listens")
+def other_closed(context):
+    context.scene.deserted = False
+    asyncio.run(context.scene.lose(BackendLinkLost("closed"), "other"))
+
+
+@then("that request has no strike")
+def other_not_struck(context):
+    assert strikes(context, "other") == 0
