--- a/papayacourse/routed/keptstrikes.py
+++ b/papayacourse/routed/keptstrikes.py
@@ -105,6 +105,9 @@
         if missing:
             await self.store.keep_strikes(missing, QUARANTINE_TIME)
             self.stored |= {(strike.fingerprint, strike.engine): strike for strike in missing}
+            if not self.quarantine.strikes_of(fingerprint):
+                # Absolved while they were on their way.
+                self._write_soon(fingerprint)
         elif stored and not known:
             await self.store.drop_strikes(stored)
             for strike in stored:
--- a/tests/features/deaths.feature
+++ b/tests/features/deaths.feature
@@ -112,3 +112,9 @@
     When another request comes to its end on that server
     And that request's next run there is closed, and the server still listens
     Then that request has no strike
+
+  Scenario: Strikes of a request that is absolved while they are written do not stay in the store
+    Given a quarantine that condemns by 3 servers, kept in a store that is away
+    When "neighbour" and "other" run on servers "a, b", which end
+    And "neighbour" comes to its end elsewhere while the strikes are written
+    Then the store holds "other" alone
--- a/tests/features/steps/deaths_steps.py
+++ b/tests/features/steps/deaths_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Awaitable, Callable
 from types import SimpleNamespace
 
 from attrs import define, evolve, field
@@ -172,12 +173,23 @@
 # What strikes come to.
 
 
+async def nothing() -> None:
+    """Let nothing happen."""
+
+
 @define(eq=False)
 class FakeStore:
-    """Holds strikes, while it can be reached."""
+    """Holds strikes, while it can be reached.
+
+    Attributes
+    ----------
+    meanwhile : callable
+        What happens while strikes are written.
+    """
 
     away: bool = True
     calls: int = 0
+    meanwhile: Callable[[], Awaitable[None]] = nothing
     held: dict = field(factory=dict)
 
     def ask(self) -> None:
@@ -189,6 +201,7 @@
     async def keep_strikes(self, found: tuple[Strike, ...], _ttl: float) -> None:
         """Hold strikes."""
         self.ask()
+        await self.meanwhile()
         self.held |= {(strike.fingerprint, strike.engine): strike for strike in found}
 
     async def drop_strikes(self, found: tuple[Strike, ...]) -> None:
@@ -344,3 +357,12 @@
 @then("that request has no strike")
 def other_not_struck(context):
     assert strikes(context, "other") == 0
+
+
+@when('"{name}" comes to its end elsewhere while the strikes are written')
+def absolved_meanwhile(context, name):
+    async def absolve_it():
+        await context.quarantine.absolve(name)
+
+    context.store.away, context.store.meanwhile = False, absolve_it
+    asyncio.run(context.kept.write())
