--- a/papayacourse/routed/choice.py
+++ b/papayacourse/routed/choice.py
@@ -2,12 +2,12 @@
 
 import time
 from collections import defaultdict
-from collections.abc import Callable, Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable
 
 from attrs import define, field
 
 from papayacourse.linkclasses import LinkClass, Place
-from papayacourse.rendezvous import ranked
+from papayacourse.rendezvous import weight
 from papayacourse.types import Host, HostState
 
 RECORD_WEIGHT = 0.25  # of the last call in a server's record
@@ -85,15 +85,13 @@
         staying = (host for host in hosts if host.state == HostState.LIVE)
         fit = [host for host in staying if host.name not in avoid]
         if suspect:
-            return next(self._apart(fit, suspect), None)
+            return min(fit, key=lambda host: self._distance(suspect, host), default=None)
         return min(fit, key=self.cost, default=None)
 
-    def _apart(self, hosts: list[Host], suspect: str) -> Iterator[Host]:
-        """Yield servers in an order of the request's own, those with a poor record last."""
-        by_name = {host.name: host for host in hosts}
-        order = [by_name[name] for name in ranked(suspect, sorted(by_name))]
-        now = self.clock()
-        yield from sorted(order, key=lambda host: self.records[host.name].is_poor(now))
+    def _distance(self, suspect: str, host: Host) -> tuple[bool, int]:
+        """Return how far behind a server is in a suspect's own order; a poor record is last."""
+        is_poor = self.records[host.name].is_poor(self.clock())
+        return is_poor, -weight(suspect, host.name)
 
     def keep(self, names: Collection[str]) -> None:
         """Forget the servers that are no longer listed."""
