Log what servers say of their limits, and each request that is sent to a server

The logs could tell none of the three hypotheses from the others: they named no server for a plain call, and a limit was not even read.

Each request that goes out is logged with its server and the limit as known here, so that a second line of one request shows a repeat; a counter has the sends by server.

--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -122,6 +122,7 @@
         self.stored_strikes = StoredStrikes(self.adapter.store, self.mesh.quarantine)
         self.membership, self.duties = self.mesh.membership, self.mesh.duties
         self.metrics.watch_totals("papayacourse_mesh_frames", "", self.mesh.peers.traffic.labelled)
+        self.metrics.watch_totals("papayacourse_sends", "", self.notices.sends_by_server)
         self.documents = Documents(self.mesh.peers, self.adapter.store.decode_document, self._news)
         self.directory = HostDirectory(
             self.membership.host_sync.apply_listing,
--- a/papayacourse/routed/notices.py
+++ b/papayacourse/routed/notices.py
@@ -1,14 +1,16 @@
 """Notices that engines send in their answers: they are leaving, or ask for a pause in calls."""
 
 import time
-from collections.abc import Callable, Iterable
+from collections import Counter
+from collections.abc import Callable, Collection, Iterable, Iterator
 
 from attrs import define, field
 
 from papayacourse import logs
 from papayacourse.engines import EngineLoad
 from papayacourse.exceptions import BackendRefused
-from papayacourse.routed.seams import CopyResult, EngineCalls, EngineNotice, EngineRuns
+from papayacourse.routed.seams import CopyResult, EngineCalls, EngineNotice, EngineRuns, Limited
+from papayacourse.routed.serverlimits import ServerLimits
 from papayacourse.types import Host, HostState
 
 NOTICE_RETENTION = 120.0  # seconds after its engine is unlisted; it may be listed again
@@ -46,12 +48,18 @@
         When each leaving engine was last listed or last reported that, in seconds of the clock.
     pauses : dict of str to Pause
         The pauses that engines asked for, by engine name.
+    limits : ServerLimits
+        The request limits that engines named.
+    sends : Counter of str
+        How many callers' requests were sent to each engine, repeats included.
     """
 
     clock: Callable[[], float] = time.monotonic
     on_leaving: Callable[[Host], None] = lambda _host: None
     leaving: dict[str, float] = field(factory=dict)
     pauses: dict[str, Pause] = field(factory=dict)
+    limits: ServerLimits = field(factory=ServerLimits)
+    sends: Counter = field(factory=Counter)
 
     # Queries.
 
@@ -77,16 +85,34 @@
         stay = [h.name for h in hosts if h.state == HostState.LIVE and h.name not in self.leaving]
         return min(map(self.pause_left, stay), default=0.0) or None
 
+    def sends_by_server(self) -> Iterator[tuple[int, dict[str, str]]]:
+        """Yield the number of requests sent to each engine, for the metrics."""
+        yield from ((number, {"server": name}) for name, number in self.sends.items())
+
     # Commands.
 
+    def record_send(self, host: Host) -> None:
+        """Log and count a caller's request that is sent to an engine."""
+        self.sends[host.name] += 1
+        age = self.limits.age(host.name)
+        logs.info(
+            "sent", server=host.name, limit=self.limits.rate(host.name),
+            limit_age=None if age is None else round(age, 3),
+        )  # fmt: skip
+
     def take(self, host: Host, notice: EngineNotice) -> None:
-        """Record the notice in an engine's answer."""
+        """Record the notice in an engine's answer.
+
+        That an answer names no limit is not recorded here: see `ServerLimits.record_answer`.
+        """
         if notice.leaves:
             self.record_leaving(host, "its answer")
         if notice.pause is not None:
             until = max(self.clock() + notice.pause, self.clock() + self.pause_left(host.name))
             self.pauses[host.name] = Pause(until, MAX_MOVES_IN_PAUSE)
             logs.info("engine wants a pause", engine=host.name, seconds=round(notice.pause, 3))
+        if isinstance(notice.limit, Limited):
+            self.limits.record_answer(host.name, self.limits.clock(), notice.limit)
 
     def record_leaving(self, host: Host, source: str) -> bool:
         """Record that an engine is leaving; returns True if the host list and notices lacked it."""
@@ -99,7 +125,7 @@
             self.on_leaving(host)
         return host.state == HostState.LIVE
 
-    def forget_unlisted(self, listed: Iterable[str]) -> None:
+    def forget_unlisted(self, listed: Collection[str]) -> None:
         """Forget expired pauses, and notices of engines that have long been unlisted."""
         now = self.clock()
         self.leaving |= dict.fromkeys(self.leaving.keys() & set(listed), now)
@@ -107,6 +133,8 @@
             name: at for name, at in self.leaving.items() if now - at < NOTICE_RETENTION
         }
         self.pauses = {name: pause for name, pause in self.pauses.items() if pause.until > now}
+        self.limits.forget_unlisted(listed)
+        self.sends = Counter({name: n for name, n in self.sends.items() if name in listed})
 
     def admit_call(self, host: Host, saves_run: bool) -> None:
         """Admit a call to an engine, or raise BackendRefused during its pause.
--- a/papayacourse/routed/seams.py
+++ b/papayacourse/routed/seams.py
@@ -120,6 +120,18 @@
     resume: Resume | None = None
 
 
+@frozen
+class Limited:
+    """An engine's limit: the requests per second that it takes from all daemons together."""
+
+    rate: float
+
+
+@frozen
+class Unlimited:
+    """Says that an engine has no limit, or none any more."""
+
+
 @frozen
 class EngineNotice:
     """What an engine's answer says about the engine itself.
@@ -130,10 +142,13 @@
         Whether it is leaving.
     pause : float or None
         The pause in calls that it asks for, in seconds.
+    limit : Limited, Unlimited or None
+        The limit that it names; None if the answer does not tell.
     """
 
     leaves: bool = False
     pause: float | None = None
+    limit: Limited | Unlimited | None = None
 
 
 @frozen
--- a/papayacourse/routed/sending.py
+++ b/papayacourse/routed/sending.py
@@ -60,11 +60,17 @@
     BackendAnswerLost
         When it may have run the request and its answer is lost.
     """
+    asked_at = notices.limits.clock()
+
+    def record_send() -> None:
+        before_send()
+        notices.record_send(dispatch.engine)
+
     exchange = HttpCall(
         Address.parse(dispatch.engine.address), call.method, call.target,
         codec.headers(call, dispatch), call.body,
         connect_timeout=connect_limit(dispatch.time_left), idle_timeout=max(head_limit, 0.01),
-        before_send=before_send,
+        before_send=record_send,
     )  # fmt: skip
     try:
         await exchange.__aenter__()
@@ -73,11 +79,16 @@
     except (BackendLinkLost, BackendProtocolError) as error:
         raise BackendAnswerLost(str(error)) from error
     status, headers = exchange.status, exchange.headers
-    notices.take(dispatch.engine, codec.notice(status, headers))
-    if codec.not_run(status, headers):
+    notice = codec.notice(status, headers)
+    notices.take(dispatch.engine, notice)
+    not_run = codec.not_run(status, headers)
+    is_answer = codec.answers_call(call, status, headers)
+    if not_run or is_answer:
+        notices.limits.record_answer(dispatch.engine.name, asked_at, notice.limit)
+    if not_run:
         await exchange.__aexit__(None, None, None)
         raise RequestNotExecuted(f"{dispatch.engine.name} answered {status} without running it")
-    if not codec.answers_call(call, status, headers):
+    if not is_answer:
         await exchange.__aexit__(None, None, None)
         raise BackendAnswerLost(f"{dispatch.engine.name} sent an answer to another request")
     return exchange
