--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -7,6 +7,7 @@
 import os
 import re
 import signal
+import time
 
 from attrs import asdict, define, field
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
@@ -91,8 +92,12 @@
         Which answers say that it leaves: ``all``, ``requests`` or none.
     pause : float
         The seconds for which it wants to be left alone when it sheds a request; 0 for none.
+    limit : float or str
+        The limit that its answers name, in requests per second; empty for none.
     arrivals : list of str
         The method and path of each call that came, also of one that was turned away.
+    request_times : list of float
+        When each caller's request came, in seconds of the host's monotonic clock.
     """
 
     instance: str
@@ -106,6 +111,8 @@
     state: str = "ready"
     says_leaving: str = ""
     pause: float = 0.0
+    limit: float | str = ""
+    request_times: list[float] = field(factory=list)
     arrivals: list[str] = field(factory=list)
     runs: list[Run] = field(factory=list)
     copies: dict[str, Copy] = field(factory=dict)
@@ -127,6 +134,8 @@
         """Say that the engine leaves, if it is to say so."""
         if self.standin.says_leaving in ("all", self.kind):
             self.set_header("Server-Leaving", "1")
+        if self.standin.limit != "":
+            self.set_header("Server-Limit", str(self.standin.limit))
 
     async def answer_for_ever(self, fault: str, run: Run) -> None:
         """Write bytes without end, until the other side closes."""
@@ -152,6 +161,7 @@
         await super().prepare()
         engine, headers = self.standin, self.request.headers
         engine.arrivals.append(f"{self.request.method} {self.request.path}")
+        engine.request_times.append(time.monotonic())
         if headers.get("X-Expected-Instance") != engine.instance:
             self.refuse(421)
         elif REQUEST_ID not in headers:
@@ -395,7 +405,8 @@
         """Return what ran."""
         runs = [asdict(run) for run in self.standin.runs]
         copies = [copy.run for copy in self.standin.copies.values()]
-        self.finish({"runs": runs, "copies": copies, "arrivals": self.standin.arrivals})
+        arrivals, times = self.standin.arrivals, self.standin.request_times
+        self.finish({"runs": runs, "copies": copies, "arrivals": arrivals, "request_times": times})
 
     def post(self) -> None:
         """Set switches."""
