Keep all daemons together within the limits that servers name

What users saw: a server in need that had named a limit of 2.3 requests a second for all daemons got 20 requests in 4 s, where 19 are allowed, and with it the load that it had asked to be spared; a second one 19 for 17.

Cause: a bound that all daemons share was not known to any of them. Server-Limit was not read; each daemon chose servers by distance, its own load and failures. The class: a bound for the fleet that is kept, if at all, by each daemon for itself.

Change: a limit is divided into one share for each daemon, and each share is held by one daemon at a time (routed.sharepool, a token bucket whose rate and size go with the shares held). Daemons lend their shares for 2 s to one of their domain, which lends those of the domain on to one of the server's domain; requests for permission to send go the same way (routed.sendlimiter). So nearly the whole limit is in one place for whoever has callers, and whoever is not heard takes only its own share away. Loans run on a clock that counts suspended time; a new process uses no share that the one before may have lent. What a server says is told to the daemons that have not heard it. Plain calls, repeats, generations and resumed runs all ask. What cannot be sent is refused with 503 servers_limited and the turn that is free for this caller (rounded up, in the header too).

--- a/papayacourse/mesh.py
+++ b/papayacourse/mesh.py
@@ -22,6 +22,10 @@
 from papayacourse.types import Address
 
 
+async def do_nothing(_daemon: str) -> None:
+    """Do nothing when a link has opened; the default."""
+
+
 @define(eq=False, slots=False)
 class Mesh:
     """Builds and connects the parts of one daemon that work with other daemons.
@@ -38,6 +42,8 @@
         Reads the load and cache reports of engines.
     strikes : int
         The number of different engines that a request may crash before it is quarantined.
+    on_linked : callable
+        Runs with a daemon's name whenever a link to it has opened.
     """
 
     hello: Hello
@@ -49,6 +55,7 @@
     spawn: Callable[[Coroutine], object]
     reports: EngineReports = field(factory=EngineReports)
     strikes: int = STRIKE_LIMIT
+    on_linked: Callable[[str], Coroutine] = do_nothing
 
     def __attrs_post_init__(self) -> None:
         self.peers = Peers(self.hello, self.key)
@@ -91,6 +98,7 @@
     def _on_connected(self, hello: Hello) -> None:
         self.membership.handle_connected(hello)
         self.spawn(self.quarantine.send_known_strikes(hello.name))
+        self.spawn(self.on_linked(hello.name))
 
     def _make_scheduler(self, cell: Cell) -> Scheduler:
         scheduler = Scheduler(
--- a/papayacourse/messages.py
+++ b/papayacourse/messages.py
@@ -7,6 +7,13 @@
     RunOnce,
     StrikesUpdate,
 )
+from papayacourse.limitmessages import (
+    LendShares,
+    LimitNotices,
+    SendPermit,
+    SendPermitRequest,
+    SharesLent,
+)
 from papayacourse.meshmessages import (
     Beat,
     CallFailed,
@@ -87,4 +94,9 @@
     | DocumentCopy
     | PlatformNews
     | EngineLeaves
+    | LimitNotices
+    | LendShares
+    | SharesLent
+    | SendPermitRequest
+    | SendPermit
 )
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -39,6 +39,7 @@
 from papayacourse.routed.pages import pages
 from papayacourse.routed.reports import AdapterReports
 from papayacourse.routed.seams import EngineCalls, EngineNotice, RequestCodec, Store
+from papayacourse.routed.sendlimiter import SendLimiter
 from papayacourse.routed.storefollower import StoreFollower
 from papayacourse.routed.watchers import Watchers
 from papayacourse.schedulingmessages import EngineLeaves
@@ -133,9 +134,15 @@
         self.membership.document_version = lambda: self.documents.version
         self.membership.compare_document = self.documents.request_if_newer
         self.budget = FleetRetryBudget(config.budget, self._daemons)
+        self.limiter = SendLimiter(
+            self.membership, self.mesh.peers, self.notices.limits, self.host, self._daemons
+        )
+        self.mesh.on_linked = self.limiter.send_known
+        self.metrics.watch_totals("papayacourse_limit_reached", "", self.limiter.refusals_by_server)
         self.fleet = FleetView(
             self.membership, self.mesh.placement, self.budget, self.adapter.codec,
-            engine_calls, self.notices, self.deaths, self._note_first_event, self._shape,
+            engine_calls, self.notices, self.limiter, self.deaths, self._note_first_event,
+            self._shape,
         )  # fmt: skip
         self.evacuation = Evacuation(self.fleet, lambda: self.directory.store_is_away)
         self.front = Frontend(
@@ -229,7 +236,7 @@
         return self.ready and not self.lifecycle.stopping.is_set() and self.informed()
 
     def _daemons(self) -> int:
-        """Return how many daemons share the retry budget, without those removed as dead."""
+        """Return how many daemons share fleet-wide limits, without those removed as dead."""
         return 1 + len(self.membership.members)
 
     # Commands.
@@ -258,6 +265,7 @@
             self.deaths.run(),
             *self.mesh.work(),
             self.evacuation.run(),
+            self.limiter.run(),
             self._tick(),
             self._watch_file(),
         ):
@@ -300,6 +308,7 @@
             return
         self.checked_hosts = self.membership.hosts
         self.notices.forget_unlisted(self.checked_hosts.by_name)
+        self.limiter.forget_unlisted(self.checked_hosts.by_name)
         self.front.choice.forget_unlisted(self.checked_hosts.by_name.keys())
         self.evacuation.look()
 
--- a/papayacourse/routed/exchange.py
+++ b/papayacourse/routed/exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
@@ -113,7 +114,8 @@
         """Write the problem response for a refused request."""
         headers = HTTPHeaders({"Content-Type": problems.CONTENT_TYPE})
         if refused.retry_after is not None:
-            headers["Retry-After"] = f"{refused.retry_after:.1f}"
+            # Rounded up: a caller must not return too early.
+            headers["Retry-After"] = f"{math.ceil(refused.retry_after * 10) / 10:.1f}"
         body = json.dumps(problems.problem(refused, self.server.request_id(self))).encode()
         await self.answer(refused.status, headers, body)
 
--- a/papayacourse/routed/fleetview.py
+++ b/papayacourse/routed/fleetview.py
@@ -19,6 +19,7 @@
 from papayacourse.routed.document import EngineCapacity
 from papayacourse.routed.notices import EngineNotices
 from papayacourse.routed.seams import EngineCalls, RequestCodec
+from papayacourse.routed.sendlimiter import SendLimiter
 from papayacourse.routed.spareroom import spare_regions
 from papayacourse.types import GenerationRequest, Host, HostKind, HostState
 
@@ -37,6 +38,8 @@
         Returns the capacity and features of a model service's engines.
     notices : EngineNotices
         The notices that engines sent, which the host list may not show yet.
+    limiter : SendLimiter
+        Permits requests to servers with a limit.
     answers : AnswerMemory
         The memory for answers that are buffered whole.
     deaths : ServerDeaths
@@ -49,6 +52,7 @@
     codec: RequestCodec
     engine_calls: EngineCalls
     notices: EngineNotices
+    limiter: SendLimiter
     deaths: ServerDeaths
     note_first_event: Callable[[AdmittedRequest], None]
     shape: Callable[[str], EngineCapacity]
@@ -102,10 +106,14 @@
         ]
 
     def move_targets(self, engine: Host, service: str) -> list[Host]:
-        """Return the engines to move a run to: near ones first, then those with near peers."""
+        """Return the engines to move a run to: near ones first, then those with near peers.
+
+        Engines with a limit come last, since a run that arrives may have to wait for permission.
+        """
         return sorted(
             self.others(engine, service),
             key=lambda host: (
+                self.notices.limits.rate(host.name) is not None,
                 LINK_CLASSES_NEAREST_FIRST.index(self.reach(engine, host)),
                 not self.has_near_target(host, service),
                 random.random(),
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -178,8 +178,8 @@
         hosts = list(self.fleet.servers(admitted.service))
         with guard.answers.reservation() as reservation:
             call = PlainCall(
-                admitted, self.fleet.codec, self.choice, self.fleet.notices, guard,
-                self.fleet.budget, hosts, reservation,
+                admitted, self.fleet.codec, self.choice, self.fleet.notices, self.fleet.limiter,
+                guard, self.fleet.budget, hosts, reservation,
             )  # fmt: skip
             answer = await call.run()
             await exchange.answer(answer.status, answer.headers, answer.body)
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -37,6 +37,7 @@
 
 MAX_PLACEMENTS = 4  # engines tried until one accepts the request
 RESUME_HEAD_TIMEOUT = 1.5  # seconds in which an engine must start to resume a run
+RESUME_PATIENCE = 1.0  # seconds to wait for permission to resume a run at an engine with a limit
 STALL_TIMEOUT_GAPS = 8.0  # multiples of the route's max_gap; a longer silence means a lost engine
 MIN_STALL_TIMEOUT = 1.0  # seconds
 LONG_RUN = 1.5  # seconds; a shorter run ends within its engine's shutdown notice
@@ -380,11 +381,17 @@
             if not resume.from_copy:
                 return await self._restart(resume)
             self.fleet.notices.admit_call(self.engine, saves_run=True)
+            await self._wait_for_permit()
             return await self._send_and_relay(resume, RESUME_HEAD_TIMEOUT)
         except (BackendRefused, BackendUnreachable, RequestNotExecuted, BackendAnswerLost) as error:
             self._log_failed(str(error))
             raise self._broken(str(error)) from error
 
+    async def _wait_for_permit(self) -> None:
+        """Wait a moment for permission to send; raises BackendRefused if there is none."""
+        if not await self.fleet.limiter.admit(self.engine, RESUME_PATIENCE):
+            raise BackendRefused(503, f"the limit of {self.engine.name} is reached")
+
     def _broken(self, why: str) -> Exception:
         if self.exchange.head_written:
             return StreamBroken(why)
--- a/papayacourse/routed/notices.py
+++ b/papayacourse/routed/notices.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from collections.abc import Callable, Collection, Iterable, Iterator
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from papayacourse import logs
 from papayacourse.engines import EngineLoad
@@ -34,6 +34,23 @@
     moves: int
 
 
+@frozen
+class Opening:
+    """When an engine can be sent a request again.
+
+    Attributes
+    ----------
+    wait : float
+        In how many seconds; 0 for now.
+    is_limited : bool
+        Whether its limit is reached; otherwise it has asked for a pause.
+    """
+
+    engine: str
+    wait: float
+    is_limited: bool
+
+
 @define(eq=False)
 class EngineNotices:
     """The engines that asked this daemon for no new work.
@@ -75,15 +92,21 @@
     def takes_work(self, host: Host) -> bool:
         """Return True if an engine may be sent a new request."""
         stays = host.state == HostState.LIVE and host.name not in self.leaving
-        return stays and not self.pause_left(host.name)
+        available = not self.pause_left(host.name) and not self.limits.blocked_for(host.name)
+        return stays and available
 
-    def earliest(self, hosts: Iterable[Host]) -> float | None:
-        """Return the seconds until the first pause of an engine that stays ends.
+    def earliest(self, hosts: Iterable[Host]) -> Opening | None:
+        """Return which engine that stays can be sent a request first, and when.
 
-        None if no engine stays, or if one of them is not paused.
+        None if no engine stays, or if one of them can be sent a request now.
         """
-        stay = [h.name for h in hosts if h.state == HostState.LIVE and h.name not in self.leaving]
-        return min(map(self.pause_left, stay), default=0.0) or None
+        stay = (h.name for h in hosts if h.state == HostState.LIVE and h.name not in self.leaving)
+        first = min(map(self._opening, stay), key=lambda opening: opening.wait, default=None)
+        return first if first is not None and first.wait else None
+
+    def _opening(self, name: str) -> Opening:
+        pause, turn = self.pause_left(name), self.limits.turn_in(name)
+        return Opening(name, max(pause, turn), is_limited=turn > pause)
 
     def sends_by_server(self) -> Iterator[tuple[int, dict[str, str]]]:
         """Yield the number of requests sent to each engine, for the metrics."""
--- a/papayacourse/routed/placing.py
+++ b/papayacourse/routed/placing.py
@@ -8,7 +8,7 @@
 from papayacourse import logs
 from papayacourse.routed.admitted import AdmittedRequest
 from papayacourse.routed.fleetview import FleetView
-from papayacourse.routed.sending import servers_paused_refusal
+from papayacourse.routed.sending import no_opening_refusal
 from papayacourse.schedulingmessages import Granted, GrantRequest
 from papayacourse.types import GenerationRequest, Host
 
@@ -45,13 +45,14 @@
         Raises
         ------
         RequestRefused
-            When no place became free in time, or every engine has asked for a pause.
+            When no place became free in time, or every engine has asked for a pause or has
+            reached its limit.
         """
         while True:
-            self._refuse_if_all_paused()
+            self._refuse_if_none_opens()
             grant = await self._request_grant(is_long)
             host = await self._wait_until_listed(grant.engine)
-            if host is not None and self.fleet.notices.takes_work(host):
+            if host is not None and await self._may_send(host):
                 return host
             logs.info(
                 "granted engine accepts no work", engine=grant.engine, is_listed=host is not None
@@ -59,11 +60,15 @@
             self.refused.add(grant.engine)
             await self.fleet.placement.release_grant(self.request)
 
-    def _refuse_if_all_paused(self) -> None:
-        """Refuse the request at once if every engine of its service has asked for a pause."""
-        pause = self.fleet.notices.earliest(self.fleet.servers(self.admitted.service))
-        if pause is not None:
-            raise servers_paused_refusal(pause)
+    async def _may_send(self, host: Host) -> bool:
+        return self.fleet.notices.takes_work(host) and await self.fleet.limiter.admit(host)
+
+    def _refuse_if_none_opens(self) -> None:
+        """Refuse the request at once if no engine of its service can be sent a request now."""
+        servers = self.fleet.servers(self.admitted.service)
+        refusal = no_opening_refusal(self.fleet.notices, servers, self.admitted.time_left())
+        if refusal is not None:
+            raise refusal
 
     def _excluded(self) -> tuple[str, ...]:
         """Return the engines that the schedulers must not grant."""
--- a/papayacourse/routed/plaincall.py
+++ b/papayacourse/routed/plaincall.py
@@ -18,11 +18,12 @@
 from papayacourse.routed.sending import (
     BackendAnswerLost,
     RequestNotExecuted,
+    no_opening_refusal,
     open_call,
     read_body,
     refuse_misleading_status,
-    servers_paused_refusal,
 )
+from papayacourse.routed.sendlimiter import SendLimiter
 from papayacourse.types import Host, Ran
 
 MAX_ATTEMPTS = 4  # servers tried per request, not counting those that refuse the connection
@@ -65,6 +66,7 @@
     codec: RequestCodec
     choice: ServerChoice
     notices: EngineNotices
+    limiter: SendLimiter
     guard: RequestGuard
     budget: FleetRetryBudget
     hosts: list[Host]
@@ -79,9 +81,8 @@
     async def run(self) -> Answer:
         """Return the answer; raises RequestRefused if there is none."""
         while self.attempts < MAX_ATTEMPTS:
-            hosts = filter(self.notices.takes_work, self.hosts)
-            host = self.choice.choose(hosts, self.tried, self._suspect())
-            if host is None or (self.tried and not self._may_send_again()):
+            host = await self._next_server()
+            if host is None:
                 break
             answer = await self._try(host)
             if answer is not None:
@@ -90,6 +91,19 @@
             return self.failure
         raise self._refusal()
 
+    async def _next_server(self) -> Host | None:
+        """Return the server to send the request to next, or None."""
+        host = self._choose()
+        if host is None or (self.tried and not self._may_send_again()):
+            return None
+        while host is not None and not await self.limiter.admit(host):
+            host = self._choose()
+        return host
+
+    def _choose(self) -> Host | None:
+        hosts = filter(self.notices.takes_work, self.hosts)
+        return self.choice.choose(hosts, self.tried, self._suspect())
+
     def _suspect(self) -> str:
         """Return the request's fingerprint if a server died while running it, else an empty one."""
         return self.guard.fingerprint if self.guard.is_struck() else ""
@@ -171,8 +185,8 @@
         if self.ran:
             late = self.admitted.time_left() <= 0
             return RequestRefused(504 if late else 502, "answer_lost", self.last_error, Ran.UNKNOWN)
-        pause = self.notices.earliest(self.hosts)
-        if pause is not None:
-            return servers_paused_refusal(pause)
+        refusal = no_opening_refusal(self.notices, self.hosts, self.admitted.time_left())
+        if refusal is not None:
+            return refusal
         why = self.last_error or "no server of the service is listed"
         return RequestRefused(503, "no_server", why, retry_after=RETRY_AFTER)
--- a/papayacourse/routed/sending.py
+++ b/papayacourse/routed/sending.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from papayacourse.answermemory import AnswerReservation
 from papayacourse.exceptions import (
@@ -16,7 +16,7 @@
 from papayacourse.httpcall import HttpCall
 from papayacourse.routed.notices import EngineNotices
 from papayacourse.routed.seams import Call, Dispatch, RequestCodec
-from papayacourse.types import Address, Ran
+from papayacourse.types import Address, Host, Ran
 
 MAX_RETRY_SPREAD = 0.4  # seconds; callers retry within this time after a pause ends
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})  # to callers: the request did not run
@@ -116,15 +116,26 @@
         await exchange.__aexit__(None, None, None)
 
 
-def servers_paused_refusal(pause: float) -> RequestRefused:
-    """Return the refusal of a request when every server has asked for a pause.
+def no_opening_refusal(
+    notices: EngineNotices, hosts: Iterable[Host], time_left: float
+) -> RequestRefused | None:
+    """Return the refusal of a request that no server can be sent now; None if one can.
 
     Parameters
     ----------
-    pause : float
-        Time until the first pause ends, in seconds.
+    hosts : iterable of Host
+        The servers of the service.
+    time_left : float
+        How long the caller will still wait, in seconds.
     """
+    first = notices.earliest(hosts)
+    if first is None:
+        return None
+    if first.is_limited:
+        notices.limits.use_turn(first.engine, time_left)
+        why = "every server of the service has reached its limit or wants to be left alone"
+        return RequestRefused(503, "servers_limited", why, retry_after=first.wait)
     # The jitter keeps callers from all retrying at the first available server at once.
-    retry_after = pause + MAX_RETRY_SPREAD * random.uniform(0.5, 1.0)
+    retry_after = first.wait + MAX_RETRY_SPREAD * random.uniform(0.5, 1.0)
     why = "every server of the service wants to be left alone"
     return RequestRefused(503, "servers_paused", why, retry_after=retry_after)
--- a/papayacourse/routed/serverlimits.py
+++ b/papayacourse/routed/serverlimits.py
@@ -9,6 +9,7 @@
 from papayacourse.routed.seams import Limited, Unlimited
 
 LIFT_RETENTION = 30.0  # seconds for which a lifted limit is remembered
+MIN_ADVANCE = 0.25  # seconds; what peers report is less exact, by the time that it takes to arrive
 
 
 def boot_time() -> float:
@@ -32,6 +33,25 @@
     said_at: float
 
 
+@define
+class Block:
+    """A time in which nothing is sent to a server, since its limit is reached.
+
+    Attributes
+    ----------
+    until : float
+        Its end, in seconds of the clock.
+    interval : float
+        The expected time between requests after that, in seconds.
+    next_turn : float
+        When the next refused caller is told to return, in seconds of the clock.
+    """
+
+    until: float
+    interval: float
+    next_turn: float
+
+
 @define(eq=False)
 class ServerLimits:
     """The servers' last statements about their limits, by server name.
@@ -47,9 +67,27 @@
     clock: Callable[[], float] = boot_time
     on_change: Callable[[str], None] = lambda _server: None
     known: dict[str, KnownLimit] = field(factory=dict)
+    blocks: dict[str, Block] = field(factory=dict)
 
     # Queries.
 
+    def limited(self) -> list[str]:
+        """Return the servers that have a limit."""
+        return [server for server, known in self.known.items() if known.rate is not None]
+
+    def blocked_for(self, server: str) -> float:
+        """Return for how long nothing is sent to a server because of its limit, in seconds."""
+        block = self.blocks.get(server)
+        if block is None or self.rate(server) is None:
+            return 0.0
+        return max(0.0, block.until - self.clock())
+
+    def turn_in(self, server: str) -> float:
+        """Return when the next refused caller should return, in seconds from now."""
+        if not self.blocked_for(server):
+            return 0.0
+        return self.blocks[server].next_turn - self.clock()
+
     def rate(self, server: str) -> float | None:
         """Return a server's limit, in requests per second; None if it has none."""
         known = self.known.get(server)
@@ -62,6 +100,28 @@
 
     # Commands.
 
+    def block(self, server: str, wait: float, interval: float) -> None:
+        """Send nothing to a server for a time, since its limit is reached."""
+        until = self.clock() + wait
+        before = self.blocks.get(server)
+        next_turn = max(until, before.next_turn) if before else until
+        self.blocks[server] = Block(until, interval, next_turn)
+
+    def use_turn(self, server: str, time_left: float) -> None:
+        """Give away the next turn, to a caller that can still be there when it comes."""
+        if self.blocked_for(server) and self.turn_in(server) <= time_left:
+            self.blocks[server].next_turn += self.blocks[server].interval
+
+    def adopt(self, server: str, rate: float | None, age: float, source: str) -> None:
+        """Take over what another daemon knows, if it is newer."""
+        known, said_at = self.known.get(server), self.clock() - age
+        if known is None:
+            is_news = rate is not None
+        else:
+            is_news = rate != known.rate and said_at > known.said_at + MIN_ADVANCE
+        if is_news:
+            self._update(server, rate, said_at, source)
+
     def record_answer(
         self, server: str, asked_at: float, limit: Limited | Unlimited | None
     ) -> None:
@@ -93,7 +153,10 @@
             self.on_change(server)
 
     def forget_unlisted(self, listed: Collection[str]) -> None:
-        """Forget the limits of unlisted servers, and limits lifted long ago."""
+        """Forget the limits of unlisted servers, limits lifted long ago, and ended blocks."""
+        self.blocks = {
+            server: block for server, block in self.blocks.items() if self.blocked_for(server)
+        }
         oldest = self.clock() - LIFT_RETENTION
         self.known = {
             server: known
--- /dev/null
+++ b/tests/features/steps/limitshares_steps.py
@@ -0,0 +1,132 @@
+"""Steps about the division of a server's limit among simulated daemons."""
+
+import asyncio
+
+from behave import given, then, when
+
+from papayacourse.routed.seams import Unlimited
+from papayacourse.routed.serverlimits import KnownLimit, ServerLimits
+from papayacourse.routed.sharepool import SharePool
+from tests.limitfleet import LEARN_TIME, SERVER, LimitFleet
+
+QUIET_TIME = 3.0  # seconds before the first limit
+OLD_RATE = 3.0  # requests per second
+
+
+@given("{domains:d} simulated domains of {daemons:d} daemons with {demand:g} callers a second each")
+def simulated(context, domains, daemons, demand):
+    simulated_with_seed(context, domains, daemons, demand, 1)
+
+
+@given("{domains:d} simulated domains of {daemons:d} daemons with {demand:g} callers a second each, seed {seed:d}")  # noqa: E501  # fmt: skip
+def simulated_with_seed(context, domains, daemons, demand, seed):
+    context.simulated = LimitFleet(domains, daemons, demand, seed)
+
+
+@given("no daemon counts the others")
+def nobody_counts(context):
+    context.simulated.ignores_others = True
+
+
+@when("the server limits them to {limit:g} requests a second for {seconds:g} s")
+def limited(context, limit, seconds):
+    simulated = context.simulated
+    asyncio.run(simulated.run(QUIET_TIME))
+    simulated.set_limit(limit)
+    asyncio.run(simulated.run(seconds))
+
+
+@when("the server names no limit for {seconds:g} s")
+def unlimited(context, seconds):
+    context.simulated.set_limit(None)
+    asyncio.run(context.simulated.run(seconds))
+
+
+@when('domain "{domain}" hears no other')
+def cut_domain(context, domain):
+    context.simulated.cut(context.simulated.by_domain[domain])
+
+
+@when("{seconds:g} s pass for the simulated daemons")
+def pass_time(context, seconds):
+    asyncio.run(context.simulated.run(seconds))
+
+
+@when("daemons are restarted, cut off and heard again {rounds:d} times at random")
+def trouble(context, rounds):
+    asyncio.run(context.simulated.trouble(rounds))
+
+
+@then("it never got more than its limit allows")
+def limit_kept(context):
+    found = list(context.simulated.excesses())
+    assert not found, found[:3]
+
+
+@then("it got more than its limit allows")
+def limit_broken(context):
+    assert list(context.simulated.excesses())
+
+
+@then("it got at least {part:g} of its limit")
+def limit_used(context, part):
+    simulated = context.simulated
+    used = simulated.used(simulated.limits[0][0] + LEARN_TIME)
+    assert used >= part, used
+
+
+@then("no daemon knows of a limit")
+def none_known(context):
+    for name, node in context.simulated.nodes.items():
+        assert not node.limiter.limits.limited(), name
+
+
+@given("a pool that holds all shares of a limit of {rate:g} a second and has none left")
+def empty_pool(context, rate):
+    context.pool = SharePool(lambda: 1, rate, usable_from=0.0, updated_at=100.0)
+
+
+@then("{count:d} callers are told to return after {first:g}, {second:g} and {third:g} s")
+def turns_told(context, count, first, second, third):
+    told = [context.pool.take(100.0) for _ in range(count)]
+    assert not any(turn.granted for turn in told)
+    assert [round(turn.wait, 3) for turn in told] == [first, second, third]
+
+
+@then("after {seconds:g} s one more caller is told to return after less than {most:g} s")
+def next_turn(context, seconds, most):
+    now = 100.0 + seconds
+    while (turn := context.pool.take(now)).granted:
+        continue
+    assert 0 < turn.wait < most, turn
+
+
+@given("a server that named a limit {age:g} s ago")
+def known_limit(context, age):
+    context.limits = ServerLimits(clock=lambda: 100.0)
+    context.limits.known[SERVER.name] = KnownLimit(OLD_RATE, 100.0 - age)
+
+
+@when("an answer without a limit comes, to a request sent {age:g} s ago")
+def answer_without_limit(context, age):
+    context.limits.record_answer(SERVER.name, 100.0 - age, Unlimited())
+
+
+@when("a peer reports a lifted limit that is {age:g} s old")
+def peer_lifts(context, age):
+    context.limits.adopt(SERVER.name, None, age, "peer")
+
+
+@when("a peer reports the old limit, {age:g} s old")
+def peer_limits(context, age):
+    context.limits.adopt(SERVER.name, OLD_RATE, age, "peer")
+
+
+@then("its limit is known")
+def is_known(context):
+    assert context.limits.rate(SERVER.name) == OLD_RATE
+
+
+@then("no limit is known")
+def is_unknown(context):
+    assert context.limits.rate(SERVER.name) is None
--- a/tests/features/steps/routedplaces_steps.py
+++ b/tests/features/steps/routedplaces_steps.py
@@ -209,6 +209,14 @@
         self.given_back += 1
 
 
+class NoLimits:
+    """Permits every request."""
+
+    async def admit(self, _host, patience=0.0):
+        """Permit a request."""
+        return True
+
+
 class Fleet:
     """A daemon's view of the fleet: the engines it knows, some of them only later."""
 
@@ -216,6 +224,7 @@
         self.placement = placement
         self.known = {}
         self.notices = EngineNotices()
+        self.limiter = NoLimits()
 
     def servers(self, _service):
         """Return the engines that are known from the start."""
