Let daemons that share a limit tell their callers different turns

Each daemon told its refused callers one turn after another at the full rate of the shares, so that ten daemons together told ten times the turns that there are. Whoever answers requests for permission now counts the daemons that asked in the last 2 s, and the interval that it tells grows with their number.

--- a/papayacourse/routed/sendlimiter.py
+++ b/papayacourse/routed/sendlimiter.py
@@ -40,6 +40,7 @@
 TRANSIT_TIME = 0.5  # seconds that a loan may be on its way
 UNREACHED_WAIT = 0.5  # seconds until the holder of the shares is asked again
 MIN_WAIT = 0.02  # seconds
+ASKER_WINDOW = 2.0  # seconds
 
 Destination = tuple[str, bool]
 
@@ -62,6 +63,8 @@
         Set when there is something to report or to lend.
     refusals : Counter of str
         How often this daemon was not permitted to send, by server.
+    asked_at : dict of str to dict of str to float
+        By server: when each daemon last asked here for permission, in seconds of the clock.
     """
 
     membership: Membership
@@ -74,6 +77,7 @@
     changed: set[str] = field(factory=set)
     wake: asyncio.Event = field(factory=asyncio.Event)
     refusals: Counter = field(factory=Counter)
+    asked_at: dict[str, dict[str, float]] = field(factory=lambda: defaultdict(dict))
 
     def __attrs_post_init__(self) -> None:
         self.started_at = self.limits.clock()
@@ -100,7 +104,8 @@
         while self.limits.rate(host.name) is not None:
             wait = self.limits.blocked_for(host.name)
             if not wait:
-                permit = await self._request_permit(self._notice(host.name), MAX_FORWARDS)
+                me = self.membership.me.name
+                permit = await self._request_permit(self._notice(host.name), MAX_FORWARDS, me)
                 if permit.granted:
                     return True
                 wait = max(MIN_WAIT, permit.wait)
@@ -112,8 +117,21 @@
             await asyncio.sleep(wait)
         return True
 
-    async def _request_permit(self, notice: LimitNotice, forwards: int) -> SendPermit:
+    async def _request_permit(self, notice: LimitNotice, forwards: int, asker: str) -> SendPermit:
         """Ask whoever holds the shares, which may be this daemon."""
+        permit = await self._forward_or_take(notice, forwards)
+        # Each asker tells its callers turns; together they must not tell more than there are.
+        return evolve(permit, interval=permit.interval * self._count_askers(notice.server, asker))
+
+    def _count_askers(self, server: str, asker: str) -> int:
+        """Return how many daemons have asked here lately, this one included."""
+        now, asked_at = self.limits.clock(), self.asked_at[server]
+        asked_at[asker] = now
+        for name in [name for name, at in asked_at.items() if at < now - ASKER_WINDOW]:
+            del asked_at[name]
+        return len(asked_at)
+
+    async def _forward_or_take(self, notice: LimitNotice, forwards: int) -> SendPermit:
         holder, _ = self._destination(notice.server)
         if not holder:
             return self._take(notice.server)
@@ -146,7 +164,7 @@
         """Answer another daemon that wants to send a request."""
         self._adopt((question.notice,), peer.name)
         server = question.notice.server
-        permit = await self._request_permit(self._notice(server), question.forwards)
+        permit = await self._request_permit(self._notice(server), question.forwards, peer.name)
         return evolve(permit, notices=(self._notice(server),))
 
     # Lending.
@@ -337,6 +355,7 @@
 
     def forget_unlisted(self, listed: dict[str, Host]) -> None:
         """Drop the shares of servers that are no longer listed."""
-        for server in self.pools.keys() - listed.keys():
-            del self.pools[server]
+        for found in (self.pools, self.asked_at):
+            for server in found.keys() - listed.keys():
+                del found[server]
         self.refusals = Counter({name: n for name, n in self.refusals.items() if name in listed})
