Ask an engine's limit before a run is moved there, and let saved runs go ahead on credit

Causes: the permission was asked too late, and a daemon did not use its own share in the first 4 s after its start, nor lend it, although a loan replaces that of the process before.

Now a move asks first and leaves the run where it is without permission; a request that saves a run waits up to 1 s for it, and may be sent in advance by 1 request and half a second of the limit; a daemon lends its share from its start on.

--- a/papayacourse/limitmessages.py
+++ b/papayacourse/limitmessages.py
@@ -31,7 +31,7 @@
 class ShareLoan:
     """The shares of one server's limit that are lent; 0 takes back what was lent before."""
 
-    server: str
+    notice: LimitNotice
     shares: int
 
 
@@ -47,7 +47,6 @@
 
     loans: tuple[ShareLoan, ...]
     from_domain: bool
-    notices: tuple[LimitNotice, ...]
 
 
 @frozen
@@ -59,7 +58,7 @@
     held_for : tuple of float
         For each loan, for how many seconds its shares may still be in use elsewhere.
     notices : tuple of LimitNotice
-        What the holder knows of the limits.
+        The limits that the holder knows otherwise than the lender.
     """
 
     held_for: tuple[float, ...]
@@ -74,10 +73,13 @@
     ----------
     forwards : int
         How often the question may still be forwarded.
+    saves_run : bool
+        Whether the request continues a run that would be lost without it.
     """
 
     notice: LimitNotice
     forwards: int
+    saves_run: bool = False
 
 
 @frozen
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -37,7 +37,6 @@
 
 MAX_PLACEMENTS = 4  # engines tried until one accepts the request
 RESUME_HEAD_TIMEOUT = 1.5  # seconds in which an engine must start to resume a run
-RESUME_PATIENCE = 1.0  # seconds to wait for permission to resume a run at an engine with a limit
 STALL_TIMEOUT_GAPS = 8.0  # multiples of the route's max_gap; a longer silence means a lost engine
 MIN_STALL_TIMEOUT = 1.0  # seconds
 LONG_RUN = 1.5  # seconds; a shorter run ends within its engine's shutdown notice
@@ -77,6 +76,8 @@
         Whether it has been sent to the current engine, which has not yet answered.
     unmovable : bool
         Whether a move from its current engine has failed.
+    is_permitted : bool
+        Whether the limit of the engine where it continues next has been asked already.
     resumes : int
         Number of times that it was continued after an engine was lost.
     runs : int
@@ -102,6 +103,7 @@
     ran: bool = False
     is_sent: bool = False
     unmovable: bool = False
+    is_permitted: bool = False
     resumes: int = 0
     runs: int = 0
     copy: Standby | None = None
@@ -367,6 +369,7 @@
             raise self._broken(why)
         await self.fleet.rebind(self.request, self.engine, standby.host, self.generated)
         self.engine = standby.host
+        self.is_permitted = standby.is_permitted
         return Resume(standby.holder, standby.handle, self.last_id)
 
     async def _resume(self, resume: Resume) -> Resume | None:
@@ -381,15 +384,16 @@
             if not resume.from_copy:
                 return await self._restart(resume)
             self.fleet.notices.admit_call(self.engine, saves_run=True)
-            await self._wait_for_permit()
+            await self._get_permit()
             return await self._send_and_relay(resume, RESUME_HEAD_TIMEOUT)
         except (BackendRefused, BackendUnreachable, RequestNotExecuted, BackendAnswerLost) as error:
             self._log_failed(str(error))
             raise self._broken(str(error)) from error
 
-    async def _wait_for_permit(self) -> None:
-        """Wait a moment for permission to send; raises BackendRefused if there is none."""
-        if not await self.fleet.limiter.admit(self.engine, RESUME_PATIENCE):
+    async def _get_permit(self) -> None:
+        """Get permission to resume at the engine; raises BackendRefused if there is none."""
+        is_permitted, self.is_permitted = self.is_permitted, False
+        if not is_permitted and not await self.fleet.limiter.admit_saving_run(self.engine):
             raise BackendRefused(503, f"the limit of {self.engine.name} is reached")
 
     def _broken(self, why: str) -> Exception:
--- a/papayacourse/routed/moving.py
+++ b/papayacourse/routed/moving.py
@@ -13,6 +13,8 @@
 from papayacourse.routed.standby import Standby
 from papayacourse.types import Host
 
+NO_ROOM_STATUS = 503  # HTTP status reported for a move that an engine's limit does not permit
+
 
 @define(eq=False)
 class Move:
@@ -58,11 +60,14 @@
         """Copy the run while it continues, then stop it and copy the remainder."""
         calls, run = self.fleet.engine_calls, self.generation.run_id
         target = await self._usable_copy_target() or await self._copy_first(targets)
+        # Asked while the run still continues: it stays where it is if it may not go there.
+        if not await self.fleet.limiter.admit_saving_run(target):
+            raise BackendNoRoom(NO_ROOM_STATUS, f"the limit of {target.name} is reached")
         copied = await calls.copy_run(self.engine, run, target, stop=True)
         self.generation.copy = None
-        return Standby(
-            target if copied.complete else self.engine, self.engine.address, copied.handle
-        )
+        if not copied.complete:
+            return Standby(self.engine, self.engine.address, copied.handle)
+        return Standby(target, self.engine.address, copied.handle, is_permitted=True)
 
     async def _copy_first(self, targets: Iterable[Host]) -> Host:
         """Copy the run to the first target that has room; raises BackendError if none has."""
--- a/papayacourse/routed/sendlimiter.py
+++ b/papayacourse/routed/sendlimiter.py
@@ -29,7 +29,7 @@
 from papayacourse.peers import Peers
 from papayacourse.rendezvous import best_candidate
 from papayacourse.routed.serverlimits import ServerLimits
-from papayacourse.routed.sharepool import LOAN_TIME, Debt, SharePool, Turn
+from papayacourse.routed.sharepool import LOAN_TIME, Debt, SharePool
 from papayacourse.types import Host
 
 DUTY = "server limits"
@@ -40,6 +40,8 @@
 TRANSIT_TIME = 0.5  # seconds that a loan may be on its way
 UNREACHED_WAIT = 0.5  # seconds until the holder of the shares is asked again
 MIN_WAIT = 0.02  # seconds
+SAVE_PATIENCE = 1.0  # seconds that a request which saves a run waits for permission
+SAVE_RETRY_INTERVAL = 0.2  # seconds
 ASKER_WINDOW = 2.0  # seconds
 
 Destination = tuple[str, bool]
@@ -92,36 +94,48 @@
 
     # Permission to send.
 
-    async def admit(self, host: Host, patience: float = 0.0) -> bool:
-        """Return True if one request may be sent to a server now.
-
-        Parameters
-        ----------
-        patience : float
-            How long to wait for permission, in seconds.
-        """
-        deadline = time.monotonic() + patience
+    async def admit(self, host: Host) -> bool:
+        """Return True if one request may be sent to a server now."""
+        if self.limits.rate(host.name) is None:
+            return True
+        if self.limits.blocked_for(host.name):
+            return False
+        permit = await self._ask(host, saves_run=False)
+        if not permit.granted:
+            self.limits.block(host.name, max(MIN_WAIT, permit.wait), permit.interval)
+        return permit.granted
+
+    async def admit_saving_run(self, host: Host) -> bool:
+        """Return True once a request that saves a run may be sent, or False after a moment."""
+        deadline = time.monotonic() + SAVE_PATIENCE
         while self.limits.rate(host.name) is not None:
-            wait = self.limits.blocked_for(host.name)
-            if not wait:
-                me = self.membership.me.name
-                permit = await self._request_permit(self._notice(host.name), MAX_FORWARDS, me)
-                if permit.granted:
-                    return True
-                wait = max(MIN_WAIT, permit.wait)
-                self.limits.block(host.name, wait, permit.interval)
-                self.refusals[host.name] += 1
-                logs.info("not permitted to send", server=host.name, wait=round(wait, 3))
+            permit = await self._ask(host, saves_run=True)
+            if permit.granted:
+                return True
+            wait = min(max(MIN_WAIT, permit.wait), SAVE_RETRY_INTERVAL)
             if time.monotonic() + wait > deadline:
                 return False
             await asyncio.sleep(wait)
         return True
 
-    async def _request_permit(self, notice: LimitNotice, forwards: int, asker: str) -> SendPermit:
+    async def _ask(self, host: Host, saves_run: bool) -> SendPermit:
+        me = self.membership.me.name
+        question = SendPermitRequest(self._notice(host.name), MAX_FORWARDS, saves_run)
+        permit = await self._request_permit(question, me)
+        if not permit.granted:
+            self.refusals[host.name] += 1
+            logs.info(
+                "not permitted to send", server=host.name, wait=round(permit.wait, 3),
+                saves_run=saves_run,
+            )  # fmt: skip
+        return permit
+
+    async def _request_permit(self, question: SendPermitRequest, asker: str) -> SendPermit:
         """Ask whoever holds the shares, which may be this daemon."""
-        permit = await self._forward_or_take(notice, forwards)
+        permit = await self._forward_or_take(question)
         # Each asker tells its callers turns; together they must not tell more than there are.
-        return evolve(permit, interval=permit.interval * self._count_askers(notice.server, asker))
+        askers = self._count_askers(question.notice.server, asker)
+        return evolve(permit, interval=permit.interval * askers)
 
     def _count_askers(self, server: str, asker: str) -> int:
         """Return how many daemons have asked here lately, this one included."""
@@ -131,28 +145,29 @@
             del asked_at[name]
         return len(asked_at)
 
-    async def _forward_or_take(self, notice: LimitNotice, forwards: int) -> SendPermit:
-        holder, _ = self._destination(notice.server)
+    async def _forward_or_take(self, question: SendPermitRequest) -> SendPermit:
+        server, forwards = question.notice.server, question.forwards
+        holder, _ = self._destination(server)
         if not holder:
-            return self._take(notice.server)
+            return self._take(server, question.saves_run)
         if not forwards:
             # Daemons that disagree on the holder may ask each other in turn.
             return SendPermit(False, UNREACHED_WAIT, UNREACHED_WAIT)
-        question = SendPermitRequest(notice, forwards - 1)
+        forwarded = evolve(question, forwards=forwards - 1)
         try:
-            answer = await self.peers.call(holder, question, HOP_TIMEOUT * forwards)
+            answer = await self.peers.call(holder, forwarded, HOP_TIMEOUT * forwards)
         except PeerError as error:
-            logs.info("permit not received", server=notice.server, holder=holder, why=str(error))
+            logs.info("permit not received", server=server, holder=holder, why=str(error))
             return SendPermit(False, UNREACHED_WAIT, UNREACHED_WAIT)
         self._adopt(answer.notices, holder)
         return answer
 
-    def _take(self, server: str) -> SendPermit:
+    def _take(self, server: str, saves_run: bool) -> SendPermit:
         pool = self._pool(server)
         if pool is None:
             return SendPermit(True)
         now = self.limits.clock()
-        turn: Turn = pool.take(now)
+        turn = pool.take(now, saves_run)
         if not turn.granted:
             logs.info(
                 "limit reached", server=server, limit=pool.rate, shares=pool.held(now),
@@ -164,7 +179,8 @@
         """Answer another daemon that wants to send a request."""
         self._adopt((question.notice,), peer.name)
         server = question.notice.server
-        permit = await self._request_permit(self._notice(server), question.forwards, peer.name)
+        mine = evolve(question, notice=self._notice(server))
+        permit = await self._request_permit(mine, peer.name)
         return evolve(permit, notices=(self._notice(server),))
 
     # Lending.
@@ -194,21 +210,21 @@
             holder, from_domain = self._destination(server)
             debt = pool.debt if pool.owes(now) else None
             if debt is not None and (debt.holder, debt.from_domain) != (holder, from_domain):
-                loans[debt.holder, debt.from_domain].append(ShareLoan(server, 0))
+                loans[debt.holder, debt.from_domain].append(ShareLoan(self._notice(server), 0))
             elif holder and (shares := pool.lendable(now, from_domain)):
-                loans[holder, from_domain].append(ShareLoan(server, shares))
+                loans[holder, from_domain].append(ShareLoan(self._notice(server), shares))
         await asyncio.gather(*(self._lend_to(to, found) for to, found in loans.items()))
 
     async def _lend_to(self, destination: Destination, loans: list[ShareLoan]) -> None:
         holder, from_domain = destination
-        pools = [self.pools[loan.server] for loan in loans]
+        pools = [self.pools[loan.notice.server] for loan in loans]
         before = [pool.debt for pool in pools]
         # Until the answer tells better, the loan counts from the moment in which it may arrive.
         latest = LEND_TIMEOUT + TRANSIT_TIME + 2 * LOAN_TIME
         for loan, pool in zip(loans, pools, strict=True):
             if loan.shares:
                 self._owe(pool, destination, latest)
-        message = LendShares(tuple(loans), from_domain, self._notices())
+        message = LendShares(tuple(loans), from_domain)
         try:
             answer = await self.peers.call(holder, message, LEND_TIMEOUT)
         except PeerUnreachable as error:
@@ -234,16 +250,19 @@
 
     async def handle_loans(self, peer: Hello, message: LendShares) -> SharesLent:
         """Hold shares of another daemon, or return them."""
-        self._adopt(message.notices, peer.name)
-        now = self.limits.clock()
-        held_for = []
-        for loan in message.loans:
-            pool = self._pool(loan.server)
-            # Without a limit nothing is held.
-            held_for.append(
-                pool.accept_loan(peer.name, loan.shares, message.from_domain, now) if pool else 0.0
-            )
-        return SharesLent(tuple(held_for), self._notices())
+        notices = tuple(loan.notice for loan in message.loans)
+        self._adopt(notices, peer.name)
+        held_for = tuple(self._hold(peer.name, loan, message.from_domain) for loan in message.loans)
+        differing = (n for n in notices if self.limits.rate(n.server) != n.rate)
+        return SharesLent(held_for, tuple(self._notice(n.server) for n in differing))
+
+    def _hold(self, lender: str, loan: ShareLoan, from_domain: bool) -> float:
+        """Hold a loan; return for how many seconds its lender must not use the shares."""
+        pool = self._pool(loan.notice.server)
+        if pool is None:
+            # It has no limit here.
+            return 0.0
+        return pool.accept_loan(lender, loan.shares, from_domain, self.limits.clock())
 
     # Who holds the shares.
 
--- a/papayacourse/routed/sharepool.py
+++ b/papayacourse/routed/sharepool.py
@@ -14,7 +14,10 @@
 # is for requests that take differently long to arrive, and for a limit that falls.
 BURST = 4.0  # requests that may be saved up
 BURST_TIME = 0.25  # seconds of the limit's rate that may be saved up in addition
-SPREAD_TIME = 1.25  # the same while the shares are spread over many daemons, for one request each
+CREDIT = 1.0  # requests that save a run may be sent in advance
+CREDIT_TIME = 0.5  # seconds of the limit's rate that they may be sent in advance in addition
+# Replaces BURST_TIME, in seconds, where a daemon holds so few shares that it could send nothing.
+SPREAD_TIME = 1.25
 MIN_RATE = 0.1  # requests per second; answers tell whether a limit of 0 still holds
 LOAN_TIME = 2.0  # seconds
 NO_SHARES_WAIT = 1.0  # seconds
@@ -107,9 +110,11 @@
         return own + members + count(self.from_domains, now)
 
     def lendable(self, now: float, from_domain: bool) -> int:
-        """Return how many shares this daemon can lend: its own, or all of its domain."""
-        own = int(now >= self.usable_from)
-        return own + count(self.from_members, now) if from_domain else own
+        """Return how many shares this daemon can lend: its own, or all of its domain.
+
+        Lending needs no wait after a start, since a new loan replaces that of the process before.
+        """
+        return 1 + count(self.from_members, now) if from_domain else 1
 
     def fraction(self, now: float) -> float:
         """Return the fraction of the limit that this daemon may use."""
@@ -141,15 +146,21 @@
         self.tokens = min(self.capacity(now), self.tokens + max(0.0, earned))
         self.updated_at = now
 
-    def take(self, now: float) -> Turn:
+    def take(self, now: float, saves_run: bool = False) -> Turn:
         """Use one request of the limit, or tell when the next one can be sent.
 
         Each refused caller is told another turn, so that callers do not all return for one.
+
+        Parameters
+        ----------
+        saves_run : bool
+            Whether a run is lost without this request, which may then be sent in advance.
         """
         self.refill(now)
         while self.promised and self.promised[0] <= now:
             self.promised.popleft()
-        if self.tokens >= 1:
+        credit = (CREDIT + CREDIT_TIME * self.rate) * self.fraction(now) if saves_run else 0.0
+        if self.tokens + credit >= 1:
             self.tokens -= 1
             return Turn(True)
         if self.capacity(now) < 1:
--- a/papayacourse/routed/standby.py
+++ b/papayacourse/routed/standby.py
@@ -17,8 +17,11 @@
         ``host:port`` of the engine that issued the handle.
     handle : str
         The handle of the copy.
+    is_permitted : bool
+        Whether the limit of the engine permits to resume the run there.
     """
 
     host: Host
     holder: str
     handle: str
+    is_permitted: bool = False
--- a/tests/features/limit_shares.feature
+++ b/tests/features/limit_shares.feature
@@ -32,6 +32,19 @@
       | 5    | 30    |
       | 6    | 4     |
 
+  Scenario Outline: Limits hold when some requests save runs (seed <seed>)
+    Given 3 simulated domains of 3 daemons with 5 callers a second each, seed <seed>
+    And a third of the requests save runs
+    When the server limits them to <limit> requests a second for 20 s
+    And daemons are restarted, cut off and heard again 10 times at random
+    Then it never got more than its limit allows
+
+    Examples:
+      | seed | limit |
+      | 11   | 1     |
+      | 12   | 2     |
+      | 13   | 10    |
+
   Scenario: A domain that hears no other keeps to its part
     Given 3 simulated domains of 2 daemons with 5 callers a second each
     When the server limits them to 2 requests a second for 10 s
@@ -61,6 +74,10 @@
     Then 3 callers are told to return after 0.5, 1.0 and 1.5 s
     And after 1.6 s one more caller is told to return after less than 0.5 s
 
+  Scenario: A request that saves a run is sent in advance, within bounds
+    Given a pool that holds all shares of a limit of 2 a second and has none left
+    Then 2 requests that save runs are granted, and the next is told to return after 1.5 s
+
   Scenario: An answer lifts only a limit that was named before its request was sent
     Given a server that named a limit 1 s ago
     When an answer without a limit comes, to a request sent 2 s ago
--- a/tests/features/routed_limits.feature
+++ b/tests/features/routed_limits.feature
@@ -83,3 +83,14 @@
     And "desk-1" names the limit "many"
     And each of "a" gets 8 calls of "/book/1" a second for 8 s
     Then "desk-1" got no more than its limit allows, in any 4 s
+
+  Scenario: A run is moved to an engine with a limit once it is permitted there
+    Given a platform store with document 5
+    And an engine "plan-1" of "planner" in "lagos"
+    And an engine "plan-2" of "planner" in "lagos" that is listed last
+    And routed daemons "a, b" in "lagos"
+    When a plan of 300 events is streamed through "a"
+    And "plan-2" limits all daemons together to 2 requests a second
+    And "plan-1" says in its answers that it leaves
+    Then the plan is whole
+    And the run went on at "plan-2" where it had stopped at "plan-1"
--- a/tests/features/steps/limitshares_steps.py
+++ b/tests/features/steps/limitshares_steps.py
@@ -23,6 +23,11 @@
     context.simulated = LimitFleet(domains, daemons, demand, seed)
 
 
+@given("a third of the requests save runs")
+def third_saves(context):
+    context.simulated.saving = 1 / 3
+
+
 @given("no daemon counts the others")
 def nobody_counts(context):
     context.simulated.ignores_others = True
@@ -101,6 +106,13 @@
     assert 0 < turn.wait < most, turn
 
 
+@then("{count:d} requests that save runs are granted, and the next is told to return after {wait:g} s")  # noqa: E501  # fmt: skip
+def sent_in_advance(context, count, wait):
+    turns = [context.pool.take(100.0, saves_run=True) for _ in range(count + 1)]
+    assert [turn.granted for turn in turns] == [True] * count + [False], turns
+    assert round(turns[-1].wait, 3) == wait, turns
+
+
 @given("a server that named a limit {age:g} s ago")
 def known_limit(context, age):
     context.limits = ServerLimits(clock=lambda: 100.0)
--- a/tests/features/steps/routedmoves_steps.py
+++ b/tests/features/steps/routedmoves_steps.py
@@ -11,6 +11,7 @@
 from papayacourse.routed.emptying import Emptying
 from papayacourse.routed.seams import CopyResult, EngineRuns, RunState
 from papayacourse.types import Host, HostKind
+from tests.limitfleet import NoLimits
 from tests.steptext import names_in
 
 SERVICE = "planner"
@@ -78,6 +79,7 @@
 
     def __init__(self):
         self.engine_calls = Engines()
+        self.limiter = NoLimits()
         self.others = []
 
     def move_targets(self, _engine, _service) -> list[Host]:
--- a/tests/features/steps/routedplaces_steps.py
+++ b/tests/features/steps/routedplaces_steps.py
@@ -31,6 +31,7 @@
 from papayacourse.scheduler import Scheduler
 from papayacourse.schedulingmessages import Granted, GrantRequest
 from papayacourse.types import Address, GenerationRequest, Host, HostKind, HostState
+from tests.limitfleet import NoLimits
 from tests.steptext import names_in
 
 SERVICE = "desk"
@@ -209,14 +210,6 @@
         self.given_back += 1
 
 
-class NoLimits:
-    """Permits every request."""
-
-    async def admit(self, _host, patience=0.0):
-        """Permit a request."""
-        return True
-
-
 class Fleet:
     """A daemon's view of the fleet: the engines it knows, some of them only later."""
 
--- a/tests/limitfleet.py
+++ b/tests/limitfleet.py
@@ -22,6 +22,18 @@
 WINDOW, LEARN_TIME, TOLD_BEFORE = 4.0, 4.0, 0.5  # seconds
 
 
+class NoLimits:
+    """Permits every request, like a SendLimiter that knows of no limit."""
+
+    async def admit(self, _host) -> bool:
+        """Permit a request."""
+        return True
+
+    async def admit_saving_run(self, _host) -> bool:
+        """Permit a request that saves a run."""
+        return True
+
+
 @define(eq=False)
 class FakePeers:
     """The links of one simulated daemon."""
@@ -111,6 +123,8 @@
         When each request came, and whether its daemon had been told the limit by then.
     ignores_others : bool
         Whether each daemon keeps to the whole limit by itself, as if there were no others.
+    saving : float
+        The fraction of requests that save a run.
     """
 
     domains: int
@@ -118,6 +132,7 @@
     demand: float
     seed: int
     ignores_others: bool = False
+    saving: float = 0.0
     now: float = 1000.0
     limit: float | None = None
     limits: list[tuple[float, float]] = field(factory=list)
@@ -214,7 +229,7 @@
         if self.chance.random() >= node.demand * STEP:
             return
         limits = node.limiter.limits
-        if limits.blocked_for(SERVER.name) or not await node.limiter.admit(SERVER):
+        if not await self._is_permitted(node):
             return
         told = node.told_at is not None and node.told_at <= self.now - TOLD_BEFORE
         self.arrivals.append((self.now + self.chance.uniform(0, MAX_DELAY), told))
@@ -223,6 +238,12 @@
         if self.limit is not None and node.told_at is None:
             node.told_at = self.now
 
+    async def _is_permitted(self, node: Node) -> bool:
+        limited = node.limiter.limits.rate(SERVER.name) is not None
+        if limited and self.chance.random() < self.saving:
+            return (await node.limiter._ask(SERVER, saves_run=True)).granted
+        return await node.limiter.admit(SERVER)
+
     # What came of it.
 
     def allowance(self, begin: float, end: float) -> float:
