--- a/papayacourse/routed/sendlimiter.py
+++ b/papayacourse/routed/sendlimiter.py
@@ -165,7 +165,9 @@
     def _take(self, server: str, saves_run: bool) -> SendPermit:
         pool = self._pool(server)
         if pool is None:
-            return SendPermit(True)
+            # Either the limit is lifted, or the server is not listed here yet.
+            is_lifted = server in self.limits.known
+            return SendPermit(is_lifted, UNREACHED_WAIT, UNREACHED_WAIT)
         now = self.limits.clock()
         turn = pool.take(now, saves_run)
         if not turn.granted:
@@ -340,10 +342,7 @@
         """Report the servers with a limit to a daemon whose link has just opened."""
         if not self.limits.limited():
             return
-        try:
-            await self.peers.send(name, LimitNotices(self._notices()))
-        except PeerError as error:
-            logs.info("limits not reported", daemon=name, why=str(error))
+        await self._report_to(name, LimitNotices(self._notices()))
 
     async def _report_changes(self) -> None:
         """Report the servers that have begun or ceased to have a limit.
@@ -362,13 +361,12 @@
             return
         members = self.membership.members.values()
         self.peers.send_to_linked([m.name for m in members if m.domain == me.domain], message)
-        for domain in self.membership.domains().keys() - {me.domain}:
-            if other := self._domain_holder(domain):
-                await self._report_to(other, message)
+        others = map(self._domain_holder, self.membership.domains().keys() - {me.domain})
+        await asyncio.gather(*(self._report_to(other, message) for other in others if other))
 
     async def _report_to(self, daemon: str, message: LimitNotices) -> None:
         try:
-            await self.peers.send(daemon, message)
+            await self.peers.call(daemon, message, LEND_TIMEOUT)
         except PeerError as error:
             logs.info("limits not reported", daemon=daemon, why=str(error))
 
--- a/tests/features/limit_shares.feature
+++ b/tests/features/limit_shares.feature
@@ -69,6 +69,12 @@
     And 30 s pass for the simulated daemons
     Then it got more than its limit allows
 
+  Scenario: A holder of shares that does not list the server yet permits nothing
+    Given 1 simulated domains of 3 daemons with 5 callers a second each
+    When the server limits them to 2 requests a second for 5 s
+    And the holder of the shares starts again and does not list the server
+    Then a daemon that asks it is not permitted to send
+
   Scenario: Each refused caller is told another turn, and none that it cannot wait for
     Given a pool that holds all shares of a limit of 2 a second and has none left
     Then 3 callers are told to return after 0.5, 1.0 and 1.5 s
--- a/tests/features/steps/limitshares_steps.py
+++ b/tests/features/steps/limitshares_steps.py
@@ -4,7 +4,9 @@
 
 from behave import given, then, when
 
+from papayacourse.rendezvous import ranked
 from papayacourse.routed.seams import Unlimited
+from papayacourse.routed.sendlimiter import DUTY
 from papayacourse.routed.serverlimits import KnownLimit, ServerLimits
 from papayacourse.routed.sharepool import SharePool
 from tests.limitfleet import LEARN_TIME, SERVER, LimitFleet
@@ -62,6 +64,25 @@
     asyncio.run(context.simulated.trouble(rounds))
 
 
+@when("the holder of the shares starts again and does not list the server")
+def holder_without_list(context):
+    simulated = context.simulated
+    context.holder = ranked(DUTY, simulated.by_domain["d0"])[0]
+    asyncio.run(simulated.restart(context.holder))
+    limiter = simulated.nodes[context.holder].limiter
+    limiter.host = lambda _server: None
+    limiter.limits.known.clear()
+
+
+@then("a daemon that asks it is not permitted to send")
+def holder_permits_nothing(context):
+    simulated = context.simulated
+    other = next(name for name in simulated.nodes if name != context.holder)
+    for _ in range(3):
+        permit = asyncio.run(simulated.nodes[other].limiter._ask(SERVER, saves_run=True))
+        assert not permit.granted and permit.wait > 0, permit
+
+
 @then("it never got more than its limit allows")
 def limit_kept(context):
     found = list(context.simulated.excesses())
