Keep what peers tell of limits until the servers are listed

Traced: daemons that start hear of a limit when their first link opens, before they have a list of the servers, and dropped it; then they sent as many requests as came until the first answer.

--- a/papayacourse/routed/sendlimiter.py
+++ b/papayacourse/routed/sendlimiter.py
@@ -330,9 +330,9 @@
         self.wake.set()
 
     def _adopt(self, notices: tuple[LimitNotice, ...], source: str) -> None:
+        # Also of servers that are not listed here yet: a daemon that starts hears of limits first.
         for notice in notices:
-            if self.host(notice.server) is not None:
-                self.limits.adopt(notice.server, notice.rate, notice.age, f"peer {source}")
+            self.limits.adopt(notice.server, notice.rate, notice.age, f"peer {source}")
 
     async def handle_notices(self, peer: Hello, message: LimitNotices) -> None:
         """Learn limits from another daemon."""
--- a/papayacourse/routed/serverlimits.py
+++ b/papayacourse/routed/serverlimits.py
@@ -8,7 +8,7 @@
 from papayacourse import logs
 from papayacourse.routed.seams import Limited, Unlimited
 
-LIFT_RETENTION = 30.0  # seconds for which a lifted limit is remembered
+RETENTION = 30.0  # seconds for which a lifted limit, or that of an unlisted server, is remembered
 MIN_ADVANCE = 0.25  # seconds; what peers report is less exact, by the time that it takes to arrive
 
 
@@ -27,10 +27,13 @@
         The requests per second that it takes from all daemons together; None for no limit.
     said_at : float
         When it said so, in seconds of the clock.
+    learned_at : float
+        When this daemon learned that, in seconds of the clock.
     """
 
     rate: float | None
     said_at: float
+    learned_at: float
 
 
 @define
@@ -142,7 +145,7 @@
 
     def _update(self, server: str, rate: float | None, said_at: float, source: str) -> None:
         before = self.rate(server)
-        self.known[server] = KnownLimit(rate, said_at)
+        self.known[server] = KnownLimit(rate, said_at, self.clock())
         if rate == before:
             return
         logs.info(
@@ -153,13 +156,16 @@
             self.on_change(server)
 
     def forget_unlisted(self, listed: Collection[str]) -> None:
-        """Forget the limits of unlisted servers, limits lifted long ago, and ended blocks."""
+        """Forget the limits of servers long unlisted, limits lifted long ago, and ended blocks.
+
+        A daemon that has just started hears of limits before it has a list of the servers.
+        """
         self.blocks = {
             server: block for server, block in self.blocks.items() if self.blocked_for(server)
         }
-        oldest = self.clock() - LIFT_RETENTION
+        oldest = self.clock() - RETENTION
         self.known = {
             server: known
             for server, known in self.known.items()
-            if server in listed and (known.rate is not None or known.said_at > oldest)
+            if known.learned_at > oldest or (server in listed and known.rate is not None)
         }
--- a/tests/features/limit_shares.feature
+++ b/tests/features/limit_shares.feature
@@ -69,6 +69,14 @@
     And 30 s pass for the simulated daemons
     Then it got more than its limit allows
 
+  Scenario: A daemon that hears of a limit before it lists the server heeds it
+    Given 1 simulated domains of 3 daemons with 5 callers a second each
+    When the server limits them to 2 requests a second for 5 s
+    And the holder of the shares starts again and does not list the server
+    And the others tell it what they know
+    And it looks at its list of servers, which is empty
+    Then it knows the limit
+
   Scenario: A holder of shares that does not list the server yet permits nothing
     Given 1 simulated domains of 3 daemons with 5 callers a second each
     When the server limits them to 2 requests a second for 5 s
--- a/tests/features/routed_limits.feature
+++ b/tests/features/routed_limits.feature
@@ -44,9 +44,22 @@
     And routed daemon "a" is killed and started again
     And routed daemon "b" is killed and started again
     And each of "a, b, c, d" gets 6 calls of "/book/1" a second for 9 s
-    Then "desk-1" got no more than its limit allows, in any 4 s
+    Then "a" has sent no request since its start without knowing the limit
+    And "b" has sent no request since its start without knowing the limit
+    And "desk-1" got no more than its limit allows, in any 4 s
     And "desk-1" got at least 0.3 of its limit
 
+  Scenario: A daemon that starts again hears of a limit before it serves
+    Given a platform store with document 5
+    And an engine "desk-1" of "desk" in "lagos"
+    And routed daemons "a, b, c" in "lagos"
+    When "desk-1" limits all daemons together to 2 requests a second
+    And each of "a, b, c" gets 6 calls of "/book/1" a second for 3 s
+    And the store is down
+    And routed daemon "a" is killed and started again
+    And each of "a, b, c" gets 6 calls of "/book/1" a second for 4 s
+    Then "a" has sent no request since its start without knowing the limit
+
   Scenario: A limit that falls holds at once, and one that is lifted is forgotten
     Given a platform store with document 5
     And an engine "desk-1" of "desk" in "lagos"
--- a/tests/features/steps/limitshares_steps.py
+++ b/tests/features/steps/limitshares_steps.py
@@ -74,6 +74,24 @@
     limiter.limits.known.clear()
 
 
+@when("the others tell it what they know")
+def tell_holder(context):
+    for name, node in context.simulated.nodes.items():
+        if name != context.holder:
+            asyncio.run(node.limiter.send_known(context.holder))
+
+
+@when("it looks at its list of servers, which is empty")
+def look_at_list(context):
+    context.simulated.nodes[context.holder].limiter.limits.forget_unlisted({})
+
+
+@then("it knows the limit")
+def holder_knows(context):
+    holder = context.simulated.nodes[context.holder]
+    assert holder.limiter.limits.rate(SERVER.name) is not None
+
+
 @then("a daemon that asks it is not permitted to send")
 def holder_permits_nothing(context):
     simulated = context.simulated
@@ -137,7 +155,7 @@
 @given("a server that named a limit {age:g} s ago")
 def known_limit(context, age):
     context.limits = ServerLimits(clock=lambda: 100.0)
-    context.limits.known[SERVER.name] = KnownLimit(OLD_RATE, 100.0 - age)
+    context.limits.known[SERVER.name] = KnownLimit(OLD_RATE, 100.0 - age, 100.0 - age)
 
 
 @when("an answer without a limit comes, to a request sent {age:g} s ago")
--- a/tests/features/steps/routedlimits_steps.py
+++ b/tests/features/steps/routedlimits_steps.py
@@ -130,6 +130,14 @@
         assert got <= allowed, f"{got} requests in 4 s from {after} s on; allowed {allowed:.1f}"
 
 
+@then('"{daemon}" has sent no request since its start without knowing the limit')
+def knew_limit(context, daemon):
+    fleet = fleet_of(context)
+    started_at = fleet.lines(daemon, "started")[-1]["timestamp"]
+    sent = [line for line in fleet.lines(daemon, "sent") if line["timestamp"] > started_at]
+    assert all(line["limit"] is not None for line in sent), sent
+
+
 @then('"{engine}" got at least {part:g} of its limit')
 def limit_used(context, engine, part):
     begin = context.named[0].since + LEARN_TIME
