--- a/tests/features/steps/routedstream_steps.py
+++ b/tests/features/steps/routedstream_steps.py
@@ -87,8 +87,12 @@
         later = context.later[0]
         wait_until(
             "it is listed",
+            # Only the daemon that follows the store logs "server listed"; each logs this one.
             lambda: any(
-                later in line["server"] for line in fleet_of(context).lines(name, "server listed")
+                later in host
+                for line in fleet_of(context).lines(name, "host list taken")
+                for host, state in line["changed"].items()
+                if state == "live"
             ),
             SOON,
         )
