Record what an answer says of its server's limit in one place, and test a limit that falls

A limit that an answer names was recorded twice for each request, by EngineNotices.take and again by open_call, which also had to know which answers may lift one. take now gets the time of the request where the answer certainly belongs to it, and that is all that lifting needs. Behaviour as before; a step shows that an answer which may belong to another request lifts nothing.

--- a/papayacourse/routed/notices.py
+++ b/papayacourse/routed/notices.py
@@ -9,7 +9,7 @@
 from papayacourse import logs
 from papayacourse.engines import EngineLoad
 from papayacourse.exceptions import BackendRefused
-from papayacourse.routed.seams import CopyResult, EngineCalls, EngineNotice, EngineRuns, Limited
+from papayacourse.routed.seams import CopyResult, EngineCalls, EngineNotice, EngineRuns
 from papayacourse.routed.serverlimits import ServerLimits
 from papayacourse.types import Host, HostState
 
@@ -123,10 +123,14 @@
             limit_age=None if age is None else round(age, 3),
         )  # fmt: skip
 
-    def take(self, host: Host, notice: EngineNotice) -> None:
+    def take(self, host: Host, notice: EngineNotice, asked_at: float | None = None) -> None:
         """Record the notice in an engine's answer.
 
-        That an answer names no limit is not recorded here: see `ServerLimits.record_answer`.
+        Parameters
+        ----------
+        asked_at : float, optional
+            When the request was sent, in seconds of the limits' clock, if the answer certainly
+            belongs to it. Other answers can name a limit, but not lift one.
         """
         if notice.leaves:
             self.record_leaving(host, "its answer")
@@ -134,8 +138,7 @@
             until = max(self.clock() + notice.pause, self.clock() + self.pause_left(host.name))
             self.pauses[host.name] = Pause(until, MAX_MOVES_IN_PAUSE)
             logs.info("engine wants a pause", engine=host.name, seconds=round(notice.pause, 3))
-        if isinstance(notice.limit, Limited):
-            self.limits.record_answer(host.name, self.limits.clock(), notice.limit)
+        self.limits.record_answer(host.name, asked_at, notice.limit)
 
     def record_leaving(self, host: Host, source: str) -> bool:
         """Record that an engine is leaving; returns True if the host list and notices lacked it."""
--- a/papayacourse/routed/sending.py
+++ b/papayacourse/routed/sending.py
@@ -79,12 +79,11 @@
     except (BackendLinkLost, BackendProtocolError) as error:
         raise BackendAnswerLost(str(error)) from error
     status, headers = exchange.status, exchange.headers
-    notice = codec.notice(status, headers)
-    notices.take(dispatch.engine, notice)
     not_run = codec.not_run(status, headers)
     is_answer = codec.answers_call(call, status, headers)
-    if not_run or is_answer:
-        notices.limits.record_answer(dispatch.engine.name, asked_at, notice.limit)
+    is_certain = not_run or is_answer
+    notice = codec.notice(status, headers)
+    notices.take(dispatch.engine, notice, asked_at if is_certain else None)
     if not_run:
         await exchange.__aexit__(None, None, None)
         raise RequestNotExecuted(f"{dispatch.engine.name} answered {status} without running it")
--- a/papayacourse/routed/serverlimits.py
+++ b/papayacourse/routed/serverlimits.py
@@ -126,22 +126,24 @@
             self._update(server, rate, said_at, source)
 
     def record_answer(
-        self, server: str, asked_at: float, limit: Limited | Unlimited | None
+        self, server: str, asked_at: float | None, limit: Limited | Unlimited | None
     ) -> None:
         """Record what an answer says about its server's limit.
 
         Parameters
         ----------
-        asked_at : float
-            When the request was sent, in seconds of the clock. An answer without a limit lifts
-            only limits that were named before this, since answers may overtake each other.
+        asked_at : float or None
+            When the request was sent, in seconds of the clock; None if that is not certain. An
+            answer without a limit lifts only limits that were named before this, since answers
+            may overtake each other.
         """
         known = self.known.get(server)
         match limit:
             case Limited(rate):
                 self._update(server, rate, self.clock(), "its answer")
-            case Unlimited() if known and known.rate is not None and asked_at > known.said_at:
-                self._update(server, None, self.clock(), "its answer")
+            case Unlimited() if known and known.rate is not None and asked_at is not None:
+                if asked_at > known.said_at:
+                    self._update(server, None, self.clock(), "its answer")
 
     def _update(self, server: str, rate: float | None, said_at: float, source: str) -> None:
         before = self.rate(server)
--- a/tests/features/limit_shares.feature
+++ b/tests/features/limit_shares.feature
@@ -83,6 +83,10 @@
     And the holder of the shares starts again and does not list the server
     Then a daemon that asks it is not permitted to send
 
+  Scenario: What was saved up at a high limit does not exceed a limit that falls
+    Given a pool that holds all shares of a limit of 4.6 a second and has saved up what it may
+    Then after the limit falls to 0.69 its requests stay within what both limits allow in 4 s
+
   Scenario: Each refused caller is told another turn, and none that it cannot wait for
     Given a pool that holds all shares of a limit of 2 a second and has none left
     Then 3 callers are told to return after 0.5, 1.0 and 1.5 s
@@ -96,6 +100,8 @@
     Given a server that named a limit 1 s ago
     When an answer without a limit comes, to a request sent 2 s ago
     Then its limit is known
+    When an answer without a limit comes that may belong to another request
+    Then its limit is known
     When a peer reports a lifted limit that is 2 s old
     Then its limit is known
     When an answer without a limit comes, to a request sent 0.5 s ago
--- a/tests/features/steps/limitshares_steps.py
+++ b/tests/features/steps/limitshares_steps.py
@@ -9,9 +9,10 @@
 from papayacourse.routed.sendlimiter import DUTY
 from papayacourse.routed.serverlimits import KnownLimit, ServerLimits
 from papayacourse.routed.sharepool import SharePool
-from tests.limitfleet import LEARN_TIME, SERVER, LimitFleet
+from tests.limitfleet import LEARN_TIME, SERVER, STEP, WINDOW, LimitFleet
 
 QUIET_TIME = 3.0  # seconds before the first limit
+HIGH_TIME = 0.9  # seconds of a window before the limit falls
 OLD_RATE = 3.0  # requests per second
 
 
@@ -130,6 +131,25 @@
     context.pool = SharePool(lambda: 1, rate, usable_from=0.0, updated_at=100.0)
 
 
+@given("a pool that holds all shares of a limit of {rate:g} a second and has saved up what it may")
+def full_pool(context, rate):
+    context.pool = SharePool(lambda: 1, rate, usable_from=0.0, updated_at=0.0)
+
+
+@then("after the limit falls to {rate:g} its requests stay within what both limits allow in 4 s")
+def within_both_limits(context, rate):
+    pool, began, high = context.pool, 100.0, context.pool.rate
+    got = 0
+    for step in range(int(WINDOW / STEP)):
+        now = began + step * STEP
+        if now >= began + HIGH_TIME and pool.rate != rate:
+            pool.set_rate(rate, now)
+        while pool.take(now).granted:
+            got += 1
+    allowed = 1.5 * (high * HIGH_TIME + rate * (WINDOW - HIGH_TIME)) + 5
+    assert got <= allowed, f"{got} requests; allowed {allowed:.1f}"
+
+
 @then("{count:d} callers are told to return after {first:g}, {second:g} and {third:g} s")
 def turns_told(context, count, first, second, third):
     told = [context.pool.take(100.0) for _ in range(count)]
@@ -163,6 +183,11 @@
     context.limits.record_answer(SERVER.name, 100.0 - age, Unlimited())
 
 
+@when("an answer without a limit comes that may belong to another request")
+def uncertain_answer(context):
+    context.limits.record_answer(SERVER.name, None, Unlimited())
+
+
 @when("a peer reports a lifted limit that is {age:g} s old")
 def peer_lifts(context, age):
     context.limits.adopt(SERVER.name, None, age, "peer")
