Log the parts of prompts, and whether a lost engine had begun to answer

'request ended' names at most eight parts of a prompt and 'engine lost' says whether the head of the answer had come.

--- a/papayacourse/routed/admitted.py
+++ b/papayacourse/routed/admitted.py
@@ -53,6 +53,11 @@
         hashed.update(call.body)
         return hashed.hexdigest()
 
+    def part_names(self, limit: int) -> list[str]:
+        """Return the names of the prompt's first parts, at most `limit`."""
+        prompt = self.call.prompt
+        return [part.name for part in prompt.parts[:limit]] if prompt else []
+
     def time_left(self) -> float:
         """Return the time until the deadline, in seconds."""
         return self.deadline - time.monotonic()
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -30,6 +30,7 @@
 SHORT_OUTPUT = 100  # tokens; an answer this short completes within a planned stop
 STOPPING_RETRY_AFTER = 0.1  # seconds; another daemon can serve the request at once
 PREFIX_HASH_BITS = 63
+MAX_LOGGED_PARTS = 8  # of a prompt, in the log line of its request
 
 
 @define(eq=False)
@@ -209,6 +210,7 @@
             status=outcome.status, ran=outcome.ran, route=route, account=account,
             service=admitted.service if admitted else "", seconds=round(seconds, 3),
             fingerprint=admitted.fingerprint if admitted else "",
+            parts=admitted.part_names(MAX_LOGGED_PARTS) if admitted else [],
             document=self.documents.version, document_age=None if age is None else round(age, 1),
             **outcome.stream_fields(),
         )  # fmt: skip
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -74,6 +74,8 @@
         Whether an engine may have started to run it.
     is_sent : bool
         Whether it has been sent to the current engine, which has not yet answered.
+    is_answering : bool
+        Whether the current engine has sent the head of its answer.
     unmovable : bool
         Whether a move from its current engine has failed.
     is_permitted : bool
@@ -102,6 +104,7 @@
     first_at: float = 0.0
     ran: bool = False
     is_sent: bool = False
+    is_answering: bool = False
     unmovable: bool = False
     is_permitted: bool = False
     resumes: int = 0
@@ -207,6 +210,7 @@
 
     async def _send_and_relay(self, resume: Resume | None, head_limit: float) -> Resume | None:
         """Send the request and relay the answer; returns where to resume if that fails."""
+        self.is_answering = False
         dispatch = Dispatch(
             self.engine, self.admitted.time_left(), self.admitted.account_name,
             self.admitted.rank, resume,
@@ -220,6 +224,7 @@
                 raise
             return await self._plan_resume(str(error))
         self._record_run(resume)
+        self.is_answering = True
         try:
             async with self._watching() as run:
                 await self._relay(call, run)
@@ -409,7 +414,7 @@
     def _log_failed(self, why: str) -> None:
         logs.info(
             "engine lost", engine=self.engine.name, why=why, events=self.events,
-            moving=self.pending_move is not None,
+            answering=self.is_answering, moving=self.pending_move is not None,
         )  # fmt: skip
 
     async def _finish(self) -> None:
