--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -31,6 +31,8 @@
 }  # what an answer begins with, and what then comes again and again; HEAD is a good answer's head
 FAILURES = {"fail": 500, "promise": 503}  # the status of a generation that ran and failed
 MUTE_TIME = 60.0  # seconds
+DEADLY_PART = re.compile(r"\bdead-\d+:\d+,")  # in a prompt's list of parts, never the last
+CRASH_DELAY = 0.05  # seconds from the head of an answer to the crash
 DEADLY = re.compile(r"\[(crash|hang)=(\d+)\]")  # in a body: how, and after how many events
 
 
@@ -266,6 +268,8 @@
             return
         self.sign()
         self.set_header("Content-Type", "text/event-stream")
+        if DEADLY_PART.search(run.headers.get("X-Prompt-Prefix", "")):
+            await self.crash_at_the_head()
         last = int(run.headers["X-Token-Counts"].split(",")[1])
         run.first = int(run.headers.get("Last-Event-Id", 0)) + 1
         run.made = run.first - 1
@@ -275,6 +279,12 @@
                 await self.make_event(run)
         await self.end_stream(run)
 
+    async def crash_at_the_head(self) -> None:
+        """End this engine after the head of an answer and before its first event."""
+        await self.flush()
+        await asyncio.sleep(CRASH_DELAY)
+        os.kill(os.getpid(), signal.SIGKILL)
+
     def take_copy(self, run: Run, handle: str) -> bool:
         """Use a copy, once; False when there is none."""
         found = self.standin.copies.pop(handle, None) or self.standin.stopped.pop(handle, None)
