Refuse prompts with a part that crashes engines, and serve those that hold only the parts beside it

Cause: a request was recognised only as a whole, and no two of these are alike; what they share is one part of the prompt. The class: a repeat that is told by identity instead of by what it has in common. Change: each death records the parts of those prompts whose answer the engine may just have begun; PartBlame asks how many causes its deaths would take without a part (other parts that the request does not hold, whole requests, chance), and refuses from three on, or five if the part was served before. Parts that are answered for half a second are cleared everywhere. Strikes go into the store from the first on. A request that two engines died under before its first event is not restarted by the daemon. Tried first: counting moments 0.2 s apart, which let six engines end under a resumable route.

--- a/papayacourse/deaths.py
+++ b/papayacourse/deaths.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 
 from attrs import define, field, frozen
 
-from papayacourse import logs
+from papayacourse import logs, partblame
 from papayacourse.answermemory import AnswerMemory
 from papayacourse.exceptions import (
     BackendAnswerLost,
@@ -30,6 +30,7 @@
 PROBE_PAUSES = (0.0, 0.015, 0.1)
 PROBE_RESULT_TIMEOUT = 0.05  # seconds that a lost run waits, so that a retry sees the strike
 LISTING_LAG = 6.0  # seconds within which a crashed server leaves the host list
+SETTLING_TIME = 0.5  # seconds of output after which a run is past the beginning of its answer
 ACTIVITY_WINDOW_SECONDS = 1.0  # a server that has sent something within it is alive
 ENDED_RETENTION_SECONDS = 120.0  # for the reasons why servers ended
 CHECK_INTERVAL = 0.25  # seconds
@@ -45,18 +46,46 @@
     ----------
     heard_at : float
         When the server last sent a part of its answer, in seconds of the clock.
+    output_at : float or None
+        When the server first sent a part of the body.
+    is_settled : bool
+        Whether the server is past the beginning of its answer.
     has_completed : bool
         Whether the server has completed it.
+    on_settled : callable
+        Called when the run is first past the beginning of its answer.
     """
 
     clock: Callable[[], float]
+    on_settled: Callable[[], None] = lambda: None
     heard_at: float = float("-inf")
+    output_at: float | None = None
+    is_settled: bool = False
     has_completed: bool = False
 
+    @property
+    def is_answering(self) -> bool:
+        """Return True if the server has sent any part of an answer."""
+        return self.heard_at > float("-inf")
+
     def record_activity(self) -> None:
         """Record that the server has just sent something."""
         self.heard_at = self.clock()
 
+    def record_output(self) -> None:
+        """Record that the server has just sent a part of the body."""
+        self.record_activity()
+        if self.output_at is None:
+            self.output_at = self.heard_at
+        if self.heard_at - self.output_at >= SETTLING_TIME:
+            self.settle()
+
+    def settle(self) -> None:
+        """Record that the server is past the beginning of its answer."""
+        if not self.is_settled:
+            self.is_settled = True
+            self.on_settled()
+
     def record_answer(self, status: int) -> None:
         """Record a complete answer; one with a server error does not count as completed."""
         self.has_completed = status < SERVER_ERROR
@@ -66,6 +95,36 @@
         return self.clock() - self.heard_at > ACTIVITY_WINDOW_SECONDS
 
 
+@frozen
+class LostRun:
+    """A run that a server may have lost by its death.
+
+    Attributes
+    ----------
+    at : float
+        When it was lost, in seconds of the clock.
+    parts : str
+        The fingerprint of its prompt's parts; empty if they cannot have crashed the server.
+    was_answered : bool
+        Whether the server had sent any part of an answer.
+    """
+
+    at: float
+    parts: str = ""
+    was_answered: bool = False
+
+
+def suspect_parts(runs: Iterable[LostRun]) -> tuple[str, ...]:
+    """Return the fingerprints of the parts that may have crashed the server of these runs.
+
+    A part crashes a server as it begins an answer; so runs that were waiting come into question
+    only where no answer had begun.
+    """
+    with_parts = [run for run in runs if run.parts]
+    begun = [run.parts for run in with_parts if run.was_answered]
+    return tuple(dict.fromkeys(begun or [run.parts for run in with_parts]))
+
+
 def is_silence(error: BackendError) -> bool:
     """Return True if a run was lost to a time-out rather than a broken connection."""
     silence = (BackendSilent, BackendUnanswered, TimeoutError)
@@ -102,8 +161,8 @@
         Returns True if the named server has announced that it leaves.
     has_no_listener : callable
         Returns True if nothing listens at a server's address.
-    lost : dict of str to dict of str to float
-        When runs were lost whose server may still be alive, by server and fingerprint.
+    lost : dict of str to dict of str to LostRun
+        The lost runs whose server may still be alive, by server and fingerprint.
     leaving_seen_at : dict of str to float
         The servers whose end was announced, and when that was last seen.
     ended_at : dict of str to float
@@ -119,27 +178,37 @@
     has_announced_leave: Callable[[str], bool]
     has_no_listener: Callable[[Host], Awaitable[bool]] = has_no_listener
     clock: Callable[[], float] = time.monotonic
-    lost: dict[str, dict[str, float]] = field(factory=dict)
+    lost: dict[str, dict[str, LostRun]] = field(factory=dict)
     leaving_seen_at: dict[str, float] = field(factory=dict)
     ended_at: dict[str, float] = field(factory=dict)
     last_listing: HostListing | None = None
     probe_tasks: dict[str, asyncio.Task] = field(factory=dict)
 
     @asynccontextmanager
-    async def watch_run(self, server: Host, fingerprint: str) -> AsyncIterator[WatchedRun]:
-        """Watch one run; a lost run is recorded and probed before its error propagates."""
-        run = WatchedRun(self.clock)
+    async def watch_run(
+        self, server: Host, fingerprint: str, parts: str = ""
+    ) -> AsyncIterator[WatchedRun]:
+        """Watch one run; a lost run is recorded and probed before its error propagates.
+
+        Parameters
+        ----------
+        parts : str
+            The fingerprint of its prompt's parts; empty if it has none to watch.
+        """
+        run = WatchedRun(self.clock, lambda: self.quarantine.record_served(parts))
         try:
             yield run
             if run.has_completed:
+                run.settle()
                 # A restarted server may have the same name, so it may be alive again.
                 self.ended_at.pop(server.name, None)
                 await self._absolve_request(fingerprint)
         except (BackendAnswerLost, BackendLinkLost, BackendProtocolError) as error:
+            lost = self._lost_run(run, parts)
             if is_silence(error):
-                self._record_silent_run(server, fingerprint)
+                self._record_silent_run(server, fingerprint, lost)
             else:
-                await self._record_closed_run(server, fingerprint)
+                await self._record_closed_run(server, fingerprint, lost)
             raise
         except BackendGone:
             if server.name in self.lost:
@@ -148,7 +217,7 @@
         except asyncio.CancelledError:
             # The caller left or timed out, perhaps while waiting for a dead server.
             if run.is_silent():
-                self._record_silent_run(server, fingerprint)
+                self._record_silent_run(server, fingerprint, self._lost_run(run, parts))
             raise
 
     # Queries.
@@ -203,25 +272,30 @@
         elif self.listed(name) is None:
             self._strike_lost_runs(name, "vanished from the list")
         else:
-            self.lost[name] = {f: at for f, at in self.lost[name].items() if now - at < LISTING_LAG}
+            self.lost[name] = {
+                f: run for f, run in self.lost[name].items() if now - run.at < LISTING_LAG
+            }
             if not self.lost[name]:
                 del self.lost[name]
 
-    def _record_silent_run(self, server: Host, fingerprint: str) -> None:
+    def _lost_run(self, run: WatchedRun, parts: str) -> LostRun:
+        return LostRun(self.clock(), "" if run.is_settled else parts, run.is_answering)
+
+    def _record_silent_run(self, server: Host, fingerprint: str, run: LostRun) -> None:
         """Record a run whose server stopped sending."""
         if self.is_end_announced(server):
             return
-        self._record_lost_run(server.name, fingerprint)
+        self._record_lost_run(server.name, fingerprint, run)
         if server.name in self.ended_at or self.listed(server.name) is None:
             self._strike_lost_runs(server.name, "vanished from the list")
 
-    async def _record_closed_run(self, server: Host, fingerprint: str) -> None:
+    async def _record_closed_run(self, server: Host, fingerprint: str, run: LostRun) -> None:
         """Record a run whose connection closed, and probe whether its server has ended."""
         left = self.listed(server.name) is None and server.name not in self.ended_at
         if left or self.is_end_announced(server):
             # A server that leaves the list on its own keeps serving for a while before it ends.
             return
-        self._record_lost_run(server.name, fingerprint)
+        self._record_lost_run(server.name, fingerprint, run)
         task = self.probe_tasks.get(server.name)
         if task is None:
             task = self.probe_tasks[server.name] = asyncio.create_task(self._probe_server(server))
@@ -233,19 +307,20 @@
         if server.name in self.ended_at or await self.has_no_listener(server):
             self._strike_lost_runs(server.name, "nobody listens at its address")
 
-    def _record_lost_run(self, name: str, fingerprint: str) -> None:
+    def _record_lost_run(self, name: str, fingerprint: str, run: LostRun) -> None:
         runs = self.lost.setdefault(name, {})
-        runs[fingerprint] = self.clock()
+        runs[fingerprint] = run
         if len(runs) > MAX_LOST_RUNS:
             del runs[next(iter(runs))]
 
     def _strike_lost_runs(self, name: str, why: str) -> None:
         """Record a server's death as a strike against every request lost on it."""
         self.ended_at[name] = self.clock()
-        requests = tuple(self.lost.pop(name, ()))
-        if requests:
-            logs.warning("server ended", server=name, why=why, requests=len(requests))
-            self.quarantine.strike(name, requests)
+        runs = self.lost.pop(name, {})
+        if runs:
+            parts = suspect_parts(runs.values())
+            logs.warning("server ended", server=name, why=why, requests=len(runs), prompts=parts)
+            self.quarantine.strike(name, (*runs, *parts))
 
 
 @frozen
@@ -258,24 +333,51 @@
         The memory budget for answers that are buffered whole.
     fingerprint : str
         Identifies repeats of the request.
+    part_names : tuple of str
+        The names of those parts of its prompt that other requests may hold as well.
+    parts : str
+        Identifies these parts; empty if there are none.
     """
 
     deaths: ServerDeaths
     answers: AnswerMemory
     fingerprint: str
+    part_names: tuple[str, ...] = ()
+    parts: str = field(init=False)
+
+    @parts.default
+    def _encode_parts(self) -> str:
+        return partblame.encode(self.fingerprint, self.part_names)
 
     def check(self) -> None:
-        """Raise RequestRefused if too many servers have died under the request."""
-        self.deaths.quarantine.check(self.fingerprint)
+        """Raise RequestRefused if too many servers have died under the request or its parts."""
+        quarantine = self.deaths.quarantine
+        quarantine.check(self.fingerprint)
+        quarantine.check_parts(partblame.decode(self.parts), self.part_names)
 
     def is_condemned(self) -> bool:
-        """Return True if too many servers have died under the request."""
-        return self.deaths.quarantine.is_condemned(self.fingerprint)
+        """Return True if too many servers have died under the request or its parts."""
+        quarantine = self.deaths.quarantine
+        if quarantine.is_condemned(self.fingerprint):
+            return True
+        return quarantine.is_part_condemned(partblame.decode(self.parts))
+
+    def is_suspect(self) -> bool:
+        """Return True if one more server death condemns the request."""
+        return self.deaths.quarantine.is_suspect(self.fingerprint)
 
     def is_struck(self) -> bool:
         """Return True if a server death is attributed to the request alone."""
         return self.deaths.quarantine.is_struck(self.fingerprint)
 
-    def watch_run(self, server: Host) -> AbstractAsyncContextManager[WatchedRun]:
-        """Watch a run of the request on a server."""
-        return self.deaths.watch_run(server, self.fingerprint)
+    def watch_run(
+        self, server: Host, has_begun: bool = False
+    ) -> AbstractAsyncContextManager[WatchedRun]:
+        """Watch a run of the request on a server.
+
+        Parameters
+        ----------
+        has_begun : bool
+            Whether another server was past the beginning of the answer already.
+        """
+        return self.deaths.watch_run(server, self.fingerprint, "" if has_begun else self.parts)
--- a/papayacourse/quarantine.py
+++ b/papayacourse/quarantine.py
@@ -1,16 +1,17 @@
 """Quarantines requests that crash the engines running them, but not the requests beside them."""
 
 import time
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Collection, Iterator, Sequence
 
 import xxhash
 from attrs import define, field
 
-from papayacourse import logs
+from papayacourse import logs, partblame
 from papayacourse.batches import batched
 from papayacourse.callmessages import Absolved, Strike, StrikesUpdate
 from papayacourse.exceptions import PeerError, RequestRefused
 from papayacourse.meshmessages import Hello
+from papayacourse.partblame import PartBlame
 from papayacourse.peers import Peers
 
 STRIKE_LIMIT = 2  # different engines whose deaths condemn a request
@@ -35,6 +36,9 @@
     only one of them. That one is condemned, and the deaths of its engines no longer count against
     the others. A suspect whose answer completes is absolved.
 
+    The parts of prompts get strikes as well, under the fingerprints of `partblame`, which decides
+    whom to blame.
+
     Attributes
     ----------
     count : callable
@@ -53,6 +57,10 @@
         The fingerprints of requests that have reached the limit.
     absolved_at : dict of str to float
         When requests were last absolved, in seconds since 1970, the latest last.
+    blame : PartBlame
+        Tells which parts of prompts crash engines.
+    condemned_parts : set of str
+        The marks of parts for which requests have been refused.
     """
 
     peers: Peers
@@ -65,10 +73,13 @@
     strikes: dict[str, dict[str, float]] = field(factory=dict)
     condemned: set[str] = field(factory=set)
     absolved_at: dict[str, float] = field(factory=dict)
+    blame: PartBlame = field(init=False)
+    condemned_parts: set[str] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         self.peers.handlers[StrikesUpdate] = self.handle_strikes
         self.peers.handlers[Absolved] = self.handle_absolution
+        self.blame = PartBlame(self.clock)
 
     # Queries.
 
@@ -121,6 +132,38 @@
         detail = f"{self.limit} engines died while they ran this request"
         raise RequestRefused(422, QUARANTINED, detail, retry_after=max(left, 1.0))
 
+    def is_part_condemned(self, marks: Sequence[str]) -> bool:
+        """Return True if a part of a request's prompt crashes engines."""
+        return bool(self.blame.culprits(marks))
+
+    def check_parts(self, marks: Sequence[str], names: Sequence[str]) -> None:
+        """Refuse a request if a part of its prompt crashes engines.
+
+        Parameters
+        ----------
+        marks : sequence of str
+            The marks of the request, its own first, then those of its parts.
+        names : sequence of str
+            The names of the same parts.
+
+        Raises
+        ------
+        RequestRefused
+            If a part is to blame, with the time in seconds after which to retry.
+        """
+        culprits = self.blame.culprits(marks)
+        if not culprits:
+            return
+        self.count()
+        blamed = [name for mark, name in zip(marks[1:], names, strict=True) if mark in culprits]
+        engines = self.blame.engines(culprits[0])
+        if not self.condemned_parts.issuperset(culprits):
+            self.condemned_parts.update(culprits)
+            logs.warning("parts condemned", parts=blamed, marks=culprits, engines=engines)
+        detail = f"engines died as they began to answer prompts with {' and '.join(blamed)}"
+        left = max(self.blame.time_left(culprits[0]), 1.0)
+        raise RequestRefused(422, QUARANTINED, detail, retry_after=left)
+
     def strikes_of(self, request: str) -> tuple[Strike, ...]:
         """Return the unexpired strikes of a request."""
         now = self.clock()
@@ -177,6 +220,10 @@
         if engines.get(strike.engine, 0.0) >= strike.expires:
             return False
         engines[strike.engine] = strike.expires
+        marks = partblame.decode(strike.fingerprint)
+        if marks:
+            self.blame.record_death(strike.engine, marks, given_at)
+            return True
         if len(self.unexplained(strike.fingerprint)) >= self.limit:
             self.condemned.add(strike.fingerprint)
         return True
@@ -196,8 +243,24 @@
         if request in self.strikes:
             await self.handle_absolution(None, Absolved(request, self.clock()))
 
+    def record_served(self, fingerprint: str) -> None:
+        """Record that an answer to a prompt with these parts is under way."""
+        self._record_served(None, partblame.decode(fingerprint), self.clock())
+
+    def _record_served(self, source: Hello | None, marks: Sequence[str], at: float) -> None:
+        cleared = self.blame.record_served(marks, at)
+        if not cleared:
+            return
+        self.condemned_parts.difference_update(cleared)
+        logs.info("parts cleared", marks=cleared, source=source.name if source else "here")
+        self._broadcast(Absolved(partblame.KIND + ",".join(cleared), at), source)
+
     async def handle_absolution(self, peer: Hello | None, note: Absolved) -> None:
         """Remove an absolved request's strikes, and notify other daemons if it had any here."""
+        marks = partblame.decode(note.fingerprint)
+        if marks:
+            self._record_served(peer, marks, note.at)
+            return
         self.condemned.discard(note.fingerprint)
         self._record_absolution(note)
         if self.strikes.pop(note.fingerprint, None) is None:
--- a/papayacourse/routed/admitted.py
+++ b/papayacourse/routed/admitted.py
@@ -53,10 +53,16 @@
         hashed.update(call.body)
         return hashed.hexdigest()
 
-    def part_names(self, limit: int) -> list[str]:
-        """Return the names of the prompt's first parts, at most `limit`."""
+    @cached_property
+    def part_names(self) -> tuple[str, ...]:
+        """Return the names of the prompt's parts."""
         prompt = self.call.prompt
-        return [part.name for part in prompt.parts[:limit]] if prompt else []
+        return tuple(part.name for part in prompt.parts) if prompt else ()
+
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the names of the parts that prompts of others may hold: all but the last."""
+        return self.part_names[:-1]
 
     def time_left(self) -> float:
         """Return the time until the deadline, in seconds."""
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -150,13 +150,15 @@
         logs.bind(call.request_id)
         admitted = admit(self.documents.current, call, outcome.received_at)
         outcome.admitted = admitted
-        guard = RequestGuard(self.fleet.deaths, self.fleet.answers, admitted.fingerprint)
+        guard = RequestGuard(
+            self.fleet.deaths, self.fleet.answers, admitted.fingerprint, admitted.shared_parts
+        )
         guard.check()
         self.fleet.budget.record_request(admitted.service)
         service = self.documents.current.services.get(admitted.service)
         if admitted.route.repeat == Repeat.STREAM and service and service.engine:
             self._refuse_while_stopping(admitted)
-            await self._generate(exchange, outcome, service)
+            await self._generate(exchange, outcome, service, guard)
             outcome.end = "streamed"
         else:
             await self._call(exchange, admitted, guard)
@@ -185,10 +187,12 @@
             answer = await call.run()
             await exchange.answer(answer.status, answer.headers, answer.body)
 
-    async def _generate(self, exchange: Exchange, outcome: "Outcome", service: Service) -> None:
+    async def _generate(
+        self, exchange: Exchange, outcome: "Outcome", service: Service, guard: RequestGuard
+    ) -> None:
         admitted = outcome.admitted
         request = generation_request(admitted)
-        generation = Generation(admitted, exchange, self.fleet, request, service.engine)
+        generation = Generation(admitted, exchange, self.fleet, request, service.engine, guard)
         outcome.generation = generation
         self.evacuation.running.add(generation)
         try:
@@ -210,7 +214,7 @@
             status=outcome.status, ran=outcome.ran, route=route, account=account,
             service=admitted.service if admitted else "", seconds=round(seconds, 3),
             fingerprint=admitted.fingerprint if admitted else "",
-            parts=admitted.part_names(MAX_LOGGED_PARTS) if admitted else [],
+            parts=admitted.part_names[:MAX_LOGGED_PARTS] if admitted else (),
             document=self.documents.version, document_age=None if age is None else round(age, 1),
             **outcome.stream_fields(),
         )  # fmt: skip
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -8,7 +8,7 @@
 from tornado.httputil import HTTPHeaders
 
 from papayacourse import logs
-from papayacourse.deaths import SERVER_ERROR, WatchedRun
+from papayacourse.deaths import SERVER_ERROR, RequestGuard, WatchedRun
 from papayacourse.eventprogress import EventProgress
 from papayacourse.exceptions import (
     BackendError,
@@ -59,6 +59,8 @@
         The request as the schedulers see it.
     shape : EngineCapacity
         The capabilities of the service's engines.
+    guard : RequestGuard
+        Tells whether the request crashes engines.
     engine : Host or None
         The engine that runs it.
     pending_move : asyncio.Future or None
@@ -97,6 +99,7 @@
     fleet: FleetView
     request: GenerationRequest
     shape: EngineCapacity
+    guard: RequestGuard
     engine: Host | None = None
     pending_move: asyncio.Future | None = None
     last_id: str = ""
@@ -192,6 +195,7 @@
                 break
             self.engine = await self.search.find(self._is_long())
             self.fleet.placement.progress(self.request, self.engine.name, 0)
+            self.guard.check()
             try:
                 return await self._send_and_relay(None, self.admitted.time_left())
             except (BackendUnreachable, RequestNotExecuted) as error:
@@ -254,7 +258,7 @@
 
     def _watching(self) -> AbstractAsyncContextManager[WatchedRun]:
         """Watch for the engine's death while it runs this request."""
-        return self.fleet.deaths.watch_run(self.engine, self.request.fingerprint)
+        return self.guard.watch_run(self.engine, has_begun=self.events > 0)
 
     async def _relay(self, call: HttpCall, run: WatchedRun) -> None:
         run.record_activity()
@@ -266,7 +270,7 @@
         call.allows_silence = self._may_wait_for_stalled_engine
         splitter, event_progress = EventSplitter(), EventProgress(call.idle_timeout)
         async for chunk in call.chunks():
-            run.record_activity()
+            run.record_output()
             before = self.last_id
             for event in splitter.feed(chunk):
                 await self._relay_event(headers, event)
@@ -340,7 +344,7 @@
         moved = await self.pending_move if self.pending_move is not None else None
         self.pending_move = None
         copy, self.copy = self.copy, None
-        if self.fleet.deaths.quarantine.is_condemned(self.request.fingerprint):
+        if self.guard.is_condemned():
             raise self._broken(why)
         standby = moved or copy
         if standby is not None and self.fleet.is_listed(standby.host.name):
@@ -351,6 +355,8 @@
 
     def _may_restart(self) -> bool:
         """Return True if the request may run again from the beginning on another engine."""
+        if not self.events and self.guard.is_suspect():
+            return False
         route = self.admitted.route
         return route.resumable and self.runs < route.max_engines and not self.exchange.caller_gone
 
--- a/papayacourse/routed/keptstrikes.py
+++ b/papayacourse/routed/keptstrikes.py
@@ -8,7 +8,7 @@
 
 from attrs import define, field
 
-from papayacourse import logs
+from papayacourse import logs, partblame
 from papayacourse.callmessages import Strike, StrikesUpdate
 from papayacourse.exceptions import PlatformError
 from papayacourse.quarantine import STRIKE_LIFETIME, Quarantine
@@ -50,8 +50,12 @@
     # Commands.
 
     def struck(self, fingerprint: str) -> None:
-        """Queue the strikes of a request for writing, once it has enough."""
-        if len(self.quarantine.strikes_of(fingerprint)) >= MIN_STORED_STRIKES:
+        """Queue the strikes of a request for writing, once it has enough.
+
+        Those of a prompt's parts are written at once, since each request has its own.
+        """
+        enough = len(self.quarantine.strikes_of(fingerprint)) >= MIN_STORED_STRIKES
+        if enough or partblame.decode(fingerprint):
             self._queue_write(fingerprint)
 
     def absolved(self, fingerprint: str) -> None:
@@ -74,6 +78,9 @@
         new = tuple(strike for key, strike in now.items() if key not in self.stored)
         self.stored = now
         for fingerprint in removed - {request for request, _ in now}:
+            if partblame.decode(fingerprint):
+                # They are only ever removed by expiring, which clears nobody.
+                continue
             await self.quarantine.clear_suspect(fingerprint)
         if new:
             logs.info("strikes taken from the store", strikes=len(new))
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -32,7 +32,7 @@
 FAILURES = {"fail": 500, "promise": 503}  # the status of a generation that ran and failed
 MUTE_TIME = 60.0  # seconds
 DEADLY_PART = re.compile(r"\bdead-\d+:\d+,")  # in a prompt's list of parts, never the last
-CRASH_DELAY = 0.05  # seconds from the head of an answer to the crash
+CRASH_DELAY = 0.1  # seconds from the head of an answer to the crash
 DEADLY = re.compile(r"\[(crash|hang)=(\d+)\]")  # in a body: how, and after how many events
 
 
