--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -5,7 +5,7 @@
 import socket
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from contextlib import AsyncExitStack
 
 from attrs import define, field
@@ -123,6 +123,10 @@
         self.stored_strikes = StoredStrikes(self.adapter.store, self.mesh.quarantine)
         self.membership, self.duties = self.mesh.membership, self.mesh.duties
         self.metrics.watch_totals("papayacourse_mesh_frames", "", self.mesh.peers.traffic.labelled)
+        self.notices.reach.servers = self._servers
+        self.metrics.watch(
+            "papayacourse_servers_reachable", "", lambda: float(not self.notices.reach.is_cut_off)
+        )
         self.metrics.watch_totals("papayacourse_sends", "", self.notices.sends_by_server)
         self.documents = Documents(self.mesh.peers, self.adapter.store.decode_document, self._news)
         self.directory = HostDirectory(
@@ -231,6 +235,11 @@
             except PeerError as error:
                 logs.info("leaving not told", engine=host.name, daemon=name, why=str(error))
 
+    def _servers(self) -> Iterator[Host]:
+        """Yield the listed servers of all services."""
+        yield from self.membership.backends(HostKind.ENGINE)
+        yield from self.membership.backends(HostKind.PLAIN)
+
     def is_ready(self) -> bool:
         """Return True if the daemon is ready for callers."""
         return self.ready and not self.lifecycle.stopping.is_set() and self.informed()
@@ -266,6 +275,7 @@
             *self.mesh.work(),
             self.evacuation.run(),
             self.limiter.run(),
+            self.notices.reach.run(),
             self._tick(),
             self._watch_file(),
         ):
--- a/papayacourse/routed/notices.py
+++ b/papayacourse/routed/notices.py
@@ -9,6 +9,7 @@
 from papayacourse import logs
 from papayacourse.engines import EngineLoad
 from papayacourse.exceptions import BackendRefused
+from papayacourse.routed.reach import ServerReach
 from papayacourse.routed.seams import CopyResult, EngineCalls, EngineNotice, EngineRuns
 from papayacourse.routed.serverlimits import ServerLimits
 from papayacourse.types import Host, HostState
@@ -67,6 +68,8 @@
         The pauses that engines asked for, by engine name.
     limits : ServerLimits
         The request limits that engines named.
+    reach : ServerReach
+        Tells whether any server can be reached.
     sends : Counter of str
         How many callers' requests were sent to each engine, repeats included.
     """
@@ -76,6 +79,7 @@
     leaving: dict[str, float] = field(factory=dict)
     pauses: dict[str, Pause] = field(factory=dict)
     limits: ServerLimits = field(factory=ServerLimits)
+    reach: ServerReach = field(factory=ServerReach)
     sends: Counter = field(factory=Counter)
 
     # Queries.
@@ -116,6 +120,7 @@
 
     def record_send(self, host: Host) -> None:
         """Log and count a caller's request that is sent to an engine."""
+        self.reach.record_contact()
         self.sends[host.name] += 1
         age = self.limits.age(host.name)
         logs.info(
--- a/papayacourse/routed/sending.py
+++ b/papayacourse/routed/sending.py
@@ -75,6 +75,7 @@
     try:
         await exchange.__aenter__()
     except BackendUnreachable:
+        notices.reach.record_failure()
         raise
     except (BackendLinkLost, BackendProtocolError) as error:
         raise BackendAnswerLost(str(error)) from error
