--- a/tests/rawhttp.py
+++ b/tests/rawhttp.py
@@ -18,8 +18,8 @@
     """
     host, _, port = address.rpartition(":")
     data = json.dumps(body).encode()
-    lines = [f"POST {path} HTTP/1.1", "Host: x", f"Content-Length: {len(data)}"]
-    lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+    fields = {"Host": "x", "Content-Length": len(data)} | (headers or {})
+    lines = [f"POST {path} HTTP/1.1", *(f"{name}: {value}" for name, value in fields.items())]
     link = socket.socket()
     if receive_buffer:
         link.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
--- a/tests/routedfleet.py
+++ b/tests/routedfleet.py
@@ -74,11 +74,14 @@
     ----------
     addresses : dict of str to str
         The IP number of each daemon.
+    wrapper : list of str
+        The program that starts the daemons', if any.
     """
 
     fleet: Fleet = field(factory=Fleet)
     addresses: dict[str, str] = field(factory=dict)
     places: dict[str, dict] = field(factory=dict)
+    wrapper: list[str] = field(factory=list)
     number: int = 0
 
     def close(self) -> None:
@@ -133,14 +136,20 @@
     def start(self, name: str) -> None:
         """Start a daemon's process."""
         file, log = self.fleet.path / f"{name}.ini", self.fleet.path / f"{name}.log"
-        environment = os.environ | {"PAPAYACOURSE_NODE_FILE": str(file)}
+        environment = os.environ | {
+            "PAPAYACOURSE_NODE_FILE": str(file), "PAPAYACOURSE_TEST_CUT": str(self.cut_file(name)),
+        }  # fmt: skip
         with log.open("ab") as output:
             popen = subprocess.Popen(
-                [sys.executable, str(ROOT / "platform" / "run.py")],
+                [sys.executable, *self.wrapper, str(ROOT / "platform" / "run.py")],
                 stdout=output, stderr=output, env=environment,
             )  # fmt: skip
         self.fleet.processes[name] = Process(name, popen, log)
 
+    def cut_file(self, name: str) -> Path:
+        """Return the file that tells a daemon under ``tests/cutoff.py`` what it is cut off from."""
+        return self.fleet.path / f"{name}.cut"
+
     def readiness(self, name: str) -> int:
         """Return the status of a daemon's readiness page; 0 without an answer."""
         try:
