Serve callers through another daemon while no server can be reached

Cause: a request could be sent only by the daemon that holds its connection, and each request found out for itself that no server answers. The class: a path that is taken for granted because it is the usual one. Change: ServerReach tells that none of up to four servers, of different services and domains, can be reached. While that is so, and for requests that were refused as not run meanwhile, the request goes over the mesh to a daemon that reaches servers (Relaying), which serves it as its own and sends the answer back in parts, with back-pressure; a caller who leaves is cancelled there; a daemon that goes leaves 502 or a cut stream. No second hop. With nobody to ask the answer is 503 'cut_off' at once. A daemon that is cut off takes no duties, so schedulers move to daemons that can follow their engines. Tried first: asking daemons for 0.5 s, and no check while idle: the first request after a quiet cut took 2.4 s, since the daemon that was asked found out that it was cut off, too.

--- a/papayacourse/linkclasses.py
+++ b/papayacourse/linkclasses.py
@@ -17,6 +17,9 @@
     OTHER_REGION = "other_region"
 
 
+LINK_CLASSES_NEAREST_FIRST = (LinkClass.SAME_DOMAIN, LinkClass.SAME_REGION, LinkClass.OTHER_REGION)
+
+
 class Carried(StrEnum):
     """The kind of traffic on a link: frames between daemons, or generations."""
 
--- a/papayacourse/messages.py
+++ b/papayacourse/messages.py
@@ -35,6 +35,13 @@
     SettingsSummary,
     SettingsUpdate,
 )
+from papayacourse.relaymessages import (
+    RelayAccepted,
+    RelayCancelled,
+    RelayDeclined,
+    RelayPart,
+    RelayRequest,
+)
 from papayacourse.schedulingmessages import (
     DrainEngine,
     EngineLeaves,
@@ -99,4 +106,9 @@
     | SharesLent
     | SendPermitRequest
     | SendPermit
+    | RelayRequest
+    | RelayAccepted
+    | RelayDeclined
+    | RelayPart
+    | RelayCancelled
 )
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -37,6 +37,7 @@
 from papayacourse.routed.keptstrikes import StoredStrikes
 from papayacourse.routed.notices import EngineNotices, GuardedEngineCalls
 from papayacourse.routed.pages import pages
+from papayacourse.routed.relaying import Relaying
 from papayacourse.routed.reports import AdapterReports
 from papayacourse.routed.seams import EngineCalls, EngineNotice, RequestCodec, Store
 from papayacourse.routed.sendlimiter import SendLimiter
@@ -118,8 +119,8 @@
             AdapterReports(engine_calls, self.host, self._engine_leaves), MAX_DEATHS,
         )  # fmt: skip
         self.deaths = ServerDeaths(
-            self.mesh.quarantine, lambda: self.membership.hosts, self.notices.is_leaving
-        )
+            self.mesh.quarantine, lambda: self.membership.hosts, self.notices.is_leaving,
+        )  # fmt: skip
         self.stored_strikes = StoredStrikes(self.adapter.store, self.mesh.quarantine)
         self.membership, self.duties = self.mesh.membership, self.mesh.duties
         self.metrics.watch_totals("papayacourse_mesh_frames", "", self.mesh.peers.traffic.labelled)
@@ -133,7 +134,7 @@
             self.membership.host_sync.apply_listing,
             in_force=lambda: self.membership.backends(HostKind.ENGINE),
         )
-        self.membership.informed = self.informed
+        self.membership.informed = self._can_take_duties
         self.mesh.peers.handlers[EngineLeaves] = self._on_engine_leaves
         self.membership.document_version = lambda: self.documents.version
         self.membership.compare_document = self.documents.request_if_newer
@@ -154,6 +155,10 @@
             self.evacuation, self.metrics,
             self.lifecycle.stopping.is_set, config.body_room,
         )  # fmt: skip
+        self.front.relaying = Relaying(
+            self.membership, self.mesh.peers, self.notices.reach, self.front.begin_relayed,
+            self._why_no_relays,
+        )  # fmt: skip
         me = Host(
             config.name, HostKind.ENTRY, str(config.http), config.domain, config.region,
             mesh=str(config.mesh),
@@ -196,6 +201,16 @@
             self.directory.engines_known or self.membership.host_sync.known
         )
 
+    def _can_take_duties(self) -> bool:
+        """Return True if this daemon can schedule servers: it knows them, and can reach some."""
+        return self.informed() and not self.notices.reach.is_cut_off
+
+    def _why_no_relays(self) -> str:
+        """Return why this daemon serves no requests for others now; empty if it does."""
+        if self.lifecycle.stopping.is_set():
+            return "it stops"
+        return "" if self.informed() else "it knows no settings or no servers"
+
     def host(self, name: str) -> Host | None:
         """Return a listed host by its name."""
         return self.fleet.host(name)
--- a/papayacourse/routed/exchange.py
+++ b/papayacourse/routed/exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import math
+import time
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
@@ -34,8 +35,14 @@
         Whether the response is complete or aborted.
     caller_gone : bool
         Whether the caller closed the connection.
+    received_at : float
+        When the request was complete, in seconds of the monotonic clock.
+    may_relay : bool
+        Whether another daemon may serve the request.
     """
 
+    may_relay = True
+
     def __init__(self, server: "ExchangeOwner", connection: HTTP1Connection):
         self.server = server
         self.connection = connection
@@ -48,6 +55,7 @@
         self.done = False
         self.caller_gone = False
         self.task: asyncio.Task | None = None
+        self.received_at = 0.0
 
     # Called by tornado.
 
@@ -75,6 +83,7 @@
     def finish(self) -> None:
         """Start to serve the complete request."""
         if not self.done:
+            self.received_at = time.monotonic()
             self.connection.set_close_callback(self.on_connection_close)
             self.task = self.server.begin(self)
 
@@ -112,12 +121,8 @@
 
     async def refuse(self, refused: RequestRefused) -> None:
         """Write the problem response for a refused request."""
-        headers = HTTPHeaders({"Content-Type": problems.CONTENT_TYPE})
-        if refused.retry_after is not None:
-            # Rounded up: a caller must not return too early.
-            headers["Retry-After"] = f"{math.ceil(refused.retry_after * 10) / 10:.1f}"
-        body = json.dumps(problems.problem(refused, self.server.request_id(self))).encode()
-        await self.answer(refused.status, headers, body)
+        body = refusal_body(refused, self.server.request_id(self))
+        await self.answer(refused.status, refusal_headers(refused), body)
 
     async def answer(self, status: int, headers: HTTPHeaders, body: bytes) -> None:
         """Write a complete response."""
@@ -187,6 +192,20 @@
         raise NotImplementedError
 
 
+def refusal_headers(refused: RequestRefused) -> HTTPHeaders:
+    """Return the headers of the problem response for a refused request."""
+    headers = HTTPHeaders({"Content-Type": problems.CONTENT_TYPE})
+    if refused.retry_after is not None:
+        # Rounded up: a caller must not return too early.
+        headers["Retry-After"] = f"{math.ceil(refused.retry_after * 10) / 10:.1f}"
+    return headers
+
+
+def refusal_body(refused: RequestRefused, request: str) -> bytes:
+    """Return the body of the problem response for a refused request with an id."""
+    return json.dumps(problems.problem(refused, request)).encode()
+
+
 def head_bytes(start_line: RequestStartLine, headers: HTTPHeaders) -> int:
     """Return the size of the request line and headers, in bytes."""
     lines = sum(len(name) + len(value) + 4 for name, value in headers.get_all())
--- a/papayacourse/routed/fleetview.py
+++ b/papayacourse/routed/fleetview.py
@@ -9,7 +9,7 @@
 from papayacourse.answermemory import AnswerMemory
 from papayacourse.deaths import ServerDeaths
 from papayacourse.exceptions import BackendError
-from papayacourse.linkclasses import LinkClass, Place
+from papayacourse.linkclasses import LINK_CLASSES_NEAREST_FIRST, LinkClass, Place
 from papayacourse.membership import Membership
 from papayacourse.meshmessages import ServiceLoad
 from papayacourse.placement import Placement
@@ -23,8 +23,6 @@
 from papayacourse.routed.spareroom import spare_regions
 from papayacourse.types import GenerationRequest, Host, HostKind, HostState
 
-LINK_CLASSES_NEAREST_FIRST = (LinkClass.SAME_DOMAIN, LinkClass.SAME_REGION, LinkClass.OTHER_REGION)
-
 
 @define(eq=False)
 class FleetView:
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -24,12 +24,15 @@
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.generation import Generation, StreamBroken
 from papayacourse.routed.plaincall import PlainCall
+from papayacourse.routed.relayedexchange import RelayedExchange
+from papayacourse.routed.relaying import RelayBroken, Relaying
 from papayacourse.routed.seams import Prompt
 from papayacourse.types import GenerationRequest, Ran
 
 SHORT_OUTPUT = 100  # tokens; an answer this short completes within a planned stop
 STOPPING_RETRY_AFTER = 0.1  # seconds; another daemon can serve the request at once
 PREFIX_HASH_BITS = 63
+FINAL_REASONS = frozenset({QUARANTINED, "stopping"})  # of refusals that hold at any daemon
 MAX_LOGGED_PARTS = 8  # of a prompt, in the log line of its request
 
 
@@ -53,6 +56,7 @@
     fleet: FleetView
     choice: ServerChoice
     evacuation: Evacuation
+    relaying: Relaying = field(init=False)
     metrics: Metrics
     is_closing: Callable[[], bool]
     body_room: int
@@ -106,9 +110,18 @@
             if not self.busy.total():
                 self.idle.set()
 
-    async def _serve(self, exchange: Exchange) -> None:
-        received_at = time.monotonic()
-        outcome = Outcome(received_at)
+    def begin_relayed(self, exchange: RelayedExchange) -> asyncio.Task:
+        """Start a task that serves a request which another daemon relays."""
+        return asyncio.create_task(self._serve_relayed(exchange))
+
+    async def _serve_relayed(self, exchange: RelayedExchange) -> None:
+        with self.in_progress("relayed requests"):
+            exchange.task = self.begin(exchange)
+            await exchange.send_parts()
+            await asyncio.wait([exchange.task])
+
+    async def _serve(self, exchange: Exchange | RelayedExchange) -> None:
+        outcome = Outcome(exchange.received_at)
         with self.in_progress("requests"):
             try:
                 await self._answer(exchange, outcome)
@@ -116,7 +129,7 @@
                 refused = as_not_executed(error)
                 outcome.record_refusal(refused)
                 await self._refuse(exchange, refused)
-            except StreamBroken as broken:
+            except (StreamBroken, RelayBroken) as broken:
                 outcome.end, outcome.why = "cut", str(broken)
                 exchange.abort()
             except (CallerDisconnected, asyncio.CancelledError):
@@ -154,6 +167,30 @@
             self.fleet.deaths, self.fleet.answers, admitted.fingerprint, admitted.shared_parts
         )
         guard.check()
+        if self.relaying.is_needed(exchange):
+            await self._relay(exchange, outcome)
+            return
+        try:
+            await self._serve_here(exchange, outcome, guard)
+        except RequestRefused as refused:
+            if not self._may_relay_refused(exchange, refused):
+                raise
+            logs.info("relayed after a refusal", reason=refused.reason, why=str(refused))
+            await self._relay(exchange, outcome)
+
+    def _may_relay_refused(self, exchange: Exchange, refused: RequestRefused) -> bool:
+        """Return True if another daemon may serve a request that was refused here."""
+        is_temporary = refused.status == 503 and refused.reason not in FINAL_REASONS
+        return is_temporary and refused.ran is Ran.NO and self.relaying.is_needed(exchange)
+
+    async def _relay(self, exchange: Exchange, outcome: "Outcome") -> None:
+        outcome.relayed_to = await self.relaying.relay(exchange, outcome.received_at)
+        outcome.end = "relayed"
+
+    async def _serve_here(
+        self, exchange: Exchange | RelayedExchange, outcome: "Outcome", guard: RequestGuard
+    ) -> None:
+        admitted = outcome.admitted
         self.fleet.budget.record_request(admitted.service)
         service = self.documents.current.services.get(admitted.service)
         if admitted.route.repeat == Repeat.STREAM and service and service.engine:
@@ -215,6 +252,7 @@
             service=admitted.service if admitted else "", seconds=round(seconds, 3),
             fingerprint=admitted.fingerprint if admitted else "",
             parts=admitted.part_names[:MAX_LOGGED_PARTS] if admitted else (),
+            relayed_to=outcome.relayed_to,
             document=self.documents.version, document_age=None if age is None else round(age, 1),
             **outcome.stream_fields(),
         )  # fmt: skip
@@ -231,6 +269,7 @@
     reason: str = ""
     status: int = 0
     ran: str = ""
+    relayed_to: str = ""
     generation: Generation | None = None
 
     def stream_fields(self) -> dict[str, object]:
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -206,6 +206,8 @@
             self._log_failed(why)
             self.search.refused.add(self.engine.name)
             await self.fleet.placement.end(self.request, self.engine.name, 0, outcome)
+            if self.fleet.notices.reach.is_cut_off:
+                break
         raise self._refusal(503, "engines_full", why or "no engine took the request")
 
     def _is_long(self) -> bool:
--- a/papayacourse/routed/notices.py
+++ b/papayacourse/routed/notices.py
@@ -8,10 +8,10 @@
 
 from papayacourse import logs
 from papayacourse.engines import EngineLoad
-from papayacourse.exceptions import BackendRefused
-from papayacourse.routed.reach import ServerReach
+from papayacourse.exceptions import BackendRefused, BackendUnreachable
 from papayacourse.routed.seams import CopyResult, EngineCalls, EngineNotice, EngineRuns
 from papayacourse.routed.serverlimits import ServerLimits
+from papayacourse.serverreach import ServerReach
 from papayacourse.types import Host, HostState
 
 NOTICE_RETENTION = 120.0  # seconds after its engine is unlisted; it may be listed again
@@ -199,7 +199,13 @@
     async def load(self, host: Host) -> EngineLoad:
         """Return an engine's load; raises BackendError."""
         self.notices.admit_call(host, saves_run=False)
-        return await self.calls.load(host)
+        try:
+            load = await self.calls.load(host)
+        except BackendUnreachable:
+            self.notices.reach.record_failure()
+            raise
+        self.notices.reach.record_contact()
+        return load
 
     async def runs(self, host: Host) -> EngineRuns:
         """Return the runs on an engine; raises BackendError."""
--- a/papayacourse/routed/plaincall.py
+++ b/papayacourse/routed/plaincall.py
@@ -80,7 +80,7 @@
 
     async def run(self) -> Answer:
         """Return the answer; raises RequestRefused if there is none."""
-        while self.attempts < MAX_ATTEMPTS:
+        while self.attempts < MAX_ATTEMPTS and not self.notices.reach.is_cut_off:
             host = await self._next_server()
             if host is None:
                 break
--- /dev/null
+++ b/papayacourse/routed/relaying.py
@@ -0,0 +1,231 @@
+"""Serves callers through another daemon while this one reaches no server, and the reverse."""
+
+import asyncio
+import itertools
+import random
+import time
+from collections.abc import Callable, Iterator
+
+from attrs import define, field
+from tornado.httputil import HTTPHeaders
+
+from papayacourse import logs
+from papayacourse.exceptions import PeerError, PeerTimeout, RequestRefused
+from papayacourse.linkclasses import LINK_CLASSES_NEAREST_FIRST, Place
+from papayacourse.members import Member
+from papayacourse.membership import Membership
+from papayacourse.meshmessages import Hello
+from papayacourse.peers import Peers
+from papayacourse.relaymessages import (
+    RelayAccepted,
+    RelayCancelled,
+    RelayDeclined,
+    RelayEnd,
+    RelayPart,
+    RelayRequest,
+)
+from papayacourse.routed.exchange import Exchange
+from papayacourse.routed.relayedexchange import RelayedExchange
+from papayacourse.serverreach import ServerReach
+from papayacourse.types import Ran
+
+MAX_DAEMONS_ASKED = 4  # for one request
+ACCEPT_TIMEOUT = 1.0  # seconds, a link that has to be opened included
+DELIVERY_TIMEOUT = 30.0  # seconds; a caller who takes no part for so long has gone
+DECLINE_MEMORY = 1.0  # seconds for which a daemon that declined is not asked again
+LINK_CHECK_INTERVAL = 0.25  # seconds
+MAX_RELAYED_BODY = 1024 * 1024  # bytes; a request has to fit into one frame
+QUEUED_PARTS = 2  # of an answer, until the caller has read them
+RETRY_AFTER = 1.0  # seconds
+
+
+class RelayBroken(Exception):
+    """The answer broke off, or the daemon that was serving the request has gone."""
+
+
+@define(eq=False)
+class Relaying:
+    """Relays requests to other daemons, and serves the requests that they relay.
+
+    Attributes
+    ----------
+    serve : callable
+        Serves a relayed request here until it has been answered.
+    accepts : callable
+        Returns why this daemon serves no relayed requests now; empty if it does.
+    answers : dict of int to asyncio.Queue
+        The parts of answers that have come and are not passed on, by the request's number.
+    served : dict of (str, int) to RelayedExchange
+        The relayed requests that are served here, by daemon and number.
+    declined_at : dict of str to float
+        When each daemon last declined a request, in seconds of the clock.
+    """
+
+    membership: Membership
+    peers: Peers
+    reach: ServerReach
+    serve: Callable[[RelayedExchange], asyncio.Task]
+    accepts: Callable[[], str]
+    clock: Callable[[], float] = time.monotonic
+    answers: dict[int, asyncio.Queue[RelayPart]] = field(factory=dict)
+    served: dict[tuple[str, int], RelayedExchange] = field(factory=dict)
+    declined_at: dict[str, float] = field(factory=dict)
+    numbers: Iterator[int] = field(factory=lambda: itertools.count(random.getrandbits(40)))
+
+    def __attrs_post_init__(self) -> None:
+        self.peers.handlers[RelayRequest] = self._handle_request
+        self.peers.handlers[RelayPart] = self._handle_part
+        self.peers.handlers[RelayCancelled] = self._handle_cancelled
+
+    # Queries.
+
+    def is_needed(self, exchange: Exchange) -> bool:
+        """Return True if a request should be served through another daemon."""
+        fits = len(exchange.body) <= MAX_RELAYED_BODY
+        return self.reach.is_cut_off and exchange.may_relay and fits
+
+    def candidates(self) -> list[str]:
+        """Return the daemons to ask, the nearest first."""
+        here = Place(self.membership.me.domain, self.membership.me.region)
+        able = [member for member in self.membership.members.values() if self._may_ask(member)]
+        random.shuffle(able)
+        able.sort(key=lambda m: LINK_CLASSES_NEAREST_FIRST.index(here.link_to(m.domain, m.region)))
+        return [member.name for member in able[:MAX_DAEMONS_ASKED]]
+
+    def _may_ask(self, member: Member) -> bool:
+        since = self.clock() - self.declined_at.get(member.name, float("-inf"))
+        able = self.membership.may_take_duties(member) and self.membership.is_alive(member.name)
+        return able and since > DECLINE_MEMORY
+
+    # This daemon reaches no server.
+
+    async def relay(self, exchange: Exchange, received_at: float) -> str:
+        """Serve a request through another daemon; returns which.
+
+        Raises
+        ------
+        RequestRefused
+            When no daemon serves it, or when it is not known whether it has run.
+        RelayBroken
+            When the answer breaks off after part of it was sent to the caller.
+        """
+        for name in self.candidates():
+            if await self._relay_to(name, exchange, received_at):
+                return name
+            self.declined_at[name] = self.clock()
+        why = "no server can be reached, and no other daemon that reaches one"
+        raise RequestRefused(503, "cut_off", why, retry_after=RETRY_AFTER)
+
+    async def _relay_to(self, name: str, exchange: Exchange, received_at: float) -> bool:
+        """Serve a request through a daemon; returns False if it does not serve it."""
+        number = next(self.numbers)
+        parts = self.answers[number] = asyncio.Queue(QUEUED_PARTS)
+        request = RelayRequest(
+            number, exchange.method, exchange.target, tuple(exchange.headers.get_all()),
+            exchange.body, time.monotonic() - received_at,
+        )  # fmt: skip
+        may_run = False
+        try:
+            may_run = await self._ask(name, request)
+            served = may_run and await self._pass_on(name, exchange, parts)
+            may_run = False
+            return served
+        except RelayBroken as broken:
+            if exchange.head_written:
+                raise
+            raise RequestRefused(502, "relay_lost", str(broken), Ran.UNKNOWN) from broken
+        finally:
+            del self.answers[number]
+            if may_run:
+                self._cancel(name, number)
+
+    async def _ask(self, name: str, request: RelayRequest) -> bool:
+        """Return whether a daemon accepts a request; raises RelayBroken if that is not known."""
+        try:
+            answer = await self.peers.call(name, request, ACCEPT_TIMEOUT)
+        except PeerTimeout as error:
+            self._cancel(name, request.number)
+            raise RelayBroken(f"{name} did not say whether it serves the request") from error
+        except PeerError as error:
+            answer = RelayDeclined(str(error))
+        if isinstance(answer, RelayAccepted):
+            return True
+        why = answer.why if isinstance(answer, RelayDeclined) else f"it answered {answer!r}"
+        logs.info("relay declined", daemon=name, why=why)
+        return False
+
+    def _cancel(self, name: str, number: int) -> None:
+        try:
+            self.peers.send_on_open_link(name, RelayCancelled(number))
+        except PeerError as error:
+            # The other daemon cancels the request when its parts cannot be delivered.
+            logs.info("relay not cancelled", daemon=name, why=str(error))
+
+    async def _pass_on(self, name: str, exchange: Exchange, parts: asyncio.Queue) -> bool:
+        """Pass an answer on to the caller; returns False if the request was not served."""
+        while True:
+            part = await self._next_part(name, parts)
+            headers = HTTPHeaders()
+            for field_name, value in part.headers:
+                headers.add(field_name, value)
+            match part.end:
+                case RelayEnd.NOT_SERVED:
+                    logs.info("relay declined", daemon=name, why="it reaches no server either")
+                    return False
+                case RelayEnd.BROKEN:
+                    raise RelayBroken(f"the answer broke off at {name}")
+                case RelayEnd.WHOLE if not exchange.head_written:
+                    await exchange.answer(part.status, headers, part.data)
+                    return True
+            if not exchange.head_written:
+                await exchange.begin(part.status, headers, part.data)
+            elif part.data:
+                await exchange.write(part.data)
+            if part.end == RelayEnd.WHOLE:
+                exchange.end()
+                return True
+
+    async def _next_part(self, name: str, parts: asyncio.Queue[RelayPart]) -> RelayPart:
+        """Return the next part of an answer; raises RelayBroken if the daemon has gone."""
+        while True:
+            try:
+                async with asyncio.timeout(LINK_CHECK_INTERVAL):
+                    return await parts.get()
+            except TimeoutError as error:
+                if name not in self.peers.links or not self.membership.is_alive(name):
+                    raise RelayBroken(f"{name}, which served the request, has gone") from error
+
+    async def _handle_part(self, _peer: Hello, part: RelayPart) -> None:
+        """Take a part of an answer; returns when there is room for the next."""
+        parts = self.answers.get(part.number)
+        if parts is None:
+            raise PeerError("the request is not relayed any more")
+        await parts.put(part)
+
+    # Another daemon reaches no server.
+
+    async def _handle_request(
+        self, peer: Hello, request: RelayRequest
+    ) -> RelayAccepted | RelayDeclined:
+        """Begin to serve a relayed request."""
+        if await self.reach.verify():
+            return RelayDeclined("it reaches no server either")
+        why = self.accepts()
+        if why:
+            return RelayDeclined(why)
+
+        async def deliver(part: RelayPart) -> None:
+            await self.peers.call(peer.name, part, DELIVERY_TIMEOUT)
+
+        exchange = RelayedExchange(request, deliver, lambda: self.reach.is_cut_off)
+        key = (peer.name, request.number)
+        self.served[key] = exchange
+        task = self.serve(exchange)
+        task.add_done_callback(lambda _: self.served.pop(key, None))
+        return RelayAccepted()
+
+    async def _handle_cancelled(self, peer: Hello, note: RelayCancelled) -> None:
+        """Cancel a relayed request whose caller has left."""
+        exchange = self.served.get((peer.name, note.number))
+        if exchange is not None:
+            exchange.lose_caller()
--- a/papayacourse/routed/sending.py
+++ b/papayacourse/routed/sending.py
@@ -73,9 +73,11 @@
         before_send=record_send,
     )  # fmt: skip
     try:
-        await exchange.__aenter__()
+        with notices.reach.watch_connecting():
+            await exchange.__aenter__()
     except BackendUnreachable:
         notices.reach.record_failure()
+        await notices.reach.wait_for_check()
         raise
     except (BackendLinkLost, BackendProtocolError) as error:
         raise BackendAnswerLost(str(error)) from error
--- a/papayacourse/routed/reach.py
+++ b/papayacourse/serverreach.py
@@ -3,7 +3,8 @@
 import asyncio
 import random
 import time
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Iterator
+from contextlib import contextmanager
 
 from attrs import define
 
@@ -18,6 +19,8 @@
 SAMPLE_SIZE = 4  # servers that are asked at once
 MIN_SAMPLE = 2  # one server that cannot be reached may be down
 CHECK_INTERVAL = 0.5  # seconds between checks while no server can be reached
+MAX_IDLE_TIME = 2.0  # seconds without a connection after which one is tried
+SLOW_CONNECT = 0.1  # seconds after which others are tried while a connection is being opened
 
 
 async def can_connect(server: Host) -> bool:
@@ -55,6 +58,12 @@
     contact_at: float = float("-inf")
     checking: asyncio.Task | None = None
 
+    # Queries.
+
+    def has_recent_contact(self) -> bool:
+        """Return True if a connection to a server was opened moments ago."""
+        return self.clock() - self.contact_at <= RECENT_CONTACT
+
     # Commands.
 
     def record_contact(self) -> None:
@@ -66,19 +75,38 @@
 
     def record_failure(self) -> None:
         """Record that a connection to a server failed, and check whether others can be reached."""
-        if self.clock() - self.contact_at > RECENT_CONTACT:
+        if not self.is_cut_off and not self.has_recent_contact():
             self._begin_check()
 
+    @contextmanager
+    def watch_connecting(self) -> Iterator[None]:
+        """Check whether others can be reached if a connection to a server takes long to open."""
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(SLOW_CONNECT, self.record_failure)
+        try:
+            yield
+        finally:
+            timer.cancel()
+
     async def check(self) -> bool:
         """Try some servers; returns True if none can be reached."""
         await asyncio.shield(self._begin_check())
         return self.is_cut_off
 
+    async def wait_for_check(self) -> None:
+        """Wait until the check in progress, if any, has ended."""
+        if self.checking is not None:
+            await asyncio.shield(self.checking)
+
+    async def verify(self) -> bool:
+        """Return True if no server can be reached, trying some unless one was just reached."""
+        return self.is_cut_off if self.has_recent_contact() else await self.check()
+
     async def run(self) -> None:
-        """Check periodically, while cut off, whether servers can be reached again."""
+        """Check periodically while cut off or idle."""
         while True:
             await next_tick(CHECK_INTERVAL)
-            if self.is_cut_off:
+            if self.is_cut_off or self.clock() - self.contact_at > MAX_IDLE_TIME:
                 await self.check()
 
     def _begin_check(self) -> asyncio.Task:
@@ -89,13 +117,24 @@
     async def _check(self) -> None:
         began_at = self.clock()
         sample = self._sample()
-        results = await asyncio.gather(*map(self.can_connect, sample))
-        if any(results):
+        if await self._reaches_any(sample):
             self.record_contact()
         elif len(sample) >= MIN_SAMPLE and self.contact_at < began_at and not self.is_cut_off:
             self.is_cut_off = True
             logs.warning("no server reachable", tried=[server.name for server in sample])
 
+    async def _reaches_any(self, sample: list[Host]) -> bool:
+        """Return True as soon as one server accepts a connection."""
+        tasks = [asyncio.create_task(self.can_connect(server)) for server in sample]
+        try:
+            for result in asyncio.as_completed(tasks):
+                if await result:
+                    return True
+            return False
+        finally:
+            for task in tasks:
+                task.cancel()
+
     def _sample(self) -> list[Host]:
         """Return a few servers, of as many services and failure domains as possible."""
         live = [server for server in self.servers() if server.state == HostState.LIVE]
