Take no server for dead while none can be reached

Cause: a refused connection counts as proof that the process there has ended, also when the path to it has gone. Change: before a strike, and before a silent run is kept for one, the daemon checks that it reaches any other server. Evidence: 'A daemon that is cut off gives no strikes' failed before and passes.

--- a/papayacourse/deaths.py
+++ b/papayacourse/deaths.py
@@ -22,6 +22,7 @@
 from papayacourse.hostlist import HostListing
 from papayacourse.httpcall import connect
 from papayacourse.quarantine import Quarantine
+from papayacourse.serverreach import ServerReach
 from papayacourse.ticks import next_tick
 from papayacourse.types import Address, Host, HostState
 
@@ -161,6 +162,8 @@
         Returns True if the named server has announced that it leaves.
     has_no_listener : callable
         Returns True if nothing listens at a server's address.
+    reach : ServerReach
+        Tells whether any server can be reached; if not, servers that refuse may be well.
     lost : dict of str to dict of str to LostRun
         The lost runs whose server may still be alive, by server and fingerprint.
     leaving_seen_at : dict of str to float
@@ -177,6 +180,7 @@
     listing: Callable[[], HostListing]
     has_announced_leave: Callable[[str], bool]
     has_no_listener: Callable[[Host], Awaitable[bool]] = has_no_listener
+    reach: ServerReach = field(factory=ServerReach, kw_only=True)
     clock: Callable[[], float] = time.monotonic
     lost: dict[str, dict[str, LostRun]] = field(factory=dict)
     leaving_seen_at: dict[str, float] = field(factory=dict)
@@ -211,7 +215,7 @@
                 await self._record_closed_run(server, fingerprint, lost)
             raise
         except BackendGone:
-            if server.name in self.lost:
+            if server.name in self.lost and not await self.reach.check():
                 self._strike_lost_runs(server.name, "nobody listens at its address")
             raise
         except asyncio.CancelledError:
@@ -283,7 +287,7 @@
 
     def _record_silent_run(self, server: Host, fingerprint: str, run: LostRun) -> None:
         """Record a run whose server stopped sending."""
-        if self.is_end_announced(server):
+        if self.is_end_announced(server) or self.reach.is_cut_off:
             return
         self._record_lost_run(server.name, fingerprint, run)
         if server.name in self.ended_at or self.listed(server.name) is None:
@@ -304,7 +308,8 @@
 
     async def _probe_server(self, server: Host) -> None:
         """Strike the lost runs of a server if nothing listens at its address."""
-        if server.name in self.ended_at or await self.has_no_listener(server):
+        has_ended = server.name in self.ended_at or await self.has_no_listener(server)
+        if has_ended and not await self.reach.check():
             self._strike_lost_runs(server.name, "nobody listens at its address")
 
     def _record_lost_run(self, name: str, fingerprint: str, run: LostRun) -> None:
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -120,6 +120,7 @@
         )  # fmt: skip
         self.deaths = ServerDeaths(
             self.mesh.quarantine, lambda: self.membership.hosts, self.notices.is_leaving,
+            reach=self.notices.reach,
         )  # fmt: skip
         self.stored_strikes = StoredStrikes(self.adapter.store, self.mesh.quarantine)
         self.membership, self.duties = self.mesh.membership, self.mesh.duties
