Add scenarios about streams that end with their connection, and engines that fall silent

Streams without length or chunks are whole where they end after an event, and visibly broken where they end inside one or are reset; no socket has TCP_USER_TIMEOUT set: these pass on this code.

--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -7,11 +7,12 @@
 import os
 import re
 import signal
+import socket
 import time
 
 from attrs import asdict, define, field
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 
 from standins.common import JsonHandler, parser, serve
 
@@ -29,6 +30,10 @@
     "endless_comments": (b"HEAD\r\n", b": noise\n\n"),
     "endless_old": (b"HEAD\r\n", b"id: 1\ndata: token 1\n\n"),
 }  # what an answer begins with, and what then comes again and again; HEAD is a good answer's head
+UNFRAMED_ENDS = {
+    "unframed": b"", "reset_unframed": b"", "unframed_half": b"id: 21\ndata: to",
+    "unframed_early": b"id: 1\nda",
+}  # fmt: skip
 FAILURES = {"fail": 500, "promise": 503}  # the status of a generation that ran and failed
 MUTE_TIME = 60.0  # seconds
 DEADLY_PART = re.compile(r"\bdead-\d+:\d+,")  # in a prompt's list of parts, never the last
@@ -84,8 +89,8 @@
         Whether copies of other engines' runs are taken.
     fault : str
         What goes wrong with answers: ``shed``, ``lose``, ``wrong_id``, ``garbage``, ``unframed``,
-        ``reset_unframed``, ``encoded``, ``half_event``, ``fail``, ``promise``, ``mute`` or
-        a name of ``ENDLESS``; empty for nothing.
+        ``reset_unframed``, ``unframed_half``, ``unframed_early``, ``encoded``, ``half_event``,
+        ``fail``, ``promise``, ``mute`` or a name of ``ENDLESS``; empty for nothing.
     report_fault : str
         What goes wrong with reports: a name of ``ENDLESS``; empty for nothing.
     noise_pause : float
@@ -243,8 +248,7 @@
         await stream.write(head.encode() + b"first half ")
         await asyncio.sleep(0.05)
         if self.standin.fault == "reset_unframed":
-            linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
-            stream.socket.setsockopt(1, 13, linger)  # SOL_SOCKET, SO_LINGER: reset at close
+            reset_at_close(stream)
         else:
             await stream.write(b"second half")
         stream.close()
@@ -271,6 +275,9 @@
         if DEADLY_PART.search(run.headers.get("X-Prompt-Prefix", "")):
             await self.crash_at_the_head()
         last = int(run.headers["X-Token-Counts"].split(",")[1])
+        if self.standin.fault in UNFRAMED_ENDS:
+            await self.stream_unframed(run, last)
+            return
         run.first = int(run.headers.get("Last-Event-Id", 0)) + 1
         run.made = run.first - 1
         while run.made < last and not run.end:
@@ -279,6 +286,23 @@
                 await self.make_event(run)
         await self.end_stream(run)
 
+    async def stream_unframed(self, run: Run, last: int) -> None:
+        """Stream events without length or chunks, and end as the fault says."""
+        stream, fault = self.request.connection.stream, self.standin.fault
+        head = f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {run.name}\r\nX-Server-Signature: s\r\n"
+        self._finished = True
+        await stream.write(f"{head}Content-Type: text/event-stream\r\n\r\n".encode())
+        if fault == "unframed_early":
+            last = 0
+        for number in range(1, last + 1):
+            await stream.write(event_text(number).encode())
+            await asyncio.sleep(self.standin.step)
+        await stream.write(UNFRAMED_ENDS[fault])
+        if fault == "reset_unframed":
+            reset_at_close(stream)
+        run.made, run.end = last, "whole" if fault == "unframed" else "broken off"
+        stream.close()
+
     async def crash_at_the_head(self) -> None:
         """End this engine after the head of an answer and before its first event."""
         await self.flush()
@@ -293,7 +317,7 @@
     async def make_event(self, run: Run) -> None:
         """Write the next event."""
         run.made += 1
-        text = f"id: {run.made}\ndata: token {run.made}\n\n"
+        text = event_text(run.made)
         if self.standin.fault == "half_event" and run.made == 5 and run.first == 1:
             await self.request.connection.stream.write(b"10\r\nid: 5\nda")
             self.request.connection.stream.close()
@@ -316,6 +340,17 @@
         await self.finish()
 
 
+def event_text(number: int) -> str:
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: token {number}\n\n"
+
+
+def reset_at_close(stream: IOStream) -> None:
+    """Make the closing of a connection a reset."""
+    linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def die_if_due(run: Run) -> None:
     """End this engine, or stop it for good, if the run's body says that it does that now."""
     match DEADLY.search(run.body):
--- a/tests/features/steps/routedstream_steps.py
+++ b/tests/features/steps/routedstream_steps.py
@@ -1,15 +1,24 @@
 """Steps about streams of the users' engines that continue elsewhere."""
 
+import asyncio
 import contextlib
 import http.client
 import re
+import socket
 import threading
 import time
 
 from attrs import define, field
 from behave import given, step, then, when
 from routed_steps import fleet_of
-
+from tornado.httputil import HTTPMessageDelegate, HTTPServerConnectionDelegate
+from tornado.netutil import bind_sockets
+from websockets.asyncio.server import serve
+
+from papayacourse.connections import CONNECTION_OPTIONS, open_connection
+from papayacourse.httpcall import connect
+from papayacourse.listener import Listener
+from papayacourse.types import Address
 from standins.fleet import wait_until
 from tests.routedfleet import document, route
 
@@ -240,3 +249,44 @@
     context.plan.thread.join(SOON)
     assert context.plan.status == status, context.plan
     assert float(context.plan.answer_headers["Retry-After"]) <= 0.2, context.plan.answer_headers
+
+
+@then("no connection that a daemon opens or accepts has TCP_USER_TIMEOUT set")
+def no_user_timeout(context):
+    found = asyncio.run(user_timeouts())
+    assert found == {"server": 0, "caller": 0, "mesh, dialled": 0, "mesh, accepted": 0}, found
+
+
+async def user_timeouts() -> dict[str, int]:
+    """Return the user time-outs of each kind of connection, in milliseconds; 0 for none."""
+    found = {}
+
+    def read(link) -> int:
+        return link.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+
+    class Caller(HTTPServerConnectionDelegate):
+        """Reads the option of an accepted connection."""
+
+        def start_request(self, _server, connection):
+            found["caller"] = read(connection.stream.socket)
+            return HTTPMessageDelegate()
+
+    listener = Listener(Caller())
+    sockets = bind_sockets(0, "127.0.0.1")
+    listener.add_sockets(sockets)
+    address = Address("127.0.0.1", sockets[0].getsockname()[1])
+    stream = await connect(address, 1.0)
+    found["server"] = read(stream.socket)
+    await stream.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+
+    async def accept(connection):
+        found["mesh, accepted"] = read(connection.transport.get_extra_info("socket"))
+
+    async with serve(accept, "127.0.0.1", 0, **CONNECTION_OPTIONS) as server:
+        place = Address("127.0.0.1", server.sockets[0].getsockname()[1])
+        link = await open_connection(place, None)
+        found["mesh, dialled"] = read(link.transport.get_extra_info("socket"))
+        await link.wait_closed()
+    stream.close()
+    listener.stop()
+    return found
