Wait two seconds for an engine that falls silent before a run goes on elsewhere

What callers saw: with a copy of the run, a stream went on at another engine after 1.44 s of silence (pauses of 180 ms, times eight), though a sound engine may be silent for a second or so; an engine that was to continue a run had 1.5 s to begin. Cause: a bound taken from the usual pauses of a stream, and none from how long a sound engine is silent. Change: at least 2 s of silence, and 2.5 s for the head of a continued run. Evidence: 'An engine that is silent for 1.7 s keeps its run' failed before and passes; so does an engine that falls silent for good (routed_streams).

--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -36,9 +36,9 @@
 from papayacourse.types import GenerationRequest, Host, Ran
 
 MAX_PLACEMENTS = 4  # engines tried until one accepts the request
-RESUME_HEAD_TIMEOUT = 1.5  # seconds in which an engine must start to resume a run
+RESUME_HEAD_TIMEOUT = 2.5  # seconds in which an engine must start to resume a run
 STALL_TIMEOUT_GAPS = 8.0  # multiples of the route's max_gap; a longer silence means a lost engine
-MIN_STALL_TIMEOUT = 1.0  # seconds
+MIN_STALL_TIMEOUT = 2.0  # seconds; a sound engine may be silent for more than one
 LONG_RUN = 1.5  # seconds; a shorter run ends within its engine's shutdown notice
 EXTRA_EVENTS = 16  # allowed in addition to one event per token
 INITIAL_SECONDS_PER_TOKEN = 0.012  # until the run's own speed is known
--- a/tests/features/steps/routedstream_steps.py
+++ b/tests/features/steps/routedstream_steps.py
@@ -251,6 +251,12 @@
     assert float(context.plan.answer_headers["Retry-After"]) <= 0.2, context.plan.answer_headers
 
 
+@then("the plan is answered {status:d} before its first event")
+def fails_early(context, status):
+    wait_until("it is answered", lambda: context.plan.status, SOON)
+    assert (context.plan.status, context.plan.ids()) == (status, []), context.plan
+
+
 @then("no connection that a daemon opens or accepts has TCP_USER_TIMEOUT set")
 def no_user_timeout(context):
     found = asyncio.run(user_timeouts())
