--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -99,6 +99,12 @@
         Which answers say that it leaves: ``all``, ``requests`` or none.
     pause : float
         The seconds for which it wants to be left alone when it sheds a request; 0 for none.
+    brittle : int or str
+        How many rejections a second it bears before it ends; empty for any number.
+    slots : int
+        How many callers' requests it runs at once, before it rejects others; 0 for any number.
+    rejected : list of float
+        When it rejected requests for want of room, in seconds of the host's monotonic clock.
     limit : float or str
         The limit that its answers name, in requests per second; empty for none.
     arrivals : list of str
@@ -118,6 +124,9 @@
     state: str = "ready"
     says_leaving: str = ""
     pause: float = 0.0
+    brittle: int | str = ""
+    slots: int = 0
+    rejected: list[float] = field(factory=list)
     limit: float | str = ""
     request_times: list[float] = field(factory=list)
     arrivals: list[str] = field(factory=list)
@@ -143,6 +152,8 @@
             self.set_header("Server-Leaving", "1")
         if self.standin.limit != "":
             self.set_header("Server-Limit", str(self.standin.limit))
+        if self.standin.brittle != "":
+            self.set_header("Server-Brittle", str(self.standin.brittle))
 
     async def answer_for_ever(self, fault: str, run: Run) -> None:
         """Write bytes without end, until the other side closes."""
@@ -175,6 +186,16 @@
             self.refuse(400)
         elif engine.fault == "shed":
             self.refuse(503)
+        elif engine.slots and sum(not run.end for run in engine.runs) >= engine.slots:
+            self.reject()
+
+    def reject(self) -> None:
+        """Turn a request away for want of room, and end if that is too often for this engine."""
+        engine, now = self.standin, time.monotonic()
+        engine.rejected = [at for at in engine.rejected if now - at < 1.0] + [now]
+        if engine.brittle != "" and len(engine.rejected) > int(engine.brittle):
+            os.kill(os.getpid(), signal.SIGKILL)
+        self.refuse(503)
 
     def refuse(self, status: int) -> None:
         """Answer that the request has not run."""
