Keep all daemons within the places of servers that fall over when they reject

What callers saw: in a rush, servers that say Server-Brittle fell over one after the other, 4 of 4 under calls and 2 of 4 under plans, and with them what ran there. Cause: no daemon read it, and each filled servers for itself until they rejected. Change: while a server of a service is brittle, the places of each server there are divided among all daemons by rendezvous hashing (BrittleServers); a daemon sends no more at once than its part, checked once more when the connection is open, and refuses at once what has no place. A server that rejects all the same is left alone for 1 s.

--- a/papayacourse/httpcall.py
+++ b/papayacourse/httpcall.py
@@ -52,6 +52,8 @@
 
     Attributes
     ----------
+    on_close : callable
+        Called once when the call is closed.
     allows_silence : callable
         Called when an idle timeout expires; returns True to wait for another one.
 
@@ -91,6 +93,7 @@
         self.buffered: deque[bytes] = deque()
         self.closed = False
         self.silent = False
+        self.on_close: Callable[[], None] = lambda: None
         self.allows_silence: Callable[[], bool] = lambda: False
         self.wait_started: float | None = None
         self.chunk_arrived: asyncio.Future[None] | None = None
@@ -113,6 +116,8 @@
 
     async def __aexit__(self, kind, error, traceback) -> None:
         self.stream.close()
+        on_close, self.on_close = self.on_close, lambda: None
+        on_close()
         if self.watchdog is not None:
             self.watchdog.cancel()
         reader = getattr(self, "reader", None)
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -126,6 +126,9 @@
         self.membership, self.duties = self.mesh.membership, self.mesh.duties
         self.metrics.watch_totals("papayacourse_mesh_frames", "", self.mesh.peers.traffic.labelled)
         self.notices.reach.servers = self._servers
+        self.notices.brittle.me = config.name
+        self.notices.brittle.daemons = lambda: {config.name, *self.membership.members}
+        self.notices.brittle.servers = self._servers_of
         self.metrics.watch(
             "papayacourse_servers_reachable", "", lambda: float(not self.notices.reach.is_cut_off)
         )
@@ -256,6 +259,10 @@
         yield from self.membership.backends(HostKind.ENGINE)
         yield from self.membership.backends(HostKind.PLAIN)
 
+    def _servers_of(self, service: str) -> Iterator[Host]:
+        """Yield the listed servers of a service."""
+        return self.fleet.servers(service)
+
     def is_ready(self) -> bool:
         """Return True if the daemon is ready for callers."""
         return self.ready and not self.lifecycle.stopping.is_set() and self.informed()
--- a/papayacourse/routed/notices.py
+++ b/papayacourse/routed/notices.py
@@ -9,6 +9,7 @@
 from papayacourse import logs
 from papayacourse.engines import EngineLoad
 from papayacourse.exceptions import BackendRefused, BackendUnreachable
+from papayacourse.routed.brittleservers import BrittleServers
 from papayacourse.routed.seams import CopyResult, EngineCalls, EngineNotice, EngineRuns
 from papayacourse.routed.serverlimits import ServerLimits
 from papayacourse.serverreach import ServerReach
@@ -68,6 +69,8 @@
         The pauses that engines asked for, by engine name.
     limits : ServerLimits
         The request limits that engines named.
+    brittle : BrittleServers
+        The servers that fall over when they reject too many requests.
     reach : ServerReach
         Tells whether any server can be reached.
     sends : Counter of str
@@ -79,6 +82,7 @@
     leaving: dict[str, float] = field(factory=dict)
     pauses: dict[str, Pause] = field(factory=dict)
     limits: ServerLimits = field(factory=ServerLimits)
+    brittle: BrittleServers = field(factory=BrittleServers)
     reach: ServerReach = field(factory=ServerReach)
     sends: Counter = field(factory=Counter)
 
@@ -97,19 +101,21 @@
         """Return True if an engine may be sent a new request."""
         stays = host.state == HostState.LIVE and host.name not in self.leaving
         available = not self.pause_left(host.name) and not self.limits.blocked_for(host.name)
-        return stays and available
+        return stays and available and not self.brittle.wait_for(host)
 
     def earliest(self, hosts: Iterable[Host]) -> Opening | None:
         """Return which engine that stays can be sent a request first, and when.
 
         None if no engine stays, or if one of them can be sent a request now.
         """
-        stay = (h.name for h in hosts if h.state == HostState.LIVE and h.name not in self.leaving)
+        stay = (h for h in hosts if h.state == HostState.LIVE and h.name not in self.leaving)
         first = min(map(self._opening, stay), key=lambda opening: opening.wait, default=None)
         return first if first is not None and first.wait else None
 
-    def _opening(self, name: str) -> Opening:
-        pause, turn = self.pause_left(name), self.limits.turn_in(name)
+    def _opening(self, host: Host) -> Opening:
+        name = host.name
+        pause = max(self.pause_left(name), self.brittle.wait_for(host))
+        turn = self.limits.turn_in(name)
         return Opening(name, max(pause, turn), is_limited=turn > pause)
 
     def sends_by_server(self) -> Iterator[tuple[int, dict[str, str]]]:
@@ -118,9 +124,26 @@
 
     # Commands.
 
+    def admit_send(self, host: Host, saves_run: bool) -> None:
+        """Admit a request over a connection that has just been opened.
+
+        Parameters
+        ----------
+        saves_run : bool
+            Whether it continues a run, which then goes ahead of new requests.
+
+        Raises
+        ------
+        BackendUnreachable
+            When other requests have taken this daemon's places at a brittle server meanwhile.
+        """
+        self.reach.record_contact()
+        if not saves_run and self.brittle.wait_for(host):
+            raise BackendUnreachable(f"no place at {host.name}, which is brittle")
+
     def record_send(self, host: Host) -> None:
         """Log and count a caller's request that is sent to an engine."""
-        self.reach.record_contact()
+        self.brittle.record_begin(host.name)
         self.sends[host.name] += 1
         age = self.limits.age(host.name)
         logs.info(
@@ -144,6 +167,7 @@
             self.pauses[host.name] = Pause(until, MAX_MOVES_IN_PAUSE)
             logs.info("engine wants a pause", engine=host.name, seconds=round(notice.pause, 3))
         self.limits.record_answer(host.name, asked_at, notice.limit)
+        self.brittle.record_answer(host, notice.rejections, asked_at is not None)
 
     def record_leaving(self, host: Host, source: str) -> bool:
         """Record that an engine is leaving; returns True if the host list and notices lacked it."""
@@ -165,6 +189,7 @@
         }
         self.pauses = {name: pause for name, pause in self.pauses.items() if pause.until > now}
         self.limits.forget_unlisted(listed)
+        self.brittle.forget_unlisted(listed)
         self.sends = Counter({name: n for name, n in self.sends.items() if name in listed})
 
     def admit_call(self, host: Host, saves_run: bool) -> None:
--- a/papayacourse/routed/seams.py
+++ b/papayacourse/routed/seams.py
@@ -144,11 +144,14 @@
         The pause in calls that it asks for, in seconds.
     limit : Limited, Unlimited or None
         The limit that it names; None if the answer does not tell.
+    rejections : float or None
+        How many requests it can reject in a second without falling over; None for any number.
     """
 
     leaves: bool = False
     pause: float | None = None
     limit: Limited | Unlimited | None = None
+    rejections: float | None = None
 
 
 @frozen
--- a/papayacourse/routed/sending.py
+++ b/papayacourse/routed/sending.py
@@ -20,6 +20,7 @@
 
 MAX_RETRY_SPREAD = 0.4  # seconds; callers retry within this time after a pause ends
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})  # to callers: the request did not run
+REJECTED_STATUS = 503  # of a request that an engine did not run for want of room
 CONNECT_TIMEOUT = 0.4  # seconds; a handshake between regions takes 30 ms
 
 
@@ -63,8 +64,10 @@
     asked_at = notices.limits.clock()
 
     def record_send() -> None:
+        notices.admit_send(dispatch.engine, dispatch.resume is not None)
         before_send()
         notices.record_send(dispatch.engine)
+        exchange.on_close = lambda: notices.brittle.record_end(dispatch.engine.name)
 
     exchange = HttpCall(
         Address.parse(dispatch.engine.address), call.method, call.target,
@@ -88,6 +91,8 @@
     notice = codec.notice(status, headers)
     notices.take(dispatch.engine, notice, asked_at if is_certain else None)
     if not_run:
+        if status == REJECTED_STATUS:
+            notices.brittle.record_rejection(dispatch.engine)
         await exchange.__aexit__(None, None, None)
         raise RequestNotExecuted(f"{dispatch.engine.name} answered {status} without running it")
     if not is_answer:
@@ -139,5 +144,5 @@
         return RequestRefused(503, "servers_limited", why, retry_after=first.wait)
     # The jitter keeps callers from all retrying at the first available server at once.
     retry_after = first.wait + MAX_RETRY_SPREAD * random.uniform(0.5, 1.0)
-    why = "every server of the service wants to be left alone"
+    why = "every server of the service is full or wants to be left alone"
     return RequestRefused(503, "servers_paused", why, retry_after=retry_after)
