Bound what a relayed request holds, and cancel it whenever its caller leaves

Found on reading the relays again. A caller who left while a daemon was being asked was noticed there only with the first part of its answer; a part that came for such a caller waited for ever, one task each; bodies of relayed requests were not counted among those that a daemon reads; a request that a frozen daemon neither accepted nor declined was given up, also where it may run twice; and a relayed request had no deadline at the daemon that holds its connection. Now the cancellation goes out in each of these cases and holds before the acceptance too, parts are let go, bodies count, repeatable requests go to the next daemon, and the deadline is that of the request and 0.2 s.

--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -23,6 +23,7 @@
 from papayacourse.mesh import Mesh
 from papayacourse.meshmessages import Hello
 from papayacourse.metrics import Metrics
+from papayacourse.relaymessages import RelayRequest
 from papayacourse.routed.admitted import AdmittedRequest
 from papayacourse.routed.budget import FleetRetryBudget
 from papayacourse.routed.choice import ServerChoice
@@ -209,10 +210,12 @@
         """Return True if this daemon can schedule servers: it knows them, and can reach some."""
         return self.informed() and not self.notices.reach.is_cut_off
 
-    def _why_no_relays(self) -> str:
-        """Return why this daemon serves no requests for others now; empty if it does."""
+    def _why_no_relays(self, request: RelayRequest) -> str:
+        """Return why this daemon doesn't serve a request for another; empty if it does."""
         if self.lifecycle.stopping.is_set():
             return "it stops"
+        if self.front.body_bytes + len(request.body) > self.front.body_room:
+            return "it is reading too many requests"
         return "" if self.informed() else "it knows no settings or no servers"
 
     def host(self, name: str) -> Host | None:
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -32,6 +32,7 @@
 SHORT_OUTPUT = 100  # tokens; an answer this short completes within a planned stop
 STOPPING_RETRY_AFTER = 0.1  # seconds; another daemon can serve the request at once
 PREFIX_HASH_BITS = 63
+RELAY_SLACK = 0.2  # seconds; the daemon that serves a relayed request answers at its deadline
 FINAL_REASONS = frozenset({QUARANTINED, "stopping"})  # of refusals that hold at any daemon
 MAX_LOGGED_PARTS = 8  # of a prompt, in the log line of its request
 
@@ -115,10 +116,15 @@
         return asyncio.create_task(self._serve_relayed(exchange))
 
     async def _serve_relayed(self, exchange: RelayedExchange) -> None:
-        with self.in_progress("relayed requests"):
-            exchange.task = self.begin(exchange)
-            await exchange.send_parts()
-            await asyncio.wait([exchange.task])
+        size = len(exchange.body)
+        self.body_bytes += size
+        try:
+            with self.in_progress("relayed requests"):
+                exchange.task = self.begin(exchange)
+                await exchange.send_parts()
+                await asyncio.wait([exchange.task])
+        finally:
+            self.body_bytes -= size
 
     async def _serve(self, exchange: Exchange | RelayedExchange) -> None:
         outcome = Outcome(exchange.received_at)
@@ -184,7 +190,15 @@
         return is_temporary and refused.ran is Ran.NO and self.relaying.is_needed(exchange)
 
     async def _relay(self, exchange: Exchange, outcome: "Outcome") -> None:
-        outcome.relayed_to = await self.relaying.relay(exchange, outcome.received_at)
+        admitted = outcome.admitted
+        may_repeat = admitted.route.repeat == Repeat.SAFE
+        try:
+            async with asyncio.timeout(max(0.0, admitted.time_left()) + RELAY_SLACK):
+                outcome.relayed_to = await self.relaying.relay(exchange, may_repeat)
+        except TimeoutError as error:
+            if exchange.head_written:
+                raise RelayBroken("deadline of the request exceeded") from error
+            raise RequestRefused(504, "too_late", "no answer in time", Ran.UNKNOWN) from error
         outcome.end = "relayed"
 
     async def _serve_here(
--- a/papayacourse/routed/relayedexchange.py
+++ b/papayacourse/routed/relayedexchange.py
@@ -25,7 +25,8 @@
     Attributes
     ----------
     deliver : callable
-        Sends a part of the answer and waits until the other daemon has taken it; raises PeerError.
+        Sends a part of the answer, and waits until the caller's daemon has passed it on; returns
+        False if its caller has gone, and raises PeerError if the daemon has.
     is_cut_off : callable
         Returns True if this daemon reaches no server either.
     request_id : callable
@@ -37,7 +38,7 @@
     """
 
     request: RelayRequest
-    deliver: Callable[[RelayPart], Awaitable[object]]
+    deliver: Callable[[RelayPart], Awaitable[bool]]
     is_cut_off: Callable[[], bool]
     request_id: Callable[[], str] = logs.request
     received_at: float = field(init=False)
@@ -165,7 +166,8 @@
 
     async def _send(self, part: RelayPart) -> RelayEnd:
         try:
-            await self.deliver(part)
+            if not await self.deliver(part):
+                self.lose_caller()
         except PeerError as error:
             logs.info("relayed answer not delivered", why=str(error))
             self.lose_caller()
--- a/papayacourse/routed/relaying.py
+++ b/papayacourse/routed/relaying.py
@@ -25,6 +25,7 @@
     RelayRequest,
 )
 from papayacourse.routed.exchange import Exchange
+from papayacourse.routed.partqueue import PartQueue
 from papayacourse.routed.relayedexchange import RelayedExchange
 from papayacourse.serverreach import ServerReach
 from papayacourse.types import Ran
@@ -35,10 +36,13 @@
 DECLINE_MEMORY = 1.0  # seconds for which a daemon that declined is not asked again
 LINK_CHECK_INTERVAL = 0.25  # seconds
 MAX_RELAYED_BODY = 1024 * 1024  # bytes; a request has to fit into one frame
-QUEUED_PARTS = 2  # of an answer, until the caller has read them
 RETRY_AFTER = 1.0  # seconds
 
 
+class RelayUnclear(Exception):
+    """It is not known whether the other daemon serves the request."""
+
+
 class RelayBroken(Exception):
     """The answer broke off, or the daemon that was serving the request has gone."""
 
@@ -51,12 +55,12 @@
     ----------
     serve : callable
         Serves a relayed request here until it has been answered.
-    accepts : callable
-        Returns why this daemon serves no relayed requests now; empty if it does.
-    answers : dict of int to asyncio.Queue
+    why_not : callable
+        Returns why this daemon doesn't serve a relayed request; empty if it does.
+    answers : dict of int to PartQueue
         The parts of answers that have come and are not passed on, by the request's number.
-    served : dict of (str, int) to RelayedExchange
-        The relayed requests that are served here, by daemon and number.
+    served : dict of (str, int) to RelayedExchange or None
+        The relayed requests that are served here, by daemon and number; None until accepted.
     declined_at : dict of str to float
         When each daemon last declined a request, in seconds of the clock.
     """
@@ -65,10 +69,10 @@
     peers: Peers
     reach: ServerReach
     serve: Callable[[RelayedExchange], asyncio.Task]
-    accepts: Callable[[], str]
+    why_not: Callable[[RelayRequest], str]
     clock: Callable[[], float] = time.monotonic
-    answers: dict[int, asyncio.Queue[RelayPart]] = field(factory=dict)
-    served: dict[tuple[str, int], RelayedExchange] = field(factory=dict)
+    answers: dict[int, PartQueue] = field(factory=dict)
+    served: dict[tuple[str, int], RelayedExchange | None] = field(factory=dict)
     declined_at: dict[str, float] = field(factory=dict)
     numbers: Iterator[int] = field(factory=lambda: itertools.count(random.getrandbits(40)))
 
@@ -99,9 +103,14 @@
 
     # This daemon reaches no server.
 
-    async def relay(self, exchange: Exchange, received_at: float) -> str:
+    async def relay(self, exchange: Exchange, may_repeat: bool) -> str:
         """Serve a request through another daemon; returns which.
 
+        Parameters
+        ----------
+        may_repeat : bool
+            Whether the request may run more than once.
+
         Raises
         ------
         RequestRefused
@@ -110,42 +119,45 @@
             When the answer breaks off after part of it was sent to the caller.
         """
         for name in self.candidates():
-            if await self._relay_to(name, exchange, received_at):
-                return name
+            try:
+                if await self._relay_to(name, exchange):
+                    return name
+            except RelayUnclear as unclear:
+                if not may_repeat:
+                    raise RequestRefused(502, "relay_lost", str(unclear), Ran.UNKNOWN) from unclear
+            except RelayBroken as broken:
+                if exchange.head_written:
+                    raise
+                raise RequestRefused(502, "relay_lost", str(broken), Ran.UNKNOWN) from broken
             self.declined_at[name] = self.clock()
         why = "no server can be reached, and no other daemon that reaches one"
         raise RequestRefused(503, "cut_off", why, retry_after=RETRY_AFTER)
 
-    async def _relay_to(self, name: str, exchange: Exchange, received_at: float) -> bool:
+    async def _relay_to(self, name: str, exchange: Exchange) -> bool:
         """Serve a request through a daemon; returns False if it does not serve it."""
         number = next(self.numbers)
-        parts = self.answers[number] = asyncio.Queue(QUEUED_PARTS)
+        parts = self.answers[number] = PartQueue()
         request = RelayRequest(
             number, exchange.method, exchange.target, tuple(exchange.headers.get_all()),
-            exchange.body, time.monotonic() - received_at,
+            exchange.body, time.monotonic() - exchange.received_at,
         )  # fmt: skip
-        may_run = False
+        is_over = False
         try:
-            may_run = await self._ask(name, request)
-            served = may_run and await self._pass_on(name, exchange, parts)
-            may_run = False
+            served = await self._ask(name, request) and await self._pass_on(name, exchange, parts)
+            is_over = True
             return served
-        except RelayBroken as broken:
-            if exchange.head_written:
-                raise
-            raise RequestRefused(502, "relay_lost", str(broken), Ran.UNKNOWN) from broken
         finally:
             del self.answers[number]
-            if may_run:
+            parts.close()
+            if not is_over:
                 self._cancel(name, number)
 
     async def _ask(self, name: str, request: RelayRequest) -> bool:
-        """Return whether a daemon accepts a request; raises RelayBroken if that is not known."""
+        """Return whether a daemon accepts a request; raises RelayUnclear if that is not known."""
         try:
             answer = await self.peers.call(name, request, ACCEPT_TIMEOUT)
         except PeerTimeout as error:
-            self._cancel(name, request.number)
-            raise RelayBroken(f"{name} did not say whether it serves the request") from error
+            raise RelayUnclear(f"{name} did not say whether it serves the request") from error
         except PeerError as error:
             answer = RelayDeclined(str(error))
         if isinstance(answer, RelayAccepted):
@@ -161,7 +173,7 @@
             # The other daemon cancels the request when its parts cannot be delivered.
             logs.info("relay not cancelled", daemon=name, why=str(error))
 
-    async def _pass_on(self, name: str, exchange: Exchange, parts: asyncio.Queue) -> bool:
+    async def _pass_on(self, name: str, exchange: Exchange, parts: PartQueue) -> bool:
         """Pass an answer on to the caller; returns False if the request was not served."""
         while True:
             part = await self._next_part(name, parts)
@@ -185,7 +197,7 @@
                 exchange.end()
                 return True
 
-    async def _next_part(self, name: str, parts: asyncio.Queue[RelayPart]) -> RelayPart:
+    async def _next_part(self, name: str, parts: PartQueue) -> RelayPart:
         """Return the next part of an answer; raises RelayBroken if the daemon has gone."""
         while True:
             try:
@@ -195,12 +207,12 @@
                 if name not in self.peers.links or not self.membership.is_alive(name):
                     raise RelayBroken(f"{name}, which served the request, has gone") from error
 
-    async def _handle_part(self, _peer: Hello, part: RelayPart) -> None:
+    async def _handle_part(self, _peer: Hello, part: RelayPart) -> RelayCancelled | None:
         """Take a part of an answer; returns when there is room for the next."""
         parts = self.answers.get(part.number)
-        if parts is None:
-            raise PeerError("the request is not relayed any more")
-        await parts.put(part)
+        if parts is None or not await parts.put(part):
+            return RelayCancelled(part.number)
+        return None
 
     # Another daemon reaches no server.
 
@@ -208,24 +220,29 @@
         self, peer: Hello, request: RelayRequest
     ) -> RelayAccepted | RelayDeclined:
         """Begin to serve a relayed request."""
-        if await self.reach.verify():
-            return RelayDeclined("it reaches no server either")
-        why = self.accepts()
+        key = (peer.name, request.number)
+        self.served[key] = None
+        is_cut_off = await self.reach.verify()
+        if key not in self.served:
+            return RelayDeclined("its caller has left")
+        why = "it reaches no server either" if is_cut_off else self.why_not(request)
         if why:
+            del self.served[key]
             return RelayDeclined(why)
-
-        async def deliver(part: RelayPart) -> None:
-            await self.peers.call(peer.name, part, DELIVERY_TIMEOUT)
-
-        exchange = RelayedExchange(request, deliver, lambda: self.reach.is_cut_off)
-        key = (peer.name, request.number)
-        self.served[key] = exchange
+        exchange = self.served[key] = RelayedExchange(
+            request, lambda part: self._deliver(peer.name, part), lambda: self.reach.is_cut_off
+        )
         task = self.serve(exchange)
         task.add_done_callback(lambda _: self.served.pop(key, None))
         return RelayAccepted()
 
+    async def _deliver(self, name: str, part: RelayPart) -> bool:
+        """Send a part of an answer; returns False if nobody waits for it any more."""
+        answer = await self.peers.call(name, part, DELIVERY_TIMEOUT)
+        return not isinstance(answer, RelayCancelled)
+
     async def _handle_cancelled(self, peer: Hello, note: RelayCancelled) -> None:
         """Cancel a relayed request whose caller has left."""
-        exchange = self.served.get((peer.name, note.number))
+        exchange = self.served.pop((peer.name, note.number), None)
         if exchange is not None:
             exchange.lose_caller()
--- a/tests/features/serverreach.feature
+++ b/tests/features/serverreach.feature
@@ -53,3 +53,14 @@
     Given a relayed request whose caller takes one part at a time
     When it is refused as not run by a daemon that reaches no server
     Then the caller's daemon is told that it was not served
+
+  # Guards against a server that works on for a caller who left before its answer began.
+  Scenario: A caller who has left is noticed with the first part
+    Given a relayed request whose caller takes one part at a time
+    When its caller has left by the first part of its answer
+    Then the request is cancelled
+
+  # Guards against tasks that wait for ever, one for each caller who leaves.
+  Scenario: Parts of an answer whose caller has left are let go
+    Given parts that wait for a caller who has left
+    Then none of them waits any longer, and each is told that it was not taken
--- a/tests/features/steps/serverreach_steps.py
+++ b/tests/features/steps/serverreach_steps.py
@@ -10,6 +10,7 @@
 
 from papayacourse.exceptions import RequestRefused
 from papayacourse.relaymessages import RelayEnd, RelayPart, RelayRequest
+from papayacourse.routed.partqueue import PartQueue
 from papayacourse.routed.relayedexchange import RelayedExchange
 from papayacourse.serverreach import ServerReach
 from papayacourse.types import Host, Ran
@@ -102,13 +103,14 @@
 
 @given("a relayed request whose caller takes one part at a time")
 def relayed_request(context):
-    context.parts, context.most_queued = [], 0
+    context.parts, context.most_queued, context.has_left = [], 0, False
     request = RelayRequest(7, "GET", "/view/1", (), b"", 0.0)
 
-    async def deliver(part: RelayPart) -> None:
+    async def deliver(part: RelayPart) -> bool:
         context.most_queued = max(context.most_queued, context.exchange.queued_bytes)
         await asyncio.sleep(0)
         context.parts.append(part)
+        return not context.has_left
 
     context.cut_off = SimpleNamespace(now=False)
     context.exchange = RelayedExchange(request, deliver, lambda: context.cut_off.now)
@@ -161,3 +163,46 @@
 @then("the caller's daemon is told that it was not served")
 def not_served(context):
     assert [part.end for part in context.parts] == [RelayEnd.NOT_SERVED], context.parts
+
+
+@when("its caller has left by the first part of its answer")
+def leaves_early(context):
+    context.has_left = True
+
+    async def answer() -> None:
+        exchange = context.exchange
+        exchange.task = asyncio.create_task(write_for_ever(exchange))
+        await exchange.send_parts()
+        await asyncio.wait([exchange.task])
+        context.task = exchange.task
+
+    async def write_for_ever(exchange: RelayedExchange) -> None:
+        await exchange.begin(200, HTTPHeaders())
+        while True:
+            await exchange.write(b"more")
+            await asyncio.sleep(0)
+
+    asyncio.run(answer())
+
+
+@then("the request is cancelled")
+def request_cancelled(context):
+    assert context.task.cancelled() or context.task.exception(), context.task
+
+
+@given("parts that wait for a caller who has left")
+def parts_waiting(context):
+    async def put_and_close() -> list[bool]:
+        parts = PartQueue()
+        part = RelayPart(1, 0, (), b"", RelayEnd.NONE)
+        waiting = [asyncio.create_task(parts.put(part)) for _ in range(3)]
+        await asyncio.sleep(0)
+        parts.close()
+        return [*await asyncio.gather(*waiting), await parts.put(part)]
+
+    context.taken = asyncio.run(put_and_close())
+
+
+@then("none of them waits any longer, and each is told that it was not taken")
+def not_taken(context):
+    assert context.taken == [False] * 4, context.taken
