--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -43,6 +43,8 @@
 
     Attributes
     ----------
+    relaying : Relaying
+        Serves requests through other daemons; set by the daemon.
     busy : Counter of str
         Number of requests in progress, by kind.
     is_closing : callable
