--- a/papayacourse/once.py
+++ b/papayacourse/once.py
@@ -13,13 +13,14 @@
 from papayacourse.answermemory import AnswerMemory
 from papayacourse.buckets import bucket_of, bucket_prefix, key_hash
 from papayacourse.callmessages import CallAnswer, CallRefused, RunOnce
-from papayacourse.deaths import RequestGuard, ServerDeaths
+from papayacourse.deaths import ServerDeaths
 from papayacourse.exceptions import PeerError, RequestRefused
 from papayacourse.membership import Membership
 from papayacourse.meshmessages import Hello
 from papayacourse.peers import Peers
 from papayacourse.plain import PlainCall, fingerprint_of
 from papayacourse.records import Records
+from papayacourse.requestguard import RequestGuard
 from papayacourse.settings import ServiceSettings
 from papayacourse.types import Host, Ran
 
--- a/papayacourse/plain.py
+++ b/papayacourse/plain.py
@@ -9,7 +9,6 @@
 
 from papayacourse.answermemory import MAX_ANSWER_BYTES
 from papayacourse.callmessages import CallAnswer
-from papayacourse.deaths import RequestGuard
 from papayacourse.exceptions import (
     BackendError,
     BackendLinkLost,
@@ -17,6 +16,7 @@
     BackendUnreachable,
 )
 from papayacourse.httpcall import HttpCall
+from papayacourse.requestguard import RequestGuard
 from papayacourse.types import Address, Host
 
 CONNECT_TIMEOUT = 1.0  # seconds
--- a/papayacourse/plaincalls.py
+++ b/papayacourse/plaincalls.py
@@ -4,7 +4,6 @@
 
 from papayacourse.callmessages import CallAnswer
 from papayacourse.catalog import Client
-from papayacourse.deaths import RequestGuard
 from papayacourse.exceptions import BackendError, BackendUnreachable, RequestRefused
 from papayacourse.once import CallerKey
 from papayacourse.plain import (
@@ -14,6 +13,7 @@
     forward_repeatable,
     forwarded_headers,
 )
+from papayacourse.requestguard import RequestGuard
 from papayacourse.settings import ServiceSettings
 from papayacourse.types import HostKind, Ran
 from papayacourse.web import Handler
--- a/papayacourse/records.py
+++ b/papayacourse/records.py
@@ -30,7 +30,6 @@
 )
 from papayacourse.bucketwriter import BucketWriter
 from papayacourse.callmessages import CallAnswer
-from papayacourse.deaths import RequestGuard
 from papayacourse.exceptions import (
     BackendError,
     BackendUnreachable,
@@ -41,6 +40,7 @@
 )
 from papayacourse.kvstore import KeyValueStore
 from papayacourse.plain import PlainCall, forward_to_any
+from papayacourse.requestguard import RequestGuard
 from papayacourse.settings import ServiceSettings, TeamSettings
 from papayacourse.types import Host, Ran
 
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -10,10 +10,10 @@
 from tornado.httputil import HTTPServerConnectionDelegate
 
 from papayacourse import logs
-from papayacourse.deaths import RequestGuard
 from papayacourse.exceptions import RequestRefused
 from papayacourse.metrics import Metrics
 from papayacourse.quarantine import QUARANTINED, fingerprint
+from papayacourse.requestguard import RequestGuard
 from papayacourse.routed.admitted import AdmittedRequest, admit
 from papayacourse.routed.choice import ServerChoice
 from papayacourse.routed.derived import TEAM
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -8,7 +8,7 @@
 from tornado.httputil import HTTPHeaders
 
 from papayacourse import logs
-from papayacourse.deaths import SERVER_ERROR, RequestGuard, WatchedRun
+from papayacourse.deaths import SERVER_ERROR, WatchedRun
 from papayacourse.eventprogress import EventProgress
 from papayacourse.exceptions import (
     BackendError,
@@ -18,6 +18,7 @@
     RequestRefused,
 )
 from papayacourse.httpcall import HttpCall
+from papayacourse.requestguard import RequestGuard
 from papayacourse.routed.admitted import AdmittedRequest
 from papayacourse.routed.document import EngineCapacity
 from papayacourse.routed.events import EventSplitter, is_next_event, is_older
--- a/papayacourse/routed/plaincall.py
+++ b/papayacourse/routed/plaincall.py
@@ -7,8 +7,9 @@
 
 from papayacourse import logs
 from papayacourse.answermemory import AnswerReservation
-from papayacourse.deaths import SERVER_ERROR, RequestGuard
+from papayacourse.deaths import SERVER_ERROR
 from papayacourse.exceptions import BackendGone, BackendUnreachable, RequestRefused
+from papayacourse.requestguard import RequestGuard
 from papayacourse.routed.admitted import AdmittedRequest
 from papayacourse.routed.budget import FleetRetryBudget
 from papayacourse.routed.choice import ServerChoice
