Review: case 2 starts its engines before the stream

Cause: on a slow machine the added engine could register too late for the client's patience. Change: its process starts at the beginning, its entry is written at the same time as before.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -39,6 +39,8 @@
     deployment.list_engine("e1", Address=proxied, Slots=24)
     far = deployment.start_engine("e3", "llm", "kumasi-suame")
     deployment.list_engine("e3", Slots=24)
+    # It registers later.
+    deployment.start_engine("e2", "llm", "accra-tema")
     deployment.record("engines", e1=f"{direct} behind {proxied}", e3=far)
     deployment.start_daemons({"d1": "accra-tema", "d2": "accra-tema"})
     attempt = deployment.attempt_id()
@@ -52,7 +54,6 @@
         proxy.stdin.flush()
         deployment.record("disruption", silent="the open connections to e1; new ones work")
     time.sleep(ADDED_AT)
-    deployment.start_engine("e2", "llm", "accra-tema")
     deployment.list_engine("e2", Slots=24)
     reader.join(REMAINING + 5)
     return judge(deployment, attempt, silenced_at)
