--- a/review/2/case.py
+++ b/review/2/case.py
@@ -113,4 +113,4 @@
 
 
 if __name__ == "__main__":
-    main(str(Path(__file__).parent), case)
+    main(Path(__file__).with_name("record.txt"), case)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -86,4 +86,4 @@
 
 
 if __name__ == "__main__":
-    main(str(Path(__file__).parent), case)
+    main(Path(__file__).with_name("record.txt"), case)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -105,4 +105,4 @@
 
 
 if __name__ == "__main__":
-    main(str(Path(__file__).parent), case)
+    main(Path(__file__).with_name("record.txt"), case)
--- a/review/harness.py
+++ b/review/harness.py
@@ -86,9 +86,9 @@
 class Deployment:
     """The store, engines and daemons of one case; a context manager that ends them all."""
 
-    def __init__(self, folder: Path):
+    def __init__(self, record: Path):
         self.started = time.monotonic()
-        self.record_file = (folder / "record.txt").open("w", encoding="utf-8")
+        self.record_file = record.open("w", encoding="utf-8")
         self.processes: dict[str, subprocess.Popen] = {}
         self.addresses: dict[str, str] = {}
         self.ips: dict[str, str] = {}
@@ -315,11 +315,11 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def main(folder: str, case) -> None:
-    """Run a case and end with its exit status."""
+def main(record: Path, case) -> None:
+    """Run a case, write its record and end with its exit status."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     status = NOT_RUN
-    with Deployment(Path(folder)) as deployment:
+    with Deployment(record) as deployment:
         try:
             broken = case(deployment)
         except (CaseError, OSError, subprocess.TimeoutExpired) as error:
