Stop a run at its engine before it continues elsewhere

A connection to an engine fell silent while new ones worked; the daemon went on from the copy at another engine.

Cause: Generation took a lost stream for a lost engine. It closed its end, which a silent connection doesn't deliver and some engines don't heed, and ordered nothing, though the engine answers orders. Evidence: the engine's run ended 'whole'; all orders it had were copies that let the run go on. Change: routed.runstop orders the engine to stop the run and to copy what is new, before the run goes on from that copy, from the older one (404, or engine not reached) or anew. An engine that answers and doesn't stop it costs the stream. The same on related paths: after a reset that the engine doesn't notice, and for routes that run anew. Why this works: a run continues only after its engine has stopped it, has said that it has no such run, or answers neither the order nor another call.

--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -152,7 +152,7 @@
         self.fleet = FleetView(
             self.membership, self.mesh.placement, self.budget, self.adapter.codec,
             engine_calls, self.notices, self.limiter, self.deaths, self._note_first_event,
-            self._shape,
+            self._shape, tasks=self.tasks,
         )  # fmt: skip
         self.evacuation = Evacuation(self.fleet, lambda: self.directory.store_is_away)
         self.front = Frontend(
--- a/papayacourse/routed/fleetview.py
+++ b/papayacourse/routed/fleetview.py
@@ -21,6 +21,7 @@
 from papayacourse.routed.seams import EngineCalls, RequestCodec
 from papayacourse.routed.sendlimiter import SendLimiter
 from papayacourse.routed.spareroom import spare_regions
+from papayacourse.tasks import BackgroundTasks
 from papayacourse.types import GenerationRequest, Host, HostKind, HostState
 
 
@@ -42,6 +43,8 @@
         The memory for answers that are buffered whole.
     deaths : ServerDeaths
         Tracks runs, and detects which servers end while they run them.
+    tasks : BackgroundTasks
+        The work that may outlast the request that began it.
     """
 
     membership: Membership
@@ -55,6 +58,7 @@
     note_first_event: Callable[[AdmittedRequest], None]
     shape: Callable[[str], EngineCapacity]
     answers: AnswerMemory = field(factory=AnswerMemory)
+    tasks: BackgroundTasks = field(factory=BackgroundTasks)
 
     @property
     def here(self) -> Place:
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -25,6 +25,7 @@
 from papayacourse.routed.exchange import Exchange
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.placing import EngineSearch
+from papayacourse.routed.runstop import RunContinues, RunCopied, RunStop
 from papayacourse.routed.seams import Dispatch, Resume
 from papayacourse.routed.sending import (
     BackendAnswerLost,
@@ -344,18 +345,42 @@
         Raises StreamBroken or RequestRefused if it can't continue.
         """
         self._log_failed(why)
-        moved = await self.pending_move if self.pending_move is not None else None
+        standby = await self.pending_move if self.pending_move is not None else None
         self.pending_move = None
-        copy, self.copy = self.copy, None
         if self.guard.is_condemned():
             raise self._broken(why)
-        standby = moved or copy
+        if standby is None and (self.copy is not None or self._may_restart()):
+            standby = await self._stop_lost_run(why)
+        self.copy = None
         if standby is not None and self.fleet.is_listed(standby.host.name):
             return await self._resume_at(standby, why)
         if not self._may_restart():
             raise self._broken(why)
         return Resume("", "", self.last_id)
 
+    async def _stop_lost_run(self, why: str) -> Standby | None:
+        """Stop the run on its engine; returns the newest copy, if there is one.
+
+        Raises StreamBroken or RequestRefused if the engine works on.
+        """
+        target = self._copy_target()
+        if not self.shape.moves or target is None:
+            return self.copy
+        stop = RunStop(self.fleet, self.engine, self.run_id, target, self.copy_lock)
+        match await stop.run():
+            case RunCopied(standby):
+                return standby
+            case RunContinues(refusal):
+                raise self._broken(f"{why}; {refusal}")
+            case _:
+                return self.copy
+
+    def _copy_target(self) -> Host | None:
+        """Return the engine to copy the run to: that which has a copy already, if any."""
+        if self.copy is not None and self.fleet.is_listed(self.copy.host.name):
+            return self.copy.host
+        return self.fleet.best_move_target(self.engine, self.request.service)
+
     def _may_restart(self) -> bool:
         """Return True if the request may run again from the beginning on another engine."""
         if not self.events and self.guard.is_suspect():
--- a/standins/faultproxy.py
+++ b/standins/faultproxy.py
@@ -13,12 +13,13 @@
 CHUNK_BYTES = 64 * 1024
 
 
-@define
+@define(eq=False)
 class Flow:
-    """One connection, and whether it comes from afar."""
+    """One connection, whether it comes from afar, and whether its ends lost each other."""
 
     source: str
     far: bool = True
+    severed: bool = False
 
 
 @define(eq=False, slots=False)
@@ -78,11 +79,11 @@
             stream.close()
             onward.close()
             return
-        pair = (stream, onward, source)
+        flow = Flow(source)
+        pair = (stream, onward, flow)
         self.connections.add(pair)
         for one in (stream, onward):
             one.set_nodelay(True)
-        flow = Flow(source)
         await asyncio.gather(
             self.pump(stream, onward, False, flow), self.pump(onward, stream, True, flow)
         )
@@ -101,6 +102,8 @@
             while True:
                 data = await source.read_bytes(CHUNK_BYTES, partial=True)
                 await self.unstalled(back, flow.source)
+                if flow.severed:
+                    continue
                 if not back:
                     await self.let_through(data)
                 opening = not back and not sent
@@ -115,6 +118,10 @@
                     break
         except StreamClosedError:
             pass
+        if flow.severed:
+            writer.cancel()
+            # The other end does not hear of the close.
+            await asyncio.Event().wait()
         await queue.put((0.0, None))
         await writer
         source.close()
@@ -173,11 +180,22 @@
 
     def cut_all(self) -> None:
         """Close every connection."""
-        for stream, onward, source in list(self.connections):
-            if self._is_cut(source):
+        for stream, onward, flow in list(self.connections):
+            if self._is_cut(flow.source):
                 stream.close()
                 onward.close()
 
+    def sever(self, how: str) -> None:
+        """Part the ends of all open connections, while new ones work.
+
+        ``silent`` drops what either end sends, its close as well; ``reset`` also closes the
+        dialler's end. The target hears of neither.
+        """
+        for stream, _onward, flow in self.connections:
+            flow.severed = True
+            if how == "reset":
+                stream.close()
+
 
 class Admin(JsonHandler):
     """The switches, for tests."""
@@ -188,11 +206,14 @@
         self.finish({"forward": proxy.bytes_forward, "back": proxy.bytes_back, "held": proxy.held})
 
     def post(self) -> None:
-        """Set switches; ``mode: cut`` also closes what is open."""
-        for name, value in self.body().items():
+        """Set switches; ``mode: cut`` also closes what is open, ``sever`` parts its ends."""
+        switches = self.body()
+        if "sever" in switches:
+            self.standin.sever(switches.pop("sever"))
+        for name, value in switches.items():
             setattr(self.standin, name, value)
         self.standin.switched.set()
-        if self.body().get("mode") == "cut":
+        if switches.get("mode") == "cut":
             self.standin.cut_all()
         self.finish({})
 
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -53,6 +53,8 @@
         The last event made.
     end : str
         ``whole``, ``cancelled`` or ``stopped``; empty while it runs.
+    began, worked_at : float
+        When it began here and made its last event, in seconds of the host's monotonic clock.
     """
 
     name: str
@@ -63,6 +65,8 @@
     first: int = 1
     made: int = 0
     end: str = ""
+    began: float = field(factory=time.monotonic)
+    worked_at: float = 0.0
 
 
 @define
@@ -90,7 +94,8 @@
     fault : str
         What goes wrong with answers: ``shed``, ``lose``, ``wrong_id``, ``garbage``, ``unframed``,
         ``reset_unframed``, ``unframed_half``, ``unframed_early``, ``encoded``, ``half_event``,
-        ``fail``, ``promise``, ``mute`` or a name of ``ENDLESS``; empty for nothing.
+        ``fail``, ``promise``, ``mute``, ``unstoppable`` or a name of ``ENDLESS``; empty for
+        nothing.
     report_fault : str
         What goes wrong with reports: a name of ``ENDLESS``; empty for nothing.
     noise_pause : float
@@ -338,6 +343,7 @@
     async def make_event(self, run: Run) -> None:
         """Write the next event."""
         run.made += 1
+        run.worked_at = time.monotonic()
         text = event_text(run.made)
         if self.standin.fault == "half_event" and run.made == 5 and run.first == 1:
             await self.request.connection.stream.write(b"10\r\nid: 5\nda")
@@ -390,6 +396,10 @@
             self.set_status(404)
             self.finish()
             return
+        if order["Last"] and engine.fault == "unstoppable":
+            self.set_status(500)
+            self.finish()
+            return
         before = engine.targets.get(run.name)
         if before not in (None, order["Target"]):
             self.set_status(503)
--- a/tests/features/steps/routedstream_steps.py
+++ b/tests/features/steps/routedstream_steps.py
@@ -81,6 +81,11 @@
     context.plan.start()
 
 
+@given('an engine "{name}" of "{service}" in "{domain}" behind a proxy')
+def engine_proxied(context, name, service, domain):
+    fleet_of(context).engine(name, service, domain, proxied=True)
+
+
 @given('an engine "{name}" of "{service}" in "{domain}" that is listed last')
 def engine_later(context, name, service, domain):
     # The first plan is begun before the daemon knows of it.
@@ -163,6 +168,16 @@
     context.fleet.processes[engine].thaw()
 
 
+@when('the open connections to "{engine}" fall silent')
+def fall_silent(context, engine):
+    context.fleet.admin(f"{engine}-proxy", {"sever": "silent"})
+
+
+@when('the open connections to "{engine}" are reset without its knowledge')
+def reset_unheard(context, engine):
+    context.fleet.admin(f"{engine}-proxy", {"sever": "reset"})
+
+
 @when('"{engine}" says in its report that it leaves')
 def says_leaves(context, engine):
     context.fleet.admin(engine, {"state": "draining"})
@@ -187,6 +202,14 @@
     assert context.plan.ids() == list(range(1, context.count + 1)), context.plan.ids()[-3:]
 
 
+@then("the plan breaks off and does not look complete")
+def plan_broken(context):
+    context.plan.thread.join(PLAN_LIMIT)
+    ids = context.plan.ids()
+    assert ids == list(range(1, len(ids) + 1)) and len(ids) < context.count, ids[-3:]
+    assert not context.plan.ended and context.plan.text.endswith(b"\n\n")
+
+
 @then("the plan ends after event {last:d} and does not look complete")
 def plan_cut(context, last):
     context.plan.thread.join(PLAN_LIMIT)
@@ -207,6 +230,13 @@
     assert after["first"] <= before["made"] + 1, (before, after)
 
 
+@then('the run went on at "{engine}" itself, once it had stopped there')
+def went_on_there(context, engine):
+    before, after = run_of(context, engine)
+    assert (before["end"], after["end"]) == ("stopped", "whole"), (before, after)
+    assert after["first"] <= before["made"] + 1, (before, after)
+
+
 @then('the run went on at "{second}"')
 def went_on_at(context, second):
     (after,) = run_of(context, second)
@@ -229,12 +259,23 @@
     assert ends == ["failed", "failed"], ends
 
 
+@then('"{engine}" never worked on the run')
+def never_worked(context, engine):
+    assert run_of(context, engine) == []
+
+
 @then("no two engines worked on the run at once")
 def not_twice(context):
     (before,), (after,) = run_of(context, "planner-1"), run_of(context, "planner-2")
     assert before["end"] == "stopped" and after["first"] == before["made"] + 1, (before, after)
 
 
+@then('"{second}" began to work on it after "{first}" had stopped')
+def began_after(context, second, first):
+    (before,), (after,) = run_of(context, first), run_of(context, second)
+    assert before["worked_at"] < after["began"], (before, after)
+
+
 @step("no engine works on the run after {seconds:g} s")
 def nobody_works(context, seconds):
     time.sleep(seconds)
--- a/tests/routedfleet.py
+++ b/tests/routedfleet.py
@@ -101,10 +101,15 @@
         """Write keys as the operator or an engine; None removes one."""
         self.fleet.admin("store", {"put": keys})
 
-    def engine(self, name: str, service: str, domain: str, *options: str) -> Process:
-        """Start an engine and list it."""
+    def engine(
+        self, name: str, service: str, domain: str, *options: str, proxied: bool = False
+    ) -> Process:
+        """Start an engine and list it, behind a proxy of its own if asked to."""
         process = self.fleet.standin("platformengine", name, *options)
-        self.places[name] = {"Service": service, "Address": process.http, "Zone": domain}
+        address = process.http
+        if proxied:
+            address = self.fleet.proxy(f"{name}-proxy", address).ready["address"]
+        self.places[name] = {"Service": service, "Address": address, "Zone": domain}
         self.list_engine(name)
         return process
 
