End the wait for a silent stream once its run has been moved

Cause: the move stops the run and uses up its copy. The daemon waits for the end of the stream, which the silent connection doesn't deliver, and a stream without a copy is waited for without limit. Change: once the move is done, the stream must end within 0.5 s; a moved run counts as one that can be resumed. Why this works: the engine has said that it stopped the run, so nothing more can come.

--- a/papayacourse/httpcall.py
+++ b/papayacourse/httpcall.py
@@ -227,6 +227,13 @@
         self.silent = True
         wake(self.chunk_arrived)
 
+    def shorten_idle_timeout(self, seconds: float) -> None:
+        """Give up the response once it has been silent for so long from now on."""
+        self.idle_timeout = seconds
+        if self.watchdog is not None:
+            self.watchdog.cancel()
+        self.watchdog = asyncio.get_running_loop().call_later(seconds, self._check_silence)
+
     async def read(
         self, limit: int = MAX_READ_BYTES, take: Callable[[int], None] = lambda _size: None
     ) -> bytes:
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -45,6 +45,7 @@
 EXTRA_EVENTS = 16  # allowed in addition to one event per token
 INITIAL_SECONDS_PER_TOKEN = 0.012  # until the run's own speed is known
 RETRY_AFTER = 0.5  # seconds
+MOVED_STREAM_TIMEOUT = 0.5  # seconds until a stream must end whose run has stopped to be moved
 
 
 class StreamBroken(Exception):
@@ -88,6 +89,8 @@
         Number of times that it was continued after an engine was lost.
     runs : int
         Number of engines that may have run it from the beginning; resumed copies don't count.
+    relayed : HttpCall or None
+        The exchange with the current engine whose answer is relayed.
     copy : Standby or None
         A copy of the run on another engine, at most a few seconds old.
     copy_lock : asyncio.Lock
@@ -114,6 +117,7 @@
     is_permitted: bool = False
     resumes: int = 0
     runs: int = 0
+    relayed: HttpCall | None = None
     copy: Standby | None = None
     copy_lock: asyncio.Lock = field(factory=asyncio.Lock)
     search: EngineSearch = field(init=False)
@@ -239,6 +243,7 @@
         except BackendError as error:
             return await self._plan_resume(str(error))
         finally:
+            self.relayed = None
             await call.__aexit__(None, None, None)
         return None
 
@@ -270,6 +275,7 @@
         if call.status != 200:
             await self._relay_failure(call, headers)
             return
+        self.relayed = call
         call.idle_timeout = self._stall_timeout()
         call.allows_silence = self._may_wait_for_stalled_engine
         splitter, event_progress = EventSplitter(), EventProgress(call.idle_timeout)
@@ -293,11 +299,12 @@
         return max(MIN_STALL_TIMEOUT, STALL_TIMEOUT_GAPS * self.admitted.route.max_gap)
 
     def _may_wait_for_stalled_engine(self) -> bool:
-        """Return True if there is no copy to resume from and time is left.
+        """Return True if there is nothing to resume from and time is left.
 
         The engine may have paused the run in favor of others.
         """
-        return self.copy is None and self.admitted.time_left() > 0
+        moved = self.pending_move is not None and self.pending_move.done()
+        return self.copy is None and not moved and self.admitted.time_left() > 0
 
     async def _relay_failure(self, call: HttpCall, headers: HTTPHeaders) -> None:
         """Relay an error response.
@@ -338,6 +345,9 @@
             self.pending_move.set_result(standby)
         if standby is None:
             self.pending_move = None
+        elif self.relayed is not None:
+            # The engine has ended the stream, but a silent connection doesn't deliver that.
+            self.relayed.shorten_idle_timeout(MOVED_STREAM_TIMEOUT)
 
     async def _plan_resume(self, why: str) -> Resume | None:
         """Return where an interrupted run continues.
--- a/tests/features/routed_silent.feature
+++ b/tests/features/routed_silent.feature
@@ -39,3 +39,14 @@
     And the open connections to "planner-1" are reset without its knowledge
     Then the plan breaks off and does not look complete
     And "planner-2" never worked on the run
+
+  # Guards against a run that is lost by its move: the engine has stopped it and ended its stream,
+  # but the daemon waits on the silent connection for that end.
+  Scenario: A run whose connection is silent is moved when its engine leaves
+    When a plan of 600 events is streamed through "a"
+    And the run is copied to "planner-2"
+    And the open connections to "planner-1" fall silent
+    And "planner-1" is listed as "draining"
+    Then the plan is whole
+    And the run went on at "planner-2" where it had stopped at "planner-1"
+    And the caller waited less than 1.8 s for any event
--- a/tests/features/steps/routedstream_steps.py
+++ b/tests/features/steps/routedstream_steps.py
@@ -34,6 +34,8 @@
     ----------
     ended : bool
         Whether the answer came to its proper end.
+    longest_gap : float
+        The longest wait for a piece of the answer after its first, in seconds.
     """
 
     address: str
@@ -42,6 +44,7 @@
     answer_headers: dict = field(factory=dict)
     text: bytes = b""
     ended: bool = False
+    longest_gap: float = 0.0
     connection: http.client.HTTPConnection | None = None
     thread: threading.Thread | None = None
 
@@ -58,7 +61,10 @@
             self.connection.request("POST", "/plans/1", b"a plan", self.headers)
             answer = self.connection.getresponse()
             self.status, self.answer_headers = answer.status, dict(answer.getheaders())
+            last = time.monotonic()
             while chunk := answer.read1(65536):
+                now = time.monotonic()
+                self.longest_gap, last = max(self.longest_gap, now - last), now
                 self.text += chunk
             self.ended = True
 
@@ -202,6 +208,11 @@
     assert context.plan.ids() == list(range(1, context.count + 1)), context.plan.ids()[-3:]
 
 
+@then("the caller waited less than {seconds:g} s for any event")
+def short_waits(context, seconds):
+    assert context.plan.longest_gap < seconds, context.plan.longest_gap
+
+
 @then("the plan breaks off and does not look complete")
 def plan_broken(context):
     context.plan.thread.join(PLAN_LIMIT)
