--- a/papayacourse/chat.py
+++ b/papayacourse/chat.py
@@ -7,6 +7,7 @@
 import xxhash
 from attrs import frozen
 
+from papayacourse import jsontext
 from papayacourse.engines import End, EngineEvent, Token
 from papayacourse.exceptions import RequestRefused
 
@@ -46,7 +47,7 @@
 def parse_json(body: bytes) -> dict:
     """Parse a JSON object, or refuse the request."""
     try:
-        raw = json.loads(body)
+        raw = jsontext.parse(body)
     except (ValueError, RecursionError) as error:
         raise bad_request(f"the body is not JSON: {error}") from error
     if not isinstance(raw, dict):
--- a/papayacourse/commits.py
+++ b/papayacourse/commits.py
@@ -8,7 +8,7 @@
 from cattrs import structure
 from cattrs.errors import BaseValidationError
 
-from papayacourse import logs
+from papayacourse import jsontext, logs
 from papayacourse.kvstore import Entry
 from papayacourse.meshmessages import SettingsValue
 from papayacourse.settings import ROOT
@@ -68,7 +68,7 @@
     if entry.value is None:
         return None
     try:
-        return structure(json.loads(entry.value), Commit)
+        return structure(jsontext.parse(entry.value), Commit)
     except (ValueError, TypeError, BaseValidationError):
         # The key was written by hand; the paths' own keys remain valid.
         logs.error("settings commit not readable", revision=entry.revision)
--- a/papayacourse/engines.py
+++ b/papayacourse/engines.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 
+from papayacourse import jsontext
 from papayacourse.eventprogress import MAX_EVENT_BYTES, EventProgress
 from papayacourse.exceptions import (
     BackendError,
@@ -125,7 +126,7 @@
         if not data:
             continue
         try:
-            raw = json.loads(b"\n".join(data))
+            raw = jsontext.parse(b"\n".join(data))
             if "text" in raw:
                 yield Token(raw["stream"], int(raw["offset"]), str(raw["text"]))
             else:
@@ -231,7 +232,7 @@
     if call.status != 200:
         raise BackendRefused(call.status, answer.decode(errors="replace"))
     try:
-        return json.loads(answer)
+        return jsontext.parse(answer)
     except ValueError as error:
         raise BackendProtocolError(f"{address}: not JSON") from error
 
--- a/papayacourse/explain.py
+++ b/papayacourse/explain.py
@@ -1,8 +1,9 @@
 """Reconstructs the history of one request from the logs of several daemons."""
 
-import json
 from collections.abc import Iterable, Iterator
 
+from papayacourse import jsontext
+
 FIRST = ("timestamp", "daemon", "level", "message_type")
 OMITTED_FIELDS = frozenset({*FIRST, "request", "task_uuid", "task_level"})
 
@@ -14,7 +15,7 @@
         if begin < 0 or request not in line:
             continue
         try:
-            record = json.loads(line[begin:])
+            record = jsontext.parse(line[begin:])
         except ValueError:
             continue
         if isinstance(record, dict) and record.get("request") == request:
--- a/papayacourse/history.py
+++ b/papayacourse/history.py
@@ -6,7 +6,7 @@
 from cattrs import structure
 from cattrs.errors import BaseValidationError
 
-from papayacourse import logs
+from papayacourse import jsontext, logs
 from papayacourse.commits import Commit, CommittedChange
 from papayacourse.exceptions import PlatformAnswerLost
 from papayacourse.kvstore import Entry, KeyValueStore, Written
@@ -49,7 +49,7 @@
 def parse_revisions(entry: Entry) -> list[Revision]:
     """Decode the revisions in a history entry; return none if it is malformed."""
     try:
-        return structure(json.loads(entry.value or "[]"), list[Revision])
+        return structure(jsontext.parse(entry.value or "[]"), list[Revision])
     except (ValueError, TypeError, BaseValidationError):
         logs.error("settings history not readable", key=entry.key, revision=entry.revision)
         return []
--- a/papayacourse/hostlist.py
+++ b/papayacourse/hostlist.py
@@ -1,12 +1,12 @@
 """Client of the platform's lagging host list; the only module that knows its wire format."""
 
-import json
 from functools import cached_property
 
 from attrs import frozen
 from cattrs import structure
 from cattrs.errors import BaseValidationError
 
+from papayacourse import jsontext
 from papayacourse.exceptions import BackendError, PlatformError, PlatformUnavailable
 from papayacourse.httpcall import HttpCall
 from papayacourse.types import Address, Host, HostKind
@@ -80,7 +80,7 @@
         if call.status != 200:
             raise PlatformUnavailable(f"host list: status {call.status}")
         try:
-            listing = structure(json.loads(answer), HostListing)
+            listing = structure(jsontext.parse(answer), HostListing)
         except (ValueError, BaseValidationError) as error:
             raise PlatformError(f"host list: not a host list: {error}") from error
         self.etag = call.headers.get("Etag", "")
--- a/papayacourse/kvstore.py
+++ b/papayacourse/kvstore.py
@@ -6,6 +6,7 @@
 
 from attrs import frozen
 
+from papayacourse import jsontext
 from papayacourse.exceptions import (
     BackendError,
     BackendUnreachable,
@@ -184,7 +185,7 @@
         try:
             if status != 200:
                 raise ValueError(f"status {status}")
-            found = json.loads(answer)
+            found = jsontext.parse(answer)
         except ValueError as error:
             # An unexpected answer doesn't prove that nothing was written.
             self.count(kind, "lost")
--- a/papayacourse/rollout.py
+++ b/papayacourse/rollout.py
@@ -1,13 +1,13 @@
 """Waits until every live daemon has given settings revisions in force."""
 
 import asyncio
-import json
 import time
 from collections.abc import Mapping, Sequence
 from urllib.parse import urlencode
 
 from attrs import define, frozen
 
+from papayacourse import jsontext
 from papayacourse.exceptions import BackendError, PapayacourseError
 from papayacourse.hostlist import HostList
 from papayacourse.httpcall import HttpCall
@@ -106,4 +106,4 @@
         raise PapayacourseError(f"{daemon} does not know that mesh key")
     if call.status != 200:
         raise BackendError(f"{daemon} answered status {call.status}")
-    return json.loads(body)
+    return jsontext.parse(body)
