Start loops again that fail by an unexpected error

Cause: BackgroundTasks logged a task that ended by an error and forgot it; schedulers did not even log it. Any unexpected error in a loop was final, whatever raised it. Change: BackgroundTasks.keep and tasks.keep_running start a loop again, after 0.25 s and up to 2 s, and log 'loop failed' with its name. All loops of both daemons and the schedulers' run so. Why this works: the loops keep their state in their objects and read anew at their start, so that starting one again is what a restart of the daemon did, without the rest.

--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -131,15 +131,15 @@
         self.mesh.advertise(advertised)
         http = self._listen(stack)
         stack.push_async_callback(self._stop_tasks)
-        for work in (
-            self.watch.run(),
-            self.membership.host_sync.poll(),
-            *self.mesh.work(),
-            self.engine_reader.run(),
-            self.orders.run(),
-            self.deaths.run(),
+        for loop in (
+            self.watch.run,
+            self.membership.host_sync.poll,
+            *self.mesh.loops(),
+            self.engine_reader.run,
+            self.orders.run,
+            self.deaths.run,
         ):
-            self.tasks.spawn(work)
+            self.tasks.keep(loop)
         self.lifecycle.listen_for_signals()
         self.ready = True
         logs.info("ready", http=str(http), mesh=str(mesh), version=__version__)
--- a/papayacourse/duties.py
+++ b/papayacourse/duties.py
@@ -13,6 +13,7 @@
 from papayacourse.meshmessages import ServiceLoad
 from papayacourse.scheduler import Scheduler
 from papayacourse.schedulingmessages import NotScheduler
+from papayacourse.tasks import keep_running
 from papayacourse.ticks import next_tick
 
 SCHEDULER_IDLE_TIMEOUT = 30.0  # seconds, for the scheduler of a cell owned elsewhere
@@ -74,7 +75,7 @@
         cell = Cell(team, service, number)
         if cell not in self.schedulers:
             scheduler = self.make(cell)
-            scheduler.task = asyncio.create_task(scheduler.run())
+            scheduler.task = asyncio.create_task(keep_running(scheduler.run))
             self.schedulers[cell] = scheduler
             logs.info("scheduling", team=team, service=service, cell=number)
         self.last_used[cell] = self.clock()
--- a/papayacourse/mesh.py
+++ b/papayacourse/mesh.py
@@ -19,6 +19,7 @@
 from papayacourse.quarantine import STRIKE_LIMIT, Quarantine
 from papayacourse.scheduler import Scheduler
 from papayacourse.scheduling import Scheduling
+from papayacourse.tasks import Loop
 from papayacourse.types import Address
 
 
@@ -78,17 +79,17 @@
         """Set the mesh address that new links announce."""
         self.peers.hello = evolve(self.hello, mesh=address)
 
-    def work(self) -> Iterator[Coroutine]:
-        """Yield the coroutines that run for the lifetime of the daemon."""
-        yield self.peers.close_silent_links()
-        yield self.membership.maintain_members()
-        yield self.membership.heartbeats.run()
-        yield self.membership.failure_detector.run()
-        yield self.membership.catch_up()
-        yield self.gateways.run()
-        yield self.duties.run_maintenance()
-        yield self.membership.connect_to_seeds()
-        yield self.placement.report()
+    def loops(self) -> Iterator[Loop]:
+        """Yield the loops that run for the lifetime of the daemon."""
+        yield self.peers.close_silent_links
+        yield self.membership.maintain_members
+        yield self.membership.heartbeats.run
+        yield self.membership.failure_detector.run
+        yield self.membership.catch_up
+        yield self.gateways.run
+        yield self.duties.run_maintenance
+        yield self.membership.connect_to_seeds
+        yield self.placement.report
 
     def waiting(self) -> list:
         """Return the tasks that the parts have started themselves."""
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -293,19 +293,19 @@
         for address in {config.readiness, config.metrics}:
             self._listen(stack, address, Application(pages(self), log_function=lambda _: None))
         stack.push_async_callback(self._stop_tasks)
-        for work in (
-            self.follower.follow(),
-            self.follower.stay_listed(),
-            self.stored_strikes.run(),
-            self.deaths.run(),
-            *self.mesh.work(),
-            self.evacuation.run(),
-            self.limiter.run(),
-            self.notices.reach.run(),
-            self._tick(),
-            self._watch_file(),
+        for loop in (
+            self.follower.follow,
+            self.follower.stay_listed,
+            self.stored_strikes.run,
+            self.deaths.run,
+            *self.mesh.loops(),
+            self.evacuation.run,
+            self.limiter.run,
+            self.notices.reach.run,
+            self._tick,
+            self._watch_file,
         ):
-            self.tasks.spawn(work)
+            self.tasks.keep(loop)
         self.lifecycle.listen_for_signals()
         asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self._reload, "signal")
         self.ready = True
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -29,7 +29,7 @@
     StreamReport,
     StreamState,
 )
-from papayacourse.tasks import cancel_all
+from papayacourse.tasks import cancel_all, keep_running
 
 REPORT_GRACE_SECONDS = 4.0  # time that a granted stream may go unreported
 QUEUE_CHECKS_PER_POLL = 5  # queue checks in each polling interval of the engines
@@ -74,7 +74,7 @@
         self.numbers = KnownNumbers(self.membership.is_alive)
 
     async def __aenter__(self) -> "Scheduler":
-        self.task = asyncio.create_task(self.run())
+        self.task = asyncio.create_task(keep_running(self.run))
         return self
 
     async def __aexit__(self, kind, error, traceback) -> None:
--- a/papayacourse/tasks.py
+++ b/papayacourse/tasks.py
@@ -1,7 +1,9 @@
 """Background tasks and their reliable cancellation."""
 
 import asyncio
-from collections.abc import Coroutine, Iterable
+import random
+import time
+from collections.abc import Callable, Coroutine, Iterable
 
 from attrs import define, field
 
@@ -9,6 +11,30 @@
 
 CANCEL_INTERVAL = 0.5  # seconds after which a task that has not ended is cancelled again
 CANCEL_TRIES = 20
+MIN_RESTART_PAUSE = 0.25  # seconds, on average, until a loop that failed is started again
+MAX_RESTART_PAUSE = 2.0  # seconds, on average
+
+Loop = Callable[[], Coroutine]
+
+
+async def keep_running(loop: Loop) -> None:
+    """Run a loop, and start it again whenever it fails; return when it ends by itself.
+
+    An error that the loop does not expect may come from one entry or message. It must not end
+    the loop's work for as long as the daemon runs.
+    """
+    pause = MIN_RESTART_PAUSE
+    while True:
+        began = time.monotonic()
+        try:
+            await loop()
+            return
+        except Exception as error:
+            if time.monotonic() - began > MAX_RESTART_PAUSE:
+                pause = MIN_RESTART_PAUSE
+            logs.failure("loop failed", error, loop=loop.__qualname__, restart_in=pause)
+        await asyncio.sleep(pause * random.uniform(0.5, 1.5))
+        pause = min(MAX_RESTART_PAUSE, pause * 2)
 
 
 async def cancel_all(tasks: Iterable[asyncio.Task]) -> None:
@@ -41,6 +67,10 @@
         task.add_done_callback(self._done)
         return task
 
+    def keep(self, loop: Loop) -> asyncio.Task:
+        """Run a loop as a background task, and start it again whenever it fails."""
+        return self.spawn(keep_running(loop))
+
     def _done(self, task: asyncio.Task) -> None:
         self.running.discard(task)
         if not task.cancelled() and task.exception() is not None:
