Number host listings anew when the store comes back from an older copy

Cause: a listing's version is twice the store's revision, and a listing is taken only above the highest version known. The store gives revisions out again, so a listing of the lost history, handed on by peers, outranks all later ones. Evidence: 'server listed' at the new revisions, and no 'host list taken' after it. Change: a listing known before the store was asked, with a version that its answer can't explain, is of a lost history: the daemon reads the store as a whole and raises the epoch that listings have already. Each answer's era is checked, so that a watch that goes on at a revision given out again ends. A server known to leave isn't taken for live by the older copy for 2.2 s. StoreUpdate carries era and revision together. Messages are unchanged. Why this works: reads are linearizable, so what was known before a read can't be ahead of it in the same history.

--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -137,8 +137,9 @@
         self.documents = Documents(self.mesh.peers, self.adapter.store.decode_document, self._news)
         self.directory = HostDirectory(
             self.membership.host_sync.apply_listing,
-            in_force=lambda: self.membership.backends(HostKind.ENGINE),
+            in_force=lambda: self.membership.hosts,
         )
+        self.metrics.watch("papayacourse_store_era", "", lambda: float(self.directory.era))
         self.membership.informed = self._can_take_duties
         self.mesh.peers.handlers[EngineLeaves] = self._on_engine_leaves
         self.membership.document_version = lambda: self.documents.version
--- a/papayacourse/routed/directory.py
+++ b/papayacourse/routed/directory.py
@@ -1,14 +1,15 @@
 """Builds the daemon's host list from the entries in the platform's store."""
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterator
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from papayacourse import logs
 from papayacourse.hostlist import HostListing
-from papayacourse.routed.seams import HostSnapshot
-from papayacourse.types import Host, HostState
+from papayacourse.routed.listnumbering import ListNumbering
+from papayacourse.routed.seams import StorePosition, StoreUpdate
+from papayacourse.types import Host, HostKind, HostState
 
 LAPSE_GRACE = 2.2  # seconds after a store outage in which servers renew expired entries
 
@@ -19,7 +20,8 @@
 
     During a store outage, entries expire although their servers are alive. A live server that is
     missing when the store returns stays listed for ``LAPSE_GRACE`` and is removed if it is still
-    missing then.
+    missing then. A store that returns from an older copy may also list a leaving server as live;
+    it stays leaving for as long, until its entry has been written again.
 
     Attributes
     ----------
@@ -27,6 +29,8 @@
         Called with each new listing.
     lapsed : dict of str to Host
         The servers that were missing when the store returned, by name.
+    left : frozenset of str
+        The names of servers that were leaving before the store returned, and are live there.
     returned_at : float
         When the store last returned, in seconds of the clock.
     store_is_away : bool
@@ -34,21 +38,28 @@
     engines_known : bool
         Whether the servers have been read at least once.
     in_force : callable
-        Returns the servers of the newest listing known here, whichever daemon published it.
+        Returns the newest listing known here, whichever daemon published it.
+    numbering : ListNumbering
+        Numbers the listings that are published.
+    era : int
+        The store's era of the content here.
     published_hosts : frozenset of Host or None
-        The hosts last published.
+        The hosts last published in the current epoch.
     """
 
     publish: Callable[[HostListing], None]
     clock: Callable[[], float] = time.monotonic
-    in_force: Callable[[], Iterable[Host]] = tuple
-    engines: HostSnapshot = field(factory=lambda: HostSnapshot(0, ()))
-    members: HostSnapshot = field(factory=lambda: HostSnapshot(0, ()))
+    in_force: Callable[[], HostListing] = lambda: HostListing(0, ())
+    numbering: ListNumbering = field(factory=ListNumbering)
+    era: int = 0
+    revision: int = 0
+    engines: tuple[Host, ...] = ()
+    members: tuple[Host, ...] = ()
     lapsed: dict[str, Host] = field(factory=dict)
+    left: frozenset[str] = frozenset()
     returned_at: float = float("-inf")
     store_is_away: bool = False
     engines_known: bool = False
-    published_version: int = 0
     published_hosts: frozenset[Host] | None = None
 
     def record_store_failure(self, why: str) -> None:
@@ -64,53 +75,107 @@
             logs.info("store available again", lapsed=len(self.lapsed))
         self.store_is_away = False
 
-    def update_engines(self, listed: HostSnapshot) -> None:
-        """Apply a listing of the servers and publish the result."""
+    def is_outdated(self, known: HostListing, position: StorePosition) -> bool:
+        """Return True if an answer of the store cannot continue the content here.
+
+        Parameters
+        ----------
+        known : HostListing
+            The listing that was in force before the store was asked.
+        """
+        return self.numbering.is_outdated(known, position.revision)
+
+    def update(self, known: HostListing, news: StoreUpdate) -> None:
+        """Apply an update of the store and publish the result.
+
+        Parameters
+        ----------
+        known : HostListing
+            The listing that was in force before the store was asked.
+        """
         self.record_store_answer()
-        before = {host.name: host for host in self.in_force()} | self.lapsed
-        now = {host.name for host in listed.hosts}
+        self.revision = news.position.revision
+        if news.is_complete:
+            self._begin(known, news)
+        if news.members is not None:
+            self.members = news.members
+        if news.engines is not None:
+            self._update_engines(news.engines)
+        # A listing published before the servers are read would contain none.
+        if self.engines_known and (news.members is not None or news.engines is not None):
+            self._publish()
+
+    def _begin(self, known: HostListing, news: StoreUpdate) -> None:
+        """Continue with content that has been read as a whole."""
+        epoch, era = self.numbering.epoch, news.position.era
+        has_returned = self.engines_known and era != self.era
+        self.numbering.begin(known, self.revision, has_returned)
+        self.era = era
+        if self.numbering.epoch != epoch:
+            self.published_hosts = None
+
+    def _update_engines(self, listed: tuple[Host, ...]) -> None:
+        servers = (host for host in self.in_force().hosts if host.kind == HostKind.ENGINE)
+        before = {host.name: host for host in servers} | self.lapsed
+        now = {host.name for host in listed}
         self._log_changes(before, listed)
         missing = {name: host for name, host in before.items() if name not in now}
         self.lapsed = self._kept(missing)
+        self.left = self._still_leaving(before, listed)
         self.engines, self.engines_known = listed, True
-        self._publish()
-
-    def update_members(self, listed: HostSnapshot) -> None:
-        """Apply a listing of the daemons; publish the result once the servers are known."""
-        self.members = listed
-        if self.engines_known:
-            # A listing published before the servers are read would contain none.
-            self._publish()
 
     def expire(self) -> None:
         """Remove servers that are still missing ``LAPSE_GRACE`` after the store returned."""
-        if self.lapsed and not self.store_is_away and self.clock() > self.returned_at + LAPSE_GRACE:
+        if not (self.lapsed or self.left) or self.store_is_away or self._may_be_old():
+            return
+        if self.lapsed:
             logs.info("servers gone", names=sorted(self.lapsed), why="missing after an outage")
-            self.lapsed = {}
-            self._publish()
+        if self.left:
+            logs.info(
+                "servers live again", names=sorted(self.left), why="so listed after an outage"
+            )
+        self.lapsed, self.left = {}, frozenset()
+        self._publish()
+
+    def _may_be_old(self) -> bool:
+        """Return True if the store's entries may still be those of before its return."""
+        return self.clock() <= self.returned_at + LAPSE_GRACE
 
     def _kept(self, missing: dict[str, Host]) -> dict[str, Host]:
         """Return the missing servers that may return: those that were not leaving."""
-        if self.clock() > self.returned_at + LAPSE_GRACE:
+        if not self._may_be_old():
             return {}
         return {name: host for name, host in missing.items() if host.state == HostState.LIVE}
 
-    def _log_changes(self, before: dict[str, Host], listed: HostSnapshot) -> None:
-        for host in listed.hosts:
+    def _still_leaving(self, before: dict[str, Host], listed: tuple[Host, ...]) -> frozenset[str]:
+        """Return the servers that were leaving and are listed as live by a store just returned."""
+        if not self._may_be_old():
+            return frozenset()
+        leaving = {name for name, host in before.items() if host.state == HostState.LEAVING}
+        live = {host.name for host in listed if host.state == HostState.LIVE}
+        return frozenset(leaving & live)
+
+    def _servers(self) -> Iterator[Host]:
+        """Yield the servers to publish."""
+        for host in self.engines:
+            yield evolve(host, state=HostState.LEAVING) if host.name in self.left else host
+        yield from self.lapsed.values()
+
+    def _log_changes(self, before: dict[str, Host], listed: tuple[Host, ...]) -> None:
+        for host in listed:
             if before.get(host.name) != host:
                 logs.info(
                     "server listed", server=host.name, address=host.address, state=host.state.value,
-                    domain=host.domain, revision=listed.revision,
+                    domain=host.domain, revision=self.revision,
                 )  # fmt: skip
-        for name in before.keys() - {host.name for host in listed.hosts}:
-            logs.info("server not listed", server=name, revision=listed.revision)
+        for name in before.keys() - {host.name for host in listed}:
+            logs.info("server not listed", server=name, revision=self.revision)
 
     def _publish(self) -> None:
-        hosts = (*self.engines.hosts, *self.lapsed.values(), *self.members.hosts)
+        hosts = (*self._servers(), *self.members)
         if frozenset(hosts) == self.published_hosts:
             return
         self.published_hosts = frozenset(hosts)
-        revision = max(self.engines.revision, self.members.revision)
         # Listings of one revision differ only in the entries that have expired since.
-        self.published_version = max(2 * revision, self.published_version + 1)
-        self.publish(HostListing(self.published_version, hosts))
+        version = self.numbering.next_version(self.revision)
+        self.publish(HostListing(version, hosts, self.numbering.epoch))
--- a/papayacourse/routed/seams.py
+++ b/papayacourse/routed/seams.py
@@ -235,17 +235,20 @@
 
 
 @frozen
-class HostSnapshot:
-    """The hosts in the platform's store.
+class StorePosition:
+    """A point in the history of the platform's store.
 
     Attributes
     ----------
+    era : int
+        How often the store has come back from an older copy, counted by the store itself; 0 if
+        it doesn't say. Revisions of different eras cannot be compared.
     revision : int
-        The store revision at which this list was valid.
+        The store's revision.
     """
 
+    era: int
     revision: int
-    hosts: tuple[Host, ...]
 
 
 @frozen
@@ -254,17 +257,29 @@
 
     Attributes
     ----------
+    position : StorePosition
+        Where the store was when it answered.
+    is_complete : bool
+        Whether this is the store's whole content.
     document : bytes or None
         The encoded settings document.
     strikes : tuple of Strike or None
         All strikes that daemons have stored.
     """
 
+    position: StorePosition
+    is_complete: bool = False
     document: bytes | None = None
-    engines: HostSnapshot | None = None
-    members: HostSnapshot | None = None
+    engines: tuple[Host, ...] | None = None
+    members: tuple[Host, ...] | None = None
     strikes: tuple[Strike, ...] | None = None
 
+    @property
+    def has_changes(self) -> bool:
+        """Return True if anything is new."""
+        parts = (self.document, self.engines, self.members, self.strikes)
+        return any(part is not None for part in parts)
+
 
 class Store(Protocol):
     """The platform's store, in papayacourse's types."""
@@ -272,6 +287,8 @@
     def follow(self, wait: float) -> AsyncIterator[StoreUpdate]:
         """Yield the current contents, then the changes; raises PlatformError.
 
+        Also raises it when the store has come back from an older copy.
+
         Parameters
         ----------
         wait : float
--- a/papayacourse/routed/storefollower.py
+++ b/papayacourse/routed/storefollower.py
@@ -8,6 +8,7 @@
 
 from papayacourse import logs
 from papayacourse.exceptions import PlatformError
+from papayacourse.hostlist import HostListing
 from papayacourse.routed.directory import HostDirectory
 from papayacourse.routed.documents import Documents
 from papayacourse.routed.keptstrikes import StoredStrikes
@@ -68,32 +69,36 @@
 
     async def _follow(self) -> None:
         """Apply the store's updates for as long as this daemon has to follow it."""
+        known = self.directory.in_force()
         try:
             async for news in self.store.follow(WATCH_TIMEOUT):
-                await self._apply(news)
+                if not news.is_complete and self.directory.is_outdated(known, news.position):
+                    logs.info("reading the store anew", known=known.version, epoch=known.epoch)
+                    return
+                await self._apply(known, news)
                 if not self.follows:
-                    logs.info("following the store")
+                    logs.info(
+                        "following the store", era=news.position.era,
+                        revision=news.position.revision,
+                    )  # fmt: skip
                 self.follows = True
                 self.on_contact()
                 if not self.should_follow():
                     logs.info("store followed by others")
                     return
-                if news != StoreUpdate():
+                if news.has_changes:
                     await asyncio.sleep(BATCH_DELAY)
+                known = self.directory.in_force()
         finally:
             self.follows = False
 
-    async def _apply(self, news: StoreUpdate) -> None:
-        self.directory.record_store_answer()
+    async def _apply(self, known: HostListing, news: StoreUpdate) -> None:
         if news.strikes is not None:
             # Before the document, which makes a starting daemon ready.
             await self.stored_strikes.take(news.strikes)
         if news.document is not None:
             self.documents.apply_source(news.document, "store")
-        if news.members is not None:
-            self.directory.update_members(news.members)
-        if news.engines is not None:
-            self.directory.update_engines(news.engines)
+        self.directory.update(known, news)
 
     async def stay_listed(self) -> None:
         """Renew this daemon's entry periodically; run until cancelled."""
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import copy
 import itertools
 import json
 import time
@@ -39,6 +40,10 @@
         Whether watches hear nothing.
     page : int
         The items of one page of a range; few, so that readers meet pages.
+    era : int
+        How often the store has come back from an older copy, + 1; all answers name it.
+    saved : dict
+        The copy from which it comes back.
     """
 
     items: dict[str, tuple[bytes, int, int]] = field(factory=dict)
@@ -52,6 +57,8 @@
     mode: str = "up"
     deaf: bool = False
     page: int = 3
+    era: int = 1
+    saved: dict = field(factory=dict)
 
     async def write(self, key: str, value: bytes | None, lease: int = 0) -> int:
         """Put or remove a key."""
@@ -73,6 +80,24 @@
             for number in [n for n, lease in self.leases.items() if lease.expires < now]:
                 await self.end(number)
 
+    def save(self) -> None:
+        """Take a copy of the content, to come back from."""
+        names = ("items", "events", "revision", "forgotten", "leases", "numbers")
+        self.saved = {name: copy.deepcopy(getattr(self, name)) for name in names}
+
+    async def come_back(self, away: float) -> None:
+        """Be away for some seconds and come back from the copy; 0 for a moment unseen."""
+        if away:
+            self.mode = "down"
+            await asyncio.sleep(away)
+        for name, value in copy.deepcopy(self.saved).items():
+            setattr(self, name, value)
+        now = time.monotonic()
+        for lease in self.leases.values():
+            lease.expires = now + lease.ttl
+        self.era += 1
+        self.mode = "up"
+
     async def end(self, number: int) -> None:
         """End a lease."""
         for key in self.leases.pop(number).keys:
@@ -94,6 +119,7 @@
         """Fail as the switches say."""
         store = self.standin
         store.counts[self.request.path.split("/")[1]] += 1
+        self.set_header("Store-Era", str(store.era))
         if store.mode == "silent":
             await asyncio.sleep(3600)
         if store.mode == "down":
@@ -140,7 +166,7 @@
         after = int(self.get_argument("After"))
         deadline = time.monotonic() + int(self.get_argument("WaitMs")) / 1000
         while True:
-            if after < store.forgotten or store.mode != "up":
+            if not store.forgotten <= after <= store.revision or store.mode != "up":
                 self.set_status(410)
                 self.finish({})
                 return
@@ -202,14 +228,22 @@
 
     def get(self) -> None:
         """Return counts and keys."""
-        self.finish({"counts": self.standin.counts, "keys": sorted(self.standin.items)})
+        store = self.standin
+        keys = sorted(store.items)
+        self.finish({"counts": store.counts, "keys": keys, "revision": store.revision})
 
     async def post(self) -> None:
-        """Write keys (null removes) and set switches."""
+        """Write keys (null removes) and set switches; the drill comes before, ``extra`` after."""
         body = self.body()
+        if body.pop("save", False):
+            self.standin.save()
+        if "come_back" in body:
+            await self.standin.come_back(body.pop("come_back"))
         for key, value in body.pop("put", {}).items():
             text = value if isinstance(value, str) or value is None else json.dumps(value)
             await self.standin.write(key, None if text is None else text.encode())
+        for number in range(body.pop("extra", 0)):
+            await self.standin.write(f"op/extra-{number}", b"x")
         if body.pop("forget", False):
             self.standin.forgotten = self.standin.revision
             self.standin.events.clear()
--- a/tests/features/routed_parts.feature
+++ b/tests/features/routed_parts.feature
@@ -33,6 +33,15 @@
     When the servers listed are "one"
     Then "a, b, one" are published
 
+  # Guards against requests to a leaving server, since the store has lost that it leaves.
+  Scenario: A server that had said it leaves is not live again in a store that comes back older
+    Given a directory with servers "one, two" of which "two" leaves
+    When the store comes back from an older copy, in which all servers are live
+    Then "two" is published as "leaving" in epoch 1
+    And "one" is published as "live" in epoch 1
+    When 3 s pass for the directory
+    Then "two" is published as "live" in epoch 1
+
   Scenario: A server that had said it leaves is not kept after an outage
     Given a directory with servers "one, two" of which "two" leaves
     When the store is lost and comes back without "two"
--- a/tests/features/steps/routedparts_steps.py
+++ b/tests/features/steps/routedparts_steps.py
@@ -6,12 +6,14 @@
 import socket
 import time
 
+from attrs import evolve
 from behave import given, then, when
 from tornado.ioloop import IOLoop
 from tornado.netutil import bind_sockets
 
 from papayacourse.boundedwriter import BoundedWriter
 from papayacourse.engines import EngineLoad
+from papayacourse.hostlist import HostListing
 from papayacourse.ledger import EngineLedger, Stream, add_stream
 from papayacourse.linkclasses import LinkClass, Place
 from papayacourse.listener import Listener
@@ -21,7 +23,7 @@
 from papayacourse.routed.directory import HostDirectory
 from papayacourse.routed.moveschedule import schedule_moves
 from papayacourse.routed.reports import AdapterReports
-from papayacourse.routed.seams import HostSnapshot, RunState
+from papayacourse.routed.seams import RunState, StorePosition, StoreUpdate
 from papayacourse.types import GenerationRequest, Host, HostKind, HostState
 from tests.steptext import names_in
 
@@ -120,39 +122,38 @@
 # The directory.
 
 
+def update(context, **parts) -> None:
+    """Let the directory take an update at the next revision."""
+    context.revision += 1
+    known = context.directory.in_force()
+    news = StoreUpdate(StorePosition(context.era, context.revision), **parts)
+    context.directory.update(known, news)
+
+
 def listed(context, names: str) -> None:
     """Let the directory take a listing."""
-    context.revision += 1
-    hosts = tuple(server(name) for name in names_in(names))
-    context.directory.update_engines(HostSnapshot(context.revision, hosts))
+    update(context, engines=tuple(server(name) for name in names_in(names)))
 
 
 @given('a directory with servers "{names}"')
 def make_directory(context, names):
-    context.clock, context.revision, context.published = Clock(), 1, []
-    context.directory = HostDirectory(
-        context.published.append,
-        context.clock,
-        in_force=lambda: context.published[-1].hosts if context.published else (),
-    )
+    empty_directory(context)
     listed(context, names)
 
 
 @given("a directory that has read nothing")
 def empty_directory(context):
-    context.clock, context.revision, context.published = Clock(), 1, []
+    context.clock, context.revision, context.era, context.published = Clock(), 1, 1, []
     context.directory = HostDirectory(
         context.published.append,
         context.clock,
-        in_force=lambda: context.published[-1].hosts if context.published else (),
+        in_force=lambda: context.published[-1] if context.published else HostListing(0, ()),
     )
 
 
 @when('daemons "{names}" are listed')
 def daemons_listed(context, names):
-    context.revision += 1
-    hosts = tuple(server(name) for name in names_in(names))
-    context.directory.update_members(HostSnapshot(context.revision, hosts))
+    update(context, members=tuple(server(name) for name in names_in(names)))
 
 
 @then("nothing is published")
@@ -165,18 +166,32 @@
     make_directory(context, names)
     states = {leaving: HostState.LEAVING}
     hosts = tuple(server(n, state=states.get(n, HostState.LIVE)) for n in names_in(names))
-    context.revision += 1
-    context.directory.update_engines(HostSnapshot(context.revision, hosts))
+    update(context, engines=hosts)
 
 
 @when('the store is lost and comes back without "{name}"')
 def store_returns(context, name):
-    names = [host.name for host in context.directory.engines.hosts]
+    names = [host.name for host in context.directory.engines]
     context.directory.record_store_failure("a test")
     context.clock.now += 8
     listed(context, ", ".join(other for other in names if other != name))
 
 
+@when("the store comes back from an older copy, in which all servers are live")
+def store_returns_older(context):
+    context.directory.record_store_failure("a test")
+    context.clock.now += 1
+    context.era, context.revision = context.era + 1, 0
+    hosts = tuple(evolve(h, state=HostState.LIVE) for h in context.directory.engines)
+    update(context, engines=hosts, members=(), is_complete=True)
+
+
+@then('"{name}" is published as "{state}" in epoch {epoch:d}')
+def published_state(context, name, state, epoch):
+    found = context.published[-1]
+    assert (found.by_name[name].state.value, found.epoch) == (state, epoch), found
+
+
 @when('the servers listed are "{names}"')
 def servers_listed(context, names):
     listed(context, names)
@@ -192,7 +207,7 @@
 def are_published(context, names):
     found = context.published[-1]
     assert sorted(host.name for host in found.hosts) == sorted(names_in(names)), found
-    versions = [listing.version for listing in context.published]
+    versions = [listing.epoch_version for listing in context.published]
     assert versions == sorted(set(versions)), versions
 
 
