--- a/tests/features/routed_drill.feature
+++ b/tests/features/routed_drill.feature
@@ -63,6 +63,15 @@
     And "desk-1" drain
     Then 2.5 s later calls through "a, b" reach "desk-2" only
 
+  # Guards against a renewal that keeps another's lease, whose number was given out again.
+  Scenario: A daemon writes its own entry again
+    Given a routed daemon "a" in "lagos"
+    When the store is copied
+    And a routed daemon "b" in "lagos" is started
+    And the store is away for 0.5 s and comes back from the copy
+    And a routed daemon "c" in "lagos" is started
+    Then "b" is listed again within 12 s
+
   Scenario: Without a drill the store is read as a whole only at the start
     Given a routed daemon "a" in "lagos"
     When the operator writes 20 documents
