Write strikes again that the store has lost

Cause: a strike that is missing in the store was taken for removed by an absolution, and passed on as one. Change: each stored strike is known with the era of the store. Missing in a later era it is lost and written again; missing in the same era it was removed. Strikes of requests that were absolved since the copy are removed again. Why this works: within an era the store loses nothing, so only there does an absence mean a removal.

--- a/papayacourse/routed/keptstrikes.py
+++ b/papayacourse/routed/keptstrikes.py
@@ -29,12 +29,15 @@
         The queue of fingerprints whose strikes are to be written or removed, oldest first.
     stored : dict of (str, str) to Strike
         The strikes known to be in the store, by fingerprint and engine.
+    eras : dict of (str, str) to int
+        The store's era in which each of them was last known to be there.
     """
 
     store: Store
     quarantine: Quarantine
     waiting: dict[str, None] = field(factory=dict)
     stored: dict[tuple[str, str], Strike] = field(factory=dict)
+    eras: dict[tuple[str, str], int] = field(factory=dict)
     wake: asyncio.Event = field(factory=asyncio.Event)
 
     def __attrs_post_init__(self) -> None:
@@ -71,13 +74,24 @@
             logs.warning("strikes not stored", fingerprint=oldest, why="too many wait")
         self.wake.set()
 
-    async def take(self, strikes: tuple[Strike, ...]) -> None:
-        """Update the quarantine to the complete set of strikes in the store."""
+    async def take(self, strikes: tuple[Strike, ...], era: int) -> None:
+        """Update the quarantine to the complete set of strikes in the store.
+
+        Strikes that are missing were removed by a daemon that absolved the request, unless the
+        store has come back from an older copy: then it has lost them, and they are written again.
+
+        Parameters
+        ----------
+        era : int
+            The store's era in which the strikes were read.
+        """
         now = {(strike.fingerprint, strike.engine): strike for strike in strikes}
-        removed = {request for request, _ in self.stored.keys() - now.keys()}
+        missing = self.stored.keys() - now.keys()
+        lost = {request for request, engine in missing if self.eras[request, engine] != era}
+        removed = {request for request, _ in missing} - {request for request, _ in now} - lost
         new = tuple(strike for key, strike in now.items() if key not in self.stored)
-        self.stored = now
-        for fingerprint in removed - {request for request, _ in now}:
+        self.stored, self.eras = now, dict.fromkeys(now, era)
+        for fingerprint in removed:
             if partblame.decode(fingerprint):
                 # They are only ever removed by expiring, which clears nobody.
                 continue
@@ -85,6 +99,12 @@
         if new:
             logs.info("strikes taken from the store", strikes=len(new))
             await self.quarantine.handle_strikes(None, StrikesUpdate(new))
+        if lost:
+            logs.warning("strikes lost by the store", fingerprints=sorted(lost), era=era)
+        # An older copy also brings back strikes that an absolution had removed.
+        absolved = {s.fingerprint for s in new if not self.quarantine.strikes_of(s.fingerprint)}
+        for fingerprint in lost | absolved:
+            self._queue_write(fingerprint)
 
     async def run(self) -> None:
         """Write queued changes to the store, forever."""
@@ -113,8 +133,11 @@
         )
         missing = tuple(strike for strike in known if strike not in stored)
         if missing:
+            era = self.store.era
             await self.store.keep_strikes(missing, STRIKE_LIFETIME)
-            self.stored |= {(strike.fingerprint, strike.engine): strike for strike in missing}
+            written = {(strike.fingerprint, strike.engine): strike for strike in missing}
+            self.stored |= written
+            self.eras |= dict.fromkeys(written, era)
             if not self.quarantine.strikes_of(fingerprint):
                 # The request was absolved during the write.
                 self._queue_write(fingerprint)
@@ -122,3 +145,4 @@
             await self.store.drop_strikes(stored)
             for strike in stored:
                 self.stored.pop((strike.fingerprint, strike.engine), None)
+                self.eras.pop((strike.fingerprint, strike.engine), None)
--- a/papayacourse/routed/seams.py
+++ b/papayacourse/routed/seams.py
@@ -282,7 +282,15 @@
 
 
 class Store(Protocol):
-    """The platform's store, in papayacourse's types."""
+    """The platform's store, in papayacourse's types.
+
+    Attributes
+    ----------
+    era : int
+        The era of the last answer; see StorePosition.
+    """
+
+    era: int
 
     def follow(self, wait: float) -> AsyncIterator[StoreUpdate]:
         """Yield the current contents, then the changes; raises PlatformError.
--- a/papayacourse/routed/storefollower.py
+++ b/papayacourse/routed/storefollower.py
@@ -95,7 +95,7 @@
     async def _apply(self, known: HostListing, news: StoreUpdate) -> None:
         if news.strikes is not None:
             # Before the document, which makes a starting daemon ready.
-            await self.stored_strikes.take(news.strikes)
+            await self.stored_strikes.take(news.strikes, news.position.era)
         if news.document is not None:
             self.documents.apply_source(news.document, "store")
         self.directory.update(known, news)
--- a/tests/features/deaths.feature
+++ b/tests/features/deaths.feature
@@ -81,6 +81,28 @@
     Then the store holds "culprit" alone
     And a daemon that reads it knows that "culprit" has 2 strikes, and "neighbour" none
 
+  # Guards against a request that crashes servers again, since the store lost its strikes in a drill
+  # and their absence was taken for an absolution.
+  Scenario: Strikes that the store has lost are written again, and clear nobody
+    Given a quarantine that condemns by 3 servers, kept in a store that is away
+    When "culprit" and "neighbour" run on servers "one, two", which end
+    And the store is back
+    And the store comes back from an older copy without strikes, and is read
+    Then "culprit" must run apart
+    And the store holds "culprit" and "neighbour" with 2 strikes each
+    When another daemon removes the strikes, and the store is read
+    Then "culprit" need not run apart and is not condemned
+
+  # Guards against strikes of a request that was absolved, which an older copy brings back.
+  Scenario: Strikes that had been removed are removed again when the store brings them back
+    Given a quarantine that condemns by 3 servers, kept in a store that is away
+    When "culprit" and "neighbour" run on servers "one, two", which end
+    And the store is back
+    And "neighbour" comes to its end
+    Then the store holds "culprit" alone
+    When the store comes back with the strikes that "neighbour" had, and is read
+    Then the store holds "culprit" alone
+
   # Guards against strikes that come back from the store, or by a slower way, after an absolution.
   Scenario: A strike that comes after the absolution which followed it counts no more
     Given a quarantine that condemns by 3 servers
--- a/tests/features/steps/deaths_steps.py
+++ b/tests/features/steps/deaths_steps.py
@@ -188,6 +188,7 @@
     """
 
     away: bool = True
+    era: int = 1
     calls: int = 0
     meanwhile: Callable[[], Awaitable[None]] = nothing
     held: dict = field(factory=dict)
@@ -245,6 +246,38 @@
     assert context.store.calls > 2, "the outage was not met"
 
 
+@when("the store comes back from an older copy without strikes, and is read")
+def store_lost_strikes(context):
+    context.store.held.clear()
+    context.store.era += 1
+    read_strikes(context)
+
+
+@when("another daemon removes the strikes, and the store is read")
+def strikes_removed(context):
+    context.store.held.clear()
+    read_strikes(context)
+
+
+def read_strikes(context):
+    """Read the store's strikes, and write what is to be written."""
+
+    async def work():
+        await context.kept.take(tuple(context.store.held.values()), context.store.era)
+        await context.kept.write()
+
+    asyncio.run(work())
+
+
+@when('the store comes back with the strikes that "{name}" had, and is read')
+def store_brings_back(context, name):
+    for (request, engine), strike in list(context.store.held.items()):
+        if request != name:
+            context.store.held[name, engine] = evolve(strike, fingerprint=name)
+    context.store.era += 1
+    read_strikes(context)
+
+
 @when('"{name}" comes to its end')
 def absolve(context, name):
     asyncio.run(context.quarantine.clear_suspect(name))
@@ -288,7 +321,8 @@
 @then('a daemon that reads it knows that "{one}" has {count:d} strikes, and "{two}" none')
 def read_by_another(context, one, count, two):
     other = Quarantine(NoPeers(), limit=3)
-    asyncio.run(StoredStrikes(context.store, other).take(tuple(context.store.held.values())))
+    strikes = tuple(context.store.held.values())
+    asyncio.run(StoredStrikes(context.store, other).take(strikes, context.store.era))
     assert len(other.strikes_of(one)) == count
     assert not other.strikes_of(two)
 
