Check all that an entry of another writer holds

Reported by other operators: one odd entry (a number too large, a port out of range) and machines that read the list ended or stopped following it. It can happen here: with a service that is half a character, which can neither be hashed nor sent to other daemons, the list of hosts stood still; a daemon's entry at a port out of range made the follower fail at each reading. Cause: entries were checked for the types of their fields, not for what these are used for. Why this works: 3,000 random entries (hypothesis) each name none, or a server that can be hashed, sent and decoded.

--- a/tests/features/routed_entries.feature
+++ b/tests/features/routed_entries.feature
@@ -13,9 +13,34 @@
     When routed daemon "b" is killed and started again
     Then "b" becomes ready
     And GET "/open/1" through "b" is answered 200 by "desk-1"
+    And no loop of "a, b" has failed
 
     Examples:
       | prefix                   | odd               |
       | servers/                 | nested too deeply |
       | papayacourse/daemons/    | nested too deeply |
       | papayacourse/strikes/    | nested too deeply |
+      | servers/                 | at a port out of range |
+      | servers/                 | at a name as long as a body |
+      | servers/                 | at an address that is no IP |
+      | servers/                 | of slots beyond all numbers |
+      | servers/                 | of a service that is half a character |
+      | servers/                 | of a service as long as a body |
+      | servers/                 | of a zone with a line end |
+      | servers/                 | born beyond all numbers |
+      | papayacourse/daemons/    | a daemon at a port out of range |
+      | papayacourse/daemons/    | a daemon of a zone that is half a character |
+      | papayacourse/strikes/    | a strike without an end |
+      | papayacourse/strikes/    | a strike beyond all numbers |
+
+  # Guards against an id that breaks the requests in which it is sent, in a header.
+  Scenario: An entry whose id cannot be sent in a header names no server
+    Given a platform store with document 5
+    And an engine "desk-1" of "desk" in "lagos"
+    And routed daemons "a" in "lagos"
+    When another writer lists the address of "desk-1" under an id with a line end
+    Then 12 calls of "/view/1" through "a" are all answered 200 by "desk-1"
+
+  # Guards against values that no list of ours has foreseen.
+  Scenario: Whatever an entry holds, it names a server that can be used or none
+    Then 3000 random entries each name a server that can be sent to daemons, or none
--- a/tests/features/steps/routedentries_steps.py
+++ b/tests/features/steps/routedentries_steps.py
@@ -1,13 +1,96 @@
 """Steps about entries of the platform's store that another writer has left."""
 
-from behave import when
+import json
+import sys
+
+from behave import then, when
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
 from routed_steps import fleet_of
 
+from papayacourse.hostchanges import digest
+from papayacourse.meshmessages import HostsUpdate
+from papayacourse.types import Address
+from papayacourse.wire import Frame, decode, encode
+from tests.routedfleet import ROOT
+from tests.steptext import names_in
+
+sys.path.append(str(ROOT / "platform"))
+
+from userplatform.entries import read_entry
+
+HUGE = 10**400
+LONG = "x" * 1_000_000
+HALF_CHARACTER = "\ud800"
+GOOD = {
+    "Service": "desk", "Address": "127.0.0.1:9", "Zone": "lagos", "Version": "1", "Slots": 6,
+    "State": "ready", "Sequence": 1, "born": 1,
+}  # fmt: skip
+DAEMON = {"address": "127.0.0.1:8", "mesh": "127.0.0.1:9", "domain": "lagos", "region": "lagos"}
 ODD = {
     "nested too deeply": "[" * 5000,
+    "at a port out of range": GOOD | {"Address": "127.0.0.1:99999"},
+    "at a name as long as a body": GOOD | {"Address": f"{LONG}:80"},
+    "at an address that is no IP": GOOD | {"Address": "no host\u0000:80"},
+    "of slots beyond all numbers": GOOD | {"Slots": HUGE},
+    "of a service that is half a character": GOOD | {"Service": HALF_CHARACTER},
+    "of a service as long as a body": GOOD | {"Service": LONG},
+    "of a zone with a line end": GOOD | {"Zone": "lagos\r\nX: y"},
+    "born beyond all numbers": GOOD | {"born": HUGE},
+    "a daemon at a port out of range": DAEMON | {"mesh": "127.0.0.1:99999"},
+    "a daemon of a zone that is half a character": DAEMON | {"domain": HALF_CHARACTER},
+    "a strike without an end": '{"engine": "e", "expires": 1e999}',
+    "a strike beyond all numbers": {"engine": "e", "expires": HUGE},
 }
+REGIONS = {"lagos": "lagos"}
+
+texts = st.text(st.characters()) | st.sampled_from(["lagos", "desk", "127.0.0.1:9", "ready"])
+scalars = st.none() | st.booleans() | st.integers() | st.floats() | texts
+values = st.recursive(scalars, lambda inner: st.lists(inner) | st.dictionaries(texts, inner))
+entries = st.fixed_dictionaries({}, optional=dict.fromkeys(GOOD, values)).map(
+    lambda changed: GOOD | changed
+)
 
 
 @when('another writer leaves an entry under "{prefix}" that is "{odd}"')
 def leave_entry(context, prefix, odd):
     fleet_of(context).write({f"{prefix}stranger": ODD[odd]})
+
+
+@when('another writer lists the address of "{engine}" under an id with a line end')
+def list_under_odd_id(context, engine):
+    routed = fleet_of(context)
+    entry = GOOD | routed.places[engine]
+    routed.write({"servers/odd\r\nX-Tenant: other": entry})
+
+
+@then('{count:d} calls of "{path}" through "{name}" are all answered {status:d} by "{engine}"')
+def all_answered(context, count, path, name, status, engine):
+    for _ in range(count):
+        answer = fleet_of(context).ask(name, "GET", path)
+        assert (answer.status, answer.json["instance"]) == (status, engine), answer
+
+
+@then('no loop of "{names}" has failed')
+def no_loop_failed(context, names):
+    for name in names_in(names):
+        assert fleet_of(context).lines(name, "loop failed") == []
+        assert fleet_of(context).lines(name, "task failed") == []
+
+
+@then("{count:d} random entries each name a server that can be sent to daemons, or none")
+def random_entries(context, count):
+    @settings(max_examples=count, deadline=None, database=None, derandomize=True,
+              suppress_health_check=list(HealthCheck))  # fmt: skip
+    @given(entries | values, st.text(st.characters(), max_size=30))
+    def check(entry, instance):
+        host = read_entry(f"servers/{instance}", json.dumps(entry).encode(), REGIONS)
+        if host is None:
+            return
+        Address.parse(host.address)
+        digest((host,))
+        update = HostsUpdate(1, (host,))
+        assert decode(encode(Frame(0, False, update))).message == update
+        assert "\n" not in host.instance and host.instance.encode("latin1")
+
+    check()
