Believe a refusal only if it is this request's

An engine wrote an earlier refusal once more, before its answer. Cause: open_call asked whether an answer says 'not run' before it compared the request's id, so a refusal counted whatever request it named. Change: a refusal that names another request is a lost answer: 502, and an unsafe request is not sent again. Why this works: engines echo the id in their answers; only the request itself can be promised not to have run.

--- a/papayacourse/routed/seams.py
+++ b/papayacourse/routed/seams.py
@@ -205,8 +205,8 @@
     def answer_headers(self, headers: HTTPHeaders) -> HTTPHeaders:
         """Return the headers of an engine's answer that are passed on to the caller."""
 
-    def not_run(self, status: int, headers: HTTPHeaders) -> bool:
-        """Return True if an answer says that the engine did not run the request."""
+    def not_run(self, call: Call, status: int, headers: HTTPHeaders) -> bool:
+        """Return True if an answer says that the engine did not run this call."""
 
     def answers_call(self, call: Call, status: int, headers: HTTPHeaders) -> bool:
         """Return True if an answer belongs to this call and comes unaltered from its engine."""
--- a/papayacourse/routed/sending.py
+++ b/papayacourse/routed/sending.py
@@ -85,7 +85,7 @@
     except (BackendLinkLost, BackendProtocolError) as error:
         raise BackendAnswerLost(str(error)) from error
     status, headers = exchange.status, exchange.headers
-    not_run = codec.not_run(status, headers)
+    not_run = codec.not_run(call, status, headers)
     is_answer = codec.answers_call(call, status, headers)
     is_certain = not_run or is_answer
     notice = codec.notice(status, headers)
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -34,6 +34,15 @@
     "unframed": b"", "reset_unframed": b"", "unframed_half": b"id: 21\ndata: to",
     "unframed_early": b"id: 1\nda",
 }  # fmt: skip
+PARTIAL_HEADS = {
+    "half_head": b"HEAD",
+    "half_line": b"HEADContent-Len",
+    "half_head_after_interim": b"HTTP/1.1 103 Early Hints\r\n\r\nHEAD",
+}  # where an answer breaks off within its head; HEAD is the lines of a good one
+OLD_REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: an-earlier-one\r\n"
+    b"X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+)
 FAILURES = {"fail": 500, "promise": 503}  # the status of a generation that ran and failed
 MUTE_TIME = 60.0  # seconds
 DEADLY_PART = re.compile(r"\bdead-\d+:\d+,")  # in a prompt's list of parts, never the last
@@ -94,8 +103,8 @@
     fault : str
         What goes wrong with answers: ``shed``, ``lose``, ``wrong_id``, ``garbage``, ``unframed``,
         ``reset_unframed``, ``unframed_half``, ``unframed_early``, ``encoded``, ``half_event``,
-        ``fail``, ``promise``, ``mute``, ``unstoppable`` or a name of ``ENDLESS``; empty for
-        nothing.
+        ``fail``, ``promise``, ``mute``, ``unstoppable``, ``old_refusal``, a name of ``ENDLESS`` or
+        of ``PARTIAL_HEADS``; empty for nothing.
     report_fault : str
         What goes wrong with reports: a name of ``ENDLESS``; empty for nothing.
     noise_pause : float
@@ -225,8 +234,12 @@
         run = Run(name, self.request.method, self.request.uri, headers, body)
         self.standin.runs.append(run)
         die_if_due(run)
+        if self.standin.fault == "old_refusal":
+            await self.request.connection.stream.write(OLD_REFUSAL)
         if self.standin.fault in ENDLESS:
             await self.answer_for_ever(self.standin.fault, run)
+        elif self.standin.fault in PARTIAL_HEADS:
+            await self.break_off_in_head(run)
         elif "X-Token-Counts" in self.request.headers:
             await self.generate(run)
         else:
@@ -280,6 +293,14 @@
         stream.close()
         self._finished = True
 
+    async def break_off_in_head(self, run: Run) -> None:
+        """Write a part of an answer's head, and close the connection."""
+        stream, run.end = self.request.connection.stream, "whole"
+        head = f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {run.name}\r\nX-Server-Signature: s\r\n"
+        await stream.write(PARTIAL_HEADS[self.standin.fault].replace(b"HEAD", head.encode()))
+        stream.close()
+        self._finished = True
+
     async def generate(self, run: Run) -> None:
         """Stream events, from where a copy ends if there is one."""
         if self.standin.fault in FAILURES:
