Answer 502 where a call that has run would be promised not to have run

Cause: PlainCall looked at misleading statuses from 500 on only, as if 503 were the one promise. Change: for calls that may run once only, each status that promises becomes 502 unless the server says that it has not run.

--- a/papayacourse/routed/plaincall.py
+++ b/papayacourse/routed/plaincall.py
@@ -155,11 +155,11 @@
     def _accept(self, host: Host, answer: Answer) -> Answer | None:
         """Return an answer that is final; keep a retryable error as `failure` and return None."""
         self.ran.add(host.name)
-        if answer.status < SERVER_ERROR:
-            return answer
         if self.admitted.route.repeat != Repeat.SAFE:
             refuse_misleading_status(answer.status)
             return answer
+        if answer.status < SERVER_ERROR:
+            return answer
         self.failure = answer
         self.last_error = f"{host.name} answered {answer.status}"
         self.tried.add(host.name)
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -103,8 +103,8 @@
     fault : str
         What goes wrong with answers: ``shed``, ``lose``, ``wrong_id``, ``garbage``, ``unframed``,
         ``reset_unframed``, ``unframed_half``, ``unframed_early``, ``encoded``, ``half_event``,
-        ``fail``, ``promise``, ``mute``, ``unstoppable``, ``old_refusal``, a name of ``ENDLESS`` or
-        of ``PARTIAL_HEADS``; empty for nothing.
+        ``fail``, ``promise``, ``promise_429``, ``promise_408``, ``mute``, ``unstoppable``,
+        ``old_refusal``, a name of ``ENDLESS`` or of ``PARTIAL_HEADS``; empty for nothing.
     report_fault : str
         What goes wrong with reports: a name of ``ENDLESS``; empty for nothing.
     noise_pause : float
@@ -275,6 +275,8 @@
                 self.set_header("Content-Encoding", "br")
             case "promise":
                 self.set_status(503)
+            case "promise_429" | "promise_408":
+                self.set_status(int(self.standin.fault.partition("_")[2]))
         self.sign()
         self.finish(json.dumps({"instance": self.standin.instance, "target": run.target}))
 
--- a/tests/features/routed_faulty_answers.feature
+++ b/tests/features/routed_faulty_answers.feature
@@ -17,6 +17,22 @@
       | call             | desk    |
       | plan of 5 events | planner |
 
+  # Guards against a server's own status that promises "not run", for a call that it has run.
+  Scenario Outline: A call that has run is not answered <status>
+    Given a platform store with document 5
+    And an engine "desk-1" of "desk" in "lagos"
+    And a routed daemon "a" in "lagos"
+    When "desk-1" has fault "<fault>"
+    And a call is sent through "a"
+    Then it is answered 502
+    And it ran once on "desk-1"
+
+    Examples:
+      | status | fault       |
+      | 503    | promise     |
+      | 429    | promise_429 |
+      | 408    | promise_408 |
+
   # Guards against an empty answer that passes for whole, since its head broke off.
   Scenario Outline: An answer that breaks off in its head (<fault>) is no success of a <kind>
     Given a platform store with document 5
