Tell engines that are paused or slow from those that are lost when a run is stopped

Found while reading the new code: an engine that had asked to be left alone got no order and counted as reachable, also when it had ended, which would have broken off runs that have a copy; and its refused report counted as no answer. Change: BackendPaused names a call that was not made. The stop then only opens a connection: refused means that the engine has ended. A report that is refused is an answer.

--- a/papayacourse/exceptions.py
+++ b/papayacourse/exceptions.py
@@ -128,6 +128,10 @@
     """The backend server has no capacity, or cannot reach the server that should have it."""
 
 
+class BackendPaused(BackendRefused):
+    """The backend server was not called, since it has asked to be left alone for a while."""
+
+
 class BackendLinkLost(BackendError):
     """The connection broke or stalled after data was sent."""
 
--- a/papayacourse/routed/notices.py
+++ b/papayacourse/routed/notices.py
@@ -8,7 +8,7 @@
 
 from papayacourse import logs
 from papayacourse.engines import EngineLoad
-from papayacourse.exceptions import BackendRefused, BackendUnreachable
+from papayacourse.exceptions import BackendPaused, BackendUnreachable
 from papayacourse.routed.brittleservers import BrittleServers
 from papayacourse.routed.seams import CopyResult, EngineCalls, EngineNotice, EngineRuns
 from papayacourse.routed.serverlimits import ServerLimits
@@ -193,7 +193,7 @@
         self.sends = Counter({name: n for name, n in self.sends.items() if name in listed})
 
     def admit_call(self, host: Host, saves_run: bool) -> None:
-        """Admit a call to an engine, or raise BackendRefused during its pause.
+        """Admit a call to an engine, or raise BackendPaused during its pause.
 
         Parameters
         ----------
@@ -204,7 +204,7 @@
             return
         pause = self.pauses[host.name]
         if not saves_run or not pause.moves:
-            raise BackendRefused(PAUSED_STATUS, f"{host.name} wants to be left alone")
+            raise BackendPaused(PAUSED_STATUS, f"{host.name} wants to be left alone")
         pause.moves -= 1
 
 
--- a/papayacourse/routed/runstop.py
+++ b/papayacourse/routed/runstop.py
@@ -13,14 +13,16 @@
 from papayacourse.exceptions import (
     BackendError,
     BackendLinkLost,
+    BackendPaused,
     BackendProtocolError,
     BackendRefused,
     BackendUnreachable,
 )
+from papayacourse.httpcall import connect
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.seams import CopyResult
 from papayacourse.routed.standby import Standby
-from papayacourse.types import Host
+from papayacourse.types import Address, Host
 
 STOP_TIMEOUT = 2.5  # seconds
 ANSWER_DELAY = 0.5  # seconds without an answer after which the engine is probed
@@ -104,6 +106,8 @@
         """Wait for the order's answer for as long as the engine answers other calls."""
         try:
             await self.fleet.engine_calls.runs(self.engine)
+        except BackendRefused as error:
+            logs.info("report refused", engine=self.engine.name, why=str(error))
         except BackendError as error:
             logs.info("engine does not answer", engine=self.engine.name, why=str(error))
             return
@@ -126,6 +130,8 @@
         calls = self.fleet.engine_calls
         try:
             copied = await calls.copy_run(self.engine, self.run_id, self.target, stop=True)
+        except BackendPaused as error:
+            return await self._try_connecting(str(error))
         except BackendRefused as error:
             return RunEnded() if error.status == NO_SUCH_RUN else RunContinues(str(error))
         except BackendProtocolError as error:
@@ -136,6 +142,15 @@
             return OrderLost(str(error))
         return RunCopied(self._standby(copied))
 
+    async def _try_connecting(self, why: str) -> StopResult:
+        """Return whether an engine that may not be called now has ended."""
+        try:
+            stream = await connect(Address.parse(self.engine.address), ANSWER_DELAY)
+        except BackendUnreachable as error:
+            return EngineLost(str(error))
+        stream.close()
+        return RunContinues(why)
+
     def _standby(self, copied: CopyResult) -> Standby:
         """Return where the run continues: at the target, or where it was if nothing arrived."""
         host = self.target if copied.complete else self.engine
