--- a/papayacourse/jsontext.py
+++ b/papayacourse/jsontext.py
@@ -49,7 +49,7 @@
 def load(text: str) -> Any:
     """Parse a JSON text; its strings may hold halves of surrogate pairs."""
     try:
-        return json.loads(text, parse_float=finite, parse_constant=finite)
+        return DECODER.decode(text)
     except RecursionError as error:
         raise ValueError("nested too deeply") from error
 
@@ -62,6 +62,9 @@
     return value
 
 
+DECODER = json.JSONDecoder(parse_float=finite, parse_constant=finite)
+
+
 def escape_surrogates(value: Any) -> Any:
     """Return a parsed value with the halves of surrogate pairs in its texts escaped."""
     match value:
