Read the configuration file once for each reload

What an operator saw: an invalid configuration file was refused, with two log lines, every second until it was mended; and a change that fell between two readings of the file was not noticed without a signal.

Cause: ConfigFile.read parsed one reading and remembered the text of another, and only when the first was valid.

Change: the text that is parsed is the one remembered, whatever comes of it.

Evidence: two scenarios of routed_settings, both failing before (more than one refusal in 3 seconds; a file that counts as unchanged), passing after; the whole feature passes.

--- a/papayacourse/routed/config.py
+++ b/papayacourse/routed/config.py
@@ -148,10 +148,13 @@
 
     def read(self) -> RoutedConfig | None:
         """Load the file; return None and log the faults if it is invalid."""
-        match load_routed(self.path):
+        match load_options(self.path, self._parse):
             case Success(config):
-                self.text = Path(self.path).read_text(encoding="utf-8")
                 return config
             case Failure(faults):
                 logs.error("configuration refused", faults=[str(fault) for fault in faults])
         return None
+
+    def _parse(self, where: str, text: str) -> Result[RoutedConfig, list[Fault]]:
+        self.text = text
+        return parse_routed(where, text)
--- a/tests/features/routed_settings.feature
+++ b/tests/features/routed_settings.feature
@@ -71,6 +71,22 @@
     When "a" gets SIGHUP
     Then the log of "a" has a line "configuration reloaded" because of "signal"
 
+  # Guards against an invalid file that is refused, and logged, again each second.
+  Scenario: An invalid configuration file is refused once, and a valid one that follows is taken
+    Given a platform store with document 5
+    And a routed daemon "a" in "lagos"
+    When the configuration file of "a" becomes invalid
+    And 3 seconds pass
+    Then the log of "a" has 1 line "configuration refused"
+    When the configuration file of "a" is valid again, with a change
+    Then the log of "a" has a line "configuration reloaded" because of "file changed"
+
+  # Guards against a change that is never noticed because it fell between two readings of the file.
+  Scenario: A configuration file that changes while it is parsed counts as changed
+    Given a platform store with document 5
+    And a routed daemon "a" in "lagos"
+    Then the configuration file of "a", changed while it is parsed, counts as changed afterwards
+
   Scenario: A stop turns not ready at once, finishes what runs and says so
     Given a platform store with document 5
     And an engine "desk-1" of "desk" in "lagos"
--- a/tests/features/steps/routed_steps.py
+++ b/tests/features/steps/routed_steps.py
@@ -4,9 +4,11 @@
 import subprocess
 import sys
 import threading
+from unittest.mock import patch
 
 from behave import given, step, then, when
 
+from papayacourse.routed.config import ConfigFile, parse_routed
 from standins.fleet import call, wait_until
 from tests.routedfleet import ROOT, RoutedFleet, document, route
 from tests.steptext import names_in
@@ -194,11 +196,45 @@
     file.write_text(file.read_text() + "[retries]\nslack = 40\n")
 
 
+@when('the configuration file of "{name}" becomes invalid')
+def break_file(context, name):
+    file = context.fleet.path / f"{name}.ini"
+    context.valid_text = file.read_text()
+    file.write_text(context.valid_text + "[retries]\nslack = many\n")
+
+
+@when('the configuration file of "{name}" is valid again, with a change')
+def mend_file(context, name):
+    file = context.fleet.path / f"{name}.ini"
+    file.write_text(context.valid_text + "[retries]\nslack = 40\n")
+
+
+@then(
+    'the configuration file of "{name}", changed while it is parsed, counts as changed afterwards'
+)
+def counts_as_changed(context, name):
+    path = context.fleet.path / f"{name}.ini"
+
+    def change_and_parse(where, text):
+        path.write_text(f"{text}[retries]\nslack = 40\n")
+        return parse_routed(where, text)
+
+    file = ConfigFile(str(path))
+    with patch("papayacourse.routed.config.parse_routed", change_and_parse):
+        assert file.read() is not None
+    assert file.changed()
+
+
 @when('"{name}" gets SIGHUP')
 def send_hup(context, name):
     context.fleet.processes[name].popen.send_signal(signal.SIGHUP)
 
 
+@then('the log of "{name}" has {count:d} line "{kind}"')
+def has_lines(context, name, count, kind):
+    assert len(fleet_of(context).lines(name, kind)) == count, fleet_of(context).lines(name, kind)
+
+
 @then('the log of "{name}" has a line "{kind}" because of "{why}"')
 def has_line_because(context, name, kind, why):
     def found():
