--- a/tests/features/routed_settings.feature
+++ b/tests/features/routed_settings.feature
@@ -81,6 +81,13 @@
     When the configuration file of "a" is valid again, with a change
     Then the log of "a" has a line "configuration reloaded" because of "file changed"
 
+  # Guards against a daemon that ends because its settings change while it starts.
+  Scenario: A daemon that gets SIGHUP while it starts goes on starting
+    Given a platform store with document 5
+    When routed daemon "a" in "lagos" gets SIGHUP again and again while it starts
+    Then the process of "a" has not ended
+    And "a" becomes ready
+
   # Guards against a change that is never noticed because it fell between two readings of the file.
   Scenario: A configuration file that changes while it is parsed counts as changed
     Given a platform store with document 5
--- a/tests/features/steps/routed_steps.py
+++ b/tests/features/steps/routed_steps.py
@@ -4,6 +4,8 @@
 import subprocess
 import sys
 import threading
+import time
+from pathlib import Path
 from unittest.mock import patch
 
 from behave import given, step, then, when
@@ -14,6 +16,7 @@
 from tests.steptext import names_in
 
 SOON = 6.0  # seconds
+HUP_INTERVAL = 0.02  # seconds
 
 
 def fleet_of(context) -> RoutedFleet:
@@ -230,6 +233,23 @@
     context.fleet.processes[name].popen.send_signal(signal.SIGHUP)
 
 
+@when('routed daemon "{name}" in "{domain}" gets SIGHUP again and again while it starts')
+def start_with_hups(context, name, domain):
+    fleet_of(context).daemon(name, domain, wait=False)
+    popen = context.fleet.processes[name].popen
+    # The interpreter itself is up once the program's imports have loaded a library.
+    maps = Path(f"/proc/{popen.pid}/maps")
+    wait_until("the program imports its modules", lambda: "_asyncio" in maps.read_text())
+    while popen.poll() is None and fleet_of(context).readiness(name) != 200:
+        popen.send_signal(signal.SIGHUP)
+        time.sleep(HUP_INTERVAL)
+
+
+@then('the process of "{name}" has not ended')
+def has_not_ended(context, name):
+    assert context.fleet.processes[name].popen.poll() is None
+
+
 @then('the log of "{name}" has {count:d} line "{kind}"')
 def has_lines(context, name, count, kind):
     assert len(fleet_of(context).lines(name, kind)) == count, fleet_of(context).lines(name, kind)
