Write each log line whatever its fields hold

An exception that fails to describe itself raised out of logs.failure. A field of any length was written whole, beyond the writer's bound on memory.

Cause: lines were encoded by eliot's file destination, through orjson, which refuses such values; eliot then writes its own line instead. Nothing bounded a line.

Change: logline.encode encodes each line where it leaves the process.

--- a/papayacourse/logs.py
+++ b/papayacourse/logs.py
@@ -3,10 +3,10 @@
 import contextvars
 import enum
 import sys
-import traceback
 
 import eliot
 
+from papayacourse import logline
 from papayacourse.boundedwriter import BoundedWriter
 
 
@@ -51,7 +51,13 @@
     eliot.add_global_fields(daemon=daemon)
     if output is None:
         output = BoundedWriter(sys.stdout.fileno())
-        eliot.to_file(output)
+        eliot.add_destinations(write_line)
+
+
+def write_line(message: dict) -> None:
+    """Write a message of eliot as one line."""
+    output.write(logline.encode(message))
+    output.flush()
 
 
 def write(level: LogLevel, event: str, **fields) -> None:
@@ -85,5 +91,8 @@
 def failure(event: str, problem: BaseException, **fields) -> None:
     """Log an unexpected exception with its traceback."""
     error(
-        event, error=repr(problem), traceback="".join(traceback.format_exception(problem)), **fields
+        event,
+        error=logline.error_text(problem),
+        traceback=logline.traceback_text(problem),
+        **fields,
     )
