Show metrics under any label

One label with half a surrogate pair (a route's or account's name) makes the metrics page answer 500 until the daemon is restarted, since the count stays. Control characters other than the line feed were written raw, and a label was as long as its author chose.

Cause: labels went into the instruments as they came, and the page is encoded as a whole.

Change: Counter and Histogram, and the totals that are read at each export, make labels printable and cut them to 100 characters where they enter. The number of labels of an instrument was bounded by OpenTelemetry already (2,000); a scenario now guards that.

Evidence: metrics.feature, 24 named odd labels and 300 random ones, each in a counter, a histogram and a total. Before, the first scenario failed: no page at all (UnicodeEncodeError with half a pair alone, ValueError with an integer of 5,000 digits). After, both scenarios pass and the longest label has at most 110 characters.

--- a/papayacourse/metrics.py
+++ b/papayacourse/metrics.py
@@ -1,7 +1,10 @@
 """The metrics of a daemon: OpenTelemetry instruments, exported in Prometheus format."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
+from types import MappingProxyType
 
+from attrs import frozen
+from opentelemetry import metrics
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
@@ -11,6 +14,8 @@
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 SECONDS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.044, 0.1, 0.2, 0.5, 1.0, 1.5, 3.0, 10.0, 30.0, 100.0)
+MAX_LABEL_CHARACTERS = 100  # beyond which a label is cut
+CUT = "..."
 TOKENS = tuple(float(2**power) for power in range(0, 18))
 
 
@@ -19,6 +24,54 @@
     return View(instrument_name=name, aggregation=ExplicitBucketHistogramAggregation(edges))
 
 
+def label(value: object) -> str:
+    """Return a label that the page can show: printable and of bounded length."""
+    text = value if isinstance(value, str) else type(value).__name__
+    if isinstance(value, int) and value.bit_length() < MAX_LABEL_CHARACTERS:
+        text = str(value)
+    shown = printable(text[: MAX_LABEL_CHARACTERS + 1])
+    return shown if len(shown) <= MAX_LABEL_CHARACTERS else shown[:MAX_LABEL_CHARACTERS] + CUT
+
+
+def printable(text: str) -> str:
+    """Return a text with its control characters and halves of surrogate pairs escaped."""
+    if text.isprintable():
+        return text
+    return "".join(
+        character if character.isprintable() else character.encode("unicode_escape").decode()
+        for character in text
+    )
+
+
+def labelled(attributes: Mapping[str, object]) -> dict[str, str]:
+    """Return attributes whose values the page can show."""
+    return {name: label(value) for name, value in attributes.items()}
+
+
+@frozen
+class Counter:
+    """A counter whose labels may hold any text."""
+
+    instrument: metrics.Counter
+
+    def add(self, amount: int, attributes: Mapping[str, object] = MappingProxyType({})) -> None:
+        """Count an amount under some labels."""
+        self.instrument.add(amount, labelled(attributes))
+
+
+@frozen
+class Histogram:
+    """A histogram whose labels may hold any text."""
+
+    instrument: metrics.Histogram
+
+    def record(
+        self, amount: float, attributes: Mapping[str, object] = MappingProxyType({})
+    ) -> None:
+        """Record an amount under some labels."""
+        self.instrument.record(amount, labelled(attributes))
+
+
 class Metrics:
     """All instruments of one daemon.
 
@@ -40,24 +93,29 @@
             metric_readers=[PrometheusMetricReader()],
             views=views,
         )
-        meter = self.provider.get_meter("papayacourse")
-        self.meter = meter
-        self.first_token = meter.create_histogram("papayacourse_time_to_first_token", "s")
-        self.between_tokens = meter.create_histogram("papayacourse_time_between_tokens", "s")
-        self.stall = meter.create_histogram("papayacourse_stall_time", "s")
-        self.queue_wait = meter.create_histogram("papayacourse_queue_wait", "s")
-        self.request_time = meter.create_histogram("papayacourse_request_time", "s")
-        self.first_event = meter.create_histogram("papayacourse_time_to_first_event", "s")
-        self.output_length = meter.create_histogram("papayacourse_output_length", "{token}")
-        self.requests = meter.create_counter("papayacourse_requests")
-        self.refusals = meter.create_counter("papayacourse_refusals")
-        self.retries = meter.create_counter("papayacourse_retries")
-        self.resumes = meter.create_counter("papayacourse_resumes")
-        self.preemptions = meter.create_counter("papayacourse_preemptions")
-        self.strikes = meter.create_counter("papayacourse_strikes")
-        self.quarantines = meter.create_counter("papayacourse_quarantines")
-        self.platform_calls = meter.create_counter("papayacourse_platform_calls")
-        self.violations = meter.create_counter("papayacourse_invariant_violations")
+        self.meter = self.provider.get_meter("papayacourse")
+        self.first_token = self._histogram("papayacourse_time_to_first_token", "s")
+        self.between_tokens = self._histogram("papayacourse_time_between_tokens", "s")
+        self.stall = self._histogram("papayacourse_stall_time", "s")
+        self.queue_wait = self._histogram("papayacourse_queue_wait", "s")
+        self.request_time = self._histogram("papayacourse_request_time", "s")
+        self.first_event = self._histogram("papayacourse_time_to_first_event", "s")
+        self.output_length = self._histogram("papayacourse_output_length", "{token}")
+        self.requests = self._counter("papayacourse_requests")
+        self.refusals = self._counter("papayacourse_refusals")
+        self.retries = self._counter("papayacourse_retries")
+        self.resumes = self._counter("papayacourse_resumes")
+        self.preemptions = self._counter("papayacourse_preemptions")
+        self.strikes = self._counter("papayacourse_strikes")
+        self.quarantines = self._counter("papayacourse_quarantines")
+        self.platform_calls = self._counter("papayacourse_platform_calls")
+        self.violations = self._counter("papayacourse_invariant_violations")
+
+    def _counter(self, name: str) -> Counter:
+        return Counter(self.meter.create_counter(name))
+
+    def _histogram(self, name: str, unit: str) -> Histogram:
+        return Histogram(self.meter.create_histogram(name, unit))
 
     def watch(self, name: str, unit: str, read: Callable[[], float]) -> None:
         """Register a gauge whose value is read at each export."""
@@ -69,7 +127,7 @@
         """Register a counter whose totals and attributes are read at each export."""
 
         def observe(_options) -> list[Observation]:
-            return [Observation(value, attributes) for value, attributes in read()]
+            return [Observation(value, labelled(attributes)) for value, attributes in read()]
 
         self.meter.create_observable_counter(name, [observe], unit)
 
