--- a/papayacourse/metrics.py
+++ b/papayacourse/metrics.py
@@ -12,6 +12,8 @@
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import REGISTRY, generate_latest
 
+from papayacourse.printable import printable
+
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 SECONDS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.044, 0.1, 0.2, 0.5, 1.0, 1.5, 3.0, 10.0, 30.0, 100.0)
 MAX_LABEL_CHARACTERS = 100  # beyond which a label is cut
@@ -33,16 +35,6 @@
     return shown if len(shown) <= MAX_LABEL_CHARACTERS else shown[:MAX_LABEL_CHARACTERS] + CUT
 
 
-def printable(text: str) -> str:
-    """Return a text with its control characters and halves of surrogate pairs escaped."""
-    if text.isprintable():
-        return text
-    return "".join(
-        character if character.isprintable() else character.encode("unicode_escape").decode()
-        for character in text
-    )
-
-
 def labelled(attributes: Mapping[str, object]) -> dict[str, str]:
     """Return attributes whose values the page can show."""
     return {name: label(value) for name, value in attributes.items()}
