--- a/papayacourse/cmdline.py
+++ b/papayacourse/cmdline.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import fire
+from fire.decorators import SetParseFns
 from returns.result import Failure, Result, Success
 
 from papayacourse import control
@@ -67,6 +68,7 @@
         """
         return show(daemon, key, json, STATUS, status_lines)
 
+    @SetParseFns(request=str)
     def explain(self, request: str) -> Invocation:
         """Tell what became of a request, from logs on standard input.
 
--- a/tests/features/steps/explain_steps.py
+++ b/tests/features/steps/explain_steps.py
@@ -1,8 +1,11 @@
 """Steps about the command that tells what became of a request."""
 
 import json
+import subprocess
+import sys
+from pathlib import Path
 
-from behave import given, then
+from behave import given, then, when
 from hypothesis import HealthCheck, settings
 from hypothesis import given as random_given
 from hypothesis import strategies as st
@@ -10,6 +13,7 @@
 from papayacourse import logline
 from papayacourse.explain import explain_request
 
+ROOT = Path(__file__).parents[3]
 REQUEST = 'id-"\\é/\u2028漢'
 TIMES = [
     "x", None, [1], {}, True, 10**400, -(10**400), "1.5", "nan", "-inf", 1.5, -1, "\ud800",
@@ -72,3 +76,18 @@
     run = settings(max_examples=count, deadline=None, database=None, derandomize=True,
                    suppress_health_check=list(HealthCheck))  # fmt: skip
     run(random_given(st.lists(records, max_size=4))(check))()
+
+
+@when('the program is called to explain "{request}" from a log that names it')
+def explain_by_program(context, request):
+    log = json.dumps({"request": request, "timestamp": 1.0, "message_type": "request ended"})
+    context.done = subprocess.run(
+        [sys.executable, "-m", "papayacourse", "explain", request], input=log, text=True,
+        capture_output=True, check=False, timeout=30, cwd=ROOT,
+    )  # fmt: skip
+
+
+@then("it tells one line")
+def tells_one_line(context):
+    done = context.done
+    assert done.returncode == 0 and len(done.stdout.splitlines()) == 1, done
