Refuse a malformed frame alone instead of its link

Callers saw, for one frame that this build cannot read: every call on that link between two daemons failed (grants, permits, relayed requests: 'the link was lost'), and the link was opened anew.

Cause: the reader of a link ended at the first MalformedMessage. Websockets delimit messages, so that the next frame can be read whatever the one before was.

Change: the frame is logged as 'message refused' with its call number, and its own call ends at once: a call that cannot be read is answered CallFailed, since it was not carried out, and a call whose answer cannot be read fails as PeerTimeout, since what came of it is not known. The same holds for text frames and for messages that have no handler, which a later build may send.

--- a/papayacourse/exceptions.py
+++ b/papayacourse/exceptions.py
@@ -92,7 +92,17 @@
 
 
 class MalformedMessage(PeerError):
-    """A frame from another daemon is not a message of this protocol version."""
+    """A frame from another daemon is not a message of this protocol version.
+
+    Parameters
+    ----------
+    call : int
+        The call number that the frame has, negative for an answer; 0 if it has none.
+    """
+
+    def __init__(self, why: str, call: int = 0):
+        super().__init__(why)
+        self.call = call
 
 
 class BackendError(PapayacourseError):
--- a/papayacourse/link.py
+++ b/papayacourse/link.py
@@ -87,6 +87,11 @@
 
     def fail_calls(self) -> None:
         """Fail every call that awaits an answer on this link."""
-        for answer in self.calls.values():
-            if not answer.done():
-                answer.set_exception(PeerTimeout(f"the link to {self.peer.name} was lost"))
+        for number in self.calls:
+            self.fail_call(number, f"the link to {self.peer.name} was lost")
+
+    def fail_call(self, number: int, why: str) -> None:
+        """Fail a call if it awaits an answer on this link."""
+        answer = self.calls.get(number)
+        if answer is not None and not answer.done():
+            answer.set_exception(PeerTimeout(why))
--- a/papayacourse/peers.py
+++ b/papayacourse/peers.py
@@ -158,8 +158,6 @@
         writer = asyncio.create_task(link.write())
         try:
             await self._read(link)
-        except MalformedMessage as error:
-            logs.error("link closed", peer=peer.name, why=str(error))
         except ConnectionClosed as error:
             self._log_closed(peer, error)
         finally:
@@ -228,25 +226,40 @@
                 del self.backoffs[address]
 
     async def _read(self, link: Link) -> None:
+        """Take frames until the connection closes; one that is malformed harms no other."""
         while True:
-            data = await read_binary(link.connection)
-            link.last_heard = time.monotonic()
-            frame = decode(data)
-            self.traffic.record_received(frame.message, len(data), link.link_class)
-            self.on_frame(link.peer)
-            if frame.is_answer:
-                waiting = link.calls.get(frame.call)
-                # Drop a late answer whose call has already ended.
-                if waiting is not None and not waiting.done():
-                    waiting.set_result(frame.message)
-                continue
-            if type(frame.message) not in self.handlers:
-                raise MalformedMessage(f"unexpected {type(frame.message).__name__}")
+            try:
+                data = await read_binary(link.connection)
+                link.last_heard = time.monotonic()
+                self._take(link, decode(data), len(data))
+            except MalformedMessage as error:
+                self._refuse(link, error)
+
+    def _take(self, link: Link, frame: Frame, size: int) -> None:
+        self.traffic.record_received(frame.message, size, link.link_class)
+        self.on_frame(link.peer)
+        if frame.is_answer:
+            waiting = link.calls.get(frame.call)
+            # Drop a late answer whose call has already ended.
+            if waiting is not None and not waiting.done():
+                waiting.set_result(frame.message)
+        elif type(frame.message) in self.handlers:
             self._handle(link, frame)
+        else:
+            raise MalformedMessage(f"unexpected {type(frame.message).__name__}", frame.call)
+
+    def _refuse(self, link: Link, error: MalformedMessage) -> None:
+        """End the call that a malformed frame belongs to."""
+        logs.error("message refused", peer=link.peer.name, why=str(error), call=error.call)
+        if error.call < 0:
+            # The peer has received the call, and what came of it is not known.
+            link.fail_call(-error.call, f"{link.peer.name} sent a malformed answer")
+        else:
+            self._reply(link, error.call, CallFailed(str(error)))
 
     def _handle(self, link: Link, frame: Frame) -> None:
         if len(link.answering) >= MAX_CALLS_IN_PROGRESS:
-            self._reply(link, frame, CallFailed("too many calls in progress"))
+            self._reply(link, frame.call, CallFailed("too many calls in progress"))
             return
         task = asyncio.create_task(self._answer(link, frame))
         link.answering.add(task)
@@ -259,13 +272,13 @@
         except Exception as error:
             logs.error("message failed", peer=link.peer.name, why=repr(error))
             answer = CallFailed(type(error).__name__)
-        self._reply(link, frame, answer or Done())
+        self._reply(link, frame.call, answer or Done())
 
-    def _reply(self, link: Link, frame: Frame, answer: Message) -> None:
-        if not frame.call:
+    def _reply(self, link: Link, call: int, answer: Message) -> None:
+        if not call:
             return
         try:
-            link.send(Frame(frame.call, True, answer))
+            link.send(Frame(call, True, answer))
         except PeerUnreachable as error:
             logs.warning("answer dropped", peer=link.peer.name, why=str(error))
 
--- a/papayacourse/wire.py
+++ b/papayacourse/wire.py
@@ -22,6 +22,7 @@
 CLASSES = Message.__args__
 KINDS = {cls: kind for kind, cls in enumerate(CLASSES)}
 READERS = [reader(cls) for cls in CLASSES]
+read_text = reader(str)
 converter = make_converter(unstruct_strat=UnstructureStrategy.AS_TUPLE)
 
 
@@ -59,19 +60,19 @@
     Raises
     ------
     MalformedMessage
-        If the data is not a frame of this protocol version with a known message.
+        If the data is not a frame of this protocol version with a known message. It has the
+        frame's call number, so that the call need not wait for its timeout.
     """
+    call = 0
     try:
-        version, kind, call, body, *rest = cbor2.loads(data)
+        version, kind, number, body, *rest = cbor2.loads(data)
         if type(version) is not int or version != PROTOCOL_VERSION:
-            raise MalformedMessage(f"the frame is not of protocol version {PROTOCOL_VERSION}")
-        request = rest[0] if rest else ""
-        if (type(kind), type(call), type(request)) != (int, int, str) or len(rest) > 1:
-            raise MalformedMessage("the frame's kind, call number or request has a wrong type")
-        read_integer(call)
-        if not 0 <= kind < len(CLASSES):
-            raise MalformedMessage("no message has this kind")
+            raise ValueError(f"the frame is not of protocol version {PROTOCOL_VERSION}")
+        call = read_integer(number)
+        request = read_text(rest[0] if rest else "")
+        if type(kind) is not int or not 0 <= kind < len(CLASSES):
+            raise ValueError("no message has this kind")
         message = READERS[kind](body)
     except (cbor2.CBORDecodeError, TypeError, ValueError) as error:
-        raise MalformedMessage(f"not a message: {str(error)[:MAX_REASON]}") from error
+        raise MalformedMessage(f"not a message: {str(error)[:MAX_REASON]}", call) from error
     return Frame(abs(call), call < 0, message, request)
--- a/tests/features/steps/wirefuzz_steps.py
+++ b/tests/features/steps/wirefuzz_steps.py
@@ -1,25 +1,36 @@
 """Steps about frames of any content."""
 
+import asyncio
 import datetime
 import enum
 import math
 import random
+import time
 import types
 import typing
+from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
 
 import attrs
 import cbor2
-from behave import then
-from hypothesis import HealthCheck, given, settings
+import eliot
+from attrs import define, field
+from behave import given, then, when
+from hypothesis import HealthCheck, settings
+from hypothesis import given as given_values
 from hypothesis import strategies as st
 from tornado.httputil import HTTPHeaders
 
-from papayacourse.exceptions import MalformedMessage
-from papayacourse.types import UnboundedSeconds
-from papayacourse.wire import decode, encode
+from papayacourse.exceptions import MalformedMessage, PeerError, PeerTimeout
+from papayacourse.link import Link
+from papayacourse.meshmessages import Beat, CallFailed, Hello, HostsAsk, HostsUpdate, Proof
+from papayacourse.peers import Peers
+from papayacourse.types import Address, UnboundedSeconds
+from papayacourse.wire import KINDS, PROTOCOL_VERSION, Frame, decode, encode
+from tests.routedfleet import MESH_KEY
 from tests.wiresamples import frames
 
 MAX_REASON = 300  # characters
+CALL_TIMEOUT = 3.0  # seconds
 SAMPLES = [bytes.fromhex(each["frame"]) for each in frames()]
 ODD_VALUES = [
     None, True, -1, 1.5, 2**63, 2**64, -(2**70), 2**4000, math.nan, math.inf, -math.inf, "", "7",
@@ -69,7 +80,7 @@
     """Check random values, the same each time."""
     run = settings(max_examples=count, deadline=None, database=None, derandomize=True,
                    suppress_health_check=list(HealthCheck))  # fmt: skip
-    run(given(strategy)(check))()
+    run(given_values(strategy)(check))()
 
 
 def is_sound(value, kind) -> bool:
@@ -119,3 +130,150 @@
 @then("{count:d} altered frames are refused or decoded into values of their fields' types")
 def altered(_context, count):
     check_random(count, altered_frames(), check_frame)
+
+
+@define(eq=False)
+class Pair:
+    """Two daemons that have a link, and the log lines of both.
+
+    Attributes
+    ----------
+    gate : asyncio.Event
+        Set when the calls that wait for it are to be answered.
+    """
+
+    ends: dict[str, Peers] = field(factory=dict)
+    gate: asyncio.Event = field(factory=asyncio.Event)
+    lines: list[dict] = field(factory=list)
+
+    async def answer(self, _peer: Hello, message: HostsAsk) -> HostsUpdate:
+        """Answer a call when the gate is open."""
+        await self.gate.wait()
+        return HostsUpdate(message.version, ())
+
+    @asynccontextmanager
+    async def linked(self):
+        """Run both daemons."""
+        handlers = {HostsAsk: self.answer, Beat: ignore}
+        with capture_logging(self.lines):
+            async with AsyncExitStack() as stack:
+                for name in ("a", "b"):
+                    hello = Hello(name, 1, "lagos-1", "lagos", "", b"")
+                    peers = self.ends[name] = Peers(hello, MESH_KEY, dict(handlers))
+                    address = await stack.enter_async_context(
+                        peers.listening(Address("127.0.0.1", 0))
+                    )
+                linked = asyncio.Event()
+                self.ends["b"].on_connected = lambda _hello: linked.set()
+                await self.ends["a"].dial(address)
+                await linked.wait()
+                yield self
+
+    def link(self, sender: str, receiver: str) -> Link:
+        """Return a daemon's link."""
+        return self.ends[sender].links[receiver]
+
+    def call(self, sender: str, receiver: str, message) -> asyncio.Task:
+        """Start a call."""
+        return asyncio.ensure_future(self.ends[sender].call(receiver, message, CALL_TIMEOUT))
+
+    def logged(self, kind: str) -> list[dict]:
+        """Return the log lines of a kind."""
+        return [line for line in self.lines if line.get("message_type") == kind]
+
+
+async def ignore(_peer, _message) -> None:
+    """Answer at once."""
+
+
+@contextmanager
+def capture_logging(lines):
+    """Collect log lines."""
+    eliot.add_destinations(lines.append)
+    try:
+        yield
+    finally:
+        eliot.remove_destination(lines.append)
+
+
+async def outcome(call):
+    """Return the answer of a call, or its error."""
+    try:
+        return await asyncio.wait_for(call, CALL_TIMEOUT + 1)
+    except PeerError as error:
+        return error
+
+
+ODD_FRAMES = {
+    "text": "a text frame",
+    "noise": b"\x00\x81\xfe" * 30,
+    "empty": b"",
+    "nested deeply": b"\x81" * 100000,
+    "of another version": cbor2.dumps([99, 3, 0, [], ""]),
+    "of an unknown kind": cbor2.dumps([PROTOCOL_VERSION, 9999, 0, []]),
+    "of an unexpected kind": encode(Frame(0, False, Proof(b""))),
+    "of a wrong type": cbor2.dumps([PROTOCOL_VERSION, KINDS[HostsAsk], 5, [math.inf]]),
+}
+
+
+@given("two linked daemons")
+def two_linked(context):
+    context.pair = Pair()
+
+
+@when("a frame that is {content} is sent to each while calls are in progress")
+def odd_frame(context, content):
+    async def run(pair):
+        async with pair.linked():
+            links = [pair.link("a", "b"), pair.link("b", "a")]
+            calls = [pair.call(*ends, HostsAsk(n)) for n in range(3) for ends in ("ab", "ba")]
+            await asyncio.sleep(0.05)
+            for link in links:
+                await link.connection.send(ODD_FRAMES[content])
+            await asyncio.sleep(0.05)
+            pair.gate.set()
+            context.outcomes = [await outcome(call) for call in calls]
+            context.same = links == [pair.link("a", "b"), pair.link("b", "a")]
+
+    asyncio.run(run(context.pair))
+
+
+@then("the other calls are answered on the same link")
+def others_answered(context):
+    assert all(isinstance(each, HostsUpdate) for each in context.outcomes), context.outcomes
+    assert context.same
+
+
+@then('the daemon that got it has logged "{kind}"')
+def refusal_logged(context, kind):
+    assert len(context.pair.logged(kind)) == 2, context.pair.lines
+
+
+@when("a call of one is malformed, and the answer to another of its calls")
+def malformed_calls(context):
+    async def run(pair):
+        async with pair.linked():
+            link = pair.link("a", "b")
+            began = time.monotonic()
+            call, asked = (
+                asyncio.get_running_loop().create_future(),
+                pair.call("a", "b", HostsAsk(1)),
+            )
+            link.calls[77] = call
+            await link.connection.send(cbor2.dumps([PROTOCOL_VERSION, KINDS[HostsAsk], 77, [None]]))
+            await asyncio.sleep(0.05)
+            number = next(n for n in link.calls if n != 77)
+            answer = cbor2.dumps([PROTOCOL_VERSION, KINDS[HostsUpdate], -number, ["x"]])
+            await pair.link("b", "a").connection.send(answer)
+            context.outcomes = [await outcome(call), await outcome(asked)]
+            context.seconds = time.monotonic() - began
+
+    asyncio.run(run(context.pair))
+
+
+@then("the first fails as not carried out, and the second as not known")
+def calls_ended(context):
+    first, second = context.outcomes
+    assert isinstance(first, CallFailed), first
+    assert isinstance(second, PeerTimeout), second
+    assert context.seconds < CALL_TIMEOUT / 2, context.seconds
--- a/tests/features/wire_fuzz.feature
+++ b/tests/features/wire_fuzz.feature
@@ -5,3 +5,27 @@
   Scenario: Whatever bytes a frame consists of, it is refused or it is a sound message
     Then 1000 random frames are refused or decoded into values of their fields' types
     And 1000 altered frames are refused or decoded into values of their fields' types
+
+  # Guards against one malformed frame that ends a link, and with it the answers of all other calls
+  # on it.
+  Scenario Outline: A frame that is <content> costs no other call its answer
+    Given two linked daemons
+    When a frame that is <content> is sent to each while calls are in progress
+    Then the other calls are answered on the same link
+    And the daemon that got it has logged "message refused"
+
+    Examples:
+      | content                |
+      | text                   |
+      | noise                  |
+      | empty                  |
+      | nested deeply          |
+      | of another version     |
+      | of an unknown kind     |
+      | of an unexpected kind  |
+      | of a wrong type        |
+
+  Scenario: A malformed frame ends its own call at once
+    Given two linked daemons
+    When a call of one is malformed, and the answer to another of its calls
+    Then the first fails as not carried out, and the second as not known
