Fail a message that cannot be encoded alone, and at once

Callers saw, for one text in a message that no encoder takes: an error of the encoder where only errors of peers are expected, which ends the loop that sends; for an answer, silence until the call's timeout; for a message longer than a frame, that the receiver closed the link and every call on it failed.

Cause: encode let UnicodeEncodeError and CBOREncodeError pass, and nothing compared the length with what the other side reads.

Change: encode raises MessageNotSendable, a PeerUnreachable, since the peer has not received it. An answer of this kind is replaced by CallFailed, and a message to many is logged and left out. A scheduler is not suspected because a request to it cannot be sent.

--- a/papayacourse/exceptions.py
+++ b/papayacourse/exceptions.py
@@ -91,6 +91,10 @@
     """The other daemon may have received the call, but did not answer in time."""
 
 
+class MessageNotSendable(PeerUnreachable):
+    """A message cannot be encoded or is too long for a frame; it has not been sent."""
+
+
 class MalformedMessage(PeerError):
     """A frame from another daemon is not a message of this protocol version.
 
--- a/papayacourse/peers.py
+++ b/papayacourse/peers.py
@@ -15,7 +15,12 @@
 from papayacourse import logs
 from papayacourse.backoff import Backoff
 from papayacourse.connections import CONNECTION_OPTIONS, open_connection
-from papayacourse.exceptions import MalformedMessage, PeerError, PeerUnreachable
+from papayacourse.exceptions import (
+    MalformedMessage,
+    MessageNotSendable,
+    PeerError,
+    PeerUnreachable,
+)
 from papayacourse.handshake import perform_handshake, read_binary
 from papayacourse.link import Link
 from papayacourse.linkclasses import Place
@@ -279,6 +284,9 @@
             return
         try:
             link.send(Frame(call, True, answer))
+        except MessageNotSendable as error:
+            logs.error("answer not sendable", peer=link.peer.name, why=str(error))
+            self._reply(link, call, CallFailed(str(error)))
         except PeerUnreachable as error:
             logs.warning("answer dropped", peer=link.peer.name, why=str(error))
 
@@ -362,7 +370,11 @@
     def send_to_linked(self, names: Iterable[str], message: Message) -> None:
         """Send a message to each named peer with an open link, encoding it only once."""
         frame = Frame(0, False, message, logs.request())
-        data = encode(frame)
+        try:
+            data = encode(frame)
+        except MessageNotSendable as error:
+            logs.error("message not sendable", why=str(error))
+            return
         for name in names:
             link = self.links.get(name)
             if link is None:
--- a/papayacourse/placement.py
+++ b/papayacourse/placement.py
@@ -13,7 +13,7 @@
 from papayacourse.cellmap import CellMap
 from papayacourse.cells import Cell, Layout, first_cells
 from papayacourse.crossdomainjoins import CROSS_DOMAIN_JOIN_TIMEOUT, CrossDomainJoins
-from papayacourse.exceptions import PeerError, RequestRefused
+from papayacourse.exceptions import MessageNotSendable, PeerError, RequestRefused
 from papayacourse.joins import key_reused
 from papayacourse.membership import Membership
 from papayacourse.meshmessages import Hello
@@ -280,6 +280,9 @@
                 break
             try:
                 answer = await self.peers.call(owner, request, ACK_TIMEOUT)
+            except MessageNotSendable as error:
+                logs.error("request not sendable", daemon=owner, why=str(error))
+                break
             except PeerError as error:
                 logs.warning("no answer from scheduler", daemon=owner, why=str(error))
                 self.membership.suspect(owner)
--- a/papayacourse/wire.py
+++ b/papayacourse/wire.py
@@ -11,7 +11,7 @@
 from cattrs import UnstructureStrategy
 from cattrs.preconf.cbor2 import make_converter
 
-from papayacourse.exceptions import MalformedMessage
+from papayacourse.exceptions import MalformedMessage, MessageNotSendable
 from papayacourse.messages import Message
 from papayacourse.wirevalues import read_integer, reader
 
@@ -47,11 +47,24 @@
 
 
 def encode(frame: Frame) -> bytes:
-    """Encode a frame as CBOR; an answer carries its call number negated."""
-    body = converter.unstructure(frame.message)
-    call = -frame.call if frame.is_answer else frame.call
-    parts = [PROTOCOL_VERSION, KINDS[type(frame.message)], call, body]
-    return cbor2.dumps([*parts, frame.request] if frame.request else parts)
+    """Encode a frame as CBOR; an answer carries its call number negated.
+
+    Raises
+    ------
+    MessageNotSendable
+        If the message has a value that cannot be encoded, or is too long.
+    """
+    name = type(frame.message).__name__
+    try:
+        body = converter.unstructure(frame.message)
+        call = -frame.call if frame.is_answer else frame.call
+        parts = [PROTOCOL_VERSION, KINDS[type(frame.message)], call, body]
+        data = cbor2.dumps([*parts, frame.request] if frame.request else parts)
+    except (cbor2.CBOREncodeError, TypeError, ValueError) as error:
+        raise MessageNotSendable(f"{name} cannot be encoded: {str(error)[:MAX_REASON]}") from error
+    if len(data) > MAX_FRAME_BYTES:
+        raise MessageNotSendable(f"{name} of {len(data)} bytes is too long")
+    return data
 
 
 def decode(data: bytes) -> Frame:
--- a/tests/features/steps/wirefuzz_steps.py
+++ b/tests/features/steps/wirefuzz_steps.py
@@ -24,8 +24,9 @@
 from papayacourse.link import Link
 from papayacourse.meshmessages import Beat, CallFailed, Hello, HostsAsk, HostsUpdate, Proof
 from papayacourse.peers import Peers
+from papayacourse.schedulingmessages import EnginesAsk, EnginesOutOfLine
 from papayacourse.types import Address, UnboundedSeconds
-from papayacourse.wire import KINDS, PROTOCOL_VERSION, Frame, decode, encode
+from papayacourse.wire import KINDS, MAX_FRAME_BYTES, PROTOCOL_VERSION, Frame, decode, encode
 from tests.routedfleet import MESH_KEY
 from tests.wiresamples import frames
 
@@ -277,3 +278,43 @@
     assert isinstance(first, CallFailed), first
     assert isinstance(second, PeerTimeout), second
     assert context.seconds < CALL_TIMEOUT / 2, context.seconds
+
+
+NOT_SENDABLE = {
+    "half a character": "\ud800",
+    "too long for a frame": "x" * (MAX_FRAME_BYTES + 1),
+    "of a wrong type": object(),
+}
+
+
+@when("a call and an answer that are {content} are sent while calls are in progress")
+def not_sendable(context, content):
+    refused = EnginesOutOfLine((NOT_SENDABLE[content],))
+
+    async def run(pair):
+        async def answer(_peer, _message) -> EnginesOutOfLine:
+            return refused
+
+        async with pair.linked():
+            pair.ends["b"].handlers[EnginesAsk] = answer
+            links = [pair.link("a", "b"), pair.link("b", "a")]
+            calls = [pair.call(*ends, HostsAsk(n)) for n in range(3) for ends in ("ab", "ba")]
+            began = time.monotonic()
+            unsent = [pair.call("a", "b", refused), pair.call("a", "b", EnginesAsk())]
+            context.unsent = [await outcome(call) for call in unsent]
+            context.seconds = time.monotonic() - began
+            pair.ends["a"].send_to_linked(["b"], refused)
+            pair.gate.set()
+            context.outcomes = [await outcome(call) for call in calls]
+            context.same = links == [pair.link("a", "b"), pair.link("b", "a")]
+
+    asyncio.run(run(context.pair))
+
+
+@then("both fail at once and are logged or told to the caller")
+def both_failed(context):
+    assert all(type(error).__module__ == PeerError.__module__ for error in context.unsent)
+    assert not any(isinstance(error, PeerTimeout) for error in context.unsent), context.unsent
+    assert context.seconds < CALL_TIMEOUT / 2, context.seconds
+    assert len(context.pair.logged("answer not sendable")) == 1, context.pair.lines
+    assert len(context.pair.logged("message not sendable")) == 1, context.pair.lines
--- a/tests/features/wire_fuzz.feature
+++ b/tests/features/wire_fuzz.feature
@@ -29,3 +29,16 @@
     Given two linked daemons
     When a call of one is malformed, and the answer to another of its calls
     Then the first fails as not carried out, and the second as not known
+
+  # Guards against a message that cannot be sent, which ended the link or the task that sent it.
+  Scenario Outline: A message that is <content> fails its own call, and at once
+    Given two linked daemons
+    When a call and an answer that are <content> are sent while calls are in progress
+    Then both fail at once and are logged or told to the caller
+    And the other calls are answered on the same link
+
+    Examples:
+      | content                 |
+      | half a character        |
+      | too long for a frame    |
+      | of a wrong type         |
