--- a/papayacourse/routed/admitted.py
+++ b/papayacourse/routed/admitted.py
@@ -87,6 +87,10 @@
     account = document.by_key.get(call.key) if call.key else None
     if account is None and document.needs_accounts and not route.anonymous:
         raise RequestRefused(401, "bad_key", "the account key is not known")
+    if account is not None and not account.can_be_sent:
+        raise RequestRefused(
+            503, "account_name", f"the account's name {account.name!r} cannot be sent in a header"
+        )
     timeout = (
         route.timeout if call.caller_timeout is None else min(call.caller_timeout, route.timeout)
     )
--- a/papayacourse/routed/document.py
+++ b/papayacourse/routed/document.py
@@ -104,11 +104,18 @@
 
 @frozen
 class Account:
-    """A client account; its rank, if set, overrides that of the route."""
+    """A client account; its rank, if set, overrides that of the route.
+
+    Attributes
+    ----------
+    can_be_sent : bool
+        Whether its name can be sent to backend servers exactly as it is.
+    """
 
     name: str
     keys: tuple[str, ...]
     rank: int | None = None
+    can_be_sent: bool = True
 
 
 @frozen
--- a/papayacourse/routed/documents.py
+++ b/papayacourse/routed/documents.py
@@ -14,6 +14,8 @@
 
 ASK_TIMEOUT = 1.0  # seconds
 MAX_SOURCE_BYTES = 8 * 1024 * 1024
+MAX_LOGGED_NAMES = 20
+MAX_LOGGED_NAME = 100  # characters
 
 
 @define(eq=False)
@@ -71,6 +73,7 @@
             "document in force", version=document.version, before=before, source=source,
             routes=len(document.routes), accounts=len(document.accounts),
         )  # fmt: skip
+        log_refused_accounts(document)
         return True
 
     def apply_source(self, source: bytes, origin: str) -> None:
@@ -121,6 +124,17 @@
             logs.error("document not readable", source=f"peer {name}", why=str(error))
 
 
+def log_refused_accounts(document: Document) -> None:
+    """Log which accounts get no answers because their names cannot be sent."""
+    names = [account.name for account in document.accounts if not account.can_be_sent]
+    if names:
+        logs.warning(
+            "accounts refused", version=document.version, count=len(names),
+            names=[name[:MAX_LOGGED_NAME] for name in names[:MAX_LOGGED_NAMES]],
+            why="their names cannot be sent in a header",
+        )  # fmt: skip
+
+
 def decompress(packed: bytes) -> bytes:
     """Decompress a document; raises zlib.error if the data is malformed."""
     unpacker = zlib.decompressobj()
