--- a/papayacourse/routed/document.py
+++ b/papayacourse/routed/document.py
@@ -110,12 +110,15 @@
     ----------
     can_be_sent : bool
         Whether its name can be sent to backend servers exactly as it is.
+    unusable_keys : int
+        How many further keys it has that no caller can send.
     """
 
     name: str
     keys: tuple[str, ...]
     rank: int | None = None
     can_be_sent: bool = True
+    unusable_keys: int = 0
 
 
 @frozen
--- a/papayacourse/routed/documents.py
+++ b/papayacourse/routed/documents.py
@@ -74,6 +74,7 @@
             routes=len(document.routes), accounts=len(document.accounts),
         )  # fmt: skip
         log_refused_accounts(document)
+        log_unusable_keys(document)
         return True
 
     def apply_source(self, source: bytes, origin: str) -> None:
@@ -135,6 +136,17 @@
         )  # fmt: skip
 
 
+def log_unusable_keys(document: Document) -> None:
+    """Log which accounts have keys that no caller can send."""
+    accounts = [account for account in document.accounts if account.unusable_keys]
+    for account in accounts[:MAX_LOGGED_NAMES]:
+        logs.warning(
+            "account keys not usable", version=document.version,
+            account=account.name[:MAX_LOGGED_NAME], count=account.unusable_keys,
+            why="no header can carry them",
+        )  # fmt: skip
+
+
 def decompress(packed: bytes) -> bytes:
     """Decompress a document; raises zlib.error if the data is malformed."""
     unpacker = zlib.decompressobj()
--- a/tests/features/routed_accounts.feature
+++ b/tests/features/routed_accounts.feature
@@ -40,3 +40,26 @@
     And the log of "a" has a line "request ended" for each refused request, with reason "account_name"
     And the log of "a" names the accounts that are refused
     And GET "/view/1" through "a" is answered 200 by "desk-1"
+
+  # Guards against a caller who is let in by the escape of a key that no caller can send, and one
+  # who is refused with a key that is not ASCII.
+  Scenario: Only the keys of accounts open their routes, and each key that can be sent does
+    Given a platform store with document 5
+    And an engine "desk-1" of "desk" in "lagos"
+    And a routed daemon "a" in "lagos"
+    When the operator adds an account "guests" with the keys
+      | key                    |
+      | "half-\ud800"          |
+      | "\u043a\u043b\u044e\u0447" |
+      | "caf\u00e9"            |
+      | "plain-key"            |
+      | " blank "              |
+    Then requests with these bytes as their key are answered so
+      | bytes               | answer |
+      | half-\ud800         | 401    |
+      | ключ                | 200    |
+      | café                | 200    |
+      | plain-key           | 200    |
+      | blank               | 401    |
+      | other               | 401    |
+    And the log of "a" counts 2 keys of "guests" that no header can carry
--- a/tests/features/steps/routedaccounts_steps.py
+++ b/tests/features/steps/routedaccounts_steps.py
@@ -67,3 +67,29 @@
     (line,) = fleet_of(context).lines(name, "accounts refused")
     assert line["version"] == 9 and line["count"] == len(context.refused), line
     assert "\\ud800" in line["names"], line
+
+
+@when('the operator adds an account "{name}" with the keys')
+def add_keys(context, name):
+    changed = document(9)
+    keys = [json.loads(row["key"]) for row in context.table]
+    changed["Tenants"].append({"Name": name, "ApiKeys": keys})
+    fleet_of(context).write({"op/config": changed})
+    wait_until("it is in force", lambda: in_force(context, 9))
+
+
+@then("requests with these bytes as their key are answered so")
+def keys_answered_so(context):
+    routed, found = fleet_of(context), []
+    for row in context.table:
+        # The client writes text in Latin-1.
+        key = row["bytes"].encode().decode("latin-1")
+        answer = routed.ask("a", "GET", "/view/1", Api_Key=key)
+        found.append((row["bytes"], str(answer.status)))
+    assert found == [(row["bytes"], row["answer"]) for row in context.table], found
+
+
+@then('the log of "{name}" counts {count:d} keys of "{account}" that no header can carry')
+def keys_are_counted(context, name, count, account):
+    lines = fleet_of(context).lines(name, "account keys not usable")
+    assert [(line["account"], line["count"]) for line in lines] == [(account, count)], lines
