Ask for the owner of the planner's duty instead of any open scheduler

A daemon that scheduled before the duty's owner was known keeps its scheduler open for 30 s, and the step took each open one for an owner.

The step now waits until all daemons agree on who is live, takes the first in rank for the duty, and checks that its scheduler is open and that no other daemon's holds a queued request or a stream. That is as strict: two that schedule at once still fail, and so does an owner that does not schedule, which the former step did not notice if another one did. The wait for agreement comes before the first plan, too.

Evidence: a new scenario opens the scheduler of c before a, the owner, exists.

--- a/tests/features/partitions.feature
+++ b/tests/features/partitions.feature
@@ -44,6 +44,18 @@
     And all 90 plans are whole
     And no engine held more than 1.5 times its memory or preempted
 
+  # Guards against a check, or a former owner, that takes a scheduler left open for the owner's.
+  Scenario: A scheduler is replaced though one that owned the duty before is still open
+    Given 2 engines "planner" in domain "lagos-1" of region "lagos"
+    And daemons "c" in domain "lagos-1" of region "lagos"
+    Then 1 plans are whole through each of "c"
+    Given daemons "a, b" in domain "lagos-1" of region "lagos"
+    When 90 plans of 300 tokens wait for engines through a daemon that does not schedule
+    And the scheduling daemon is killed
+    Then grants flowed again within 4 seconds
+    And all 90 plans are whole
+    And no engine held more than 1.5 times its memory or preempted
+
   Scenario: Reports lost while links are cut are made good by those that follow
     Given 1 engines "planner" in domain "lagos-1" of region "lagos"
     And daemons "a, b, c" in domain "lagos-1" of region "lagos" behind proxies
--- a/tests/features/steps/stopping_steps.py
+++ b/tests/features/steps/stopping_steps.py
@@ -5,7 +5,9 @@
 import time
 
 from behave import given, then, when
+from leaving_steps import live
 
+from papayacourse.rendezvous import ranked, scheduling_duty
 from standins.fleet import wait_until
 from tests.balancer import Workload, is_ready
 from tests.callers import bearer, caller_of, check_all_whole, start_plans
@@ -13,6 +15,7 @@
 from tests.rawhttp import send
 from tests.steptext import names_in
 
+TEAM = "sound-trust"
 STOP_LIMIT = 90.0  # seconds
 WINDOW_SERVICE = """[/teams/sound-trust/services/planner]
 kind = model
@@ -22,16 +25,28 @@
 """
 
 
-def scheduling(context, daemons):
-    """Return the daemon that schedules the planner."""
+def owner(context, daemons):
+    """Return the daemon that owns the planner's duty, once all daemons agree on who is live."""
+    domain = context.fleet.hosts[daemons[0]]["domain"]
+
+    def agree():
+        return all(live(context, name, domain) == sorted(daemons) for name in daemons)
+
+    wait_until(f"{daemons} agree on who is live", agree)
+    return ranked(scheduling_duty(TEAM, "planner"), daemons)[0]
 
-    def schedules(name):
-        rows = context.fleet.status(name)["schedulers"]
-        return any(row["service"] == "planner" for row in rows)
 
-    found = [name for name in daemons if schedules(name)]
-    assert len(found) == 1, f"{found} schedule the planner"
-    return found[0]
+def scheduling(context, daemons):
+    """Return the daemon that schedules the planner: its owner, and no other.
+
+    Another one's scheduler may be open until it has been idle for long; it must hold nothing.
+    """
+    found = owner(context, daemons)
+    rows = context.fleet.status(found)["schedulers"]
+    assert any(row["service"] == "planner" for row in rows), f"{found} does not schedule: {rows}"
+    holding = [name for name in daemons if name != found and asked(context, name)]
+    assert not holding, f"{holding} schedule beside the owner {found}"
+    return found
 
 
 def running(context):
@@ -106,6 +121,7 @@
 )
 def plans_wait(context, count, length):
     daemons = running(context)
+    owner(context, daemons)
     first = caller_of(context.fleet, daemons[0], "plan [len=20]").start()
     first.join()
     context.scheduler = scheduling(context, daemons)
