Test that engines which have drained stay so when another daemon begins to follow

Cause: a daemon that began to follow applied the daemons' entries before the servers' and published in between: the servers of its own last reading, in which the engine was live, under the number of the new revision.

The scenario lets b read the store, then a follow, then c join, so that b's own last reading differs from the present in its daemons. desk-1 drains, the odd entry stands beside another's, and later a is killed so that b follows here, too.

--- a/tests/features/routed_half_character.feature
+++ b/tests/features/routed_half_character.feature
@@ -28,3 +28,23 @@
       | where       |
       | beside      |
       | in place of |
+
+  # Guards against a daemon that begins to follow and publishes the servers of its last own reading,
+  # by which engines that have drained since are live again.
+  Scenario: An engine that drained before the entry is not sent to when another daemon follows
+    Given a platform store with document 5
+    And an engine "desk-1" of "desk" in "lagos"
+    And an engine "desk-2" of "desk" in "lagos"
+    And an engine "planner-1" of "planner" in "lagos"
+    And routed daemons "b, a" in "lagos"
+    And every daemon has had 3 s to follow the store in place of others
+    And routed daemons "c" in "lagos"
+    Then requests through each of "a, b, c" reach "desk-1"
+    When the engines "desk-1" drain by the store, and document 9 has other routes
+    Then from 2.5 s on "a, b, c" send to no engine that drains, and serve document 9
+    When another writer's entry of half a character as service stands beside that of "desk-2"
+    And every daemon has had 5 s to follow the store in place of others
+    Then from 2.5 s on "a, b, c" send to no engine that drains, and serve document 9
+    When daemon "a" is killed
+    And every daemon has had 5 s to follow the store in place of others
+    Then from 2.5 s on "b, c" send to no engine that drains, and serve document 9
--- a/tests/features/steps/routedhalfcharacter_steps.py
+++ b/tests/features/steps/routedhalfcharacter_steps.py
@@ -43,7 +43,7 @@
     routed.write({KEYS[where].format(engine=engine): entry})
 
 
-@when("every daemon has had {seconds:g} s to follow the store in place of others")
+@step("every daemon has had {seconds:g} s to follow the store in place of others")
 def take_over(_context, seconds):
     time.sleep(seconds)
 
