Refuse a Content-Length that is no number with 400

Callers saw: on the own interface, a request with two different announcements of its length, with two equal ones in one header, or with one that is no number was answered 500 "an error of ours", and the log had 'handler failed' at level error for each. Nobody else was harmed.

Cause: tornado prepares the handler before it reads the body's length, and prepare converted the header with int.

Change: announced_length refuses such a request with 400 bad_length; equal announcements are taken as one.

--- a/papayacourse/web.py
+++ b/papayacourse/web.py
@@ -2,6 +2,7 @@
 
 import json
 import secrets
+import sys
 
 from tornado.ioloop import IOLoop
 from tornado.web import HTTPError, RequestHandler, stream_request_body
@@ -12,6 +13,8 @@
 from papayacourse.settings import ServiceSettings
 from papayacourse.types import HostKind, Ran
 
+MAX_LENGTH_DIGITS = 18  # of a Content-Length; more are beyond any limit
+
 
 @stream_request_body
 class Handler(RequestHandler):
@@ -37,7 +40,7 @@
             raise RequestRefused(431, "header_too_large", limit)
         if self.needs_account:
             self.client()
-        if int(self.request.headers.get("Content-Length", 0)) > config.max_body_bytes:
+        if announced_length(self.request) > config.max_body_bytes:
             raise self.body_too_large_refusal()
         self.body_deadline = IOLoop.current().call_later(config.body_timeout, self.refuse_slow_body)
 
@@ -137,6 +140,18 @@
     return lines + len(request.method) + len(request.uri)
 
 
+def announced_length(request) -> int:
+    """Return the announced size of a body in bytes, or refuse the request if it is not a size.
+
+    Equal announcements may be repeated.
+    """
+    announced = {size.strip() for size in request.headers.get("Content-Length", "0").split(",")}
+    size = announced.pop()
+    if announced or not (size.isascii() and size.isdecimal()):
+        raise RequestRefused(400, "bad_length", "Content-Length is not a number of bytes")
+    return int(size) if len(size) <= MAX_LENGTH_DIGITS else sys.maxsize
+
+
 def refusal_from(error: BaseException | None, status: int) -> RequestRefused:
     """Convert an exception of a handler to a refusal."""
     match error:
