Refuse callers' JSON that cannot be passed on exactly

Callers saw: on the own interface, a prompt with half a surrogate pair was altered on its way to the engine (an escape of six characters instead), a seed of any length was passed to the engine, and a cursor of ours with an offset of up to 4,300 digits was accepted.

Cause: chat parsed bodies with jsontext.parse, which is for text that is only looked up, and nothing bounded the numbers.

Change: chat uses parse_exact, so that such a body is refused with 400 to its caller alone; a seed must fit in 64 bits and an offset has at most 18 digits.

Evidence: callers_json.feature, 800 random bodies, 500 cursors and 500 keys, and named bodies, offsets and lengths.

--- a/papayacourse/chat.py
+++ b/papayacourse/chat.py
@@ -15,6 +15,7 @@
 PREFIX_BYTES = 256  # length difference between successive hashed prefixes
 MAX_PREFIXES = 64
 DEFAULT_MAX_TOKENS = 4096
+MAX_SEED = 2**63
 TEXT_PLACEHOLDER = "\0text\0"  # no model's name contains it
 
 
@@ -47,7 +48,7 @@
 def parse_json(body: bytes) -> dict:
     """Parse a JSON object, or refuse the request."""
     try:
-        raw = jsontext.parse(body)
+        raw = jsontext.parse_exact(body)
     except (ValueError, RecursionError) as error:
         raise bad_request(f"the body is not JSON: {error}") from error
     if not isinstance(raw, dict):
@@ -113,6 +114,9 @@
     max_tokens = get_member(raw, "max_completion_tokens", int, get_member(raw, "max_tokens", int))
     if max_tokens is not None and max_tokens < 1:
         raise bad_request("max_tokens: must be above zero")
+    seed = get_member(raw, "seed", int)
+    if seed is not None and not -MAX_SEED <= seed < MAX_SEED:
+        raise bad_request("seed: must fit in 64 bits")
     options = get_member(raw, "stream_options", dict, {})
     return CompletionRequest(
         chat,
@@ -121,7 +125,7 @@
         max_tokens,
         get_member(raw, "stream", bool, False),
         get_member(options, "include_usage", bool, False),
-        get_member(raw, "seed", int),
+        seed,
     )
 
 
--- a/papayacourse/cursor.py
+++ b/papayacourse/cursor.py
@@ -8,6 +8,7 @@
 from papayacourse.exceptions import RequestRefused
 
 SALT = "papayacourse stream cursor"
+MAX_OFFSET_DIGITS = 18
 
 
 @frozen
@@ -79,7 +80,7 @@
         """
         signed, tilde, offset = text.rpartition("~")
         try:
-            if not tilde or not offset.isdecimal():
+            if not tilde or not offset.isdecimal() or len(offset) > MAX_OFFSET_DIGITS:
                 raise ValueError("no offset")
             cursor = Cursor(*self.serializer.loads(signed), offset=int(offset))
         except (BadSignature, json.JSONDecodeError, TypeError, ValueError) as error:
--- a/tests/features/callers_json.feature
+++ b/tests/features/callers_json.feature
@@ -1,5 +1,18 @@
 Feature: Odd requests are refused to their caller alone
 
+  # Guards against a prompt that is altered on its way, and against values that fail where they are
+  # hashed, sent or logged, long after the request was accepted.
+  Scenario: Any body is refused, or a request that is passed on exactly
+    Then 800 random bodies are refused with 400 or accepted as requests that can be passed on
+    And bodies that cannot be passed on exactly are refused with 400
+
+  # Guards against headers that end in an error of ours.
+  Scenario: Any cursor and any Idempotency-Key is refused or usable
+    Then 500 random cursors are refused with 400
+    And a true cursor with an offset beyond numbers is refused with 400
+    And 500 random keys are refused with 400 or usable
+    And an announced length is a number of bytes or refused with 400
+
   # Guards against an error of ours for an odd request, and against another caller's loss by it.
   Scenario: A stream stays whole beside odd requests, each of which has an answer and a log line
     Given a platform with both teams' settings
--- a/tests/features/steps/callersjson_steps.py
+++ b/tests/features/steps/callersjson_steps.py
@@ -1,21 +1,26 @@
 """Steps about odd requests on the own interface."""
 
 import json
+import sys
 from collections import Counter
 
+from attrs import evolve
 from behave import then, when
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
+from tornado.httputil import HTTPHeaders, HTTPServerRequest
 
 from papayacourse import chat, joins, logline, wire
-from papayacourse.cursor import CursorSigner
+from papayacourse.cursor import Cursor, CursorSigner
 from papayacourse.exceptions import RequestRefused
 from papayacourse.quarantine import fingerprint
 from papayacourse.records import key_time
 from papayacourse.schedulingmessages import GrantRequest
 from papayacourse.types import GenerationRequest
+from papayacourse.web import announced_length
 from standins.fleet import wait_until
 from tests.oddcallers import exchange, odd_requests
+from tests.oddtexts import odd_texts
 
 SEED = 7
 MAX_SEED = 2**64
@@ -31,24 +36,40 @@
     b'{"model":"m","prompt":"x","other":"\\ud800","deep":' + b"[" * 980 + b"]" * 980 + b"}",
 ]
 
-texts = st.text(st.characters(categories=None), max_size=30)
+LENGTHS = {
+    "0": 0, "7": 7, "7,7": 7, "7, 7": 7, "7,8": 400, "": 400, ",": 400, "-1": 400, "+1": 400,
+    "x": 400, "1_0": 400, "\xb2": 400, "\u0663": 400, "1e3": 400, "9" * 5000: sys.maxsize,
+}  # fmt: skip
+
+texts = odd_texts(max_size=30)
 scalars = st.none() | st.booleans() | st.integers() | st.floats() | texts
 values = st.recursive(
     scalars,
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(texts, inner, max_size=3),
     max_leaves=6,
 )
-parts = st.fixed_dictionaries({"text": texts}) | values
-messages = st.fixed_dictionaries({"role": texts, "content": texts | st.lists(parts, max_size=2)})
-limits = st.integers(1, 2**70) | values
-bodies = st.fixed_dictionaries(
-    {"model": texts | values, "prompt": texts, "messages": st.lists(messages, min_size=1)},
-    optional={
-        "max_tokens": limits, "max_completion_tokens": limits, "stream": st.booleans() | values,
-        "seed": st.integers() | values, "n": st.just(1) | values,
-        "stream_options": st.fixed_dictionaries({"include_usage": st.booleans()}) | values,
-    },
-)  # fmt: skip
+
+
+def bodies_of(words, others, numbers):
+    """Return a strategy of bodies of some words, other values and numbers."""
+    parts = st.fixed_dictionaries({"text": words}) | others
+    contents = words | st.lists(parts, max_size=2)
+    messages = st.fixed_dictionaries({"role": words, "content": contents})
+    return st.fixed_dictionaries(
+        {"model": words, "prompt": words, "messages": st.lists(messages, min_size=1, max_size=3)},
+        optional={
+            "max_tokens": numbers, "max_completion_tokens": numbers, "seed": numbers,
+            "stream": st.booleans() | others, "n": st.just(1) | others, "other": others,
+            "stream_options": st.fixed_dictionaries({"include_usage": st.booleans()}) | others,
+        },
+    )  # fmt: skip
+
+
+bodies = st.one_of(
+    bodies_of(st.text(max_size=30), st.none(), st.integers(1, 2**62)),
+    bodies_of(texts, st.none(), st.integers(1, 2**62)),
+    bodies_of(st.text(max_size=30) | values, values, st.integers() | values),
+)
 raw_bodies = st.one_of(
     bodies.map(json.dumps).map(str.encode),
     bodies.map(lambda body: json.dumps(body, ensure_ascii=False).encode(errors="surrogatepass")),
@@ -58,6 +79,14 @@
 header_texts = st.text(st.characters(max_codepoint=255), max_size=300)
 
 
+def status_of(work):
+    """Return what some work returns, or the status with which it refuses the request."""
+    try:
+        return work()
+    except RequestRefused as refused:
+        return refused.status
+
+
 def check_random(strategy, count, check):
     """Check random inputs, the same each time."""
     run = settings(max_examples=count, deadline=None, database=None, derandomize=True,
@@ -142,6 +171,23 @@
     check_random(header_texts | st.uuids().map(str), count, check)
 
 
+@then("a true cursor with an offset beyond numbers is refused with 400")
+def huge_offset_is_refused(context):
+    signer = CursorSigner("key")
+    cursor = Cursor("t/a", "s", "x", "e", "127.0.0.1:1", 1, 1, 1, "r", False, False, "")
+    signed = signer.prefix(cursor)
+    assert signer.read(f"{signed}~12", "t/a") == evolve(cursor, offset=12)
+    for digits in (19, 4000, 5000):
+        assert status_of(lambda n=digits: signer.read(f"{signed}~{'9' * n}", "t/a")) == 400, digits
+
+
+@then("an announced length is a number of bytes or refused with 400")
+def lengths_are_checked(context):
+    for text, expected in LENGTHS.items():
+        request = HTTPServerRequest("POST", "/", headers=HTTPHeaders({"Content-Length": text}))
+        assert status_of(lambda r=request: announced_length(r)) == expected, text
+
+
 @when('{count:d} odd requests are sent through "{daemon}"')
 def send_odd(context, count, daemon):
     address = context.fleet.processes[daemon].http
