--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -44,6 +44,8 @@
         How often the store has come back from an older copy, + 1; all answers name it.
     saved : dict
         The copy from which it comes back.
+    odd : list
+        What each page of a range and each answer to a watch with events holds besides, at its end.
     """
 
     items: dict[str, tuple[bytes, int, int]] = field(factory=dict)
@@ -59,6 +61,7 @@
     page: int = 3
     era: int = 1
     saved: dict = field(factory=dict)
+    odd: list = field(factory=list)
 
     async def write(self, key: str, value: bytes | None, lease: int = 0) -> int:
         """Put or remove a key."""
@@ -154,7 +157,9 @@
         keys = sorted(k for k in self.standin.items if k.startswith(prefix) and k > after)
         rows = [shown(key, *self.standin.items[key]) for key in keys[: self.standin.page]]
         more = len(keys) > self.standin.page
-        self.finish({"Items": rows, "HasMore": more, "At": self.standin.revision})
+        self.finish(
+            {"Items": [*rows, *self.standin.odd], "HasMore": more, "At": self.standin.revision}
+        )
 
 
 class Watch(Call):
@@ -175,6 +180,7 @@
                 break
             await asyncio.sleep(0.01)
         rows = [shown(key, value, revision, lease) for revision, key, value, lease in news]
+        rows += store.odd if news else []
         self.finish({"events": rows, "At": news[-1][0] if news else after})
 
 
