--- a/tests/features/routed_store_answers.feature
+++ b/tests/features/routed_store_answers.feature
@@ -54,3 +54,7 @@
   Scenario: Whatever the store answers, it is items or an error of the store
     Then 1000 random answers of the store give items that can be logged, or an error of the store
     And of 300 random answers each sound item is read
+
+  # Guards against a log and a loop that are flooded by what another writer left.
+  Scenario: Ten thousand odd entries are read in a second and logged in a few lines
+    Then 10000 odd entries are read within 1 s and logged in at most 25 lines
--- a/tests/features/steps/routedstoreanswers_steps.py
+++ b/tests/features/steps/routedstoreanswers_steps.py
@@ -4,11 +4,13 @@
 import contextlib
 import json
 import sys
+import time
 
 from behave import given, then, when
 from hypothesis import strategies as st
 from routed_steps import fleet_of
 
+from papayacourse import logs
 from papayacourse.exceptions import PlatformError
 from papayacourse.types import Address
 from standins.fleet import wait_until
@@ -134,3 +136,18 @@
     except ValueError:
         return False
     return True
+
+
+@then("{count:d} odd entries are read within {seconds:g} s and logged in at most {lines:d} lines")
+def flood(context, count, seconds, lines):
+    odd = [b"[" * 5000, b'{"Service": 7}', b"\xff", b""]
+    items = [Item(f"servers/odd-{n}", odd[n % len(odd)], n) for n in range(count)]
+    written, write = [], logs.write
+    logs.write = lambda *_, **fields: written.append(fields)
+    began = time.monotonic()
+    try:
+        StoreContent({}, 1).apply(Items(tuple(items), count))
+    finally:
+        logs.write = write
+    took = time.monotonic() - began
+    assert took < seconds and len(written) <= lines, (took, len(written))
