Check each value of an engine's report where it is decoded

Callers saw: a run could not be resumed or moved, and its request ended as 'request failed' (500), when its engine's report had a row that is a table; and one odd row of Runs, or an odd leaves_ms, hid all runs of a leaving engine.

Cause: the rows were decoded together, KeyError was not expected, and counts and times of any size were let through, which fail later where they become floating-point numbers.

--- a/papayacourse/engines.py
+++ b/papayacourse/engines.py
@@ -20,6 +20,8 @@
 SILENCE_TIMEOUT = 5.0  # seconds without an event before the link counts as stalled
 CONTROL_TIMEOUT = 2.0  # seconds
 ORDER_TIMEOUT = 3.0  # seconds, including loading from the weight store
+MAX_COUNT = 1 << 53  # of requests, tokens or milliseconds
+MAX_DIGITS = 15  # of a count that is a text
 GENERATION_HEADER = "X-Generation"  # identifies one run of a generation uniquely
 
 
@@ -214,6 +216,17 @@
                 yield batch
 
 
+def read_count(value: object) -> int:
+    """Return a count; raises ValueError for anything else, also for one of absurd size."""
+    if isinstance(value, str) and value.isdecimal() and len(value) <= MAX_DIGITS:
+        value = int(value)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f"{type(value).__name__} is not a count")
+    if not 0 <= value <= MAX_COUNT:
+        raise ValueError("a count is out of range")
+    return int(value)
+
+
 async def control(
     address: str,
     method: str,
