--- a/papayacourse/lifecycle.py
+++ b/papayacourse/lifecycle.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from papayacourse import logs
+from papayacourse.stopdeadline import StopDeadline
 
 DRAIN_LOG_INTERVAL = 10.0  # seconds between log lines on what a drain waits for
 EXIT_STOPPED = 0
@@ -21,10 +22,13 @@
     ----------
     stopping : asyncio.Event
         Set once the daemon has been asked to stop.
+    deadline : StopDeadline
+        Bounds the time of requests once the daemon has been asked to stop.
     """
 
     daemon: object
     stopping: asyncio.Event = field(factory=asyncio.Event)
+    deadline: StopDeadline = field(factory=StopDeadline)
 
     def listen_for_signals(self) -> None:
         """Stop gracefully on SIGTERM or SIGINT."""
@@ -41,6 +45,8 @@
                 in_progress=self.daemon.busy.total(),
             )
             return
+        config = self.daemon.config
+        self.deadline.begin(config.stop_notice + config.stop_timeout)
         self.stopping.set()
 
     async def drain(self) -> int:
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -159,7 +159,7 @@
         self.front = Frontend(
             self.documents, self.fleet, ServerChoice(Place(config.domain, config.region)),
             self.evacuation, self.metrics,
-            self.lifecycle.stopping.is_set, config.body_room,
+            self.lifecycle.deadline, config.body_room,
         )  # fmt: skip
         self.front.relaying = Relaying(
             self.membership, self.mesh.peers, self.notices.reach, self.front.begin_relayed,
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 
 from attrs import define, field
@@ -27,6 +27,7 @@
 from papayacourse.routed.relayedexchange import RelayedExchange
 from papayacourse.routed.relaying import RelayBroken, Relaying
 from papayacourse.routed.seams import Prompt
+from papayacourse.stopdeadline import StopDeadline
 from papayacourse.types import GenerationRequest, Ran
 
 SHORT_OUTPUT = 100  # tokens; an answer this short completes within a planned stop
@@ -47,8 +48,8 @@
         Serves requests through other daemons; set by the daemon.
     busy : Counter of str
         Number of requests in progress, by kind.
-    is_closing : callable
-        Returns True if the daemon has been asked to stop.
+    stop : StopDeadline
+        The time that a planned stop leaves for requests.
     body_room : int
         Limit on the bodies of all requests in progress, in bytes.
     idle : asyncio.Event
@@ -61,7 +62,7 @@
     evacuation: Evacuation
     relaying: Relaying = field(init=False)
     metrics: Metrics
-    is_closing: Callable[[], bool]
+    stop: StopDeadline
     body_room: int
     body_bytes: int = 0
     busy: Counter = field(factory=Counter)
@@ -81,7 +82,7 @@
 
     def closing(self) -> bool:
         """Return True if connections are closed after their next response."""
-        return self.is_closing()
+        return self.stop.asked_at is not None
 
     # Called by tornado.
 
@@ -223,7 +224,7 @@
         The stop would cut it off here.
         """
         prompt = admitted.call.prompt
-        if self.is_closing() and prompt is not None and prompt.max_output > SHORT_OUTPUT:
+        if self.closing() and prompt is not None and prompt.max_output > SHORT_OUTPUT:
             raise RequestRefused(
                 503, "stopping", "this daemon stops", retry_after=STOPPING_RETRY_AFTER
             )
@@ -270,7 +271,7 @@
             parts=admitted.part_names[:MAX_LOGGED_PARTS] if admitted else (),
             relayed_to=outcome.relayed_to,
             document=self.documents.version, document_age=None if age is None else round(age, 1),
-            **outcome.stream_fields(),
+            **outcome.stream_fields(), **self.stop.log_fields(),
         )  # fmt: skip
 
 
