End what a planned stop cannot wait for with a final answer

Cause: when the time of a stop is over, lifecycle.drain returned, and the end of the event loop cancelled the tasks that serve requests. They took that for a caller that has left.

Change: StopDeadline.bound surrounds the service of each request, the relayed ones too. At the end of the stop, expire cancels them, repeatedly, since asyncio.wait_for can lose a cancellation; the request then ends by the path of refusals: 504 with ran 'unknown' if a server may have run it, else 503 with Retry-After. A stream whose head is written is broken off as before. A request that becomes whole after the end is answered 503. LAST_ANSWERS_TIME (0.15 s) is left for writing.

Tried before: asyncio.timeout, rescheduled at the end.

--- a/papayacourse/exceptions.py
+++ b/papayacourse/exceptions.py
@@ -152,6 +152,10 @@
     """The backend server sent data that does not match the request."""
 
 
+class StopExpired(PapayacourseError):
+    """A planned stop leaves no more time for a request."""
+
+
 class RequestRefused(PapayacourseError):
     """The final answer, as sent to the caller, to a request that was not served.
 
--- a/papayacourse/lifecycle.py
+++ b/papayacourse/lifecycle.py
@@ -10,6 +10,7 @@
 from papayacourse.stopdeadline import StopDeadline
 
 DRAIN_LOG_INTERVAL = 10.0  # seconds between log lines on what a drain waits for
+LAST_ANSWERS_TIME = 0.15  # seconds to write the final answers of requests that are ended
 EXIT_STOPPED = 0
 EXIT_DRAIN_TIMEOUT = 3  # stop_timeout expired with requests in progress
 
@@ -61,7 +62,7 @@
         await asyncio.sleep(daemon.config.stop_notice)
         daemon.server.drain_connections()
         try:
-            async with asyncio.timeout(daemon.config.stop_timeout):
+            async with asyncio.timeout(self.deadline.time_left()):
                 await self._finish()
         except TimeoutError:
             logs.error(
@@ -69,10 +70,22 @@
                 cut_off=daemon.busy.total(),
                 **daemon.unfinished(),
             )
+            await self._end_requests()
             return EXIT_DRAIN_TIMEOUT
         logs.info("stopped", seconds=time.monotonic() - began)
         return EXIT_STOPPED
 
+    async def _end_requests(self) -> None:
+        """End the requests in progress, and let their final answers be written."""
+        try:
+            async with asyncio.timeout(LAST_ANSWERS_TIME):
+                await self.deadline.expire()
+                await self._finish()
+        except TimeoutError:
+            logs.error(
+                "stopped before every final answer was written", cut_off=self.daemon.busy.total()
+            )
+
     async def _finish(self) -> None:
         """Wait for requests in progress, streams held for callers and unwritten records."""
         daemon = self.daemon
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -3,14 +3,14 @@
 import asyncio
 import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 from attrs import define, field
 from tornado.httputil import HTTPServerConnectionDelegate
 
 from papayacourse import logs
-from papayacourse.exceptions import RequestRefused
+from papayacourse.exceptions import RequestRefused, StopExpired
 from papayacourse.metrics import Metrics
 from papayacourse.quarantine import QUARANTINED, fingerprint
 from papayacourse.requestguard import RequestGuard
@@ -133,7 +133,10 @@
         outcome = Outcome(exchange.received_at)
         with self.in_progress("requests"):
             try:
-                await self._answer(exchange, outcome)
+                with self.stop.bound():
+                    await self._answer(exchange, outcome)
+            except StopExpired as expired:
+                await self._end_at_stop(exchange, outcome, str(expired))
             except RequestRefused as error:
                 refused = as_not_executed(error)
                 outcome.record_refusal(refused)
@@ -152,6 +155,25 @@
                 exchange.release()
                 self._log_outcome(exchange, outcome)
 
+    async def _end_at_stop(self, exchange: Exchange, outcome: "Outcome", why: str) -> None:
+        """End a request for which a planned stop leaves no time."""
+        if exchange.caller_gone:
+            outcome.end = "caller gone"
+            exchange.abort()
+            return
+        if exchange.done:
+            outcome.end = "answered"
+            return
+        if exchange.head_written:
+            outcome.end, outcome.why = "cut", why
+            exchange.abort()
+            return
+        refused = RequestRefused(503, "stopping", why, retry_after=STOPPING_RETRY_AFTER)
+        if outcome.may_have_run():
+            refused = RequestRefused(504, "stopping", why, Ran.UNKNOWN)
+        outcome.record_refusal(refused)
+        await self._refuse(exchange, refused)
+
     async def _refuse(self, exchange: Exchange, refused: RequestRefused) -> None:
         try:
             await exchange.refuse(refused)
@@ -194,6 +216,7 @@
 
     async def _relay(self, exchange: Exchange, outcome: "Outcome") -> None:
         admitted = outcome.admitted
+        outcome.may_have_run = lambda: True
         may_repeat = admitted.route.repeat == Repeat.SAFE
         try:
             async with asyncio.timeout(max(0.0, admitted.time_left()) + RELAY_SLACK):
@@ -215,7 +238,7 @@
             await self._generate(exchange, outcome, service, guard)
             outcome.end = "streamed"
         else:
-            await self._call(exchange, admitted, guard)
+            await self._call(exchange, outcome, guard)
             outcome.end = "answered"
 
     def _refuse_while_stopping(self, admitted: AdmittedRequest) -> None:
@@ -229,15 +252,15 @@
                 503, "stopping", "this daemon stops", retry_after=STOPPING_RETRY_AFTER
             )
 
-    async def _call(
-        self, exchange: Exchange, admitted: AdmittedRequest, guard: RequestGuard
-    ) -> None:
+    async def _call(self, exchange: Exchange, outcome: "Outcome", guard: RequestGuard) -> None:
+        admitted = outcome.admitted
         hosts = list(self.fleet.servers(admitted.service))
         with guard.answers.reservation() as reservation:
             call = PlainCall(
                 admitted, self.fleet.codec, self.choice, self.fleet.notices, self.fleet.limiter,
                 guard, self.fleet.budget, hosts, reservation,
             )  # fmt: skip
+            outcome.may_have_run = call.may_have_run
             answer = await call.run()
             await exchange.answer(answer.status, answer.headers, answer.body)
 
@@ -248,6 +271,7 @@
         request = generation_request(admitted)
         generation = Generation(admitted, exchange, self.fleet, request, service.engine, guard)
         outcome.generation = generation
+        outcome.may_have_run = generation.may_have_run
         self.evacuation.running.add(generation)
         try:
             await generation.run()
@@ -288,6 +312,7 @@
     ran: str = ""
     relayed_to: str = ""
     generation: Generation | None = None
+    may_have_run: Callable[[], bool] = lambda: False
 
     def stream_fields(self) -> dict[str, object]:
         """Return the log fields of a streamed generation; empty for other requests."""
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -180,7 +180,7 @@
         except TimeoutError as error:
             if self.exchange.head_written:
                 raise StreamBroken("deadline of the request exceeded") from error
-            status = 504 if self._may_have_run() else 503
+            status = 504 if self.may_have_run() else 503
             raise self._refusal(status, "too_late", "no answer in time") from error
         finally:
             await self._finish()
@@ -262,7 +262,8 @@
     def _mark_sent(self) -> None:
         self.is_sent = True
 
-    def _may_have_run(self) -> bool:
+    def may_have_run(self) -> bool:
+        """Return True if an engine may have started to run it."""
         return self.ran or self.is_sent
 
     def _watching(self) -> AbstractAsyncContextManager[WatchedRun]:
@@ -451,7 +452,7 @@
         return self._refusal(502, "engine_lost", why)
 
     def _refusal(self, status: int, reason: str, detail: str) -> RequestRefused:
-        if self._may_have_run():
+        if self.may_have_run():
             return RequestRefused(status, reason, detail, Ran.UNKNOWN)
         return RequestRefused(status, reason, detail, Ran.NO, RETRY_AFTER)
 
--- a/papayacourse/routed/plaincall.py
+++ b/papayacourse/routed/plaincall.py
@@ -55,6 +55,8 @@
         Names of servers that are not tried again.
     attempts : int
         Number of attempts, not counting servers that refused the connection.
+    is_sent : bool
+        Whether it has been sent to a server that has not yet answered.
     arrived : bool
         Whether it has reached any server, so that another attempt uses the retry budget.
     failure : Answer or None
@@ -75,6 +77,7 @@
     ran: set[str] = field(factory=set)
     tried: set[str] = field(factory=set)
     attempts: int = 0
+    is_sent: bool = False
     arrived: bool = False
     failure: Answer | None = None
     last_error: str = ""
@@ -92,6 +95,10 @@
             return self.failure
         raise self._refusal()
 
+    def may_have_run(self) -> bool:
+        """Return True if a server may have run it."""
+        return self.is_sent or bool(self.ran)
+
     async def _next_server(self) -> Host | None:
         """Return the server to send the request to next, or None."""
         host = self._choose()
@@ -136,7 +143,7 @@
                 self.attempts -= 1
                 record.record_unreachable()
         except RequestNotExecuted as error:
-            self.arrived = True
+            self.arrived, self.is_sent = True, False
             self.last_error = str(error)
         except BackendAnswerLost as error:
             self.arrived = True
@@ -171,13 +178,18 @@
         limit = left * FIRST_ATTEMPT_FRACTION if self._may_run_again() else left
         call = self.admitted.call
         async with self.guard.watch_run(host) as run:
-            exchange = await open_call(self.codec, self.notices, call, dispatch, limit)
+            exchange = await open_call(
+                self.codec, self.notices, call, dispatch, limit, self._mark_sent
+            )
             run.record_activity()
             body = await read_body(exchange, self.reservation, self.admitted.time_left())
             run.record_answer(exchange.status)
         headers = self.codec.answer_headers(exchange.headers)
         return Answer(exchange.status, headers, body)
 
+    def _mark_sent(self) -> None:
+        self.is_sent = True
+
     def _may_run_again(self) -> bool:
         route = self.admitted.route
         return route.repeat == Repeat.SAFE and len(self.ran) + 1 < route.max_engines
--- a/papayacourse/stopdeadline.py
+++ b/papayacourse/stopdeadline.py
@@ -1,9 +1,16 @@
-"""When a planned stop ends, on the monotonic clock."""
+"""Bounds the time of requests by the end of a planned stop."""
 
+import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
-from attrs import define
+from attrs import define, field
+
+from papayacourse.exceptions import StopExpired
+
+CANCEL_INTERVAL = 0.02  # seconds
+EXPIRED = "the daemon stops, and no time is left"
 
 
 @define(eq=False)
@@ -16,11 +23,17 @@
         When the daemon was asked to stop; None before.
     ends_at : float or None
         When requests that are still in progress are ended.
+    is_expired : bool
+        Whether they have been ended.
+    tasks : set of asyncio.Task
+        The tasks that serve requests and are not yet ended.
     """
 
     clock: Callable[[], float] = time.monotonic
     asked_at: float | None = None
     ends_at: float | None = None
+    is_expired: bool = False
+    tasks: set[asyncio.Task] = field(factory=set)
 
     def begin(self, seconds: float) -> None:
         """Record that the daemon is asked to stop, and has so many seconds for requests."""
@@ -31,6 +44,37 @@
         """Return the seconds until requests are ended; infinite unless the daemon stops."""
         return float("inf") if self.ends_at is None else self.ends_at - self.clock()
 
+    @contextmanager
+    def bound(self) -> Iterator[None]:
+        """Bound the time of the request that this task serves.
+
+        Raises
+        ------
+        StopExpired
+            When the stop leaves no more time.
+        """
+        if self.is_expired:
+            raise StopExpired(EXPIRED)
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        try:
+            yield
+        except asyncio.CancelledError as error:
+            if not self.is_expired:
+                raise
+            raise StopExpired(EXPIRED) from error
+        finally:
+            self.tasks.discard(task)
+
+    async def expire(self) -> None:
+        """End all requests in progress, and refuse those that still come."""
+        self.is_expired = True
+        while self.tasks:
+            # Repeated, since a cancellation may get lost (see `cancel_all`).
+            for task in self.tasks:
+                task.cancel()
+            await asyncio.sleep(CANCEL_INTERVAL)
+
     def log_fields(self) -> dict[str, float]:
         """Return how far a stop is, for log lines; nothing unless the daemon stops."""
         if self.asked_at is None:
--- /dev/null
+++ b/tests/features/routed_stopping.feature
@@ -0,0 +1,19 @@
+Feature: A planned stop answers all that a daemon has read
+
+  Background:
+    Given a platform store with document 5
+    And 3 engines of "desk" in "lagos"
+    And 1 engines of "planner" in "lagos"
+    And a routed daemon "a" in "lagos"
+
+  # Guards against requests that have been passed on and are cut without an answer when the daemon
+  # ends (incident LOST).
+  Scenario: What servers don't end within the grace has a final answer all the same
+    Given 4 calls of each kind through "a" have been served
+    And engines of "desk" take 3 s for each call
+    When callers send the last byte of a request at any time of a planned stop of "a"
+    Then each request that was sent whole has a whole answer, or a stream that is seen to break off
+    And no request that was answered 503 has run, and each 503 says when to come again
+    And no unsafe request has run twice
+    And each answer after the signal says that the connection ends
+    And "a" ended by itself within its grace, with status 3
--- /dev/null
+++ b/tests/features/steps/routedstopping_steps.py
@@ -0,0 +1,139 @@
+"""Steps about planned stops of daemons on the stand-in of the users' platform."""
+
+import signal
+import time
+from collections import Counter
+
+from behave import given, then, when
+from routed_steps import fleet_of
+
+from tests.latecallers import KeptCaller, LateCaller
+
+GRACE = 8.0  # seconds, as in the daemons' configuration
+KINDS = ("book", "view")
+STEP = 0.1  # seconds between the ends of requests
+LAST = 8.2  # seconds after the signal
+OPENED = 0.2  # seconds after the signal, within the stop's notice
+KEPT = 4  # callers that keep their connections
+READ_SLACK = 0.2  # seconds; a request that crosses the close of its connection is not read
+
+
+@given('engines of "{service}" take {seconds:g} s for each call')
+def slow_engines(context, service, seconds):
+    for name, place in fleet_of(context).places.items():
+        if place["Service"] == service:
+            context.fleet.admin(name, {"plain_work": seconds})
+
+
+@given('{count:d} calls of each kind through "{name}" have been served')
+def served_before(context, count, name):
+    routed = fleet_of(context)
+    for _ in range(count):
+        for kind in KINDS:
+            assert routed.ask(name, "POST", f"/{kind}/1", b"x").status == 200
+
+
+def late_caller(context, name: str, kind: str, at: float, opened_at: float) -> LateCaller:
+    """Return a caller of a kind of request."""
+    routed = fleet_of(context)
+    more = {"X-Model": "m", "X-Token-Counts": "100,20"} if kind == "plans" else {}
+    headers = routed.headers(**more)
+    return LateCaller(routed.address(name), f"/{kind}/1", headers, at, opened_at)
+
+
+def end_of(process, signal_at: float) -> tuple[int, float]:
+    """Return a process's status and when it ended; it is killed after the grace."""
+    while process.popen.poll() is None and time.monotonic() < signal_at + GRACE:
+        time.sleep(0.005)
+    ended_at = time.monotonic() - signal_at
+    if process.popen.poll() is None:
+        process.popen.kill()
+    return process.popen.wait(), ended_at
+
+
+@when('callers send the last byte of a request at any time of a planned stop of "{name}"')
+def stop_under_callers(context, name):
+    kinds = (*KINDS, "plans")
+    moments = [round(0.5 + STEP * number, 2) for number in range(int((LAST - 0.5) / STEP))]
+    context.late = [
+        late_caller(context, name, kinds[number % 3], at, OPENED)
+        for number, at in enumerate(moments)
+    ]
+    routed = fleet_of(context)
+    context.kept = [
+        KeptCaller(
+            routed.address(name), "/view/1", [routed.headers() for _ in range(400)], 0.1 + 0.1 * i
+        )
+        for i in range(KEPT)
+    ]
+    signal_at = time.monotonic() + 0.5
+    for caller in (*context.late, *context.kept):
+        caller.start(signal_at)
+    time.sleep(max(0.0, signal_at - time.monotonic()))
+    process = context.fleet.processes[name]
+    process.popen.send_signal(signal.SIGTERM)
+    context.ended = end_of(process, signal_at)
+    for caller in (*context.late, *context.kept):
+        caller.thread.join(GRACE)
+    print_summary(context)
+
+
+def print_summary(context) -> None:
+    """Print what the callers saw, for whoever measures."""
+    for caller in context.late:
+        print(
+            f"{caller.path:9} sent {caller.sent_at} status {caller.status} whole {caller.is_whole} "
+            f"ended {caller.ended_at:.2f} close {caller.said_close} ran {ran(context, caller.name)}"
+            f" {caller.failure}"
+        )
+    lost = [caller for caller in context.late if was_read(caller) and not caller.is_whole]
+    print(f"ended {context.ended}, lost {len(lost)}")
+    print("statuses", Counter(caller.status for caller in context.late if was_read(caller)))
+    print("kept", [(c.cut, c.cut_after_use, Counter(c.statuses)) for c in context.kept])
+
+
+def was_read(caller: LateCaller) -> bool:
+    """Return True if a request was whole before its connection ended."""
+    if caller.is_whole or caller.sent_at is None:
+        return caller.is_whole
+    return caller.ended_at - caller.sent_at > READ_SLACK
+
+
+def ran(context, name: str) -> int:
+    """Return how often a request has run."""
+    routed = fleet_of(context)
+    return sum(run["name"] == name for engine in routed.places for run in routed.runs(engine))
+
+
+@then("each request that was sent whole has a whole answer, or a stream that is seen to break off")
+def all_answered_or_broken(context):
+    for caller in context.late:
+        if was_read(caller) or ran(context, caller.name):
+            broke_off = caller.path.startswith("/plans") and "IncompleteRead" in caller.failure
+            assert caller.is_whole or (caller.status == 200 and broke_off), caller
+
+
+@then("no request that was answered 503 has run, and each 503 says when to come again")
+def not_run(context):
+    for caller in context.late:
+        if caller.status == 503:
+            assert caller.retry_after and not ran(context, caller.name), caller
+
+
+@then("no unsafe request has run twice")
+def not_twice(context):
+    for caller in context.late:
+        if caller.path.startswith("/book"):
+            assert ran(context, caller.name) <= 1, caller
+
+
+@then("each answer after the signal says that the connection ends")
+def says_close(context):
+    assert all(caller.said_close for caller in context.late if caller.status)
+    assert not any(caller.cut_after_use for caller in context.kept), context.kept
+
+
+@then('"{name}" ended by itself within its grace, with status {status:d}')
+def ended_well(context, name, status):
+    found, at = context.ended
+    assert at < GRACE and found == status, context.ended
