Begin no request that a planned stop leaves too little time for

Cause: nothing between the end of a body and the server asks how much of the grace is left.

Change: AdmittedRequest.check_begin refuses such a request with 503, Retry-After 0.1 s and 'not run', when it is admitted (also before it is relayed) and once more before each send, since it may have waited for a place meanwhile. The deadline that servers are told is unchanged.

--- a/papayacourse/routed/admitted.py
+++ b/papayacourse/routed/admitted.py
@@ -1,6 +1,7 @@
 """Admits requests that the settings allow: finds route, account, service and deadline."""
 
 import time
+from collections.abc import Callable
 from functools import cached_property
 
 import xxhash
@@ -11,6 +12,7 @@
 from papayacourse.routed.seams import Call
 
 NO_SETTINGS_RETRY_AFTER = 1.0  # seconds
+STOPPING_RETRY_AFTER = 0.1  # seconds; another daemon can serve the request at once
 
 
 @define(eq=False, slots=False)
@@ -23,6 +25,8 @@
         When the caller's or the route's timeout ends, in seconds of the monotonic clock.
     version : int
         The version of the settings document that admitted it.
+    may_begin : callable
+        Returns False if a planned stop leaves too little time to send it to a server.
     """
 
     call: Call
@@ -32,6 +36,7 @@
     deadline: float
     version: int
     received_at: float = field(factory=time.monotonic)
+    may_begin: Callable[[], bool] = lambda: True
 
     @property
     def account_name(self) -> str:
@@ -68,6 +73,14 @@
         """Return the time until the deadline, in seconds."""
         return self.deadline - time.monotonic()
 
+    def check_begin(self) -> None:
+        """Raise RequestRefused if a planned stop leaves too little time to send it to a server."""
+        if not self.may_begin():
+            raise RequestRefused(
+                503, "stopping", "this daemon stops, and too little time is left",
+                retry_after=STOPPING_RETRY_AFTER,
+            )  # fmt: skip
+
 
 def admit(document: Document | None, call: Call, received_at: float) -> AdmittedRequest:
     """Return a request with its route, account and deadline.
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -14,7 +14,7 @@
 from papayacourse.metrics import Metrics
 from papayacourse.quarantine import QUARANTINED, fingerprint
 from papayacourse.requestguard import RequestGuard
-from papayacourse.routed.admitted import AdmittedRequest, admit
+from papayacourse.routed.admitted import STOPPING_RETRY_AFTER, AdmittedRequest, admit
 from papayacourse.routed.choice import ServerChoice
 from papayacourse.routed.derived import TEAM
 from papayacourse.routed.document import CallerLimits, Repeat, Service
@@ -27,11 +27,12 @@
 from papayacourse.routed.relayedexchange import RelayedExchange
 from papayacourse.routed.relaying import RelayBroken, Relaying
 from papayacourse.routed.seams import Prompt
+from papayacourse.routed.worktimes import WorkTimes
 from papayacourse.stopdeadline import StopDeadline
 from papayacourse.types import GenerationRequest, Ran
 
 SHORT_OUTPUT = 100  # tokens; an answer this short completes within a planned stop
-STOPPING_RETRY_AFTER = 0.1  # seconds; another daemon can serve the request at once
+STOP_SPARE = 0.2  # seconds that a request must need less than a planned stop leaves
 PREFIX_HASH_BITS = 63
 RELAY_SLACK = 0.2  # seconds; the daemon that serves a relayed request answers at its deadline
 FINAL_REASONS = frozenset({QUARANTINED, "stopping"})  # of refusals that hold at any daemon
@@ -48,6 +49,8 @@
         Serves requests through other daemons; set by the daemon.
     busy : Counter of str
         Number of requests in progress, by kind.
+    work_times : WorkTimes
+        How long requests of each route have lately taken.
     stop : StopDeadline
         The time that a planned stop leaves for requests.
     body_room : int
@@ -65,6 +68,7 @@
     stop: StopDeadline
     body_room: int
     body_bytes: int = 0
+    work_times: WorkTimes = field(factory=WorkTimes)
     busy: Counter = field(factory=Counter)
     idle: asyncio.Event = field(factory=asyncio.Event)
     tasks: set[asyncio.Task] = field(factory=set)
@@ -194,6 +198,8 @@
         logs.bind(call.request_id)
         admitted = admit(self.documents.current, call, outcome.received_at)
         outcome.admitted = admitted
+        admitted.may_begin = lambda: self._may_begin(admitted)
+        admitted.check_begin()
         guard = RequestGuard(
             self.fleet.deaths, self.fleet.answers, admitted.fingerprint, admitted.shared_parts
         )
@@ -241,6 +247,12 @@
             await self._call(exchange, outcome, guard)
             outcome.end = "answered"
 
+    def _may_begin(self, admitted: AdmittedRequest) -> bool:
+        """Return True unless a planned stop leaves too little time to serve a request."""
+        if not self.closing():
+            return True
+        return self.work_times.expected(admitted) + STOP_SPARE <= self.stop.time_left()
+
     def _refuse_while_stopping(self, admitted: AdmittedRequest) -> None:
         """Refuse a long generation while stopping, so that the caller retries at another daemon.
 
@@ -261,7 +273,8 @@
                 guard, self.fleet.budget, hosts, reservation,
             )  # fmt: skip
             outcome.may_have_run = call.may_have_run
-            answer = await call.run()
+            with self.work_times.record(admitted):
+                answer = await call.run()
             await exchange.answer(answer.status, answer.headers, answer.body)
 
     async def _generate(
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -202,6 +202,7 @@
             self.engine = await self.search.find(self._is_long())
             self.fleet.placement.progress(self.request, self.engine.name, 0)
             self.guard.check()
+            self.admitted.check_begin()
             try:
                 return await self._send_and_relay(None, self.admitted.time_left())
             except (BackendUnreachable, RequestNotExecuted) as error:
--- a/papayacourse/routed/plaincall.py
+++ b/papayacourse/routed/plaincall.py
@@ -86,7 +86,7 @@
         """Return the answer; raises RequestRefused if there is none."""
         while self.attempts < MAX_ATTEMPTS and not self.notices.reach.is_cut_off:
             host = await self._next_server()
-            if host is None:
+            if host is None or not self.admitted.may_begin():
                 break
             answer = await self._try(host)
             if answer is not None:
@@ -198,6 +198,7 @@
         if self.ran:
             late = self.admitted.time_left() <= 0
             return RequestRefused(504 if late else 502, "answer_lost", self.last_error, Ran.UNKNOWN)
+        self.admitted.check_begin()
         refusal = no_opening_refusal(self.notices, self.hosts, self.admitted.time_left())
         if refusal is not None:
             return refusal
--- a/tests/features/steps/routedstopping_steps.py
+++ b/tests/features/steps/routedstopping_steps.py
@@ -113,6 +113,20 @@
             assert caller.is_whole or (caller.status == 200 and broke_off), caller
 
 
+@then("each request that was sent whole has a whole answer")
+def all_answered(context):
+    for caller in context.late:
+        if was_read(caller) or ran(context, caller.name):
+            assert caller.is_whole, caller
+
+
+@then("each call that was sent whole before {moment:g} s was answered 200")
+def answered_well(context, moment):
+    for caller in context.late:
+        if not caller.path.startswith("/plans") and caller.at < moment:
+            assert caller.status == 200, caller
+
+
 @then("no request that was answered 503 has run, and each 503 says when to come again")
 def not_run(context):
     for caller in context.late:
