--- a/papayacourse/lifecycle.py
+++ b/papayacourse/lifecycle.py
@@ -7,8 +7,11 @@
 from attrs import define, field
 
 from papayacourse import logs
+from papayacourse.stopdeadline import StopDeadline
 
 DRAIN_LOG_INTERVAL = 10.0  # seconds between log lines on what a drain waits for
+LAST_ANSWERS_TIME = 0.15  # seconds to write the final answers of requests that are ended
+UNREAD = "unread requests"  # the kind of those whose headers have come and whose bodies have not
 EXIT_STOPPED = 0
 EXIT_DRAIN_TIMEOUT = 3  # stop_timeout expired with requests in progress
 
@@ -21,10 +24,13 @@
     ----------
     stopping : asyncio.Event
         Set once the daemon has been asked to stop.
+    deadline : StopDeadline
+        Bounds the time of requests once the daemon has been asked to stop.
     """
 
     daemon: object
     stopping: asyncio.Event = field(factory=asyncio.Event)
+    deadline: StopDeadline = field(factory=StopDeadline)
 
     def listen_for_signals(self) -> None:
         """Stop gracefully on SIGTERM or SIGINT."""
@@ -41,6 +47,8 @@
                 in_progress=self.daemon.busy.total(),
             )
             return
+        config = self.daemon.config
+        self.deadline.begin(config.stop_notice + config.stop_timeout)
         self.stopping.set()
 
     async def drain(self) -> int:
@@ -55,18 +63,33 @@
         await asyncio.sleep(daemon.config.stop_notice)
         daemon.server.drain_connections()
         try:
-            async with asyncio.timeout(daemon.config.stop_timeout):
+            async with asyncio.timeout(self.deadline.time_left()):
                 await self._finish()
         except TimeoutError:
+            unread = daemon.busy[UNREAD]
+            cut_off = daemon.busy.total() - unread
+            unfinished = daemon.unfinished()
             logs.error(
                 "stopped before every request had ended",
-                cut_off=daemon.busy.total(),
-                **daemon.unfinished(),
-            )
-            return EXIT_DRAIN_TIMEOUT
+                cut_off=cut_off, unread=unread, **unfinished,
+            )  # fmt: skip
+            await self._end_requests()
+            if cut_off or any(unfinished.values()):
+                return EXIT_DRAIN_TIMEOUT
         logs.info("stopped", seconds=time.monotonic() - began)
         return EXIT_STOPPED
 
+    async def _end_requests(self) -> None:
+        """End the requests in progress, and let their final answers be written."""
+        try:
+            async with asyncio.timeout(LAST_ANSWERS_TIME):
+                await self.deadline.expire()
+                await self._finish()
+        except TimeoutError:
+            logs.error(
+                "stopped before every final answer was written", cut_off=self.daemon.busy.total()
+            )
+
     async def _finish(self) -> None:
         """Wait for requests in progress, streams held for callers and unwritten records."""
         daemon = self.daemon
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -10,11 +10,12 @@
 from tornado.httputil import HTTPServerConnectionDelegate
 
 from papayacourse import logs
-from papayacourse.exceptions import RequestRefused
+from papayacourse.exceptions import RequestRefused, StopExpired
+from papayacourse.lifecycle import UNREAD
 from papayacourse.metrics import Metrics
 from papayacourse.quarantine import QUARANTINED, fingerprint
 from papayacourse.requestguard import RequestGuard
-from papayacourse.routed.admitted import AdmittedRequest, admit
+from papayacourse.routed.admitted import STOPPING_RETRY_AFTER, AdmittedRequest, admit
 from papayacourse.routed.choice import ServerChoice
 from papayacourse.routed.derived import TEAM
 from papayacourse.routed.document import CallerLimits, Repeat, Service
@@ -27,10 +28,12 @@
 from papayacourse.routed.relayedexchange import RelayedExchange
 from papayacourse.routed.relaying import RelayBroken, Relaying
 from papayacourse.routed.seams import Prompt
+from papayacourse.routed.worktimes import WorkTimes
+from papayacourse.stopdeadline import StopDeadline
 from papayacourse.types import GenerationRequest, Ran
 
 SHORT_OUTPUT = 100  # tokens; an answer this short completes within a planned stop
-STOPPING_RETRY_AFTER = 0.1  # seconds; another daemon can serve the request at once
+STOP_SPARE = 0.2  # seconds that a request must need less than a planned stop leaves
 PREFIX_HASH_BITS = 63
 RELAY_SLACK = 0.2  # seconds; the daemon that serves a relayed request answers at its deadline
 FINAL_REASONS = frozenset({QUARANTINED, "stopping"})  # of refusals that hold at any daemon
@@ -47,12 +50,16 @@
         Serves requests through other daemons; set by the daemon.
     busy : Counter of str
         Number of requests in progress, by kind.
-    is_closing : callable
-        Returns True if the daemon has been asked to stop.
+    work_times : WorkTimes
+        How long requests of each route have lately taken.
+    stop : StopDeadline
+        The time that a planned stop leaves for requests.
     body_room : int
         Limit on the bodies of all requests in progress, in bytes.
     idle : asyncio.Event
         Set when the last request in progress ends.
+    reading : set of Exchange
+        The requests whose headers have come and whose bodies have not.
     """
 
     documents: Documents
@@ -61,12 +68,17 @@
     evacuation: Evacuation
     relaying: Relaying = field(init=False)
     metrics: Metrics
-    is_closing: Callable[[], bool]
+    stop: StopDeadline
     body_room: int
     body_bytes: int = 0
+    work_times: WorkTimes = field(factory=WorkTimes)
     busy: Counter = field(factory=Counter)
     idle: asyncio.Event = field(factory=asyncio.Event)
     tasks: set[asyncio.Task] = field(factory=set)
+    reading: set[Exchange] = field(factory=set)
+
+    def __attrs_post_init__(self) -> None:
+        self.stop.on_expire = self._refuse_unread
 
     # The ExchangeOwner interface.
 
@@ -81,7 +93,18 @@
 
     def closing(self) -> bool:
         """Return True if connections are closed after their next response."""
-        return self.is_closing()
+        return self.stop.asked_at is not None
+
+    def begin_reading(self, exchange: Exchange) -> None:
+        """Count a request whose headers have come as one in progress."""
+        self.reading.add(exchange)
+        self._count(UNREAD, 1)
+
+    def end_reading(self, exchange: Exchange) -> None:
+        """Count a request no longer as unread: its body has come, or will not be read."""
+        if exchange in self.reading:
+            self.reading.discard(exchange)
+            self._count(UNREAD, -1)
 
     # Called by tornado.
 
@@ -104,14 +127,27 @@
     @contextmanager
     def in_progress(self, kind: str) -> Iterator[None]:
         """Count a request of some kind while it is in progress."""
-        self.busy[kind] += 1
-        self.idle.clear()
+        self._count(kind, 1)
         try:
             yield
         finally:
-            self.busy[kind] -= 1
-            if not self.busy.total():
-                self.idle.set()
+            self._count(kind, -1)
+
+    def _count(self, kind: str, change: int) -> None:
+        self.busy[kind] += change
+        if self.busy.total():
+            self.idle.clear()
+        else:
+            self.idle.set()
+
+    def _refuse_unread(self) -> None:
+        """Refuse the requests whose bodies have not come when a planned stop ends."""
+        for exchange in list(self.reading):
+            logs.info("body not read", **self.stop.log_fields())
+            exchange.refuse_unread(
+                503, "stopping", "the daemon stops, and the body has not come",
+                STOPPING_RETRY_AFTER,
+            )  # fmt: skip
 
     def begin_relayed(self, exchange: RelayedExchange) -> asyncio.Task:
         """Start a task that serves a request which another daemon relays."""
@@ -131,8 +167,12 @@
     async def _serve(self, exchange: Exchange | RelayedExchange) -> None:
         outcome = Outcome(exchange.received_at)
         with self.in_progress("requests"):
+            self.end_reading(exchange)
             try:
-                await self._answer(exchange, outcome)
+                with self.stop.bound():
+                    await self._answer(exchange, outcome)
+            except StopExpired as expired:
+                await self._end_at_stop(exchange, outcome, str(expired))
             except RequestRefused as error:
                 refused = as_not_executed(error)
                 outcome.record_refusal(refused)
@@ -151,6 +191,25 @@
                 exchange.release()
                 self._log_outcome(exchange, outcome)
 
+    async def _end_at_stop(self, exchange: Exchange, outcome: "Outcome", why: str) -> None:
+        """End a request for which a planned stop leaves no time."""
+        if exchange.caller_gone:
+            outcome.end = "caller gone"
+            exchange.abort()
+            return
+        if exchange.done:
+            outcome.end = "answered"
+            return
+        if exchange.head_written:
+            outcome.end, outcome.why = "cut", why
+            exchange.abort()
+            return
+        refused = RequestRefused(503, "stopping", why, retry_after=STOPPING_RETRY_AFTER)
+        if outcome.may_have_run():
+            refused = RequestRefused(504, "stopping", why, Ran.UNKNOWN)
+        outcome.record_refusal(refused)
+        await self._refuse(exchange, refused)
+
     async def _refuse(self, exchange: Exchange, refused: RequestRefused) -> None:
         try:
             await exchange.refuse(refused)
@@ -171,6 +230,8 @@
         logs.bind(call.request_id)
         admitted = admit(self.documents.current, call, outcome.received_at)
         outcome.admitted = admitted
+        admitted.may_begin = lambda: self._may_begin(admitted)
+        admitted.check_begin()
         guard = RequestGuard(
             self.fleet.deaths, self.fleet.answers, admitted.fingerprint, admitted.shared_parts
         )
@@ -193,6 +254,7 @@
 
     async def _relay(self, exchange: Exchange, outcome: "Outcome") -> None:
         admitted = outcome.admitted
+        outcome.may_have_run = lambda: True
         may_repeat = admitted.route.repeat == Repeat.SAFE
         try:
             async with asyncio.timeout(max(0.0, admitted.time_left()) + RELAY_SLACK):
@@ -214,30 +276,37 @@
             await self._generate(exchange, outcome, service, guard)
             outcome.end = "streamed"
         else:
-            await self._call(exchange, admitted, guard)
+            await self._call(exchange, outcome, guard)
             outcome.end = "answered"
 
+    def _may_begin(self, admitted: AdmittedRequest) -> bool:
+        """Return True unless a planned stop leaves too little time to serve a request."""
+        if not self.closing():
+            return True
+        return self.work_times.expected(admitted) + STOP_SPARE <= self.stop.time_left()
+
     def _refuse_while_stopping(self, admitted: AdmittedRequest) -> None:
         """Refuse a long generation while stopping, so that the caller retries at another daemon.
 
         The stop would cut it off here.
         """
         prompt = admitted.call.prompt
-        if self.is_closing() and prompt is not None and prompt.max_output > SHORT_OUTPUT:
+        if self.closing() and prompt is not None and prompt.max_output > SHORT_OUTPUT:
             raise RequestRefused(
                 503, "stopping", "this daemon stops", retry_after=STOPPING_RETRY_AFTER
             )
 
-    async def _call(
-        self, exchange: Exchange, admitted: AdmittedRequest, guard: RequestGuard
-    ) -> None:
+    async def _call(self, exchange: Exchange, outcome: "Outcome", guard: RequestGuard) -> None:
+        admitted = outcome.admitted
         hosts = list(self.fleet.servers(admitted.service))
         with guard.answers.reservation() as reservation:
             call = PlainCall(
                 admitted, self.fleet.codec, self.choice, self.fleet.notices, self.fleet.limiter,
                 guard, self.fleet.budget, hosts, reservation,
             )  # fmt: skip
-            answer = await call.run()
+            outcome.may_have_run = call.may_have_run
+            with self.work_times.record(admitted):
+                answer = await call.run()
             await exchange.answer(answer.status, answer.headers, answer.body)
 
     async def _generate(
@@ -247,6 +316,7 @@
         request = generation_request(admitted)
         generation = Generation(admitted, exchange, self.fleet, request, service.engine, guard)
         outcome.generation = generation
+        outcome.may_have_run = generation.may_have_run
         self.evacuation.running.add(generation)
         try:
             await generation.run()
@@ -270,7 +340,7 @@
             parts=admitted.part_names[:MAX_LOGGED_PARTS] if admitted else (),
             relayed_to=outcome.relayed_to,
             document=self.documents.version, document_age=None if age is None else round(age, 1),
-            **outcome.stream_fields(),
+            **outcome.stream_fields(), **self.stop.log_fields(),
         )  # fmt: skip
 
 
@@ -287,6 +357,7 @@
     ran: str = ""
     relayed_to: str = ""
     generation: Generation | None = None
+    may_have_run: Callable[[], bool] = lambda: False
 
     def stream_fields(self) -> dict[str, object]:
         """Return the log fields of a streamed generation; empty for other requests."""
--- /dev/null
+++ b/papayacourse/stopdeadline.py
@@ -0,0 +1,87 @@
+"""Bounds the time of requests by the end of a planned stop."""
+
+import asyncio
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+
+from attrs import define, field
+
+from papayacourse.exceptions import StopExpired
+
+CANCEL_INTERVAL = 0.02  # seconds
+EXPIRED = "the daemon stops, and no time is left"
+
+
+@define(eq=False)
+class StopDeadline:
+    """The time that a planned stop leaves for requests.
+
+    Attributes
+    ----------
+    asked_at : float or None
+        When the daemon was asked to stop; None before.
+    ends_at : float or None
+        When requests that are still in progress are ended.
+    is_expired : bool
+        Whether they have been ended.
+    tasks : set of asyncio.Task
+        The tasks that serve requests and are not yet ended.
+    on_expire : callable
+        Called when requests are ended.
+    """
+
+    clock: Callable[[], float] = time.monotonic
+    asked_at: float | None = None
+    ends_at: float | None = None
+    is_expired: bool = False
+    tasks: set[asyncio.Task] = field(factory=set)
+    on_expire: Callable[[], None] = lambda: None
+
+    def begin(self, seconds: float) -> None:
+        """Record that the daemon is asked to stop, and has so many seconds for requests."""
+        self.asked_at = self.clock()
+        self.ends_at = self.asked_at + seconds
+
+    def time_left(self) -> float:
+        """Return the seconds until requests are ended; infinite unless the daemon stops."""
+        return float("inf") if self.ends_at is None else self.ends_at - self.clock()
+
+    @contextmanager
+    def bound(self) -> Iterator[None]:
+        """Bound the time of the request that this task serves.
+
+        Raises
+        ------
+        StopExpired
+            When the stop leaves no more time.
+        """
+        if self.is_expired:
+            raise StopExpired(EXPIRED)
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        try:
+            yield
+        except asyncio.CancelledError as error:
+            if not self.is_expired:
+                raise
+            raise StopExpired(EXPIRED) from error
+        finally:
+            self.tasks.discard(task)
+
+    async def expire(self) -> None:
+        """End all requests in progress, and refuse those that still come."""
+        self.is_expired = True
+        self.on_expire()
+        while self.tasks:
+            # Repeated, since a cancellation may get lost (see `cancel_all`).
+            for task in self.tasks:
+                task.cancel()
+            await asyncio.sleep(CANCEL_INTERVAL)
+
+    def log_fields(self) -> dict[str, float]:
+        """Return how far a stop is, for log lines; nothing unless the daemon stops."""
+        if self.asked_at is None:
+            return {}
+        seconds = self.clock() - self.asked_at
+        return {"stopping_for": round(seconds, 3), "stop_left": round(self.time_left(), 3)}
