Publish what the store has when another daemon's listing is in force

What callers saw, in a test with real processes: b had read the store, then a followed it and published a new server; a was killed while that server's entry was removed. b followed next and went on sending requests to the server that had gone, until the next change in the store (DRAIN).

Cause: a daemon skipped a publication when the content equalled what it had last published itself. The listing in force was another daemon's by then. The lists were compared with the wrong one.

Change: it skips only if its last publication is also what is in force. Where a newer listing of another daemon is in force, the older one is ignored by its version as before.

--- a/papayacourse/routed/directory.py
+++ b/papayacourse/routed/directory.py
@@ -173,7 +173,8 @@
 
     def _publish(self) -> None:
         hosts = (*self._servers(), *self.members)
-        if frozenset(hosts) == self.published_hosts:
+        # Another daemon's listing may be in force, which the store has left behind.
+        if frozenset(hosts) == self.published_hosts == frozenset(self.in_force().hosts):
             return
         self.published_hosts = frozenset(hosts)
         # Listings of one revision differ only in the entries that have expired since.
--- a/tests/features/routed_parts.feature
+++ b/tests/features/routed_parts.feature
@@ -47,6 +47,14 @@
     When the store is lost and comes back without "two"
     Then "one" are published
 
+  # Guards against servers of another daemon's listing that stay in force after they have gone,
+  # since the store is as this daemon last published it.
+  Scenario: A daemon that follows again publishes what the store has, as it did last
+    Given a directory with servers "one"
+    When another daemon publishes "one, two"
+    And the whole store is read with servers "one"
+    Then "one" are published
+
   Scenario: The moves of all daemons follow each other, the smallest run first
     Given runs of 4000, 1000 and 2000 tokens, copied at 10000 tokens a second
     Then their turns in a domain begin at 0.0, 0.16 and 0.42 s
--- a/tests/features/steps/routedparts_steps.py
+++ b/tests/features/steps/routedparts_steps.py
@@ -197,6 +197,19 @@
     listed(context, names)
 
 
+@when('another daemon publishes "{names}"')
+def other_publishes(context, names):
+    context.revision += 1
+    hosts = tuple(server(name) for name in names_in(names))
+    context.published.append(HostListing(2 * context.revision, hosts))
+
+
+@when('the whole store is read with servers "{names}"')
+def whole_read(context, names):
+    hosts = tuple(server(name) for name in names_in(names))
+    update(context, engines=hosts, members=(), is_complete=True)
+
+
 @when("{seconds:g} s pass for the directory")
 def directory_time(context, seconds):
     context.clock.now += seconds
