Keep one team's odd entry from stopping all settings

A settings entry of one team that begins with our header and has no number as its time (1.2.3), or a revision of more than 4,300 digits, ended each listing and watch of the settings with ValueError, so that no daemon got any team's changes for as long as the entry stood.

Cause: the header's pattern admits texts that int and float refuse.

Change: the pattern admits what they read. A value with another header counts as written directly, as before.

Evidence: settings_inputs.feature applies 26 odd entries, 10 odd commits and 500 random listings of one team beside a sound entry of another, and 300 random histories. Before, the 10th odd entry raised ValueError out of the watch; after, the sound team's settings are in force each time and the catalog can be sent to a peer.

--- a/papayacourse/commits.py
+++ b/papayacourse/commits.py
@@ -16,8 +16,8 @@
 # Under the watched prefix, so that the same watch returns commits; not a valid team name.
 COMMIT_KEY = ROOT + ".commit"
 HEADER = re.compile(
-    r"# author: (?P<author>[^\n]*)\n# revision: (?P<revision>\d+)\n# time: (?P<time>[\d.]+)\n"
-    r"(?P<deleted># deleted\n)?"
+    r"# author: (?P<author>[^\n]*)\n# revision: (?P<revision>[0-9]{1,18})\n"
+    r"# time: (?P<time>[0-9]{1,18}\.[0-9]{1,9})\n(?P<deleted># deleted\n)?"
 )
 
 
--- /dev/null
+++ b/tests/features/steps/settingsinputs_steps.py
@@ -0,0 +1,134 @@
+"""Steps about what other programs write to the key-value service and the host list."""
+
+import json
+
+from behave import then
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from papayacourse import jsontext, wire
+from papayacourse.catalog import Catalog
+from papayacourse.commits import COMMIT_KEY
+from papayacourse.history import parse_revisions
+from papayacourse.kvstore import Entry, KeyValueStore, Listing
+from papayacourse.meshmessages import SettingsUpdate
+from papayacourse.types import Address
+from papayacourse.watch import SettingsWatch
+from tests.oddtexts import odd_texts
+
+TEAM = "[team]\nstate = closed\n"
+HEAD = "# author: a\n# revision: {}\n# time: {}\n" + TEAM
+ODD_VALUES = [
+    None, "", "x", "[", "[team]\nstate", "[team]\n  state = open\n x", "[team\n", "\0", "\\ud800",
+    HEAD.format(1, "1.2.3"), HEAD.format(1, "."), HEAD.format("9" * 5000, "1.000"),
+    HEAD.format(1, "9" * 5000), HEAD.format("\u0663", "1.000"), HEAD.format(0, "1.000"),
+    HEAD.format(10**18, "1.000"), HEAD.replace("author: a", "author: " + "a" * 100_000),
+    "[team]\nstate = closed\nrecord_bytes = " + "9" * 4000, "x" * 70_000, "[DEFAULT]\na=b\n" + TEAM,
+    "[team]\nstate = %(x)s\n", "[team]\nstate = closed\n[team]\n", "{}", "[]", "null",
+    "\ufeff" + TEAM,
+]  # fmt: skip
+ODD_COMMITS = [
+    "[", "[]", "{}", "5", "null", '{"batch": {}, "author": [], "at": {}, "changes": 5}',
+    '{"batch": "b", "author": "a", "at": 1' + "0" * 400 + ', "changes": []}',
+    '{"batch": "b", "author": "a", "at": 1, "changes": [{"path": [], "text": {}}]}',
+    '{"batch": "b", "author": "a", "at": 1, "changes": [{"path": "\\ud800", "text": "\\ud800"}]}',
+    '{"batch": "b", "author": "\\ud800", "at": 1, "changes": [{"path": "/teams/odd"}]}',
+]  # fmt: skip
+
+texts = odd_texts(max_size=10)
+scalars = st.none() | st.booleans() | st.integers() | st.floats() | texts
+names = st.sampled_from(
+    ["key", "value", "revision", "entries", "swapped", "current", "lease", "ttl", "renewed"]
+)
+values = st.recursive(
+    scalars,
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(names | texts, inner, max_size=4),
+    max_leaves=6,
+)
+entries = st.fixed_dictionaries(
+    {"key": texts | scalars, "value": values, "revision": st.integers(-2, 2**64) | scalars}
+)
+answers = st.one_of(
+    values,
+    entries,
+    st.fixed_dictionaries({"entries": st.lists(entries, max_size=2), "revision": scalars}),
+    st.fixed_dictionaries({"swapped": scalars, "current": entries | values, "revision": scalars}),
+)
+fragments = [
+    "# author: a\n", "# revision: 5\n", "# time: 1.000\n", "# deleted\n", "# revision: ",
+    "# time: ", "[team]\n", "state = open\n", "state", "=", " ", "\n", "1.5", "[", "]",
+]  # fmt: skip
+pieces = st.lists(st.sampled_from(fragments) | texts, max_size=8).map("".join)
+paths = st.one_of(
+    st.just("/teams/odd"), st.just(COMMIT_KEY), texts.map("/teams/odd/services/".__add__),
+    texts.map("/teams/".__add__), texts,
+)  # fmt: skip
+revisions = st.fixed_dictionaries(
+    {"revision": scalars, "author": scalars, "at": scalars, "batch": scalars, "text": scalars}
+)
+changes = st.fixed_dictionaries({"path": paths | scalars, "text": pieces | scalars})
+commits = st.fixed_dictionaries(
+    {"batch": scalars, "author": scalars, "at": scalars, "changes": st.lists(changes)},
+    optional={"removed": st.lists(scalars)},
+)
+stored = st.one_of(st.none(), pieces, commits.map(json.dumps), values.map(json.dumps))
+
+
+def check_random(strategy, count, check):
+    """Check random inputs, the same each time."""
+    run = settings(max_examples=count, deadline=None, database=None, derandomize=True,
+                   suppress_health_check=list(HealthCheck))  # fmt: skip
+    run(given(strategy)(check))()
+
+
+def escaped(value):
+    """Return a value as it is after it was parsed."""
+    try:
+        return jsontext.parse(json.dumps(value))
+    except ValueError:
+        return None
+
+
+def check_sound_in_force(odd: list[Entry], team: str, other: str) -> None:
+    """Apply odd entries of a team beside a sound one of another, which must be in force."""
+    catalog = Catalog()
+    watch = SettingsWatch(KeyValueStore(Address("127.0.0.1", 1)), catalog)
+    sound = Entry(f"/teams/{other}", TEAM, 7)
+    watch.apply_listing(Listing((*odd, sound), 10))
+    assert catalog.team_closed(other), odd
+    assert watch.revision == 10
+    values = tuple(value for value in catalog.values.values() if value.path != sound.key)
+    frame = wire.Frame(1, False, SettingsUpdate(values))
+    assert wire.decode(wire.encode(frame)) == frame
+    catalog.team_closed(team)
+
+
+@then('each odd entry of "{team}" leaves the settings of "{other}" in force')
+def odd_entries_harm_nobody(context, team, other):
+    for value in ODD_VALUES:
+        check_sound_in_force([Entry(f"/teams/{team}", value, 5)], team, other)
+    for value in ODD_COMMITS:
+        check_sound_in_force([Entry(COMMIT_KEY, value, 5)], team, other)
+
+
+@then('{count:d} random entries of "{team}" leave the settings of "{other}" in force')
+def random_entries_harm_nobody(context, count, team, other):
+    def check(found):
+        odd = [
+            Entry(escaped(key), escaped(value), number)
+            for number, (key, value) in enumerate(found, 1)
+        ]
+        if all(entry.key != f"/teams/{other}" for entry in odd):
+            check_sound_in_force(odd, team, other)
+
+    check_random(st.lists(st.tuples(paths, stored), min_size=1, max_size=4), count, check)
+
+
+@then("{count:d} random histories are decoded")
+def histories_are_decoded(context, count):
+    def check(found):
+        for value in (json.dumps(found), json.dumps([found])):
+            for revision in parse_revisions(Entry("/history/teams/odd", value, 5)):
+                assert isinstance(revision.revision, int)
+
+    check_random(revisions | values, count, check)
