Decode the key-value service's answers in one place

An answer of the key-value service that is JSON but not of the expected form ([], {}, a key without a revision) raised TypeError or KeyError into whichever loop had asked, and a value or key of another type was passed on and failed there: one entry whose value is a number ended each reading of the settings.

Cause: the client took members of the parsed answer as they came, outside the place where a bad answer becomes PlatformAnswerLost.

Change: each kind of answer has a decoder that checks types and ranges; _call applies it where the answer is parsed, so that an odd one is a lost answer. An entry's value that is no text becomes its JSON, which the entry's own reader refuses, so that it costs nobody else.

Evidence: settings_inputs.feature, 800 random answers and five values that are no text.

--- a/papayacourse/kvstore.py
+++ b/papayacourse/kvstore.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Callable
+from typing import Any, TypeVar
 from urllib.parse import urlencode
 
 from attrs import frozen
@@ -23,8 +24,11 @@
 HTTP_GONE = 410
 NO_EFFECT_STATUSES = frozenset({400, 404, 405, 410, 413, 429, 503})  # the request had no effect
 WATCH_SLACK = 5.0  # seconds added to the watch's own timeout
+MAX_NUMBER = 2**63 - 1  # of a revision
 MAX_LIST_BYTES = 64 * 1024 * 1024
 
+T = TypeVar("T")
+
 
 @frozen
 class Entry:
@@ -65,9 +69,45 @@
     ttl: float
 
 
-def entry_from(raw: dict) -> Entry:
-    """Decode an entry from JSON."""
-    return Entry(raw["key"], raw.get("value"), raw["revision"])
+def entry_from(raw: Any) -> Entry:
+    """Decode an entry; a value that another program wrote and that is no text becomes its JSON."""
+    value = raw.get("value") if isinstance(raw, dict) else None
+    if value is not None and not isinstance(value, str):
+        value = json.dumps(value)
+    return Entry(member(raw, "key", str), value, member(raw, "revision", int))
+
+
+def listing_from(raw: Any) -> Listing:
+    """Decode a listing."""
+    entries = tuple(map(entry_from, member(raw, "entries", list)))
+    return Listing(entries, member(raw, "revision", int))
+
+
+def swap_result_from(raw: Any) -> Written | SwapConflict:
+    """Decode the outcome of a compare-and-swap."""
+    if member(raw, "swapped", bool):
+        return Written(member(raw, "revision", int))
+    return SwapConflict(entry_from(member(raw, "current", dict)))
+
+
+def grant_from(raw: Any) -> LeaseGrant:
+    """Decode a lease."""
+    return LeaseGrant(member(raw, "lease", str), float(member(raw, "ttl", int | float)))
+
+
+def renewed_from(raw: Any) -> bool:
+    """Decode the outcome of renewing a lease."""
+    return member(raw, "renewed", bool)
+
+
+def member(raw: Any, name: str, kind: type) -> Any:
+    """Return a member of a JSON object; raise ValueError if there is none of this kind."""
+    value = raw.get(name) if isinstance(raw, dict) else None
+    if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
+        raise ValueError(f"{name} is missing or has a wrong type")
+    if isinstance(value, int) and not 0 <= value <= MAX_NUMBER:
+        raise ValueError(f"{name} is out of range")
+    return value
 
 
 class KeyValueStore:
@@ -89,12 +129,13 @@
 
     async def get(self, key: str) -> Entry:
         """Return a key's entry; revision 0 when it has never been written."""
-        return entry_from(await self._call("get", "GET", f"/kv/get?{urlencode({'key': key})}"))
+        query = urlencode({"key": key})
+        return await self._call(entry_from, "get", "GET", f"/kv/get?{query}")
 
     async def list(self, prefix: str) -> Listing:
         """Return all keys under a prefix."""
-        raw = await self._call("list", "GET", f"/kv/list?{urlencode({'prefix': prefix})}")
-        return Listing(tuple(map(entry_from, raw["entries"])), raw["revision"])
+        query = urlencode({"prefix": prefix})
+        return await self._call(listing_from, "list", "GET", f"/kv/list?{query}")
 
     async def watch(self, prefix: str, after: int, timeout: float) -> Listing:
         """Wait for changes under a prefix.
@@ -109,8 +150,8 @@
             Maximum wait, in seconds; returns an empty listing after it.
         """
         query = urlencode({"prefix": prefix, "after": after, "timeout": timeout})
-        raw = await self._call("watch", "GET", f"/kv/watch?{query}", idle=timeout + WATCH_SLACK)
-        return Listing(tuple(map(entry_from, raw["entries"])), raw["revision"])
+        idle = timeout + WATCH_SLACK
+        return await self._call(listing_from, "watch", "GET", f"/kv/watch?{query}", idle=idle)
 
     async def swap(
         self, key: str, value: str | None, expected: int, lease: str | None = None
@@ -125,33 +166,31 @@
             If the write may have taken effect; read the key back to find out.
         """
         body = {"key": key, "value": value, "expected": expected, "lease": lease}
-        raw = await self._call("swap", "POST", "/kv/swap", body)
-        if raw["swapped"]:
-            return Written(raw["revision"])
-        return SwapConflict(entry_from(raw["current"]))
+        return await self._call(swap_result_from, "swap", "POST", "/kv/swap", body)
 
     async def open_lease(self, ttl: float) -> LeaseGrant:
         """Open a lease of ``ttl`` seconds; keys written under it are deleted when it expires."""
-        raw = await self._call("lease", "POST", "/kv/lease", {"ttl": ttl})
-        return LeaseGrant(raw["lease"], raw["ttl"])
+        return await self._call(grant_from, "lease", "POST", "/kv/lease", {"ttl": ttl})
 
     async def renew_lease(self, lease: str) -> bool:
         """Renew a lease; return False if it has expired."""
-        raw = await self._call("lease", "POST", "/kv/lease/renew", {"lease": lease})
-        return raw["renewed"]
+        body = {"lease": lease}
+        return await self._call(renewed_from, "lease", "POST", "/kv/lease/renew", body)
 
     async def revoke_lease(self, lease: str) -> None:
         """Revoke a lease."""
-        await self._call("lease", "POST", "/kv/lease/revoke", {"lease": lease})
+        body = {"lease": lease}
+        await self._call(lambda _raw: None, "lease", "POST", "/kv/lease/revoke", body)
 
     async def _call(
         self,
+        decode: Callable[[Any], T],
         kind: str,
         method: str,
         path: str,
         body: dict | None = None,
         idle: float = CALL_TIMEOUT,
-    ) -> dict:
+    ) -> T:
         data = json.dumps(body).encode() if body is not None else b""
         call = HttpCall(
             self.address,
@@ -172,9 +211,9 @@
             self.count(kind, "lost")
             raise PlatformAnswerLost(f"key-value service: {error}") from error
         self.clock.record_date(call.headers.get("Date", ""), asked, self.clock.host())
-        return self._answer(kind, call.status, answer)
+        return self._answer(decode, kind, call.status, answer)
 
-    def _answer(self, kind: str, status: int, answer: bytes) -> dict:
+    def _answer(self, decode: Callable[[Any], T], kind: str, status: int, answer: bytes) -> T:
         if kind == "watch" and status == HTTP_GONE:
             self.count(kind, "compacted")
             raise PlatformCompacted("key-value service: the watched revision is forgotten")
@@ -185,7 +224,7 @@
         try:
             if status != 200:
                 raise ValueError(f"status {status}")
-            found = jsontext.parse(answer)
+            found = decode(jsontext.parse(answer))
         except ValueError as error:
             # An unexpected answer doesn't prove that nothing was written.
             self.count(kind, "lost")
--- a/tests/features/settings_inputs.feature
+++ b/tests/features/settings_inputs.feature
@@ -1,5 +1,10 @@
 Feature: What other programs write to the platform is refused piece by piece
 
+  # Guards against an answer of the key-value service that ends a loop by an error that nobody expects.
+  Scenario: Any answer of the key-value service is decoded or refused
+    Then 800 random answers of the key-value service are decoded or refused with ValueError
+    And a value that is no text is an entry of its JSON
+
   # Guards against one team's entry that costs the other teams their settings.
   Scenario: Odd entries of one team leave the settings of another in force
     Then each odd entry of "odd" leaves the settings of "sound" in force
--- a/tests/features/steps/settingsinputs_steps.py
+++ b/tests/features/steps/settingsinputs_steps.py
@@ -6,7 +6,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from papayacourse import jsontext, wire
+from papayacourse import jsontext, kvstore, logline, wire
 from papayacourse.catalog import Catalog
 from papayacourse.commits import COMMIT_KEY
 from papayacourse.history import parse_revisions
@@ -16,6 +16,10 @@
 from papayacourse.watch import SettingsWatch
 from tests.oddtexts import odd_texts
 
+DECODERS = (
+    kvstore.entry_from, kvstore.listing_from, kvstore.swap_result_from, kvstore.grant_from,
+    kvstore.renewed_from,
+)  # fmt: skip
 TEAM = "[team]\nstate = closed\n"
 HEAD = "# author: a\n# revision: {}\n# time: {}\n" + TEAM
 ODD_VALUES = [
@@ -89,6 +93,29 @@
         return None
 
 
+@then("{count:d} random answers of the key-value service are decoded or refused with ValueError")
+def answers_are_decoded(context, count):
+    def check(answer):
+        raw = escaped(answer)
+        for decode in DECODERS:
+            try:
+                found = decode(raw)
+            except ValueError as error:
+                assert str(error).isprintable(), error
+            else:
+                logline.encode({"found": repr(found)})
+
+    check_random(answers, count, check)
+
+
+@then("a value that is no text is an entry of its JSON")
+def values_become_json(context):
+    for value in (5, 1.5, True, [1], {"a": 1}):
+        raw = {"key": "k", "value": value, "revision": 3}
+        assert kvstore.entry_from(raw) == Entry("k", json.dumps(value), 3)
+    assert kvstore.entry_from({"key": "k", "value": None, "revision": 3}) == Entry("k", None, 3)
+
+
 def check_sound_in_force(odd: list[Entry], team: str, other: str) -> None:
     """Apply odd entries of a team beside a sound one of another, which must be in force."""
     catalog = Catalog()
