Refuse segments of records that cannot be read

Callers would have seen: calls that hang. When another program wrote something else into a segment of a bucket of records, the compaction that reads it ended the bucket's writing task with an error that is no error of the platform, and nobody wrote the rows that waited: their callers had no answer at all until a later call of the same bucket. Fields of other types (a row of class -1, a list as a key, the number of another segment) were taken as they were.

Cause: unpack checked nothing and raised whatever it met; compaction expects errors of the platform only.

Change: unpack checks the type and range of each field and that the segment is the one of its key, and raises PlatformUnavailable, so that calls of that bucket are refused with 503 and ran no; they cannot run safely while their record cannot be read.

Evidence: record_segments.feature, 24 odd bodies, 8 odd texts and 500 random bodies.

--- a/papayacourse/buckets.py
+++ b/papayacourse/buckets.py
@@ -12,10 +12,13 @@
 import hashlib
 import json
 from collections.abc import Iterable
+from types import NoneType
 
+import attrs
 import cbor2
 from attrs import define, evolve, field, frozen
 
+from papayacourse.exceptions import PlatformUnavailable
 from papayacourse.kvstore import Entry
 
 BUCKETS_PER_TEAM = 4
@@ -57,6 +60,17 @@
 
 Row = Intent | Outcome | Release
 ROW_CLASSES = (Intent, Outcome, Release)
+MAX_NUMBER = 2**53  # of a number in a segment
+NUMBERS = frozenset({int, float})
+FIELD_TYPES = {
+    bytes: {bytes},
+    bytes | None: {bytes, NoneType},
+    bool: {bool},
+    int: {int},
+    float: {float, int},
+    tuple[tuple[str, str], ...]: {tuple},
+    tuple[Row, ...]: {tuple},
+}
 
 
 @frozen
@@ -103,6 +117,12 @@
         return all(not isinstance(row, Intent) or row.expires < now for row in self.rows)
 
 
+CHECKED_FIELDS = {
+    cls: tuple((spec.name, FIELD_TYPES[spec.type]) for spec in attrs.fields(cls))
+    for cls in (*ROW_CLASSES, Segment)
+}
+
+
 def key_hash(team: str, service: str, account: str, key: str) -> bytes:
     """Return the hash under which a call's record is stored."""
     return hashlib.sha256(json.dumps([team, service, account, key]).encode()).digest()[:KEY_BYTES]
@@ -135,16 +155,49 @@
 
 
 def unpack(entry: Entry) -> Segment:
-    """Decode a segment from its entry."""
-    number, rows, *rest = cbor2.loads(base64.b64decode(entry.value))
-    return Segment(number, tuple(_unpack_row(*raw) for raw in rows), *rest)
+    """Decode a segment from its entry.
+
+    Raises
+    ------
+    PlatformUnavailable
+        If the entry holds no segment of its number; its keys cannot be looked up.
+    """
+    try:
+        number, rows, sealed, ran, unknown, newest = cbor2.loads(
+            base64.b64decode(entry.value, validate=True)
+        )
+        segment = Segment(
+            number, tuple(_unpack_row(*raw) for raw in rows), sealed, ran, unknown, newest
+        )
+        _check_types(segment)
+    except (TypeError, ValueError, LookupError, RecursionError, cbor2.CBORError) as error:
+        why = f"{entry.key} holds no segment: {type(error).__name__}"
+        raise PlatformUnavailable(why) from error
+    if not entry.key.endswith(f"/{number:08d}"):
+        raise PlatformUnavailable(f"{entry.key} holds another segment")
+    return segment
 
 
 def _unpack_row(kind: int, *fields) -> Row:
-    if ROW_CLASSES[kind] is Outcome:
+    row_class = ROW_CLASSES[range(len(ROW_CLASSES)).index(kind)]
+    if row_class is Outcome:
         key, nonce, status, headers, body = fields
-        return Outcome(key, nonce, status, tuple((name, value) for name, value in headers), body)
-    return ROW_CLASSES[kind](*fields)
+        row = Outcome(key, nonce, status, tuple((name, value) for name, value in headers), body)
+        if not all(type(text) is str for header in row.headers for text in header):
+            raise TypeError("a header is no text")
+    else:
+        row = row_class(*fields)
+    _check_types(row)
+    return row
+
+
+def _check_types(part: Row | Segment) -> None:
+    """Raise TypeError unless each field holds what its class says."""
+    for name, types in CHECKED_FIELDS[type(part)]:
+        value = getattr(part, name)
+        kind = type(value)
+        if kind not in types or (kind in NUMBERS and not 0 <= value <= MAX_NUMBER):
+            raise TypeError(f"{name} holds another type or is out of range")
 
 
 def split_tombstones(packed: bytes) -> Iterable[bytes]:
