Refuse addresses to which no connection could be opened

An address whose host has a null character or letters beyond ASCII, such as another program can write to the host list, was read without a fault, and opening a connection to it raised TypeError, which nothing there expects: a call to a service with such a server ended in an error of ours instead of going to the next server.

Cause: Address.parse took any host.

Change: a host is 1 to 255 letters, digits and . _ : % [ ] -, as in names and in addresses; the rest is a ValueError where the address is read.

Evidence: addresses.feature failed before (the host of a null character was read) and passes after.

--- a/papayacourse/types.py
+++ b/papayacourse/types.py
@@ -1,9 +1,12 @@
 """Small typed values that several modules share."""
 
 import enum
+import re
 
 from attrs import field, frozen, validators
 
+HOST = re.compile(r"[A-Za-z0-9._:%\[\]-]{1,255}")  # of names and of addresses
+
 
 class Ran(enum.StrEnum):
     """Whether the work of a request ran, as far as this is known for certain."""
@@ -39,7 +42,7 @@
     def parse(cls, text: str) -> "Address":
         """Parse ``host:port``; raise ValueError if the text has another form."""
         host, colon, port = text.strip().rpartition(":")
-        if not colon or not host:
+        if not colon or not host or not HOST.fullmatch(host):
             raise ValueError(f"{text!r} is not host:port")
         return cls(host, int(port))
 
