Leave odd hosts out of the host list instead of the list

Operators would have seen: a host list that stands still. One host of an unknown kind, or without a name, in the platform's list made the whole list unreadable, for each daemon and for as long as the host was listed. One whose address or mesh address cannot be read passed, and raised ValueError later: where the members' addresses are set, which ended the application of the list there, and in calls to that server.

Cause: the listing was converted as a whole, and addresses were parsed where they are used.

Change: each host is decoded by itself, with its addresses; one that cannot be read counts as not listed and is logged as 'hosts not readable' whenever these change. Members of another type are refused instead of converted ("None" as a name). Lists of another form, such as null, are an error of the platform; null was a TypeError.

Evidence: host_list.feature, 30 odd hosts beside sound ones, 13 odd lists, 500 random lists, through the client.

--- a/papayacourse/hostlist.py
+++ b/papayacourse/hostlist.py
@@ -1,17 +1,21 @@
 """Client of the platform's lagging host list; the only module that knows its wire format."""
 
 from functools import cached_property
+from typing import Any
 
-from attrs import frozen
+from attrs import fields, frozen
 from cattrs import structure
 from cattrs.errors import BaseValidationError
 
-from papayacourse import jsontext
+from papayacourse import jsontext, logs
 from papayacourse.exceptions import BackendError, PlatformError, PlatformUnavailable
 from papayacourse.httpcall import HttpCall
 from papayacourse.types import Address, Host, HostKind
 
 CALL_TIMEOUT = 3.0  # seconds
+MAX_NUMBER = 2**53  # of a version or of slots
+MAX_LOGGED = 8  # hosts
+MAX_NAME = 200  # characters
 
 
 @frozen
@@ -53,12 +57,65 @@
         return {name: tuple(h for h in self.hosts if h.service == name) for name in services}
 
 
+def host_from(raw: Any) -> Host:
+    """Decode a host.
+
+    Raises
+    ------
+    ValueError
+        If a member is missing, or has a wrong type or a value that cannot be used.
+    """
+    known = {spec.name: raw[spec.name] for spec in fields(Host) if spec.name in raw}
+    slots = known.get("slots", 0)
+    if any(not isinstance(known[name], str) for name in known.keys() - {"slots"}):
+        raise ValueError("a member is no text")
+    if type(slots) is not int or not 0 <= slots <= MAX_NUMBER:
+        raise ValueError("slots is not a number of requests")
+    host = structure(known, Host)
+    Address.parse(host.address)
+    if host.mesh or host.kind == HostKind.ENTRY:
+        Address.parse(host.mesh)
+    if not host.name:
+        raise ValueError("a host has no name")
+    return host
+
+
+def listing_from(raw: Any) -> tuple[HostListing, tuple[str, ...]]:
+    """Decode a listing; return it and a text for each of its hosts that cannot be read.
+
+    Raises
+    ------
+    ValueError
+        If it is no listing.
+    """
+    version, members = (raw["version"], raw["hosts"]) if isinstance(raw, dict) else (None, None)
+    if type(version) is not int or not 0 <= version <= MAX_NUMBER or type(members) is not list:
+        raise ValueError("no version or no hosts")
+    hosts, odd = [], []
+    for member in members:
+        try:
+            hosts.append(host_from(member))
+        except (ValueError, TypeError, BaseValidationError) as error:
+            name = member.get("name") if isinstance(member, dict) else None
+            odd.append(f"{str(name)[:MAX_NAME]}: {str(error)[:MAX_NAME]}")
+    return HostListing(version, tuple(hosts)), tuple(odd)
+
+
 class HostList:
-    """HTTP client of the host list."""
+    """HTTP client of the host list.
+
+    Attributes
+    ----------
+    etag : str
+        Identifies the list that was read last.
+    odd : tuple of str
+        A text for each of its hosts that cannot be read; they count as not listed.
+    """
 
     def __init__(self, address: Address):
         self.address = address
         self.etag = ""
+        self.odd: tuple[str, ...] = ()
 
     async def get(self) -> HostListing | None:
         """Return the list, or None if it has not changed since the last call.
@@ -80,8 +137,11 @@
         if call.status != 200:
             raise PlatformUnavailable(f"host list: status {call.status}")
         try:
-            listing = structure(jsontext.parse(answer), HostListing)
-        except (ValueError, BaseValidationError) as error:
+            listing, odd = listing_from(jsontext.parse(answer))
+        except (ValueError, KeyError) as error:
             raise PlatformError(f"host list: not a host list: {error}") from error
+        if odd and odd != self.odd:
+            logs.error("hosts not readable", hosts=odd[:MAX_LOGGED], number=len(odd))
+        self.odd = odd
         self.etag = call.headers.get("Etag", "")
         return listing
