Refuse settings whose numbers are beyond all bounds

A whole number of up to 4,300 digits was accepted in a team's settings and failed later, in the arithmetic of whoever used it (OverflowError where a float meets it).

Cause: positive compared with infinity, which every int is below, and priorities were not compared at all.

Change: numbers are at most 2**53, where they are read; a fault quotes 40 characters of the value.

Evidence: settings_inputs.feature tries 7 texts for each of 22 options and each default.

--- a/papayacourse/config.py
+++ b/papayacourse/config.py
@@ -1,7 +1,6 @@
 """Reads a daemon's configuration from its INI file into a validated object."""
 
 import configparser
-import math
 from collections.abc import Callable
 from pathlib import Path
 
@@ -12,6 +11,8 @@
 from papayacourse.types import Address, Fault
 
 MIN_MESH_KEY_LENGTH = 16  # characters
+MAX_NUMBER = 2**53  # beyond which a float is no longer exact
+SHOWN = 40  # characters of a value in a fault
 
 
 @frozen
@@ -103,17 +104,25 @@
 
 
 def positive(kind: Callable) -> Callable:
-    """Return a parser of finite numbers above zero."""
+    """Return a parser of numbers above zero and at most `MAX_NUMBER`."""
 
     def read(text: str):
         value = kind(text)
-        if not 0 < value < math.inf:
-            raise ValueError(f"{text!r} must be a number above zero")
+        if not 0 < value <= MAX_NUMBER:
+            raise ValueError(f"{text[:SHOWN]!r} must be a number above zero, at most {MAX_NUMBER}")
         return value
 
     return read
 
 
+def whole_number(text: str) -> int:
+    """Parse a whole number of at most `MAX_NUMBER`, above or below zero."""
+    value = int(text)
+    if abs(value) > MAX_NUMBER:
+        raise ValueError(f"{text[:SHOWN]!r} must be at most {MAX_NUMBER}")
+    return value
+
+
 @frozen
 class Option:
     """One option of an INI file: its location, its parser, and whether it is required."""
--- a/papayacourse/settingsoptions.py
+++ b/papayacourse/settingsoptions.py
@@ -2,7 +2,14 @@
 
 from attrs import frozen
 
-from papayacourse.config import Option, nonempty, positive, yes_or_no
+from papayacourse.config import (
+    MAX_NUMBER,
+    Option,
+    nonempty,
+    positive,
+    whole_number,
+    yes_or_no,
+)
 from papayacourse.settings import (
     AccountSettings,
     CallPattern,
@@ -83,10 +90,10 @@
 
 
 def not_negative(text: str) -> float:
-    """Parse a finite number that is not negative."""
+    """Parse a number from 0 to `MAX_NUMBER`."""
     value = float(text)
-    if not 0 <= value < float("inf"):
-        raise ValueError(f"{text!r} is not a number from 0 up")
+    if not 0 <= value <= MAX_NUMBER:
+        raise ValueError(f"{text!r} is not a number from 0 to {MAX_NUMBER}")
     return value
 
 
@@ -162,7 +169,7 @@
             optional("account", "services", "services", names),
             optional("account", "share", "share", positive(float)),
             optional("account", "max_in_progress", "max_in_progress", positive(int)),
-            optional("account", "priority", "priority", int),
+            optional("account", "priority", "priority", whole_number),
         ),
     ),
     "deployments": Kind(
@@ -175,7 +182,7 @@
             optional("deployment", "adapter", "adapter", nonempty),
             optional("deployment", "version", "version", nonempty),
             optional("deployment", "role", "role", nonempty),
-            optional("deployment", "priority", "priority", int),
+            optional("deployment", "priority", "priority", whole_number),
             optional("deployment", "memory_tokens", "memory_tokens", positive(int)),
             optional("deployment", "max_batch", "max_batch", positive(int)),
             optional("deployment", "memory_margin", "memory_margin", fraction),
--- a/tests/features/settings_inputs.feature
+++ b/tests/features/settings_inputs.feature
@@ -10,3 +10,8 @@
     Then each odd entry of "odd" leaves the settings of "sound" in force
     And 500 random entries of "odd" leave the settings of "sound" in force
     And 300 random histories are decoded
+
+  # Guards against a number that is accepted and fails in the arithmetic of a loop.
+  Scenario: Numbers beyond all bounds are faults of their setting
+    Then each number of each kind of path is refused as "BIG", "-BIG", "1e300", "inf" and "nan"
+    And each number of each kind of path is accepted as its default
--- a/tests/features/steps/settingsinputs_steps.py
+++ b/tests/features/steps/settingsinputs_steps.py
@@ -2,9 +2,11 @@
 
 import json
 
+import attrs
 from behave import then
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
+from returns.result import Failure, Success
 
 from papayacourse import jsontext, kvstore, logline, wire
 from papayacourse.catalog import Catalog
@@ -12,6 +14,9 @@
 from papayacourse.history import parse_revisions
 from papayacourse.kvstore import Entry, KeyValueStore, Listing
 from papayacourse.meshmessages import SettingsUpdate
+from papayacourse.settings import SettingsPath
+from papayacourse.settingsoptions import KINDS
+from papayacourse.settingsparser import parse_setting
 from papayacourse.types import Address
 from papayacourse.watch import SettingsWatch
 from tests.oddtexts import odd_texts
@@ -159,3 +164,54 @@
                 assert isinstance(revision.revision, int)
 
     check_random(revisions | values, count, check)
+
+
+NUMBERS = {
+    "team": ("record_bytes", "record_forget_after"),
+    "services": (
+        "max_output_tokens", "wait_limit", "resume_window", "call_timeout", "retry_share",
+        "spill_same_region", "spill_other_region", "record_retention", "cell_engines",
+    ),
+    "accounts": ("share", "max_in_progress", "priority"),
+    "deployments": (
+        "priority", "memory_tokens", "max_batch", "memory_margin", "memory_spread",
+        "affinity_bound", "decode_batch", "prompt_wait",
+    ),
+}  # fmt: skip
+REQUIRED = {
+    "team": {"state": "open"},
+    "services": {"kind": "model"},
+    "accounts": {"key_sha256": "0" * 64},
+    "deployments": {"service": "x", "backends": "x"},
+}
+
+
+def parse_number(kind: str, option: str, number: str):
+    """Parse the text of a path that has one number."""
+    path = SettingsPath("odd", kind, "" if kind == "team" else "x")
+    lines = [f"{name} = {value}" for name, value in (REQUIRED[kind] | {option: number}).items()]
+    return parse_setting(path, "\n".join([f"[{KINDS[kind].section}]", *lines]))
+
+
+@then('each number of each kind of path is refused as "BIG", "-BIG", "1e300", "inf" and "nan"')
+def numbers_are_refused(context):
+    for number in ("9" * 400, "-" + "9" * 400, "9" * 5000, "1e300", "inf", "-inf", "nan"):
+        for kind, options in NUMBERS.items():
+            for option in options:
+                match parse_number(kind, option, number):
+                    case Failure(faults):
+                        assert [fault.option for fault in faults] == [option], faults
+                        assert len(str(faults[0])) < 8000, faults
+                    case Success(found):
+                        raise AssertionError((option, number[:20], found))
+
+
+@then("each number of each kind of path is accepted as its default")
+def defaults_are_accepted(context):
+    for kind, options in NUMBERS.items():
+        for spec in KINDS[kind].options:
+            default = getattr(attrs.fields(KINDS[kind].cls), spec.attribute).default
+            if spec.option in options and default:
+                match parse_number(kind, spec.option, str(default)):
+                    case Failure(faults):
+                        raise AssertionError(faults)
