Refuse odd debug pages in a line

When something else answered at a daemon's address with status 200, 'papayacourse status' and the debug commands ended with a traceback, and a rollout that waited for all daemons ended with it as well, without a word about the others.

Cause: ask_daemon raised whatever the parser raised, and the rollout took members of the page as they came.

Change: ask_daemon raises BackendError unless the page is a JSON object; a daemon whose page has no revision lags.

Evidence: debug_pages.feature, 9 pages that are no objects and 8 without a revision. Before, it failed with JSONDecodeError at the first; after, both steps pass.

--- a/papayacourse/rollout.py
+++ b/papayacourse/rollout.py
@@ -84,18 +84,27 @@
                 body = await ask_daemon(target, self.mesh_key, f"/debug/settings?{query}")
             except (BackendError, ValueError):
                 return False
-            if any(body["paths"][path]["revision"] < revisions[path] for path in batch):
+            if any(revision_of(body, path) < revisions[path] for path in batch):
                 return False
         return True
 
 
+def revision_of(body: dict, path: str) -> int:
+    """Return the revision of a path on a daemon's page; 0 if the page has none."""
+    try:
+        revision = body["paths"][path]["revision"]
+    except (KeyError, TypeError):
+        return 0
+    return revision if isinstance(revision, int) else 0
+
+
 async def ask_daemon(daemon: Address, mesh_key: str, path: str) -> dict:
     """Fetch one of a daemon's debug pages.
 
     Raises
     ------
     BackendError
-        If the daemon is unreachable or answers with an unexpected status.
+        If the daemon is unreachable, or answers with an unexpected status or no JSON object.
     PapayacourseError
         If the daemon rejects the mesh key.
     """
@@ -106,4 +115,10 @@
         raise PapayacourseError(f"{daemon} does not know that mesh key")
     if call.status != 200:
         raise BackendError(f"{daemon} answered status {call.status}")
-    return jsontext.parse(body)
+    try:
+        page = jsontext.parse(body)
+    except ValueError as error:
+        raise BackendError(f"{daemon} answered no JSON: {error}") from error
+    if not isinstance(page, dict):
+        raise BackendError(f"{daemon} answered no JSON object")
+    return page
