Restore settings past odd revisions of a history

When another program had written a revision of 0 or below into a path's history, the search for the last valid value stopped there, since restoring it had no effect but counted as done: the path stayed without settings beside a sound revision.

Cause: the history's numbers were not checked.

Change: revisions that cannot be one are left out where the history is read.

Evidence: settings_inputs.feature: the new step failed before (the team was not in force) and passes after.

--- a/papayacourse/history.py
+++ b/papayacourse/history.py
@@ -15,6 +15,7 @@
 MAX_REVISIONS = 20
 MAX_HISTORY_BYTES = 512 * 1024
 MAX_SWAP_ATTEMPTS = 8
+MAX_REVISION = 2**63 - 1
 
 
 @frozen
@@ -47,12 +48,16 @@
 
 
 def parse_revisions(entry: Entry) -> list[Revision]:
-    """Decode the revisions in a history entry; return none if it is malformed."""
+    """Decode the revisions in a history entry; return none if it is malformed.
+
+    Revisions whose number cannot be one are left out.
+    """
     try:
-        return structure(jsontext.parse(entry.value or "[]"), list[Revision])
+        found = structure(jsontext.parse(entry.value or "[]"), list[Revision])
     except (ValueError, TypeError, BaseValidationError):
         logs.error("settings history not readable", key=entry.key, revision=entry.revision)
         return []
+    return [one for one in found if 0 < one.revision <= MAX_REVISION]
 
 
 async def add_revision(
--- a/tests/features/settings_inputs.feature
+++ b/tests/features/settings_inputs.feature
@@ -10,6 +10,7 @@
     Then each odd entry of "odd" leaves the settings of "sound" in force
     And 500 random entries of "odd" leave the settings of "sound" in force
     And 300 random histories are decoded
+    And a history with an odd revision restores the sound one
 
   # Guards against a number that is accepted and fails in the arithmetic of a loop.
   Scenario: Numbers beyond all bounds are faults of their setting
--- a/tests/features/steps/settingsinputs_steps.py
+++ b/tests/features/steps/settingsinputs_steps.py
@@ -1,5 +1,6 @@
 """Steps about what other programs write to the key-value service and the host list."""
 
+import asyncio
 import json
 
 import attrs
@@ -156,12 +157,28 @@
     check_random(st.lists(st.tuples(paths, stored), min_size=1, max_size=4), count, check)
 
 
+@then("a history with an odd revision restores the sound one")
+def sound_one_is_restored(context):
+    sound = {"revision": 3, "author": "a", "at": 1.0, "batch": "b", "text": TEAM}
+    found = json.dumps([sound, *(sound | {"revision": odd} for odd in (0, -1, 10**400))])
+
+    class Store:
+        async def get(self, key):
+            return Entry(key, found, 9)
+
+    catalog = Catalog()
+    watch = SettingsWatch(Store(), catalog)
+    watch.apply_listing(Listing((Entry("/teams/odd", "[", 8),), 9))
+    asyncio.run(watch._restore())
+    assert catalog.team_closed("odd")
+
+
 @then("{count:d} random histories are decoded")
 def histories_are_decoded(context, count):
     def check(found):
         for value in (json.dumps(found), json.dumps([found])):
             for revision in parse_revisions(Entry("/history/teams/odd", value, 5)):
-                assert isinstance(revision.revision, int)
+                assert type(revision.revision) is int and revision.revision > 0, revision
 
     check_random(revisions | values, count, check)
 
