Bound log lines whose objects have long names

Operators would have seen: a log line of 12 MB. The equal parts of 32 Ki characters also left a traceback only some 2,700 characters in a line with one odd value.

Cause: a member was encoded before its name, and a name that got no room was cut by a negative length.

Change: names come first, and a cut leaves at least one character at each end. A field of a line that is encoded again has 8 Ki characters, and only if that is too much for the line do its fields share 16 Ki.

--- a/papayacourse/logline.py
+++ b/papayacourse/logline.py
@@ -10,8 +10,9 @@
 from eliot.json import json_default
 
 MAX_LINE_BYTES = 64 * 1024  # a longer line is cut
-MAX_CUT_CHARACTERS = 32 * 1024  # of a line that is cut, shared equally by its fields
-MAX_FIELDS = 200  # of a line that is cut
+MAX_FIELD_CHARACTERS = 8 * 1024  # of a field of a line that is encoded again
+MAX_CUT_CHARACTERS = 16 * 1024  # of a line that is too long all the same, shared by its fields
+MAX_FIELDS = 100  # of a line that is encoded again
 MAX_NAME_CHARACTERS = 100
 MAX_DEPTH = 8
 CUT = "..."
@@ -35,7 +36,14 @@
 
 def encode_cut(message: dict[str, Any]) -> bytes:
     """Return a message as one line of JSON of bounded length."""
-    room = MAX_CUT_CHARACTERS // max(1, min(len(message), MAX_FIELDS))
+    line = encode_fields(message, MAX_FIELD_CHARACTERS)
+    if len(line) <= MAX_LINE_BYTES:
+        return line
+    return encode_fields(message, MAX_CUT_CHARACTERS // min(len(message), MAX_FIELDS))
+
+
+def encode_fields(message: dict[str, Any], room: int) -> bytes:
+    """Return a message as one line of JSON, each of its fields in so many characters."""
     fields = {
         cut_text(name, MAX_NAME_CHARACTERS): FieldEncoder(room).encodable(value)
         for name, value in list(message.items())[:MAX_FIELDS]
@@ -62,7 +70,7 @@
 def cut_text(text: str, room: int) -> str:
     """Return a text with halves of surrogate pairs escaped; the middle of a long one is cut."""
     if len(text) > room:
-        half = room // 2
+        half = max(1, room // 2)
         text = f"{text[:half]}{CUT}{len(text) - 2 * half} characters cut{CUT}{text[-half:]}"
     return text.encode("utf-8", "backslashreplace").decode()
 
@@ -126,8 +134,8 @@
             if self.room <= 0:
                 found[CUT] = f"{len(value)} members"
                 break
-            text = name if isinstance(name, str) else repr(name)
-            found[self._text(text)] = self.encodable(member, depth + 1)
+            shown = self._text(name if isinstance(name, str) else repr(name))
+            found[shown] = self.encodable(member, depth + 1)
         return found
 
     def _list(self, value: list | tuple | set | frozenset, depth: int) -> list[Any]:
--- a/tests/oddlines.py
+++ b/tests/oddlines.py
@@ -72,6 +72,8 @@
     "a long list": list(range(200_000)),
     "a long object": {str(number): number for number in range(100_000)},
     "a wide tree": [[["\0" * 50] * 50] * 50] * 50,
+    "a long name of a long text": {"\0" * 1_000_000: "\0" * 1_000_000},
+    "long names": {"\ud800" * 1000 + str(number): "\0" * 1000 for number in range(1000)},
     "another mapping": UserDict(a="\ud800"),
 }
 
