--- a/tests/features/routed_odd_values.feature
+++ b/tests/features/routed_odd_values.feature
@@ -19,6 +19,31 @@
       | a part beyond numbers       | /plans/1 | X-Prompt-Prefix  | a:LONG,b:1           |
       | a hint beyond numbers       | /plans/1 | X-Length-Hint    | 1e400                |
 
+  # Guards against sizes that no scheduler can count with: a negative one frees memory that is not
+  # there, and one beyond 64 bits fails where it is sent, logged or compared.
+  Scenario Outline: A generation of <what> harms nobody
+    Given a platform store with document 5
+    And an engine "planner-1" of "planner" in "lagos"
+    And a routed daemon "a" in "lagos"
+    When POST "/plans/1" is sent through "a" with "<header>" as "<value>"
+    And POST "/plans/2" is sent through "a" with "X-Token-Counts" as "100,5"
+    Then it has been answered 200
+    And the log of "a" has no line "request failed, loop failed, task failed"
+
+    Examples:
+      | what                    | header          | value         |
+      | a negative prompt       | X-Token-Counts  | -1000000,5    |
+      | a negative output       | X-Token-Counts  | 5,-1000000    |
+      | a prompt beyond 64 bits | X-Token-Counts  | 1e300,5       |
+      | an output beyond 64 bits | X-Token-Counts | 5,1e300       |
+      | sizes just over it      | X-Token-Counts  | 1e19,1e19     |
+      | a hint beyond 64 bits   | X-Length-Hint   | 1e300         |
+      | a negative hint         | X-Length-Hint   | -1000000      |
+
+  # Guards against values that no list of ours has foreseen.
+  Scenario: Whatever a caller's headers hold, the request is refused or can be scheduled and logged
+    Then 1000 random heads are refused, or their requests can be scheduled and logged
+
   # Guards against a loop or a run that ends by what an engine says of itself.
   Scenario Outline: An engine that answers <call> with <body> has said nothing
     Given an engine that answers every call with <body>
