Refuse a prompt that no engine of its service has the memory for

Callers saw: after one caller named a prompt of 10**12 tokens in X-Token-Counts, the next was refused with 429, no place came free in time, though the engine was idle.

Cause: an empty engine accepts any prompt, and the prompt then counts as waiting there until it could have been prefilled, also on each further engine that rejects it.

Change: a prompt larger than the engines' memory in the settings document gets 503 too_large before it is scheduled; engines reject such a request as if they were full. The remaining tokens of a prompt whose first event came sooner than estimated still count; that is unchanged.

Evidence: the new example of routed_odd_values failed before (429 for the next caller) and passes. routed_odd_values, routed_places and routed_streams passed.

--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -17,7 +17,7 @@
 from papayacourse.routed.admitted import AdmittedRequest, admit
 from papayacourse.routed.choice import ServerChoice
 from papayacourse.routed.derived import TEAM
-from papayacourse.routed.document import CallerLimits, Repeat, Service
+from papayacourse.routed.document import CallerLimits, EngineCapacity, Repeat, Service
 from papayacourse.routed.documents import Documents
 from papayacourse.routed.evacuation import Evacuation
 from papayacourse.routed.exchange import CallerDisconnected, Exchange, ExchangeOwner
@@ -244,6 +244,7 @@
         self, exchange: Exchange, outcome: "Outcome", service: Service, guard: RequestGuard
     ) -> None:
         admitted = outcome.admitted
+        refuse_too_large(admitted.call.prompt, service.engine)
         request = generation_request(admitted)
         generation = Generation(admitted, exchange, self.fleet, request, service.engine, guard)
         outcome.generation = generation
@@ -317,6 +318,18 @@
     return RequestRefused(503, refused.reason, refused.detail, refused.ran, refused.retry_after)
 
 
+def refuse_too_large(prompt: Prompt | None, capacity: EngineCapacity) -> None:
+    """Refuse a prompt that no engine of its service has the memory for.
+
+    Engines would reject it, and each that is asked would count as busy with it meanwhile.
+    """
+    if prompt is not None and prompt.tokens > capacity.memory_tokens > 0:
+        raise RequestRefused(
+            503, "too_large", f"the prompt has over {capacity.memory_tokens} tokens, all of an "
+            "engine's memory",
+        )  # fmt: skip
+
+
 def generation_request(admitted: AdmittedRequest) -> GenerationRequest:
     """Return the request as the schedulers see it."""
     call, prompt = admitted.call, admitted.call.prompt or Prompt("", 0, 1)
--- a/tests/features/routed_odd_values.feature
+++ b/tests/features/routed_odd_values.feature
@@ -36,6 +36,7 @@
       | a negative output       | X-Token-Counts  | 5,-1000000    |
       | a prompt beyond 64 bits | X-Token-Counts  | 1e300,5       |
       | an output beyond 64 bits | X-Token-Counts | 5,1e300       |
+      | the largest prompt      | X-Token-Counts  | 1000000000000,5 |
       | sizes just over it      | X-Token-Counts  | 1e19,1e19     |
       | a hint beyond 64 bits   | X-Length-Hint   | 1e300         |
       | a negative hint         | X-Length-Hint   | -1000000      |
