--- a/tests/features/routed_documents.feature
+++ b/tests/features/routed_documents.feature
@@ -70,3 +70,23 @@
   # Guards against values that no list of ours has foreseen.
   Scenario: Whatever a document holds, requests can be routed by it or it is refused
     Then 1000 random documents are refused, or requests on their routes can be routed and logged
+
+  # Guards against a capacity that is taken and that the scheduler cannot compute with.
+  Scenario Outline: Generations are served by a document whose <field> is the largest number
+    Given a platform store with document 5
+    And an engine "planner-1" of "planner" in "lagos"
+    And a routed daemon "a" in "lagos"
+    When a document whose "<field>" is the largest number comes into force on "a"
+    Then POST "/plans/1" of 5 tokens through "a" is answered 200
+
+    Examples:
+      | field                             |
+      | Services[0].Engine.KvCacheTokens  |
+      | Services[0].Engine.Slots          |
+      | Services[0].Engine.KvTokenBytes   |
+      | Services[0].Engine.Stride         |
+      | Routes[0].TimeoutMs               |
+      | Routes[0].TargetLatencyMs         |
+      | Routes[0].TargetGapMs             |
+      | Routes[0].Priority                |
+      | Routes[0].MaxAttempts             |
--- a/tests/features/steps/routeddocuments_steps.py
+++ b/tests/features/steps/routeddocuments_steps.py
@@ -30,6 +30,7 @@
 
 from userplatform.codec import HeaderCodec
 from userplatform.documents import read_document
+from userplatform.fields import MAX_WHOLE
 
 STEP = re.compile(r"(\w+)(?:\[(\d+)\])?")
 SERVER = Host("desk/e@1", HostKind.ENGINE, "127.0.0.1:9", "lagos", "lagos", service="desk")
@@ -151,3 +152,22 @@
 def check_frame(message) -> None:
     """Fail if a message cannot be sent to another daemon."""
     assert decode(encode(Frame(0, False, message))).message == message
+
+
+@when('a document whose "{path}" is the largest number comes into force on "{name}"')
+def largest_in_force(context, path, name):
+    routed = fleet_of(context)
+    routed.write({"op/config": changed(9, path, MAX_WHOLE)})
+    wait_until(
+        "it is in force",
+        lambda: any(x["version"] == 9 for x in routed.lines(name, "document in force")),
+    )
+
+
+@then('POST "{path}" of {tokens:d} tokens through "{name}" is answered {status:d}')
+def generation_answered(context, path, tokens, name, status):
+    plan = {"X-Model": "m", "X-Token-Counts": f"100,{tokens}"}
+    answer = fleet_of(context).ask(name, "POST", path, b"x", **plan)
+    assert answer.status == status, answer
+    for kind in ("request failed", "loop failed", "task failed", "settings rejected"):
+        assert fleet_of(context).lines(name, kind) == []
