--- a/tests/features/routed_entries.feature
+++ b/tests/features/routed_entries.feature
@@ -45,3 +45,11 @@
   # Guards against values that no list of ours has foreseen.
   Scenario: Whatever an entry holds, it names a server that can be used or none
     Then 3000 random entries each name a server that can be sent to daemons, or none
+
+  # Guards against values and keys that no list of ours has foreseen.
+  Scenario: Whatever daemons' entries and strikes hold, they can be used, sent and logged, or not read
+    Then 500 random daemons' entries and strikes are of use or are logged as not readable
+
+  # Guards against strikes of ours that are not read back.
+  Scenario: The strikes of a prompt of many parts are read back from the store
+    Then the strike of a prompt of 32 parts is read back as it was written
--- a/tests/features/steps/routedentries_steps.py
+++ b/tests/features/steps/routedentries_steps.py
@@ -1,25 +1,37 @@
 """Steps about entries of the platform's store that another writer has left."""
 
+import asyncio
 import json
 import sys
 
+from attrs import asdict
 from behave import then, when
+from deaths_steps import NoPeers
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 from routed_steps import fleet_of
 
+from papayacourse import partblame
+from papayacourse.callmessages import Strike, StrikesUpdate
 from papayacourse.exceptions import PlatformError
 from papayacourse.hostchanges import digest
 from papayacourse.meshmessages import HostsUpdate
+from papayacourse.quarantine import Quarantine
+from papayacourse.routed.keptstrikes import StoredStrikes
 from papayacourse.types import Address
 from papayacourse.wire import Frame, decode, encode
 from standins.fleet import wait_until
+from tests.oddvalues import check_loggable, check_random, encoded, mutated
+from tests.oddvalues import texts as odd_texts
+from tests.oddvalues import values as odd_values
 from tests.routedfleet import ROOT
 from tests.steptext import names_in
 
 sys.path.append(str(ROOT / "platform"))
 
 from userplatform.entries import read_entry
+from userplatform.storeclient import Item, Items
+from userplatform.storeview import StoreContent, read_strike, strike_key, strike_value
 
 HUGE = 10**400
 LONG = "x" * 1_000_000
@@ -29,6 +41,7 @@
     "State": "ready", "Sequence": 1, "born": 1,
 }  # fmt: skip
 DAEMON = {"address": "127.0.0.1:8", "mesh": "127.0.0.1:9", "domain": "lagos", "region": "lagos"}
+STRIKE = {"engine": "desk/e@1", "expires": 1.5}
 ODD = {
     "nested too deeply": "[" * 5000,
     "at a port out of range": GOOD | {"Address": "127.0.0.1:99999"},
@@ -113,3 +126,41 @@
         assert "\n" not in host.instance and host.instance.encode("latin1")
 
     check()
+
+
+@then("{count:d} random daemons' entries and strikes are of use or are logged as not readable")
+def random_content(context, count):
+    read = []
+
+    def check(prefix, suffix, entry) -> None:
+        item = Item(f"{prefix}{suffix}", encoded(entry), 1)
+        found = StoreContent(REGIONS, 1).apply(Items((item,), 1))
+        read.append(found.members or found.strikes)
+        for message in (HostsUpdate(1, found.members or ()), StrikesUpdate(found.strikes or ())):
+            assert decode(encode(Frame(0, False, message))).message == message
+        digest(found.members or ())
+        check_loggable(members=[asdict(member) for member in found.members or ()])
+        asyncio.run(take_strikes(found.strikes or ()))
+
+    entries = st.tuples(
+        st.sampled_from(["papayacourse/daemons/", "papayacourse/strikes/"]),
+        st.just("a/1") | odd_texts,
+        st.sampled_from([DAEMON, STRIKE]) | mutated(DAEMON) | mutated(STRIKE) | odd_values,
+    )  # fmt: skip
+    check_random(count, entries, lambda entry: check(*entry))
+    assert len(list(filter(None, read))) > count / 50, len(read)
+
+
+async def take_strikes(strikes) -> None:
+    """Fail if strikes of the store cannot be taken."""
+    quarantine = Quarantine(NoPeers())
+    await StoredStrikes(None, quarantine).take(strikes, 1)
+    for strike in strikes:
+        check_loggable(fingerprint=strike.fingerprint, engine=strike.engine, at=strike.expires)
+
+
+@then("the strike of a prompt of {count:d} parts is read back as it was written")
+def strike_is_read_back(context, count):
+    fingerprint = partblame.encode("request", [f"part-{n}" for n in range(count)])
+    strike = Strike(fingerprint, "desk/e@1", 1.5)
+    assert read_strike(strike_key(strike), strike_value(strike), REGIONS) == strike
