Give no link to a daemon that names no address

Callers saw nothing yet. A daemon that knows the mesh key and names an address that is none stayed among the open links without a reader or a writer, as the link in use for its name, and its name stayed half added; one such daemon in the summary of a domain hid those listed after it.

Cause: handle_connected parsed the address after the link had been added, outside of what removes it again; the error was no MalformedMessage.

Change: the handshake reads the address, and refuses the link ('link refused') if it is none. Of a summary that entry alone is left out, with a log line. It isn't checked by the decoder, since the sample frames that landings are compared by have 'text' as address.

--- a/papayacourse/handshake.py
+++ b/papayacourse/handshake.py
@@ -8,9 +8,11 @@
 
 from papayacourse.exceptions import MalformedMessage
 from papayacourse.meshmessages import Hello, Proof
+from papayacourse.types import Address
 from papayacourse.wire import Frame, decode, encode
 
 NONCE_BYTES = 16
+MAX_SHOWN = 60  # characters of an address that is none
 
 
 def sign_challenge(key: str, challenge: bytes, name: str, side: str) -> bytes:
@@ -22,6 +24,14 @@
     return hmac.digest(key.encode(), challenge + f"|{name}|{side}".encode(), "sha256")
 
 
+def mesh_address(hello: Hello) -> Address:
+    """Return where a daemon listens for links; raises MalformedMessage if it names no address."""
+    try:
+        return Address.parse(hello.mesh)
+    except ValueError as error:
+        raise MalformedMessage(f"{hello.mesh[:MAX_SHOWN]!r} is not a mesh address") from error
+
+
 async def read_binary(connection: Connection) -> bytes:
     """Return the next frame; raise MalformedMessage if it is text."""
     data = await connection.recv()
@@ -47,7 +57,7 @@
     Raises
     ------
     MalformedMessage
-        If the peer does not follow the protocol or does not know the key.
+        If the peer does not follow the protocol, does not know the key or names no address.
     """
     other_side = "listened" if side == "dialled" else "dialled"
     nonce = secrets.token_bytes(NONCE_BYTES)
@@ -62,4 +72,5 @@
     wanted = sign_challenge(key, nonce, peer.name, other_side)
     if not isinstance(proof, Proof) or not hmac.compare_digest(proof.digest, wanted):
         raise MalformedMessage(f"{peer.name} does not know the mesh key")
+    mesh_address(peer)
     return peer
--- a/papayacourse/membership.py
+++ b/papayacourse/membership.py
@@ -9,8 +9,9 @@
 
 from papayacourse import logs
 from papayacourse.catalog import Catalog
-from papayacourse.exceptions import PeerError
+from papayacourse.exceptions import MalformedMessage, PeerError
 from papayacourse.gatewaylinks import GatewayLinks
+from papayacourse.handshake import mesh_address
 from papayacourse.heartbeats import CHECK_INTERVAL, Heartbeats
 from papayacourse.hostlist import HostList, HostListing
 from papayacourse.hostsync import HostSync
@@ -199,18 +200,23 @@
                 if known.incarnation == hello.incarnation:
                     member.leaving, member.beat = known.leaving, known.beat
             self.members[hello.name] = member
-            self.peers.addresses[hello.name] = Address.parse(hello.mesh)
+            self.peers.addresses[hello.name] = mesh_address(hello)
             self.heartbeats.add_peer(hello.name)
             self.changed.set()
 
     def add_reported(self, hello: Hello) -> None:
         """Add a daemon that a peer has reported."""
+        try:
+            address = mesh_address(hello)
+        except MalformedMessage as error:
+            logs.warning("reported daemon refused", daemon=hello.name, why=str(error))
+            return
         if hello.name != self.me.name and hello.name not in self.members:
             self.members[hello.name] = Member(
                 hello.name, hello.domain, hello.region, hello.incarnation
             )
         if hello.name != self.me.name and hello.name not in self.peers.links:
-            self.peers.addresses[hello.name] = Address.parse(hello.mesh)
+            self.peers.addresses[hello.name] = address
 
     def suspect(self, name: str) -> None:
         """Treat a daemon that timed out as dead until its next frame arrives."""
--- a/tests/features/steps/wirefuzz_steps.py
+++ b/tests/features/steps/wirefuzz_steps.py
@@ -20,9 +20,22 @@
 from hypothesis import strategies as st
 from tornado.httputil import HTTPHeaders
 
+from papayacourse.catalog import Catalog
 from papayacourse.exceptions import MalformedMessage, PeerError, PeerTimeout
+from papayacourse.gateways import Gateways
+from papayacourse.hostlist import HostList
 from papayacourse.link import Link
-from papayacourse.meshmessages import Beat, CallFailed, Hello, HostsAsk, HostsUpdate, Proof
+from papayacourse.membership import Membership
+from papayacourse.meshmessages import (
+    Beat,
+    CallFailed,
+    DomainSummary,
+    Done,
+    Hello,
+    HostsAsk,
+    HostsUpdate,
+    Proof,
+)
 from papayacourse.peers import Peers
 from papayacourse.schedulingmessages import EnginesAsk, EnginesOutOfLine
 from papayacourse.types import Address, UnboundedSeconds
@@ -159,7 +172,7 @@
         with capture_logging(self.lines):
             async with AsyncExitStack() as stack:
                 for name in ("a", "b"):
-                    hello = Hello(name, 1, "lagos-1", "lagos", "", b"")
+                    hello = Hello(name, 1, "lagos-1", "lagos", "127.0.0.1:1", b"")
                     peers = self.ends[name] = Peers(hello, MESH_KEY, dict(handlers))
                     address = await stack.enter_async_context(
                         peers.listening(Address("127.0.0.1", 0))
@@ -318,3 +331,45 @@
     assert context.seconds < CALL_TIMEOUT / 2, context.seconds
     assert len(context.pair.logged("answer not sendable")) == 1, context.pair.lines
     assert len(context.pair.logged("message not sendable")) == 1, context.pair.lines
+
+
+@when('a daemon whose address is "{mesh}" dials one of them')
+def odd_peer(context, mesh):
+    context.odd = Hello("c", 1, "lagos-1", "lagos", mesh, b"")
+    context.known = Hello("d", 1, "lagos-1", "lagos", "127.0.0.1:4", b"")
+
+    async def run(pair):
+        async with pair.linked():
+            peers = pair.ends["b"]
+            context.membership = Membership(
+                peers.hello, peers, Catalog(), HostList(Address("127.0.0.1", 2)), ()
+            )
+            peers.on_connected = context.membership.handle_connected
+            address = Address(*peers.server.sockets[0].getsockname()[:2])
+            try:
+                await Peers(context.odd, MESH_KEY).dial(address)
+                await asyncio.sleep(0.1)
+            except PeerError:
+                pass
+            context.linked = dict(peers.links)
+            pair.gate.set()
+            context.outcomes = [await outcome(pair.call("a", "b", HostsAsk(1)))]
+            context.refused = pair.logged("link refused")
+
+    asyncio.run(run(context.pair))
+
+
+@then("it gets no link, and the other link works on")
+def no_link(context):
+    assert list(context.linked) == ["a"], context.linked
+    assert isinstance(context.outcomes[0], Done), context.outcomes
+    assert context.refused
+
+
+@then("a summary that names it and another daemon makes known the other alone")
+def summary_names(context):
+    gateways = Gateways(context.membership, context.membership.peers)
+    live = (context.odd, context.known)
+    summary = DomainSummary("kano", "kano", live, ())
+    asyncio.run(gateways.handle_summary(Hello("a", 1, "kano", "kano", "", b""), summary))
+    assert set(context.membership.members) == {"d"}, context.membership.members
--- a/tests/features/wire_fuzz.feature
+++ b/tests/features/wire_fuzz.feature
@@ -42,3 +42,10 @@
       | half a character        |
       | too long for a frame    |
       | of a wrong type         |
+
+  # Guards against a link that stays in use without a reader, since its peer could not be added.
+  Scenario: A peer that names no address gets no link, and harms no other daemon
+    Given two linked daemons
+    When a daemon whose address is "nowhere" dials one of them
+    Then it gets no link, and the other link works on
+    And a summary that names it and another daemon makes known the other alone
