Tell a request that cannot be written from one whose answer is lost

What callers would see (tried at open_call, not through a daemon): for a header that HTTP cannot carry, such as an account's name beyond latin-1 or with a line end, an error that open_call does not announce, which the front answers as 500, may have run; for such a method or target of a relayed request 502, may have run. Nothing had been sent.

Cause: HTTPHeaders refuses such values with an error that nobody expected, and what tornado raises when it writes the request line was neither told from a closed connection nor logged ('Task exception was never retrieved').

Change: HttpCall raises BackendNotSendable for both, and open_call takes it as a request that has not run, without doubting that servers can be reached.

--- a/papayacourse/exceptions.py
+++ b/papayacourse/exceptions.py
@@ -121,6 +121,10 @@
     """The backend server's address refuses connections."""
 
 
+class BackendNotSendable(BackendError):
+    """The request has text that cannot be written to a connection; nothing was sent."""
+
+
 class BackendRefused(BackendError):
     """The backend server refused the request.
 
--- a/papayacourse/httpcall.py
+++ b/papayacourse/httpcall.py
@@ -6,12 +6,18 @@
 from collections.abc import AsyncIterator, Callable
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
-from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPInputError,
+    HTTPMessageDelegate,
+    RequestStartLine,
+)
 from tornado.iostream import IOStream, StreamClosedError
 
 from papayacourse.exceptions import (
     BackendGone,
     BackendLinkLost,
+    BackendNotSendable,
     BackendProtocolError,
     BackendSilent,
     BackendUnanswered,
@@ -26,6 +32,7 @@
 MAX_STREAM_BYTES = 1 << 40
 MAX_READ_BYTES = 8 * 1024 * 1024
 BUFFERED_CHUNKS = 2
+MAX_REASON = 100  # characters, of why a request cannot be sent
 
 # Tornado's AsyncHTTPClient does not distinguish requests that were never sent from those that
 # were, and cannot be aborted while the server is silent. This module needs both, so it uses the
@@ -65,6 +72,8 @@
         If no connection could be made; nothing was sent.
     BackendLinkLost
         If the connection broke or went silent after connecting.
+    BackendNotSendable
+        If the head of the request cannot be written; nothing was sent.
     """
 
     def __init__(
@@ -81,7 +90,10 @@
         self.address = address
         self.method = method
         self.path = path
-        self.request_headers = HTTPHeaders(headers or {})
+        try:
+            self.request_headers = HTTPHeaders(headers or {})
+        except HTTPInputError as error:
+            raise BackendNotSendable(f"the request cannot be sent: {error}") from error
         self.body = body
         self.connect_timeout = connect_timeout
         self.idle_timeout = idle_timeout
@@ -146,11 +158,19 @@
             await connection.read_response(self)
         except (StreamClosedError, OSError):
             pass
+        except ValueError as error:
+            self._refuse_request(error)
         finally:
             self._fail_head()
             self.closed = True
             wake(self.chunk_arrived)
 
+    def _refuse_request(self, error: ValueError) -> None:
+        """Fail a request whose head cannot be written."""
+        if not self.head.done():
+            why = f"the request to {self.address} cannot be sent: {str(error)[:MAX_REASON]}"
+            self.head.set_exception(BackendNotSendable(why))
+
     def _fail_head(self) -> None:
         if not self.head.done():
             self.head.set_exception(BackendLinkLost(f"{self.address} closed before it answered"))
--- a/papayacourse/routed/sending.py
+++ b/papayacourse/routed/sending.py
@@ -9,6 +9,7 @@
     BackendAnswerLost,
     BackendError,
     BackendLinkLost,
+    BackendNotSendable,
     BackendProtocolError,
     BackendUnreachable,
     RequestRefused,
@@ -57,7 +58,7 @@
     BackendUnreachable
         When nothing was sent.
     RequestNotExecuted
-        When the engine reports that it did not run the request.
+        When the engine reports that it did not run the request, or when it cannot be sent.
     BackendAnswerLost
         When it may have run the request and its answer is lost.
     """
@@ -69,19 +70,21 @@
         notices.record_send(dispatch.engine)
         exchange.on_close = lambda: notices.brittle.record_end(dispatch.engine.name)
 
-    exchange = HttpCall(
-        Address.parse(dispatch.engine.address), call.method, call.target,
-        codec.headers(call, dispatch), call.body,
-        connect_timeout=connect_limit(dispatch.time_left), idle_timeout=max(head_limit, 0.01),
-        before_send=record_send,
-    )  # fmt: skip
     try:
+        exchange = HttpCall(
+            Address.parse(dispatch.engine.address), call.method, call.target,
+            codec.headers(call, dispatch), call.body,
+            connect_timeout=connect_limit(dispatch.time_left), idle_timeout=max(head_limit, 0.01),
+            before_send=record_send,
+        )  # fmt: skip
         with notices.reach.watch_connecting():
             await exchange.__aenter__()
     except BackendUnreachable:
         notices.reach.record_failure()
         await notices.reach.wait_for_check()
         raise
+    except BackendNotSendable as error:
+        raise RequestNotExecuted(str(error)) from error
     except (BackendLinkLost, BackendProtocolError) as error:
         raise BackendAnswerLost(str(error)) from error
     status, headers = exchange.status, exchange.headers
--- a/tests/features/routed_odd_answers.feature
+++ b/tests/features/routed_odd_answers.feature
@@ -14,3 +14,17 @@
       | kind             | service |
       | call             | desk    |
       | plan of 3 events | planner |
+
+  # Guards against "may have run" for a request of which nothing was sent, and against its error,
+  # which was in no log line.
+  Scenario Outline: A request with <what> is not sent, and has not run
+    Given a server that counts what it is sent
+    When a request with <what> is sent to it
+    Then it fails as not executed, and nothing has arrived
+
+    Examples:
+      | what                            |
+      | an account that is no latin-1   |
+      | a header with a line end        |
+      | a method with a line end        |
+      | a target with a line end        |
--- a/tests/features/steps/routedoddanswers_steps.py
+++ b/tests/features/steps/routedoddanswers_steps.py
@@ -1,16 +1,30 @@
 """Steps about an engine that answers with any bytes."""
 
+import asyncio
+import gc
 import itertools
 import random
 import socketserver
+import sys
 import threading
 import time
 from http.client import HTTPException
 
 from behave import given, then, when
 from routed_steps import fleet_of
+from tornado.httputil import HTTPHeaders
 
+from papayacourse.exceptions import BackendError
+from papayacourse.routed.notices import EngineNotices
+from papayacourse.routed.seams import Call, Dispatch
+from papayacourse.routed.sending import RequestNotExecuted, open_call
+from papayacourse.types import Host, HostKind
 from standins.fleet import wait_until
+from tests.routedfleet import ROOT
+
+sys.path.append(str(ROOT / "platform"))
+
+from userplatform.codec import HeaderCodec
 
 SEED = 7
 TIME_ALLOWED = 1.5  # seconds that the caller waits
@@ -136,3 +150,45 @@
         return sorted(line["request"] for line in fleet_of(context).lines(name, kind))
 
     wait_until("each request is logged once", lambda: logged() == expected)
+
+
+@given("a server that counts what it is sent")
+def counting_server(context):
+    context.arrived = []
+
+
+@when("a request with {what} is sent to it")
+def send_unsendable(context, what):
+    target = "/a\r\nX: y" if what.startswith("a target") else "/"
+    method = "GET\r\nX: y" if what.startswith("a method") else "GET"
+    account = "字" if what.startswith("an account") else "a\nX: y" if "header" in what else "a"
+    call = Call("id-1", method, target, "site", HTTPHeaders(), b"")
+
+    async def run():
+        async def answer(reader, writer):
+            context.arrived.append(await reader.read(1))
+            writer.close()
+
+        unhandled = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _loop, context: unhandled.append(context))
+        async with await asyncio.start_server(answer, "127.0.0.1", 0) as server:
+            host, port = server.sockets[0].getsockname()[:2]
+            engine = Host("e", HostKind.PLAIN, f"{host}:{port}", "lagos", "lagos", instance="e")
+            dispatch = Dispatch(engine, TIME_ALLOWED, account)
+            try:
+                await open_call(HeaderCodec(), EngineNotices(), call, dispatch, TIME_ALLOWED)
+            except BackendError as error:
+                context.error = error
+            await asyncio.sleep(0.05)
+            gc.collect()
+        context.unhandled = unhandled
+
+    asyncio.run(run())
+
+
+@then("it fails as not executed, and nothing has arrived")
+def not_executed(context):
+    assert isinstance(context.error, RequestNotExecuted), repr(context.error)
+    assert not any(context.arrived), context.arrived
+    assert not context.unhandled, context.unhandled
