Pass an engine's text on exactly or break off, and check its other answers

Callers saw, since JSON is parsed with escapes for half surrogates: a character that an engine splits into two halves over two tokens as the twelve characters '\ud83d\ude00' (trial with parse_events); before, a text that is null or a number as 'None' or its digits. And an answer to an order, or a state, that is no object ended the task that reads engines with AttributeError, which no log line named.

Cause: parse alters what cannot be encoded, which is right for names and wrong for content. Fields were converted with str and int instead of checked.

Change: events are parsed exactly; an event whose text or reason is no text, or whose offset is no integer, breaks the stream off, so that it is read again from there. read_fields, which was the users' platform's alone, decodes every control answer; counts are 0 to 2**53, and names of weights that are no text are left out.

--- a/papayacourse/engines.py
+++ b/papayacourse/engines.py
@@ -128,13 +128,24 @@
         if not data:
             continue
         try:
-            raw = jsontext.parse(b"\n".join(data))
-            if "text" in raw:
-                yield Token(raw["stream"], int(raw["offset"]), str(raw["text"]))
-            else:
-                yield End(raw["stream"], int(raw["offset"]), str(raw["reason"]))
-        except (ValueError, KeyError, TypeError) as error:
-            raise BackendProtocolError(f"not an event of an engine: {error!r}") from error
+            # Exactly: what is generated reaches the caller unaltered, or the stream breaks off.
+            yield read_event(jsontext.parse_exact(b"\n".join(data)))
+        except ValueError as error:
+            raise BackendProtocolError(f"not an event of an engine: {error}") from error
+
+
+def read_event(raw: object) -> EngineEvent:
+    """Decode an event; raises ValueError if it is neither a token nor an end."""
+    match raw:
+        case {"offset": bool()}:
+            pass
+        case {"stream": str(stream), "offset": int(offset), "text": str(text)}:
+            return Token(stream, offset, text)
+        case {"text": _}:
+            pass
+        case {"stream": str(stream), "offset": int(offset), "reason": str(reason)}:
+            return End(stream, offset, reason)
+    raise ValueError("neither a token nor an end")
 
 
 class EngineStream:
@@ -216,6 +227,17 @@
                 yield batch
 
 
+def read_fields(answer: bytes, origin: str) -> dict:
+    """Decode an engine's JSON answer; raises BackendProtocolError if it is not an object."""
+    try:
+        raw = jsontext.parse(answer)
+    except ValueError as error:
+        raise BackendProtocolError(f"{origin}: not JSON: {error}") from error
+    if not isinstance(raw, dict):
+        raise BackendProtocolError(f"{origin}: not an object")
+    return raw
+
+
 def read_count(value: object) -> int:
     """Return a count; raises ValueError for anything else, also for one of absurd size."""
     if isinstance(value, str) and value.isdecimal() and len(value) <= MAX_DIGITS:
@@ -244,10 +266,7 @@
         answer = await call.read()
     if call.status != 200:
         raise BackendRefused(call.status, answer.decode(errors="replace"))
-    try:
-        return jsontext.parse(answer)
-    except ValueError as error:
-        raise BackendProtocolError(f"{address}: not JSON") from error
+    return read_fields(answer, f"{address} {path}")
 
 
 async def cancel(address: str, stream: str) -> bool:
@@ -268,8 +287,9 @@
     except BackendRefused:
         return None
     try:
-        return StreamInfo(int(raw["readers"]), int(raw["generated"]), bool(raw["reason"]))
-    except (KeyError, TypeError, ValueError) as error:
+        counts = read_count(raw["readers"]), read_count(raw["generated"])
+        return StreamInfo(*counts, bool(raw["reason"]))
+    except (KeyError, ValueError) as error:
         raise BackendProtocolError(f"{address}: not a stream's state") from error
 
 
@@ -287,14 +307,14 @@
     raw = await control(address, "GET", "/load")
     try:
         return EngineLoad(
-            int(raw["running"]),
-            int(raw["waiting"]),
-            int(raw["memory_used"]),
-            int(raw["memory_total"]),
-            int(raw["preemptions"]),
+            read_count(raw["running"]),
+            read_count(raw["waiting"]),
+            read_count(raw["memory_used"]),
+            read_count(raw["memory_total"]),
+            read_count(raw["preemptions"]),
             bool(raw.get("leaving", False)),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, ValueError) as error:
         raise BackendProtocolError(f"{address}: not a load report") from error
 
 
@@ -318,25 +338,41 @@
     """Return an engine's cache events that follow a given event number."""
     raw = await control(address, "GET", f"/events?after={after}")
     try:
-        events = tuple(
-            CacheEvent(int(event["prefix"]), event["kind"] == "stored") for event in raw["events"]
-        )
-        return CacheEvents(events, int(raw["last"]))
+        events = tuple(map(read_cache_event, raw["events"]))
+        return CacheEvents(events, read_count(raw["last"]))
     except (KeyError, TypeError, ValueError) as error:
         raise BackendProtocolError(f"{address}: not cache events") from error
 
 
-def parse_load_spec(raw: dict) -> LoadSpec:
-    """Parse what an engine has loaded; missing fields become empty strings."""
-    return LoadSpec(*(str(raw.get(name, "")) for name in ("model", "adapter", "version", "role")))
+def read_cache_event(raw: object) -> CacheEvent:
+    """Decode a cache event; raises ValueError for anything else."""
+    match raw:
+        case {"prefix": int(prefix), "kind": str(kind)}:
+            return CacheEvent(prefix, kind == "stored")
+    raise ValueError("not a cache event")
+
+
+def parse_load_spec(raw: object) -> LoadSpec:
+    """Parse what an engine has loaded; fields that are missing or no text become empty strings.
+
+    Raises
+    ------
+    ValueError
+        If it is not an object.
+    """
+    if not isinstance(raw, dict):
+        raise ValueError("what is loaded is not an object")
+    fields = (raw.get(name) for name in ("model", "adapter", "version", "role"))
+    return LoadSpec(*(value if isinstance(value, str) else "" for value in fields))
 
 
 async def engine_state(address: str) -> EngineState:
     """Return what an engine has loaded and the highest fencing token it has seen."""
     raw = await control(address, "GET", "/orders")
     try:
-        loaded = parse_load_spec(raw["loaded"])
-        return EngineState(loaded, int(raw["fence"]), frozenset(raw["weights"]), raw["running"])
+        loaded, fence = parse_load_spec(raw["loaded"]), read_count(raw["fence"])
+        weights = frozenset(name for name in raw["weights"] if isinstance(name, str))
+        return EngineState(loaded, fence, weights, read_count(raw["running"]))
     except (KeyError, TypeError, ValueError) as error:
         raise BackendProtocolError(f"{address}: not an engine's state") from error
 
@@ -358,4 +394,7 @@
     }
     body = {"fence": what.fence, "load": load}
     raw = await control(address, "POST", "/orders", body, ORDER_TIMEOUT)
-    return parse_load_spec(raw.get("loaded", {}))
+    try:
+        return parse_load_spec(raw.get("loaded", {}))
+    except ValueError as error:
+        raise BackendProtocolError(f"{address}: not an answer to an order") from error
--- a/tests/features/engine_fuzz.feature
+++ b/tests/features/engine_fuzz.feature
@@ -11,3 +11,12 @@
     When an engine reports odd times until it ends, and odd rows among its runs
     Then its runs are those of the other rows
     And the time until it ends is not known
+
+  # Guards against generated text that reaches the caller altered, and against errors that end the
+  # loops which read engines.
+  Scenario: Whatever an engine streams, its text is passed on exactly or the stream breaks off
+    Then 400 random events are refused or decoded exactly
+    And a character that is split over two events breaks the stream off
+
+  Scenario: Whatever an engine answers to a control call, it is refused or sound
+    Then 200 random answers to each control call are refused or decoded into sound values
