Check for refused messages when builds run side by side

A malformed frame no longer closes its link, which the check looked for; it is logged as 'message refused', so that a line of that kind fails the check too.

--- a/tests/sidebyside.py
+++ b/tests/sidebyside.py
@@ -95,9 +95,8 @@
         refused = {
             name: lines for name, lines in bad.items() if any("protocol" in str(x) for x in lines)
         }
-        failed = {
-            n: routed.lines(n, "loop failed") + routed.lines(n, "message failed") for n in DOMAINS
-        }
+        failures = ("loop failed", "message failed", "message refused")
+        failed = {n: [line for kind in failures for line in routed.lines(n, kind)] for n in DOMAINS}
         assert not refused, refused
         assert not any(failed.values()), failed
     finally:
