Serve the connections that callers have made when a daemon ceases to listen

Callers saw: a connection that was made at the end of the notice of a planned stop was reset or closed without an answer, with the request on the way or in it.

Cause: drain_connections closed the listening socket with connections in the kernel's queue, and closed every connection that had not brought a request, however new.

Change: what waits in the queue is accepted before the socket is closed; a connection that is under 0.08 s old is left open so long for its first request; one with unread bytes is not closed. The daemon waits for these 0.08 s only if there are such connections.

Tried before: to keep open every connection that has brought no request. 'A request that crosses the close of its connection is not begun' (routed_parts) failed then, since its connection, 0.1 s old, was not closed any more; it stands unchanged.

--- a/papayacourse/lifecycle.py
+++ b/papayacourse/lifecycle.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 
 from papayacourse import logs
+from papayacourse.listener import NEW_TIME
 from papayacourse.stopdeadline import StopDeadline
 
 DRAIN_LOG_INTERVAL = 10.0  # seconds between log lines on what a drain waits for
@@ -62,6 +63,9 @@
         logs.info("duties handed over", queued=moved, seconds=time.monotonic() - began)
         await asyncio.sleep(daemon.config.stop_notice)
         daemon.server.drain_connections()
+        if daemon.server.has_new_connections():
+            await asyncio.sleep(NEW_TIME)
+            daemon.server.close_idle()
         try:
             async with asyncio.timeout(self.deadline.time_left()):
                 await self._finish()
--- a/papayacourse/listener.py
+++ b/papayacourse/listener.py
@@ -1,9 +1,16 @@
 """The HTTP server for callers; it tracks idle connections."""
 
+import contextlib
+import socket
+import time
+
 from attrs import define
 from tornado.http1connection import HTTP1ServerConnection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPConnection, HTTPMessageDelegate
+from tornado.iostream import IOStream
+
+NEW_TIME = 0.08  # seconds for which a connection is new; callers send their request at once
 
 
 @define(eq=False, slots=False)
@@ -25,6 +32,7 @@
     def headers_received(self, start_line, headers):
         """Record the request and forward its headers (called by tornado)."""
         self.listener.idle.discard(self.connection)
+        self.listener.used.add(self.connection)
         self.is_abandoned = self.connection.stream.closed()
         return None if self.is_abandoned else self.delegate.headers_received(start_line, headers)
 
@@ -43,19 +51,32 @@
 
 
 class Listener(HTTPServer):
-    """Serves callers; a graceful stop closes the idle connections."""
+    """Serves callers; a graceful stop closes the idle connections.
+
+    Attributes
+    ----------
+    idle : set of HTTP1ServerConnection
+        Connections on which no request is being read or served.
+    used : set of HTTP1ServerConnection
+        Open connections that have brought a request.
+    opened_at : dict of HTTP1ServerConnection to float
+        When each open connection was accepted, in seconds of the monotonic clock.
+    """
 
     def initialize(self, *args, **kwargs) -> None:
         """Initialize the server (called by tornado instead of a constructor)."""
         super().initialize(*args, **kwargs)
         self.idle: set[HTTP1ServerConnection] = set()
+        self.used: set[HTTP1ServerConnection] = set()
+        self.opened_at: dict[HTTP1ServerConnection, float] = {}
         self.draining = False
 
     def start_request(
         self, server_conn: HTTP1ServerConnection, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Prepare for a connection's next request (called by tornado)."""
-        if self.draining:
+        self.opened_at.setdefault(server_conn, time.monotonic())
+        if self.draining and server_conn in self.used and not has_input(server_conn.stream):
             server_conn.stream.close()
         else:
             self.idle.add(server_conn)
@@ -64,11 +85,57 @@
     def on_close(self, server_conn: HTTP1ServerConnection) -> None:
         """Remove a closed connection (called by tornado)."""
         self.idle.discard(server_conn)
+        self.used.discard(server_conn)
+        self.opened_at.pop(server_conn, None)
         super().on_close(server_conn)
 
     def drain_connections(self) -> None:
-        """Accept no new connections; close each open one once it is idle."""
-        self.stop()
+        """Accept no new connections; close each open one once it is idle.
+
+        Those that are new are left open, since their first requests are on the way.
+        """
         self.draining = True
+        self._stop_listening()
+        self.close_idle()
+
+    def has_new_connections(self) -> bool:
+        """Return True if some connections are new and have not brought a request."""
+        return any(map(self._is_new, self.idle))
+
+    def close_idle(self) -> None:
+        """Close the connections that are idle and not new."""
         for connection in list(self.idle):
-            connection.stream.close()
+            if not self._is_new(connection) and not has_input(connection.stream):
+                connection.stream.close()
+
+    def _is_new(self, connection: HTTP1ServerConnection) -> bool:
+        is_young = time.monotonic() - self.opened_at[connection] < NEW_TIME
+        return is_young and connection not in self.used
+
+    def _stop_listening(self) -> None:
+        """Stop listening; serve the connections that callers have made already."""
+        accepted = []
+        for number, listening in self._sockets.items():
+            self._handlers.pop(number)()
+            with contextlib.suppress(BlockingIOError, ConnectionAbortedError):
+                while True:
+                    accepted.append(listening.accept())
+            # Closed at once: whoever connects in between is cut off.
+            listening.close()
+        self._sockets.clear()
+        self.stop()
+        for connection, address in accepted:
+            self._handle_connection(connection, address)
+
+
+def has_input(stream: IOStream) -> bool:
+    """Return True if bytes have come on a connection that have not been used."""
+    if stream.closed():
+        return False
+    if stream._read_buffer_size:
+        return True
+    try:
+        return bool(stream.socket.recv(1, socket.MSG_PEEK))
+    except OSError:
+        # Nothing has come, or the connection is broken.
+        return False
--- a/tests/features/routed_stopping.feature
+++ b/tests/features/routed_stopping.feature
@@ -34,3 +34,9 @@
       | 0.05 | 7.1      |
       | 1    | 6.2      |
       | 2    | 5.2      |
+
+  # Guards against connections that are closed with a request in them when a daemon ceases to listen.
+  Scenario: Callers that connect while a daemon ceases to listen are answered, or not let in
+    Given engines of "desk" take 0.05 s for each call
+    When callers connect to "a" at any time around the end of the notice of its stop
+    Then each caller whose connection was accepted has a whole answer
--- a/tests/features/steps/routedstopping_steps.py
+++ b/tests/features/steps/routedstopping_steps.py
@@ -7,7 +7,8 @@
 from behave import given, then, when
 from routed_steps import fleet_of
 
-from tests.latecallers import KeptCaller, LateCaller
+from standins.fleet import wait_until
+from tests.latecallers import KeptCaller, LateCaller, PipeliningCaller
 
 GRACE = 8.0  # seconds, as in the daemons' configuration
 KINDS = ("book", "view")
@@ -15,6 +16,9 @@
 LAST = 8.2  # seconds after the signal
 OPENED = 0.2  # seconds after the signal, within the stop's notice
 KEPT = 4  # callers that keep their connections
+NOTICE = 0.5  # seconds, as in the daemons' configuration
+NEWCOMERS = 120  # callers
+LATECOMERS = (1.5, 1.6, 1.7)  # seconds after the signal
 READ_SLACK = 0.2  # seconds; a request that crosses the close of its connection is not read
 
 
@@ -78,6 +82,50 @@
     print_summary(context)
 
 
+@when('callers connect to "{name}" at any time around the end of the notice of its stop')
+def connect_under_stop(context, name):
+    context.late = []
+    moments = [NOTICE - 0.1 + number * 0.3 / NEWCOMERS for number in range(NEWCOMERS)]
+    for number, opened_at in enumerate([*moments, *LATECOMERS]):
+        caller = late_caller(context, name, KINDS[number % 2], 0.0, opened_at)
+        caller.pause = 0.01 * (number % 3)
+        context.late.append(caller)
+    signal_at = time.monotonic() + 0.5
+    for caller in context.late:
+        caller.start(signal_at)
+    time.sleep(max(0.0, signal_at - time.monotonic()))
+    context.fleet.processes[name].popen.send_signal(signal.SIGTERM)
+    for caller in context.late:
+        caller.thread.join(GRACE)
+    print(Counter((caller.status, caller.failure) for caller in context.late))
+
+
+@then("each caller whose connection was accepted has a whole answer")
+def newcomers_answered(context):
+    assert any("Refused" in caller.failure for caller in context.late), "none was late"
+    cut = [caller for caller in context.late if caller.is_connected and not caller.is_whole]
+    assert not cut, (len(cut), cut[0])
+
+
+@when('a caller sends {count:d} unsafe requests at once to "{name}", which is then asked to stop')
+def pipeline_before_stop(context, count, name):
+    routed = fleet_of(context)
+    headers = [routed.headers() for _ in range(count)]
+    context.ahead = [found["X-Attempt-Id"] for found in headers]
+    context.caller = PipeliningCaller(routed.address(name), "/book/1", headers)
+    context.caller.start()
+    wait_until("the first runs", lambda: ran(context, context.ahead[0]), GRACE)
+    context.fleet.processes[name].popen.send_signal(signal.SIGTERM)
+
+
+@then("each of them is answered 200 and ran once, and only the last answer ends the connection")
+def ahead_answered(context):
+    context.caller.thread.join(GRACE)
+    expected = [(200, False)] * (len(context.ahead) - 1) + [(200, True)]
+    assert context.caller.answers == expected, context.caller.answers
+    assert [ran(context, name) for name in context.ahead] == [1] * len(context.ahead)
+
+
 def print_summary(context) -> None:
     """Print what the callers saw, for whoever measures."""
     for caller in context.late:
--- a/tests/latecallers.py
+++ b/tests/latecallers.py
@@ -22,6 +22,8 @@
         When the request's last byte is sent, in seconds after the signal; negative for never.
     opened_at : float
         When the connection is opened.
+    pause : float
+        Seconds between that and the request's head.
     sent_at, ended_at : float or None
         When the last byte was sent and when the answer ended, in seconds after the signal.
     status : int
@@ -30,6 +32,8 @@
         Whether the answer came to its proper end.
     said_close : bool
         Whether the answer said that the connection ends.
+    is_connected : bool
+        Whether the connection could be opened.
     failure : str
         How the connection ended without a whole answer.
     """
@@ -39,11 +43,13 @@
     headers: dict
     at: float
     opened_at: float
+    pause: float = 0.0
     sent_at: float | None = None
     ended_at: float | None = None
     status: int = 0
     is_whole: bool = False
     said_close: bool = False
+    is_connected: bool = False
     retry_after: str | None = None
     failure: str = ""
     text: bytes = b""
@@ -64,6 +70,7 @@
             wait_for(signal_at + self.opened_at)
             host, _, port = self.address.rpartition(":")
             with socket.create_connection((host, int(port)), timeout=LIMIT) as link:
+                self.is_connected = True
                 self._exchange(link, signal_at)
         except (OSError, http.client.HTTPException, ValueError) as error:
             self.failure = repr(error)
@@ -71,6 +78,7 @@
 
     def _exchange(self, link: socket.socket, signal_at: float) -> None:
         link.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        time.sleep(self.pause)
         link.sendall(request_head(self.path, self.headers) + BODY[:-1])
         if self.at >= 0:
             wait_for(signal_at + self.at)
@@ -146,6 +154,46 @@
             time.sleep(self.pause)
 
 
+@define(eq=False)
+class PipeliningCaller:
+    """A caller that sends all its requests at once on one connection.
+
+    Attributes
+    ----------
+    answers : list of (int, bool)
+        The status of each whole answer, and whether it said that the connection ends.
+    """
+
+    address: str
+    path: str
+    headers: list[dict]
+    answers: list[tuple[int, bool]] = field(factory=list)
+    thread: threading.Thread | None = None
+
+    def start(self) -> None:
+        """Send the requests, and begin to read the answers."""
+        self.thread = threading.Thread(target=self._work, daemon=True)
+        self.thread.start()
+
+    def _work(self) -> None:
+        host, _, port = self.address.rpartition(":")
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            link = socket.create_connection((host, int(port)), timeout=LIMIT)
+            with link, link.makefile("rb") as reader:
+                link.sendall(b"".join(request_head(self.path, h) + BODY for h in self.headers))
+                for _ in self.headers:
+                    self.answers.append(read_answer(reader))
+
+
+def read_answer(reader) -> tuple[int, bool]:
+    """Read a whole answer with a length; return its status and whether the connection ends."""
+    status = int(reader.readline().split()[1])
+    fields = http.client.parse_headers(reader)
+    if len(reader.read(int(fields["Content-Length"]))) < int(fields["Content-Length"]):
+        raise http.client.IncompleteRead(b"")
+    return status, fields.get("Connection", "").lower() == "close"
+
+
 def request_head(path: str, headers: dict) -> bytes:
     """Return the head of a POST of `BODY`."""
     fields = {"Content-Length": len(BODY)} | headers
