Say that a connection ends only with the last answer to what its caller has sent

Callers saw: of requests that were sent ahead on one connection, those after the first answer of a stop were dropped with the connection, though the daemon had read them.

Cause: each answer of a stop said that the connection ends, and the listener closed it after the next answer, whatever had come on it.

Change: an answer says so only if no other request has come on the connection (has_input).

--- a/papayacourse/routed/exchange.py
+++ b/papayacourse/routed/exchange.py
@@ -17,6 +17,7 @@
 
 from papayacourse import problems
 from papayacourse.exceptions import RequestRefused
+from papayacourse.listener import has_input
 from papayacourse.routed.document import CallerLimits
 
 
@@ -136,11 +137,15 @@
     async def begin(self, status: int, headers: HTTPHeaders, chunk: bytes = b"") -> None:
         """Write the response headers and optionally a first chunk of the body."""
         self.head_written = True
-        if self.server.closing():
+        if self.server.closing() and not self._has_more_requests():
             headers["Connection"] = "close"
         line = ResponseStartLine("", status, responses.get(status, "Unknown"))
         await self._wait_for_write(self.connection.write_headers(line, headers, chunk))
 
+    def _has_more_requests(self) -> bool:
+        """Return True if the caller has sent another request already."""
+        return bool(self.received_at) and has_input(self.connection.stream)
+
     async def write(self, chunk: bytes) -> None:
         """Write a chunk of the body; waits while the caller does not read."""
         await self._wait_for_write(self.connection.write(chunk))
--- a/tests/features/routed_stopping.feature
+++ b/tests/features/routed_stopping.feature
@@ -40,3 +40,10 @@
     Given engines of "desk" take 0.05 s for each call
     When callers connect to "a" at any time around the end of the notice of its stop
     Then each caller whose connection was accepted has a whole answer
+
+  # Guards against requests that were read with the one before them and are dropped by its answer,
+  # which says that the connection ends.
+  Scenario: Requests that a caller has sent ahead are answered in a stop
+    Given engines of "desk" take 0.5 s for each call
+    When a caller sends 4 unsafe requests at once to "a", which is then asked to stop
+    Then each of them is answered 200 and ran once, and only the last answer ends the connection
