Refuse no settings document for a number in an unknown field or a byte order mark

Found by the review of this change.

Cause: numbers were checked for being finite while the text was parsed, known field or not; and the text was decoded as UTF-8 alone, where json.loads finds the encoding.

--- a/papayacourse/jsontext.py
+++ b/papayacourse/jsontext.py
@@ -46,10 +46,16 @@
     return value
 
 
-def load(text: str) -> Any:
-    """Parse a JSON text; its strings may hold halves of surrogate pairs."""
+def load(text: str, decoder: json.JSONDecoder | None = None) -> Any:
+    """Parse a JSON text; its strings may hold halves of surrogate pairs.
+
+    Parameters
+    ----------
+    decoder : JSONDecoder, optional
+        `ANY_NUMBER` for a caller that checks each number that it uses; `FINITE` by default.
+    """
     try:
-        return DECODER.decode(text)
+        return (decoder or FINITE).decode(text)
     except RecursionError as error:
         raise ValueError("nested too deeply") from error
 
@@ -62,7 +68,8 @@
     return value
 
 
-DECODER = json.JSONDecoder(parse_float=finite, parse_constant=finite)
+FINITE = json.JSONDecoder(parse_float=finite, parse_constant=finite)
+ANY_NUMBER = json.JSONDecoder()
 
 
 def escape_surrogates(value: Any) -> Any:
--- a/tests/features/routed_documents.feature
+++ b/tests/features/routed_documents.feature
@@ -51,6 +51,7 @@
       | Routes                        | []                                           |
       | Routes[1].Kind                | "another"                                    |
       | Routes[1].Other               | [{"a": [null]}]                              |
+      | Routes[1].Other               | {"a": 1e400}                                 |
       | Routes[1].Service             | "not-in-services"                            |
       | Routes[1].TimeoutMs           | 0.5                                          |
       | Routes[1].TimeoutMs           | 9223372036854775807                          |
@@ -66,6 +67,7 @@
       | Tenants[0].Priority           | 0                                            |
       | Limits                        | null                                         |
       | Limits                        | {"Other": 1}                                 |
+    And a document that begins with a byte order mark is taken
 
   # Guards against values that no list of ours has foreseen.
   Scenario: Whatever a document holds, requests can be routed by it or it is refused
--- a/tests/features/steps/routeddocuments_steps.py
+++ b/tests/features/steps/routeddocuments_steps.py
@@ -85,6 +85,11 @@
         check_document(read_document(source))
 
 
+@then("a document that begins with a byte order mark is taken")
+def marked_is_taken(context):
+    assert read_document(json.dumps(document(9)).encode("utf-8-sig")).version == 9
+
+
 @then(
     "{count:d} random documents are refused, or requests on their routes can be routed and logged"
 )
