--- a/tests/features/routed_store_answers.feature
+++ b/tests/features/routed_store_answers.feature
@@ -38,6 +38,11 @@
       | of a revision that is a flag       | {"Items": [], "HasMore": false, "At": true}                                      |
       | of a revision beyond all bounds    | {"Items": [], "HasMore": false, "At": 99999999999999999999}                      |
 
+  # Guards against a listing that ends at a page of which no key can be read.
+  Scenario: A range goes on after a page of which no key can be read
+    Given a store whose first page has only keys of half a character
+    Then a range has the items of the second page
+
   # Guards against a watch without a pause, priced for each call, when the store answers at once.
   Scenario Outline: A watch whose answers <answers> is not repeated without a pause
     Given a store whose watches answer <answer>
--- a/tests/features/steps/routedstoreanswers_steps.py
+++ b/tests/features/steps/routedstoreanswers_steps.py
@@ -5,6 +5,7 @@
 import json
 import sys
 import time
+from urllib.parse import parse_qs, urlsplit
 
 from behave import given, then, when
 from hypothesis import strategies as st
@@ -45,6 +46,18 @@
         return 200, Table.parse(self.answer)
 
 
+class PagedStore(StoreClient):
+    """A client that is given the page that begins after a key."""
+
+    def __init__(self, pages: dict[str, dict]):
+        super().__init__(ADDRESS)
+        self.pages = pages
+
+    async def _call(self, _method, path, _body=None, limit=1.0):
+        query = parse_qs(urlsplit(path).query, errors="surrogatepass")
+        return 200, Table(self.pages[query.get("After", [""])[0]])
+
+
 async def first_watched(client: StoreClient) -> Items:
     """Return what the first answer of a watch holds."""
     async for found in client.watch("", 1, 1.0):
@@ -82,6 +95,18 @@
     assert found is None and context.client.calls <= count, (found, context.client.calls)
 
 
+@given("a store whose first page has only keys of half a character")
+def odd_first_page(context):
+    odd = {"Items": [SOUND | {"Key": "servers/\ud800"}], "HasMore": True, "At": 6}
+    context.client = PagedStore({"": odd, "servers/\ud800": PAGE})
+
+
+@then("a range has the items of the second page")
+def has_second_page(context):
+    found = asyncio.run(context.client.range("servers/"))
+    assert [item.key for item in found.items] == ["servers/a", "servers/b"], found
+
+
 @then("watching it for {seconds:g} s takes at most {count:d} calls")
 def watch_pauses(context, seconds, count):
     async def watch() -> None:
