Use no host of another daemon's listing that cannot be connected to

Cause: addresses were checked where this build decodes the store and the host list, and not in listings from other daemons.

Change: HostListing.usable leaves out hosts whose addresses cannot be connected to, with one log line each; all that looks for hosts looks there. The listing itself stays as it was sent, so that its digest does.

--- a/papayacourse/hostlist.py
+++ b/papayacourse/hostlist.py
@@ -1,6 +1,6 @@
 """Client of the platform's lagging host list; the only module that knows its wire format."""
 
-from functools import cached_property
+from functools import cached_property, lru_cache
 from typing import Any
 
 from attrs import fields, frozen
@@ -15,6 +15,7 @@
 CALL_TIMEOUT = 3.0  # seconds
 MAX_NUMBER = 2**53  # of a version or of slots
 MAX_LOGGED = 8  # hosts
+MAX_REMEMBERED = 8192  # hosts whose addresses have been checked; more than a fleet has
 MAX_NAME = 200  # characters
 
 
@@ -39,22 +40,48 @@
         """Return the sort key of listings: epoch, then version."""
         return self.epoch, self.version
 
+    @cached_property
+    def usable(self) -> tuple[Host, ...]:
+        """Return the hosts whose addresses can be connected to.
+
+        The daemon that published the listing may be of a build that checks none.
+        """
+        return tuple(filter(is_usable, self.hosts))
+
     @cached_property
     def by_name(self) -> dict[str, Host]:
-        """Return the hosts by name."""
-        return {host.name: host for host in self.hosts}
+        """Return the usable hosts by name."""
+        return {host.name: host for host in self.usable}
 
     @cached_property
     def by_kind(self) -> dict[HostKind, tuple[Host, ...]]:
-        """Return the hosts of each kind."""
-        kinds = {host.kind for host in self.hosts}
-        return {kind: tuple(h for h in self.hosts if h.kind == kind) for kind in kinds}
+        """Return the usable hosts of each kind."""
+        kinds = {host.kind for host in self.usable}
+        return {kind: tuple(h for h in self.usable if h.kind == kind) for kind in kinds}
 
     @cached_property
     def by_service(self) -> dict[str, tuple[Host, ...]]:
-        """Return the hosts of each service."""
-        services = {host.service for host in self.hosts}
-        return {name: tuple(h for h in self.hosts if h.service == name) for name in services}
+        """Return the usable hosts of each service."""
+        services = {host.service for host in self.usable}
+        return {name: tuple(h for h in self.usable if h.service == name) for name in services}
+
+
+@lru_cache(MAX_REMEMBERED)
+def is_usable(host: Host) -> bool:
+    """Return True if a host's addresses can be connected to; log it once if they can't."""
+    try:
+        check_addresses(host)
+    except ValueError as error:
+        logs.warning("host not usable", host=host.name, why=str(error))
+        return False
+    return True
+
+
+def check_addresses(host: Host) -> None:
+    """Raise ValueError if a host has an address that cannot be connected to."""
+    Address.parse(host.address)
+    if host.mesh or host.kind == HostKind.ENTRY:
+        Address.parse(host.mesh)
 
 
 def host_from(raw: Any) -> Host:
@@ -72,9 +99,7 @@
     if type(slots) is not int or not 0 <= slots <= MAX_NUMBER:
         raise ValueError("slots is not a number of requests")
     host = structure(known, Host)
-    Address.parse(host.address)
-    if host.mesh or host.kind == HostKind.ENTRY:
-        Address.parse(host.mesh)
+    check_addresses(host)
     if not host.name:
         raise ValueError("a host has no name")
     return host
--- a/papayacourse/membership.py
+++ b/papayacourse/membership.py
@@ -269,7 +269,8 @@
 
     def _hosts_changed(self) -> None:
         """Merge the newest host list into the members."""
-        entries = {h.name: h for h in self.hosts.hosts if h.kind == HostKind.ENTRY and h.mesh}
+        listed = self.hosts.by_kind.get(HostKind.ENTRY, ())
+        entries = {host.name: host for host in listed if host.mesh}
         mine = entries.pop(self.me.name, None)
         self.listed_leaving = mine is not None and mine.state == HostState.LEAVING
         for member in self.members.values():
--- a/tests/features/steps/hostlist_steps.py
+++ b/tests/features/steps/hostlist_steps.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 
-from behave import then
+from behave import given, then
 from hypothesis import strategies as st
 from settingsinputs_steps import check_random, escaped, scalars, values
 
@@ -12,7 +12,7 @@
 from papayacourse.hostchanges import digest
 from papayacourse.hostlist import HostList, HostListing
 from papayacourse.meshmessages import HostsUpdate
-from papayacourse.types import Address, HostKind
+from papayacourse.types import Address, Host, HostKind
 
 SOUND = {
     "name": "a", "kind": "engine", "address": "127.0.0.1:80", "domain": "d", "region": "r",
@@ -69,6 +69,29 @@
     return json.dumps({"version": 1, "hosts": hosts})
 
 
+@given("a listing of another daemon with a sound host and hosts at addresses that are none")
+def listing_of_other(context):
+    odd = [("nonsense", ""), ("127.0.0.1:99999", ""), ("", ""), ("127.0.0.1:80", "nonsense")]
+    hosts = [
+        Host(f"odd-{number}", HostKind.ENTRY, address, "d", "r", mesh=mesh)
+        for number, (address, mesh) in enumerate(odd)
+    ]
+    sound = Host("sound", HostKind.ENTRY, "127.0.0.1:80", "d", "r", mesh="127.0.0.1:81")
+    data = wire.encode(wire.Frame(0, False, HostsUpdate(2, (*hosts, sound))))
+    update = wire.decode(data).message
+    context.sent_digest = digest((*hosts, sound))
+    context.listing = HostListing(update.version, update.hosts)
+
+
+@then("only the sound host is used, and the listing still has its digest")
+def only_sound_used(context):
+    listing = context.listing
+    assert list(listing.by_name) == ["sound"]
+    assert [host.name for host in listing.by_kind[HostKind.ENTRY]] == ["sound"]
+    assert [host.name for host in listing.by_service[""]] == ["sound"]
+    assert digest(listing.hosts) == context.sent_digest
+
+
 @then("each odd host beside a sound one is left out of the list")
 def odd_hosts_are_left_out(context):
     bodies = [listing(odd, SOUND | {"name": "c"}, ENTRY) for odd in ODD_HOSTS]
