--- a/tests/features/routed_stop_connections.feature
+++ b/tests/features/routed_stop_connections.feature
@@ -34,3 +34,8 @@
       | signals                       |
       | SIGTERM at 1, SIGHUP at 2     |
       | SIGSTOP at 3, SIGCONT at 4    |
+
+  # Guards against a kill at the end of the grace that comes while the interpreter frees its objects.
+  Scenario: A daemon's process ends right after its last log line
+    When "a" is stopped, and its processor time is read at its last log line and at its end
+    Then the end of the process took less than 0.1 s of processor time
--- a/tests/features/steps/routedstopping_steps.py
+++ b/tests/features/steps/routedstopping_steps.py
@@ -1,8 +1,10 @@
 """Steps about planned stops of daemons on the stand-in of the users' platform."""
 
+import os
 import signal
 import time
 from collections import Counter
+from pathlib import Path
 
 from behave import given, then, when
 from routed_steps import fleet_of
@@ -213,3 +215,28 @@
 def ended_well(context, name, status):
     found, at = context.ended
     assert at < GRACE and found == status, context.ended
+
+
+def processor_time(pid: int) -> float:
+    """Return the seconds of processor time of a process, which may have ended."""
+    fields = Path(f"/proc/{pid}/stat").read_text(encoding="utf-8").rpartition(")")[2].split()
+    user, system = fields[11:13]
+    return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
+
+
+@when('"{name}" is stopped, and its processor time is read at its last log line and at its end')
+def read_times_of_stop(context, name):
+    process = context.fleet.processes[name]
+    process.terminate()
+    wait_until("its last line", lambda: '"stopped"' in process.log.read_text(), GRACE)
+    context.time_at_last_line = processor_time(process.popen.pid)
+    # It is not reaped yet, since its times would be gone then.
+    os.waitid(os.P_PID, process.popen.pid, os.WEXITED | os.WNOWAIT)
+    context.time_at_end = processor_time(process.popen.pid)
+    assert process.wait() == 0
+
+
+@then("the end of the process took less than {seconds:g} s of processor time")
+def ended_at_once(context, seconds):
+    spent = context.time_at_end - context.time_at_last_line
+    assert spent < seconds, spent
