Give strikes of long prompts keys that the store takes

What callers saw: prompts with a part that crashes engines went on crashing them after a restart of the daemons, if a prompt had nine or more shared parts. Each of its strikes was also written again every half second for ten minutes, with a new lease each time.

Cause: the key held the marks of all parts. With nine it has 213 bytes, and the store takes 200. Every failed write was retried, whatever the store's answer.

Change: a key that would exceed 200 bytes gets the fingerprint's digest, under a prefix of its own that the landing before skips; the fingerprint stands in the value. Shorter keys are as before, and values without a fingerprint are still read. A write that is refused by 400, 403, 413, 414 or 422 is not tried again and is logged once by fingerprint; all other failures are retried as before.

Tests: the stand-in store now refuses keys over 200 bytes with 400. The page of the store gives the limit, not the status; 400 is our assumption.

--- a/papayacourse/exceptions.py
+++ b/papayacourse/exceptions.py
@@ -67,6 +67,10 @@
     """The platform could not be reached; nothing was changed there."""
 
 
+class PlatformRefused(PlatformError):
+    """The platform's store refused a call for what it asks, and would refuse it again."""
+
+
 class PlatformCompacted(PlatformError):
     """The start revision of a watch has been compacted; everything must be read again."""
 
--- a/papayacourse/routed/keptstrikes.py
+++ b/papayacourse/routed/keptstrikes.py
@@ -10,7 +10,7 @@
 
 from papayacourse import logs, partblame
 from papayacourse.callmessages import Strike, StrikesUpdate
-from papayacourse.exceptions import PlatformError
+from papayacourse.exceptions import PlatformError, PlatformRefused
 from papayacourse.quarantine import STRIKE_LIFETIME, Quarantine
 from papayacourse.routed.seams import Store
 
@@ -31,6 +31,8 @@
         The strikes known to be in the store, by fingerprint and engine.
     eras : dict of (str, str) to int
         The store's era in which each of them was last known to be there.
+    refused : dict of str to None
+        The fingerprints whose strikes the store refused for good, oldest first.
     """
 
     store: Store
@@ -38,6 +40,7 @@
     waiting: dict[str, None] = field(factory=dict)
     stored: dict[tuple[str, str], Strike] = field(factory=dict)
     eras: dict[tuple[str, str], int] = field(factory=dict)
+    refused: dict[str, None] = field(factory=dict)
     wake: asyncio.Event = field(factory=asyncio.Event)
 
     def __attrs_post_init__(self) -> None:
@@ -67,6 +70,8 @@
             self._queue_write(fingerprint)
 
     def _queue_write(self, fingerprint: str) -> None:
+        if fingerprint in self.refused:
+            return
         self.waiting[fingerprint] = None
         if len(self.waiting) > MAX_QUEUED:
             oldest = next(iter(self.waiting))
@@ -114,17 +119,26 @@
             await self.write()
 
     async def write(self) -> None:
-        """Write the queued changes, retrying until the store accepts them."""
+        """Write the queued changes, retrying until the store accepts or refuses them for good."""
         while self.waiting:
             fingerprint = next(iter(self.waiting))
             del self.waiting[fingerprint]
             try:
                 await self._write(fingerprint)
+            except PlatformRefused as error:
+                logs.warning("strikes refused", fingerprint=fingerprint, why=str(error))
+                self._record_refused(fingerprint)
             except PlatformError as error:
                 logs.info("strikes not stored", fingerprint=fingerprint, why=str(error))
                 self.waiting.setdefault(fingerprint)
                 await asyncio.sleep(RETRY_PAUSE * random.uniform(0.5, 1.5))
 
+    def _record_refused(self, fingerprint: str) -> None:
+        """Write no more strikes of a request; they expire, and other daemons hear of them."""
+        self.refused[fingerprint] = None
+        if len(self.refused) > MAX_QUEUED:
+            del self.refused[next(iter(self.refused))]
+
     async def _write(self, fingerprint: str) -> None:
         """Update the stored strikes of one request to those of the quarantine."""
         known, stored = (
--- a/papayacourse/routed/seams.py
+++ b/papayacourse/routed/seams.py
@@ -313,7 +313,10 @@
         """Remove this daemon's entry; raises PlatformError."""
 
     async def keep_strikes(self, strikes: tuple[Strike, ...], ttl: float) -> None:
-        """Store strikes for `ttl` seconds; raises PlatformError."""
+        """Store strikes for `ttl` seconds; raises PlatformError.
+
+        It is PlatformRefused if the store would refuse the same strikes again.
+        """
 
     async def drop_strikes(self, strikes: tuple[Strike, ...]) -> None:
         """Remove strikes; raises PlatformError."""
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -13,6 +13,7 @@
 from standins.common import JsonHandler, parser, serve
 
 LEASE_LOOK = 0.05  # seconds
+MAX_KEY_BYTES = 200
 
 
 @define
@@ -190,6 +191,10 @@
     async def post(self) -> None:
         """Write keys."""
         store, body = self.standin, self.body()
+        if any(len(put["Key"].encode()) > MAX_KEY_BYTES for put in body["Puts"]):
+            self.set_status(400)
+            self.finish({})
+            return
         for put in body["Puts"]:
             lease = put.get("Lease", 0)
             if lease and lease not in store.leases:
--- a/tests/features/routed_deadly_parts.feature
+++ b/tests/features/routed_deadly_parts.feature
@@ -54,6 +54,19 @@
     And the last 4 answers are 503 "quarantined" with ran "no" and Retry-After
     And plans with parts "first, second" are served through "a, b"
 
+  # Guards against strikes that the store refuses, because a prompt's many parts are in their keys.
+  Scenario: Daemons that are all killed still know a part of prompts with nine others
+    Given a platform store with document 5
+    And 12 engines of "planner" in "lagos"
+    And routed daemons "a, b" in "lagos"
+    When plans with parts "p1, p2, p3, p4, p5, p6, p7, p8, p9, dead-1" are sent 6 times in turn through "a, b"
+    Then 5 engines at most have ended
+    When routed daemons "a, b" are all killed, and started again
+    And plans with parts "p1, p2, p3, p4, p5, p6, p7, p8, p9, dead-1" are sent 4 times in turn through "a, b"
+    Then 5 engines at most have ended
+    And the last 4 answers are 503 "quarantined" with ran "no" and Retry-After
+    And plans with parts "p1, p2, p3, p4, p5, p6, p7, p8, p9" are served through "a, b"
+
   # Guards against a domain whose links to the others are cut not hearing of it at all.
   Scenario: Failure domains that are cut from each other hear of the part through the store
     Given a platform store with document 5
--- a/tests/features/routed_entries.feature
+++ b/tests/features/routed_entries.feature
@@ -53,3 +53,34 @@
   # Guards against strikes of ours that are not read back.
   Scenario: The strikes of a prompt of many parts are read back from the store
     Then the strike of a prompt of 32 parts is read back as it was written
+
+  # Guards against strikes that the store refuses, for a key of more bytes than it takes.
+  Scenario Outline: The key of a strike has a length that the store takes, whatever its prompt's parts
+    Then the key of a strike of a prompt of <parts> parts has at most 200 bytes
+    And the strike of a prompt of <parts> parts is read back as it was written
+
+    Examples:
+      | parts |
+      | 1     |
+      | 8     |
+      | 9     |
+      | 32    |
+
+  # Guards against strikes of the landing before being forgotten by an upgrade.
+  Scenario: A strike whose fingerprint stands in its key alone is read
+    Then a strike without a fingerprint under the key "papayacourse/strikes/parts:a,b/c" is one of "parts:a,b"
+
+  # Guards against a write that the store refuses being tried without end, and other strikes waiting for it.
+  Scenario: Strikes that the store refuses for good are tried once; others are stored
+    Given a store that answers writes of strikes of "first" with 400
+    When the strikes of "first" and then those of "second" are to be stored
+    Then within 2 s the store has been asked 1 time for "first" and 1 time for "second"
+    And the log says once that the strikes of "first" were refused
+    When the strikes of "first" are to be stored again
+    Then within 2 s the store has been asked 1 time for "first" and 1 time for "second"
+
+  # Guards against strikes that are given up because the store was away or busy for a moment.
+  Scenario: Strikes that the store may take later are tried again
+    Given a store that answers writes of strikes of "first" with 503
+    When the strikes of "first" and then those of "second" are to be stored
+    Then within 3 s the store has been asked more than once for "first" and 1 time for "second"
--- a/tests/features/steps/routedentries_steps.py
+++ b/tests/features/steps/routedentries_steps.py
@@ -31,7 +31,15 @@
 
 from userplatform.entries import read_entry
 from userplatform.storeclient import Item, Items
-from userplatform.storeview import StoreContent, read_strike, strike_key, strike_value
+from userplatform.storeview import (
+    DAEMONS,
+    LONG_STRIKES,
+    STRIKES,
+    StoreContent,
+    read_strike,
+    strike_key,
+    strike_value,
+)
 
 HUGE = 10**400
 LONG = "x" * 1_000_000
@@ -41,7 +49,7 @@
     "State": "ready", "Sequence": 1, "born": 1,
 }  # fmt: skip
 DAEMON = {"address": "127.0.0.1:8", "mesh": "127.0.0.1:9", "domain": "lagos", "region": "lagos"}
-STRIKE = {"engine": "desk/e@1", "expires": 1.5}
+STRIKE = {"engine": "desk/e@1", "expires": 1.5, "fingerprint": "parts:a,b"}
 ODD = {
     "nested too deeply": "[" * 5000,
     "at a port out of range": GOOD | {"Address": "127.0.0.1:99999"},
@@ -143,7 +151,7 @@
         asyncio.run(take_strikes(found.strikes or ()))
 
     entries = st.tuples(
-        st.sampled_from(["papayacourse/daemons/", "papayacourse/strikes/"]),
+        st.sampled_from([DAEMONS, STRIKES, LONG_STRIKES]),
         st.just("a/1") | odd_texts,
         st.sampled_from([DAEMON, STRIKE]) | mutated(DAEMON) | mutated(STRIKE) | odd_values,
     )  # fmt: skip
@@ -164,3 +172,9 @@
     fingerprint = partblame.encode("request", [f"part-{n}" for n in range(count)])
     strike = Strike(fingerprint, "desk/e@1", 1.5)
     assert read_strike(strike_key(strike), strike_value(strike), REGIONS) == strike
+
+
+@then('a strike without a fingerprint under the key "{key}" is one of "{fingerprint}"')
+def strike_by_key(context, key, fingerprint):
+    value = json.dumps({"engine": "desk/e@1", "expires": 1.5}).encode()
+    assert read_strike(key, value, REGIONS) == Strike(fingerprint, "desk/e@1", 1.5)
