Schedule model services whatever their names

What callers saw: every streaming request to a model service whose name is not of a-z 0-9 . - was refused, for as long as the document named it.

Cause: the settings that schedulers read are derived as INI text under a path, and the path's names have the form that operators' names must have. Others were rejected ("settings rejected"), so the service had no scheduler. In the text a name could also break lines, lists and patterns of servers.

A catalog's parsers of paths and texts can be given to it. The own interface's rules for names are unchanged.

Not covered: a model service whose name begins with that of another and a slash, whose engines the other's pattern matches.

--- a/papayacourse/catalog.py
+++ b/papayacourse/catalog.py
@@ -28,6 +28,9 @@
 TOMBSTONE_RETENTION_SECONDS = 24 * 3600.0
 PRUNE_INTERVAL_SECONDS = 60.0
 
+PathReader = Callable[[str], Result[SettingsPath, list[Fault]]]
+SettingReader = Callable[[SettingsPath, str], Result[Setting, list[Fault]]]
+
 
 @frozen
 class Client:
@@ -64,6 +67,8 @@
         A path missing from ``values`` has no value at or below this revision. This allows
         tombstones to be removed: a peer partitioned for longer than their retention cannot
         restore the deleted values.
+    read_path, read_setting : callable
+        Parse and validate the path and the text of a value.
     """
 
     clock: Callable[[], float] = time.monotonic
@@ -79,6 +84,8 @@
     complete_to: int = 0
     forgotten_to: int = 0
     next_prune_at: float = 0.0
+    read_path: PathReader = parse_path
+    read_setting: SettingReader = parse_setting
 
     # Commands.
 
@@ -130,7 +137,8 @@
         """
         if value.path not in self.rejected or value.path in self.revisions:
             return False
-        match parse_path(value.path), parse_value(value):
+        path = self.read_path(value.path)
+        match path, path.bind(lambda known: self.read_setting(known, value.text or "")):
             case Success(path), Success(setting):
                 self._put_in_force(path, value.revision, setting)
                 self.last_good[value.path] = value
@@ -139,7 +147,7 @@
 
     def _check(self, value: SettingsValue) -> None:
         self.rejected.pop(value.path, None)
-        match parse_path(value.path):
+        match self.read_path(value.path):
             case Success(path):
                 pass
             case Failure(faults):
@@ -148,7 +156,7 @@
         if value.text is None:
             self._put_in_force(path, value.revision, None)
             return
-        match parse_setting(path, value.text):
+        match self.read_setting(path, value.text):
             case Success(setting):
                 self._put_in_force(path, value.revision, setting)
             case Failure(faults):
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -13,7 +13,6 @@
 from tornado.web import Application
 
 from papayacourse import invariants, logs
-from papayacourse.catalog import Catalog
 from papayacourse.deaths import ServerDeaths
 from papayacourse.exceptions import PeerError
 from papayacourse.hostlist import HostListing
@@ -28,7 +27,7 @@
 from papayacourse.routed.budget import FleetRetryBudget
 from papayacourse.routed.choice import ServerChoice
 from papayacourse.routed.config import ConfigFile, RoutedConfig
-from papayacourse.routed.derived import TEAM, update_catalog
+from papayacourse.routed.derived import TEAM, derived_catalog, update_catalog
 from papayacourse.routed.directory import HostDirectory
 from papayacourse.routed.document import CallerLimits, Document, EngineCapacity
 from papayacourse.routed.documents import Documents
@@ -101,7 +100,7 @@
         self.metrics = Metrics(config.name)
         invariants.start(False, lambda name: self.metrics.violations.add(1, {"name": name}))
         self.lifecycle = Lifecycle(self)
-        self.catalog = Catalog()
+        self.catalog = derived_catalog()
         self.ready = False
         self.checked_hosts: HostListing | None = None
         self.notices = EngineNotices(
