Resume streams whose engine sends ids that no header can carry

What callers saw: a stream whose engine had sent an event id with a control character broke off when that engine was lost, though a copy of the run was on another engine.

Cause: the id of the last event was sent as Last-Event-Id, and the request could not be written. An id of many kilobytes was sent as it was, and the engine answered 500.

Change: an id with a control character or of more than 200 characters stands for the number after the last event's id, as ids rise by one. Events are passed on as they came. If no event has had an id that can be sent, the place is not known: such a run is not copied or moved, and it ends with its engine without a request to another.

Tests: routed_streams.feature. Before: "goes on from its copy" failed for both kinds of ids ("the request cannot be sent: Invalid header value"; 500). After: passes. "ends with its engine" passed before, too; it guards the place that is not known.

--- a/papayacourse/routed/events.py
+++ b/papayacourse/routed/events.py
@@ -8,6 +8,8 @@
 from papayacourse.exceptions import BackendProtocolError
 
 MAX_ID_DIGITS = 18
+MAX_ID_LENGTH = 200  # characters; a head has room for it beside a request's own headers
+NOT_IN_HEADER = re.compile(r"[\x00-\x1f\x7f]")
 EVENT_END = re.compile(rb"\r?\n\r?\n")
 
 
@@ -57,3 +59,18 @@
 def is_older(last: str, event_id: str) -> bool:
     """Return True if an event with a numeric id is not newer than `last`."""
     return int(event_id) <= int(last)
+
+
+def can_resume_after(event_id: str) -> bool:
+    """Return True if an id can be sent in a header, so that a run can be resumed after it."""
+    return len(event_id) <= MAX_ID_LENGTH and not NOT_IN_HEADER.search(event_id)
+
+
+def position(last: str, event_id: str) -> str:
+    """Return the id that stands for an event when its run is resumed.
+
+    An id that no header can carry is replaced by the number after `last`, if that is a number.
+    """
+    if can_resume_after(event_id) or not is_number(last):
+        return event_id
+    return str(int(last) + 1)
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -21,7 +21,13 @@
 from papayacourse.requestguard import RequestGuard
 from papayacourse.routed.admitted import AdmittedRequest
 from papayacourse.routed.document import EngineCapacity
-from papayacourse.routed.events import EventSplitter, is_next_event, is_older
+from papayacourse.routed.events import (
+    EventSplitter,
+    can_resume_after,
+    is_next_event,
+    is_older,
+    position,
+)
 from papayacourse.routed.exchange import Exchange
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.placing import EngineSearch
@@ -140,7 +146,8 @@
     def can_move(self) -> bool:
         """Return True if the run can be moved from its current engine now."""
         begun = self.events > 0 and self.pending_move is None
-        return self.shape.moves and begun and not self.unmovable
+        is_movable = self.shape.moves and not self.unmovable
+        return begun and is_movable and can_resume_after(self.last_id)
 
     @property
     def generated(self) -> int:
@@ -321,7 +328,7 @@
             await self.exchange.answer(call.status, headers, body)
 
     async def _relay_event(self, headers: HTTPHeaders, event: bytes) -> None:
-        event_id = self.fleet.codec.event_id(event)
+        event_id = position(self.last_id, self.fleet.codec.event_id(event))
         if event_id and not is_next_event(self.last_id, event_id):
             if is_older(self.last_id, event_id):
                 return
@@ -364,6 +371,8 @@
         if standby is None and (self.copy is not None or self._may_restart()):
             standby = await self._stop_lost_run(why)
         self.copy = None
+        if not can_resume_after(self.last_id):
+            raise self._broken(f"{why}; no event has an id that can be sent")
         if standby is not None and self.fleet.is_listed(standby.host.name):
             return await self._resume_at(standby, why)
         if not self._may_restart():
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -109,6 +109,8 @@
         What goes wrong with reports: a name of ``ENDLESS``; empty for nothing.
     noise_pause : float
         Seconds between the pieces of an answer without end.
+    id_mark : str
+        What the ids of events from ``marked_from`` on begin with.
     says_leaving : str
         Which answers say that it leaves: ``all``, ``requests`` or none.
     pause : float
@@ -135,6 +137,8 @@
     fault: str = ""
     report_fault: str = ""
     noise_pause: float = 0.0
+    id_mark: str = ""
+    marked_from: int = 1
     state: str = "ready"
     says_leaving: str = ""
     pause: float = 0.0
@@ -367,7 +371,8 @@
         """Write the next event."""
         run.made += 1
         run.worked_at = time.monotonic()
-        text = event_text(run.made)
+        marked = run.made >= self.standin.marked_from
+        text = event_text(run.made, self.standin.id_mark if marked else "")
         if self.standin.fault == "half_event" and run.made == 5 and run.first == 1:
             await self.request.connection.stream.write(b"10\r\nid: 5\nda")
             self.request.connection.stream.close()
@@ -390,9 +395,9 @@
         await self.finish()
 
 
-def event_text(number: int) -> str:
+def event_text(number: int, mark: str = "") -> str:
     """Return one event of a stream."""
-    return f"id: {number}\ndata: token {number}\n\n"
+    return f"id: {mark}{number}\ndata: token {number}\n\n"
 
 
 def reset_at_close(stream: IOStream) -> None:
--- a/tests/features/routed_streams.feature
+++ b/tests/features/routed_streams.feature
@@ -35,6 +35,30 @@
     Then the plan is whole
     And the run went on at "planner-2"
 
+  # Guards against ids that no header can carry ending the stream when its engine does.
+  Scenario Outline: A run whose engine sends ids <odd> goes on from its copy
+    Given an engine "planner-2" of "planner" in "lagos" that is listed last
+    And "planner-1" sends ids <odd> from event 5 on
+    When a plan of 600 events is streamed through "a"
+    And the run is copied to "planner-2"
+    And "planner-1" is killed
+    Then the data of the plan is whole
+    And the run went on at "planner-2"
+
+    Examples:
+      | odd                      |
+      | with a control character |
+      | as long as a head        |
+
+  # Guards against going on from a place that is not known, and against an error that nobody expects.
+  Scenario: A run of which no event has an id that can be sent ends with its engine
+    Given an engine "planner-2" of "planner" in "lagos"
+    And "planner-1" sends ids with a control character from event 1 on
+    And "planner-2" sends ids with a control character from event 1 on
+    When a plan of 600 events is streamed, and its engine is killed after 20 events
+    Then the data of the plan breaks off
+    And the log of "a" has no line "request failed, task failed"
+
   Scenario: A run whose engine falls silent goes on from its copy
     Given an engine "planner-2" of "planner" in "lagos" that is listed last
     When a plan of 600 events is streamed through "a"
--- a/tests/features/steps/routedstream_steps.py
+++ b/tests/features/steps/routedstream_steps.py
@@ -72,6 +72,10 @@
         """Return the ids of the events that have come."""
         return [int(found) for found in re.findall(rb"^id: (\d+)$", self.text, re.MULTILINE)]
 
+    def tokens(self) -> list[int]:
+        """Return the numbers in the data of the events that have come."""
+        return [int(n) for n in re.findall(rb"^data: token (\d+)$", self.text, re.MULTILINE)]
+
 
 def run_of(context, engine):
     """Return the plan's runs on an engine."""
@@ -201,6 +205,35 @@
     context.plan.connection.close()
 
 
+@given('"{engine}" sends ids {odd} from event {first:d} on')
+def odd_ids(context, engine, odd, first):
+    marks = {"with a control character": "\x01", "as long as a head": "9" * 10000}
+    context.fleet.admin(engine, {"id_mark": marks[odd], "marked_from": first})
+
+
+@when("a plan of {count:d} events is streamed, and its engine is killed after {events:d} events")
+def stream_and_kill(context, count, events):
+    begin(context, count, "a")
+    wait_until(f"{events} events", lambda: len(context.plan.tokens()) >= events, SOON)
+    (engine,) = [name for name in ("planner-1", "planner-2") if run_of(context, name)]
+    context.fleet.processes[engine].kill()
+
+
+@then("the data of the plan is whole")
+def data_whole(context):
+    context.plan.thread.join(PLAN_LIMIT)
+    assert context.plan.ended, context.plan.tokens()[-3:]
+    assert context.plan.tokens() == list(range(1, context.count + 1)), context.plan.tokens()[-3:]
+
+
+@then("the data of the plan breaks off")
+def data_cut(context):
+    context.plan.thread.join(PLAN_LIMIT)
+    tokens = context.plan.tokens()
+    assert tokens == list(range(1, len(tokens) + 1)) and len(tokens) < context.count, tokens[-3:]
+    assert not context.plan.ended and context.plan.text.endswith(b"\n\n")
+
+
 @then("the plan is whole")
 def plan_whole(context):
     context.plan.thread.join(PLAN_LIMIT)
