Bound the end of strikes that come from peers and the store

What callers saw: a request or a part of prompts against which a daemon with a wrong clock had sent strikes was refused for longer than ten minutes, with no bound.

Cause: a strike's end was taken as it came. It also tells when the strike was given, so that a later answer or absolution did not clear it.

Change: an end of more than ten minutes and 10 s from now becomes ten minutes from now, where strikes of peers and of the store are recorded. It is done there and not in the decoder of frames, since the clock and the lifetime are known there, and the store's strikes come the same way. The frame is not refused, so that a daemon whose clock is wrong still tells of deaths.

Tests: deaths.feature. Before: strikes that end 3600 s and 1e300 s from now still condemned a request 601 s later, and 3600 s a part of prompts. After: all pass. Ends of 600 s and 605 s are as before.

--- a/papayacourse/quarantine.py
+++ b/papayacourse/quarantine.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Collection, Iterator, Sequence
 
 import xxhash
-from attrs import define, field
+from attrs import define, evolve, field
 
 from papayacourse import logs, partblame
 from papayacourse.batches import batched
@@ -19,6 +19,7 @@
 STRIKES_PER_MESSAGE = 1000
 QUARANTINED = "quarantined"  # reason of the refusal
 STRIKE_LIFETIME = 600.0  # seconds for which a strike counts
+CLOCK_TOLERANCE = 10.0  # seconds by which the clocks of two daemons may differ
 MAX_FINGERPRINTS = 10_000
 
 
@@ -202,7 +203,8 @@
 
     def _apply_strikes(self, peer: Hello | None, strikes: tuple[Strike, ...]) -> None:
         before = set(self.condemned)
-        new = tuple(strike for strike in strikes if self._apply_strike(strike))
+        bounded = map(self._with_bounded_end, strikes)
+        new = tuple(strike for strike in bounded if self._apply_strike(strike))
         if not new:
             return
         self._remove_expired()
@@ -212,6 +214,13 @@
             engines = sorted(self.engines(request))
             logs.warning("request condemned", fingerprint=request, engines=engines, source=source)
 
+    def _with_bounded_end(self, strike: Strike) -> Strike:
+        """Return a strike that counts no longer than one that is given now, but for clocks."""
+        latest = self.clock() + STRIKE_LIFETIME
+        if strike.expires <= latest + CLOCK_TOLERANCE:
+            return strike
+        return evolve(strike, expires=latest)
+
     def _apply_strike(self, strike: Strike) -> bool:
         given_at = strike.expires - STRIKE_LIFETIME
         if given_at <= self.absolved_at.get(strike.fingerprint, float("-inf")):
--- a/tests/features/deaths.feature
+++ b/tests/features/deaths.feature
@@ -113,6 +113,35 @@
     When "neighbour" runs on server "c", which ends
     Then "neighbour" has 1 strike
 
+  # Guards against a strike by a wrong clock, or from a peer that is not sound, that counts for ever and
+  # that no absolution removes.
+  Scenario Outline: A strike of a peer that ends <seconds> s from now counts no longer than others
+    Given a quarantine that condemns by 3 servers, with a clock of its own
+    When a peer's strikes of "first" on servers "a, b, c" end <seconds> s from now
+    Then "first" is condemned
+    When <later> s have passed on that clock
+    Then "first" need not run apart and is not condemned
+
+    Examples:
+      | seconds | later |
+      | 600     | 601   |
+      | 3600    | 601   |
+      | 1e300   | 601   |
+
+  # Guards against the same for a part of prompts, which no answer would clear.
+  Scenario: A part of prompts is refused no longer for strikes that end too late
+    Given a quarantine that condemns by 3 servers, with a clock of its own
+    When a peer's strikes of prompts with "deadly" on servers "a, b, c" end 3600 s from now
+    Then prompts with "deadly" are refused
+    When 601 s have passed on that clock
+    Then prompts with "deadly" are not refused
+
+  # Guards against strikes of daemons whose clocks differ a little being changed on their way.
+  Scenario: A strike of a peer whose clock is a little ahead is taken as it is
+    Given a quarantine that condemns by 3 servers, with a clock of its own
+    When a peer's strikes of "first" on servers "a" end 605 s from now
+    Then the strike of "first" ends 605 s from now
+
   # Guards against a suspect that runs once more while its copy in another domain is about to crash.
   Scenario Outline: A suspect waits a moment for strikes from other failure domains
     Given a scheduler's 3 engines in one of <domains> failure domains
--- a/tests/features/steps/deaths_steps.py
+++ b/tests/features/steps/deaths_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 from routedparts_steps import Clock, server
 
+from papayacourse import partblame
 from papayacourse.callmessages import Strike, StrikesUpdate
 from papayacourse.copies import Copies
 from papayacourse.deaths import ServerDeaths
@@ -217,6 +218,52 @@
     context.quarantine = Quarantine(NoPeers(), limit=3)
 
 
+@given("a quarantine that condemns by 3 servers, with a clock of its own")
+def make_clocked(context):
+    context.clock = Clock()
+    context.quarantine = Quarantine(NoPeers(), limit=3, clock=context.clock)
+
+
+@when('a peer\'s strikes of "{name}" on servers "{servers}" end {seconds:g} s from now')
+def peer_strikes(context, name, servers, seconds):
+    end = context.clock() + seconds
+    strikes = tuple(Strike(name, server_name, end) for server_name in names_in(servers))
+    asyncio.run(context.quarantine.handle_strikes(None, StrikesUpdate(strikes)))
+
+
+@when(
+    'a peer\'s strikes of prompts with "{part}" on servers "{servers}" end {seconds:g} s from now'
+)
+def peer_strikes_parts(context, part, servers, seconds):
+    for name in names_in(servers):
+        peer_strikes(context, partblame.encode(f"request to {name}", [part]), name, seconds)
+        # Deaths of one moment may have a cause in common.
+        context.clock.now += 1
+
+
+@then('prompts with "{part}" are refused')
+def part_refused(context, part):
+    marks = partblame.decode(partblame.encode("another request", [part]))
+    assert context.quarantine.is_part_condemned(marks)
+
+
+@then('prompts with "{part}" are not refused')
+def part_not_refused(context, part):
+    marks = partblame.decode(partblame.encode("another request", [part]))
+    assert not context.quarantine.is_part_condemned(marks)
+
+
+@when("{seconds:g} s have passed on that clock")
+def clock_passes(context, seconds):
+    context.clock.now += seconds
+
+
+@then('the strike of "{name}" ends {seconds:g} s from now')
+def strike_ends(context, name, seconds):
+    (strike,) = context.quarantine.strikes_of(name)
+    assert strike.expires == context.clock() + seconds, strike
+
+
 @given("a quarantine that condemns by 3 servers, kept in a store that is away")
 def make_kept(context):
     context.quarantine, context.store = Quarantine(NoPeers(), limit=3), FakeStore()
