Bound what a relayed request of another daemon may hold

What was read: a frame could hold a relayed request with any text as its method and target, a head of any length, a body over the limit that daemons keep to, and a waiting time below zero, which puts the caller's deadline off. No effect on callers was shown; daemons of ours send no such frames.

Cause: the decoder checked types only, and headers for characters.

Change, in the decoder: a method is a token of at most 200 characters, a target has the characters of a request's line and at most 256 K of them, as have all headers together; a body has at most 1 MiB, and the waiting time is not below zero. Otherwise the frame and its call alone are refused. Frames that daemons write are unchanged.

Tests: wire_fuzz.feature. Before: 13 of 13 odd requests were read. After: refused; six at the bounds are read as before. The check of random frames asks the same of the four new types of fields.

--- a/papayacourse/relaymessages.py
+++ b/papayacourse/relaymessages.py
@@ -4,6 +4,10 @@
 
 from attrs import frozen
 
+from papayacourse.types import HttpMethod, PastSeconds, RelayedBody, RequestTarget
+
+MAX_RELAYED_BODY = 1024 * 1024  # bytes; a request has to fit into one frame
+
 
 class RelayEnd(enum.StrEnum):
     """What a part of a relayed answer says of the answer's end."""
@@ -27,11 +31,11 @@
     """
 
     number: int
-    method: str
-    target: str
+    method: HttpMethod
+    target: RequestTarget
     headers: tuple[tuple[str, str], ...]
-    body: bytes
-    waited: float
+    body: RelayedBody
+    waited: PastSeconds
 
 
 @frozen
--- a/papayacourse/routed/relaying.py
+++ b/papayacourse/routed/relaying.py
@@ -17,6 +17,7 @@
 from papayacourse.meshmessages import Hello
 from papayacourse.peers import Peers
 from papayacourse.relaymessages import (
+    MAX_RELAYED_BODY,
     RelayAccepted,
     RelayCancelled,
     RelayDeclined,
@@ -35,7 +36,6 @@
 DELIVERY_TIMEOUT = 30.0  # seconds; a caller who takes no part for so long has gone
 DECLINE_MEMORY = 1.0  # seconds for which a daemon that declined is not asked again
 LINK_CHECK_INTERVAL = 0.25  # seconds
-MAX_RELAYED_BODY = 1024 * 1024  # bytes; a request has to fit into one frame
 RETRY_AFTER = 1.0  # seconds
 
 
--- a/papayacourse/types.py
+++ b/papayacourse/types.py
@@ -8,6 +8,10 @@
 
 HOST = re.compile(r"[A-Za-z0-9._:%\[\]-]{1,255}")  # of names and of addresses
 UnboundedSeconds = NewType("UnboundedSeconds", float)  # may be infinite, for what never comes
+PastSeconds = NewType("PastSeconds", float)  # how long ago something was; never below zero
+HttpMethod = NewType("HttpMethod", str)  # a token of HTTP
+RequestTarget = NewType("RequestTarget", str)  # path and query, as a request's line has them
+RelayedBody = NewType("RelayedBody", bytes)  # fits into a frame, beside the head
 
 
 class Ran(enum.StrEnum):
--- a/papayacourse/wirevalues.py
+++ b/papayacourse/wirevalues.py
@@ -3,6 +3,7 @@
 import enum
 import functools
 import math
+import re
 import types
 import typing
 from collections.abc import Callable
@@ -11,10 +12,20 @@
 import attrs
 from tornado.httputil import HTTPHeaders, HTTPInputError
 
-from papayacourse.types import UnboundedSeconds
+from papayacourse.relaymessages import MAX_RELAYED_BODY
+from papayacourse.types import (
+    HttpMethod,
+    PastSeconds,
+    RelayedBody,
+    RequestTarget,
+    UnboundedSeconds,
+)
 
 MIN_INTEGER, MAX_INTEGER = -(1 << 63), (1 << 64) - 1
 HEADERS = tuple[tuple[str, str], ...]
+MAX_HEAD = 256 * 1024  # characters, of a request's target or of all headers
+METHOD = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]{1,200}")
+TARGET = re.compile(rf"[\x21-\x7e\x80-\xff]{{1,{MAX_HEAD}}}")
 
 Reader = Callable[[Any], Any]
 
@@ -78,6 +89,14 @@
     return number if number == math.inf else read_finite(number)
 
 
+def read_past(value: Any) -> float:
+    """Return a finite floating-point number that is not below zero."""
+    number = read_finite(value)
+    if number < 0:
+        raise ValueError("a time that has not come yet")
+    return number
+
+
 def read_integer(value: Any) -> int:
     """Return an integer; the fraction of a floating-point number is dropped."""
     return read_number(int(read_finite(value)) if type(value) is float else value)
@@ -86,6 +105,8 @@
 def read_headers(value: Any) -> tuple[tuple[str, str], ...]:
     """Return the headers of a request or an answer, which can be written to a connection."""
     pairs = sequence(group([exactly(str), exactly(str)]))(value)
+    if sum(len(name) + len(text) for name, text in pairs) > MAX_HEAD:
+        raise ValueError(f"headers of more than {MAX_HEAD} characters")
     headers = HTTPHeaders()
     try:
         for name, text in pairs:
@@ -95,6 +116,26 @@
     return pairs
 
 
+def matching(pattern: re.Pattern[str], wanted: str) -> Reader:
+    """Return the reader of texts that a pattern matches as a whole."""
+    read_text = exactly(str)
+
+    def read(value: Any) -> str:
+        if not pattern.fullmatch(read_text(value)):
+            raise ValueError(f"a text that is not {wanted}")
+        return value
+
+    return read
+
+
+def read_body(value: Any) -> bytes:
+    """Return the body of a relayed request."""
+    body = exactly(bytes)(value)
+    if len(body) > MAX_RELAYED_BODY:
+        raise ValueError(f"a body of more than {MAX_RELAYED_BODY} bytes")
+    return body
+
+
 def optional(read: Reader) -> Reader:
     """Return the reader of values that may be None."""
     return lambda value: None if value is None else read(value)
@@ -149,5 +190,7 @@
 
 READERS = {
     str: exactly(str), bytes: exactly(bytes), bool: exactly(bool), int: read_integer,
-    float: read_finite, UnboundedSeconds: read_unbounded, HEADERS: read_headers,
+    float: read_finite, UnboundedSeconds: read_unbounded, PastSeconds: read_past,
+    HEADERS: read_headers, HttpMethod: matching(METHOD, "a method of HTTP"),
+    RequestTarget: matching(TARGET, "a request's target"), RelayedBody: read_body,
 }  # fmt: skip
--- a/tests/features/steps/wirefuzz_steps.py
+++ b/tests/features/steps/wirefuzz_steps.py
@@ -5,6 +5,7 @@
 import enum
 import math
 import random
+import re
 import time
 import types
 import typing
@@ -37,8 +38,16 @@
     Proof,
 )
 from papayacourse.peers import Peers
+from papayacourse.relaymessages import MAX_RELAYED_BODY, RelayRequest
 from papayacourse.schedulingmessages import EnginesAsk, EnginesOutOfLine
-from papayacourse.types import Address, UnboundedSeconds
+from papayacourse.types import (
+    Address,
+    HttpMethod,
+    PastSeconds,
+    RelayedBody,
+    RequestTarget,
+    UnboundedSeconds,
+)
 from papayacourse.wire import KINDS, MAX_FRAME_BYTES, PROTOCOL_VERSION, Frame, decode, encode
 from tests.routedfleet import MESH_KEY
 from tests.wiresamples import frames
@@ -111,6 +120,14 @@
         return type(value) is tuple and all(map(is_sound, value, kinds))
     if kind is UnboundedSeconds:
         return type(value) is float and value > -math.inf
+    if kind is PastSeconds:
+        return type(value) is float and 0 <= value < math.inf
+    if kind is HttpMethod:
+        return type(value) is str and value.isascii() and value.isprintable() and " " not in value
+    if kind is RequestTarget:
+        return type(value) is str and bool(value) and not re.search(r"[^!-~\x80-\xff]", value)
+    if kind is RelayedBody:
+        return type(value) is bytes and len(value) <= MAX_RELAYED_BODY
     if type(value) is not kind:
         return False
     if attrs.has(kind):
@@ -218,6 +235,41 @@
         return error
 
 
+RELAYED = RelayRequest(7, "GET", "/view/1", (("Host", "site.example"),), b"", 0.5)
+RELAYED_VALUES = {
+    "empty": "", "two words": "GET /other", "two lines": "GET\r\nX-Tenant: other",
+    "200 letters": "x" * 200, "201 letters": "x" * 201, "no ASCII": "GÉT",
+    "beyond Latin-1": "/\u2028", "a path with bytes of Latin-1": "/view/caf\u00c3\u00a9?a=%20",
+    "60000 letters": "/" + "x" * 59_999, "300000 letters": "/" + "x" * 299_999,
+    "1048576 bytes": bytes(1_048_576), "1048577 bytes": bytes(1_048_577),
+    "below zero": -1e9, "zero": 0.0,
+}  # fmt: skip
+
+
+def relayed_frame(part: str, value: str) -> Frame:
+    """Return the frame of a relayed request with a named value in one part."""
+    found = RELAYED_VALUES[value]
+    if part == "headers":
+        found = (("X-Long", found),)
+    return Frame(5, False, attrs.evolve(RELAYED, **{part: found}))
+
+
+@then("a frame of a relayed request whose {part} is {odd} is refused")
+def relayed_refused(_context, part, odd):
+    try:
+        frame = decode(encode(relayed_frame(part, odd)))
+    except MalformedMessage as error:
+        assert error.call == 5 and len(str(error)) <= MAX_REASON, error
+        return
+    raise AssertionError(f"it was read: {str(frame)[:MAX_REASON]}")
+
+
+@then("a frame of a relayed request whose {part} is {usual} is read as it was")
+def relayed_read(_context, part, usual):
+    frame = relayed_frame(part, usual)
+    assert decode(encode(frame)) == frame
+
+
 ODD_FRAMES = {
     "text": "a text frame",
     "noise": b"\x00\x81\xfe" * 30,
--- a/tests/features/wire_fuzz.feature
+++ b/tests/features/wire_fuzz.feature
@@ -25,6 +25,40 @@
       | of an unexpected kind  |
       | of a wrong type        |
 
+  # Guards against a peer's text that becomes more than a request's line at a server, that fails where the
+  # request is sent, or that takes away the request's deadline.
+  Scenario Outline: A relayed request whose <part> is <odd> is refused
+    Then a frame of a relayed request whose <part> is <odd> is refused
+
+    Examples:
+      | part    | odd                       |
+      | method  | empty                     |
+      | method  | two words                 |
+      | method  | two lines                 |
+      | method  | 201 letters               |
+      | method  | no ASCII                  |
+      | target  | empty                     |
+      | target  | two words                 |
+      | target  | two lines                 |
+      | target  | beyond Latin-1            |
+      | target  | 300000 letters            |
+      | headers | 300000 letters            |
+      | body    | 1048577 bytes             |
+      | waited  | below zero                |
+
+  # Guards against bounds that refuse what a daemon relays for its callers.
+  Scenario Outline: A relayed request whose <part> is <usual> is read
+    Then a frame of a relayed request whose <part> is <usual> is read as it was
+
+    Examples:
+      | part    | usual                     |
+      | method  | 200 letters               |
+      | target  | a path with bytes of Latin-1 |
+      | target  | 60000 letters             |
+      | headers | 60000 letters             |
+      | body    | 1048576 bytes             |
+      | waited  | zero                      |
+
   Scenario: A malformed frame ends its own call at once
     Given two linked daemons
     When a call of one is malformed, and the answer to another of its calls
