Time a hand-over by when requests are queued, not by a status question

Callers saw nothing of it.

Cause: the test was wrong. It took the time until an answer to /debug/status showed a queue elsewhere, and on a busy machine the answer itself comes late.

Change: the time is taken from the daemons' own "granted" lines: when a request was queued is the line's time less "waited". Every request that the stopped daemon had not granted must be queued elsewhere within the same 0.8 s, and at least as many as were handed over; before, one sufficed. The check comes after the plans have ended, since only then all lines are there.

--- a/tests/features/steps/stopping_steps.py
+++ b/tests/features/steps/stopping_steps.py
@@ -152,17 +152,40 @@
 
 @when("the scheduling daemon is asked to stop")
 def stop_scheduler(context):
-    others = [name for name in running(context) if name != context.scheduler]
+    context.next_schedulers = [name for name in running(context) if name != context.scheduler]
+    context.stop_asked_at = time.time()
     context.fleet.processes[context.scheduler].terminate()
-    began = time.monotonic()
-    wait_until("another one has requests", lambda: any(queued(context, n) for n in others))
-    context.hand_over_time = time.monotonic() - began
 
 
-@then("another daemon had the queued requests within {seconds:g} seconds")
+def log_lines(context, daemon, event):
+    """Return the lines of one kind in a daemon's log."""
+    lines = (context.fleet.path / f"{daemon}.log").read_text().splitlines()
+    rows = [json.loads(line) for line in lines if f'"{event}"' in line]
+    return [row for row in rows if row["message_type"] == event]
+
+
+def queued_times(context):
+    """Return when each moved request was queued at its next scheduler, by the daemons' own clock.
+
+    An answer to a status question says when the test was served, not when requests were queued.
+    """
+    before = {row["request"] for row in log_lines(context, context.scheduler, "granted")}
+    times = {}
+    for name in context.next_schedulers:
+        for row in log_lines(context, name, "granted"):
+            if row["request"] not in before:
+                times.setdefault(row["request"], row["timestamp"] - row["waited"])
+    return times
+
+
+@then("other daemons had all requests handed over within {seconds:g} seconds")
 def queued_elsewhere(context, seconds):
-    print(f"another daemon had queued requests after {context.hand_over_time:.2f} s")
-    assert context.hand_over_time < seconds, f"after {context.hand_over_time:.2f} s"
+    handed_over = log_lines(context, context.scheduler, "duties handed over")[-1]["queued"]
+    times = queued_times(context)
+    assert len(times) >= handed_over, f"{len(times)} of {handed_over} were queued elsewhere"
+    last = max(times.values()) - context.stop_asked_at
+    print(f"other daemons had all {len(times)} requests after {last:.2f} s")
+    assert last < seconds, f"after {last:.2f} s"
 
 
 @when('"{daemon}" is no longer ready')
@@ -258,7 +281,6 @@
 
 @then("the stopped daemon handed queued requests over")
 def handed_over(context):
-    log = (context.fleet.path / f"{context.scheduler}.log").read_text().splitlines()
-    rows = [json.loads(line) for line in log if "duties handed over" in line]
+    rows = log_lines(context, context.scheduler, "duties handed over")
     assert rows and rows[-1]["queued"] > 0, rows
     print(f"{rows[-1]['queued']} requests handed over in {rows[-1]['seconds']:.4f} s")
--- a/tests/features/stopping.feature
+++ b/tests/features/stopping.feature
@@ -14,13 +14,14 @@
     And each refund answered has run 1 time
     And every stop ended with status 0
 
+  # Queued requests that are not handed over wait until their daemons ask again.
   Scenario: Requests queued at a scheduler that stops are granted by the next one
     Given daemons "a, b, c" in domain "lagos-1" of region "lagos"
     When 90 plans of 300 tokens wait for engines through a daemon that does not schedule
     And the scheduling daemon is asked to stop
-    Then another daemon had the queued requests within 0.8 seconds
-    And all 90 plans are whole
+    Then all 90 plans are whole
     And the stopped daemon handed queued requests over
+    And other daemons had all requests handed over within 0.8 seconds
     And the stopped daemon exits with status 0
 
   Scenario: A caller that keeps its connection is told that it ends
