Let neighbours in the quarantine test wait for nothing but quarantine

Seen: "Neighbours need not run apart once it is found out" failed with "some had ended already": two neighbours waited 6.4 s for a place, as if still suspects.

Cause: the test was wrong. They were no suspects; the engine was full by forecast. No output has ended yet, so lengths are forecast by the prior, in which a longer running output is forecast to go on for longer. One engine of 16384 tokens is left and runs three neighbours; it lets in the six that ask again only while those are young.

Change: the schedulers are told of so much memory that every one of the streams fits with its longest output. So only quarantine can make a neighbour wait. The engines themselves are as before, and hold all nine streams.

--- a/tests/features/quarantine.feature
+++ b/tests/features/quarantine.feature
@@ -34,8 +34,10 @@
     Then every neighbour has 500 tokens of one generation in order in the end
     And 2 engines "planner" have died
 
+  # Neighbours of a condemned request that are still taken for suspects run one by one.
   Scenario: Neighbours need not run apart once it is found out
-    Given 3 engines "planner" in domain "lagos-1" of region "lagos"
+    Given schedulers that take the engines' memory for 1000000 tokens
+    And 3 engines "planner" in domain "lagos-1" of region "lagos"
     And daemons "a" in domain "lagos-1" of region "lagos"
     When 9 callers begin to stream "neighbour [len=1000]" from "planner" through "a"
     And a caller sends "plan [crash=30] [len=90]" 2 times in turn through "a"
--- a/tests/features/steps/quarantine_steps.py
+++ b/tests/features/steps/quarantine_steps.py
@@ -3,7 +3,7 @@
 import threading
 from concurrent.futures import ThreadPoolExecutor
 
-from behave import then, when
+from behave import given, then, when
 
 from standins.fleet import call, wait_until
 from tests.balancer import is_ready
@@ -13,6 +13,13 @@
 from tests.steptext import names_in
 
 ASKS = 6  # times that a neighbour asks before it gives up
+MEMORY_DEPLOYMENT = """[/teams/sound-trust/deployments/planner]
+service = planner
+backends = planner-*
+memory_tokens = {memory}
+max_batch = 32
+memory_margin = 0.15
+"""
 
 
 @when('a caller sends "{prompt}" {times:d} times in turn through "{daemons}"')
@@ -115,6 +122,13 @@
         check_whole(neighbour.texts, count)
 
 
+@given("schedulers that take the engines' memory for {memory:d} tokens")
+def believed_memory(context, memory):
+    file = context.fleet.path / "memory.ini"
+    file.write_text(MEMORY_DEPLOYMENT.format(memory=memory))
+    context.fleet.apply(str(file))
+
+
 @when('{count:d} callers begin to stream "{prompt}" from "{model}" through "{daemon}"')
 def neighbours_begin(context, count, prompt, model, daemon):
     address = context.fleet.processes[daemon].http
