Tell daemons of leaving engines whose answers they relay

What callers saw: nothing at first. A daemon that reaches no server has its requests served by another, and passes the answers on. It did not learn from them that an engine leaves (Server-Leaving), since an answer does not name its engine, and sent requests to that engine itself once it reached servers again. The rule DRAIN forbids that from 2.5 s after the answer was passed on, in touch or not; callers then lose what the engine has no time for.

Cause: the daemon that talks to the engine reported a leaving engine to the engine's scheduler only, which notifies daemons with runs there; of a plain server it told nobody.

Why it works: an answer is passed on while its request is being served here. So whoever serves it tells, when it first learns that an engine leaves, all daemons whose requests it serves at that moment; later requests do not go to that engine.

--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -238,18 +238,27 @@
             self.evacuation.look()
 
     async def _report_leaving(self, host: Host) -> None:
-        """Report a leaving engine to its scheduler; the scheduler notifies daemons with runs."""
+        """Report a leaving engine to the daemons that cannot know it otherwise.
+
+        A daemon that relays its requests here passes on what the engine says, but the answer does
+        not name the engine.
+        """
         self.evacuation.look()
+        relaying = self.front.relaying.served_daemons()
+        await self._send_leaving(host, relaying | self._drain(host))
+
+    def _drain(self, host: Host) -> set[str]:
+        """Drain a leaving engine; return the daemons to notify.
+
+        These are the daemons with runs, or the engine's scheduler, which notifies them.
+        """
         if (TEAM, host.service) not in self.catalog.model_services():
-            return
+            return set()
         cell = self.mesh.cell_map.of_engine(host.domain, TEAM, host.service, host.name)
         owners = self.membership.owners(cell.duty, host.domain)[:1]
         if owners == [self.config.name]:
-            await self._send_leaving(
-                host, self.mesh.duties.drain_engine(cell, host.name, LEAVING_TIME)
-            )
-        else:
-            await self._send_leaving(host, set(owners))
+            return self.mesh.duties.drain_engine(cell, host.name, LEAVING_TIME)
+        return set(owners)
 
     async def _send_leaving(self, host: Host, daemons: set[str]) -> None:
         for name in daemons - {self.config.name}:
--- a/papayacourse/routed/relaying.py
+++ b/papayacourse/routed/relaying.py
@@ -96,6 +96,10 @@
         able.sort(key=lambda m: LINK_CLASSES_NEAREST_FIRST.index(here.link_to(m.domain, m.region)))
         return [member.name for member in able[:MAX_DAEMONS_ASKED]]
 
+    def served_daemons(self) -> set[str]:
+        """Return the daemons whose relayed requests are being served here."""
+        return {name for name, _number in self.served}
+
     def _may_ask(self, member: Member) -> bool:
         since = self.clock() - self.declined_at.get(member.name, float("-inf"))
         able = self.membership.may_take_duties(member) and self.membership.is_alive(member.name)
--- a/tests/features/routed_stranded.feature
+++ b/tests/features/routed_stranded.feature
@@ -41,6 +41,16 @@
     And 2 s have passed
     Then "a" has given no strikes
 
+  # Guards against a daemon that sends to an engine whose answer, which another daemon got for it, said that it leaves (rule DRAIN).
+  Scenario: Who is served through another hears of the servers that leave
+    When "desk-lagos-1, desk-lagos-2" say in their answers that they leave
+    And daemons "a" are cut off from all servers, with connections refused
+    And 1 s have passed
+    And calls are sent through "a" until "desk-lagos-1, desk-lagos-2" have answered
+    And daemons "a" reach the servers again
+    And 2 s have passed
+    Then 24 calls through "a" leave "desk-lagos-1, desk-lagos-2" alone, and "a" sends them itself
+
   # Guards against waiting for what cannot come.
   Scenario: Where nobody reaches a server, callers are refused at once
     When daemons "a, b, m, n" are cut off from all servers, with connections hanging
--- a/tests/features/steps/routedstranded_steps.py
+++ b/tests/features/steps/routedstranded_steps.py
@@ -11,6 +11,7 @@
 from behave import given, then, when
 from routed_steps import fleet_of
 from routedcrashes_steps import reason
+from routednotices_steps import arrivals, says_leaving
 
 from standins.fleet import Answer, call, wait_until
 from tests.rawhttp import send as send_raw
@@ -22,6 +23,8 @@
 RECEIVE_BUFFER = 8192  # bytes
 PLAN_PATH = "/plans/1"
 LONG_WAIT = 30.0  # seconds
+MAX_CALLS = 60  # until each of a few servers has answered one
+VIEW_PATH = "/view/1"
 
 
 @define(eq=False)
@@ -213,6 +216,37 @@
     assert plan.events() == list(range(1, len(plan.events()) + 1)), plan.events()
 
 
+@when('"{engines}" say in their answers that they leave')
+def say_leaving(context, engines):
+    for name in names_in(engines):
+        says_leaving(context, name)
+
+
+@when('calls are sent through "{daemon}" until "{engines}" have answered')
+def send_until_answered(context, daemon, engines):
+    routed = fleet_of(context)
+    waiting = set(names_in(engines))
+    for _ in range(MAX_CALLS):
+        answer = routed.ask(daemon, "GET", VIEW_PATH)
+        assert answer.status == 200, answer
+        waiting = {name for name in waiting if not routed.runs(name)}
+        if not waiting:
+            return
+    raise AssertionError(f"no call reached {waiting}")
+
+
+@then('{count:d} calls through "{daemon}" leave "{engines}" alone, and "{same}" sends them itself')
+def leave_all_alone(context, count, daemon, engines, same):
+    names = names_in(engines)
+    before = {name: arrivals(context, name) for name in names}
+    sent = sends(context, same)
+    for _ in range(count):
+        assert fleet_of(context).ask(daemon, "GET", VIEW_PATH).status == 200
+    after = {name: arrivals(context, name) for name in names}
+    assert after == before, (before, after)
+    assert sends(context, same) - sent >= count, (sends(context, same), sent)
+
+
 @then('"{name}" has given no strikes')
 def no_strikes(context, name):
     assert not fleet_of(context).lines(name, "strike")
