Split the generation into its state, its relay, its failover and the call

routed/generation.py held everything that happens to a streamed generation. No behaviour changes: wire names, log lines, metrics and settings are as they were.

- routed/generation.py keeps Generation, now the state alone: its engine, how far the answer has come, its copy and its pending move, with the questions about them.
Those who copy, move and evacuate runs use nothing else of it and are unchanged.
- routed/streamedcall.py: StreamedCall, beside PlainCall.
Places the generation, sends it to one engine after another and reports its end (from run, _start, _send_and_relay, _resume, _restart, _get_permit, _finish).
- routed/answerrelay.py: AnswerRelay.
Relays one engine's answer event by event (from _relay, _relay_failure, _relay_event and the stall timeout).
- routed/failover.py: Failover.
Stops a lost run and decides where it continues (from _plan_resume, _stop_lost_run, _copy_target, _resume_at).

The progress and the end of a placement, which three places reported alike, are reported by _place and _end_placement. They give the number of relayed tokens where _start gave a literal 0; until an engine has accepted the request that number is 0.

--- /dev/null
+++ b/papayacourse/routed/failover.py
@@ -0,0 +1,73 @@
+"""Decides where a generation continues after its engine was lost."""
+
+from attrs import define
+
+from papayacourse.routed.generation import Generation
+from papayacourse.routed.runstop import RunContinues, RunCopied, RunStop
+from papayacourse.routed.seams import Resume
+from papayacourse.routed.standby import Standby
+from papayacourse.types import Host
+
+
+@define(eq=False)
+class Failover:
+    """Finds where one generation continues: at a standby, or from the beginning."""
+
+    generation: Generation
+
+    async def plan_resume(self, why: str) -> Resume:
+        """Return where an interrupted run continues.
+
+        Raises StreamBroken or RequestRefused if it can't continue.
+        """
+        generation = self.generation
+        generation.log_failed(why)
+        standby = await generation.pending_move if generation.pending_move is not None else None
+        generation.pending_move = None
+        if generation.guard.is_condemned():
+            raise generation.broken(why)
+        if standby is None and (generation.copy is not None or generation.may_restart()):
+            standby = await self._stop_lost_run(why)
+        generation.copy = None
+        if standby is not None and generation.fleet.is_listed(standby.host.name):
+            return await self._resume_at(standby, why)
+        if not generation.may_restart():
+            raise generation.broken(why)
+        return Resume("", "", generation.last_id)
+
+    async def _stop_lost_run(self, why: str) -> Standby | None:
+        """Stop the run on its engine; returns the newest copy, if there is one.
+
+        Raises StreamBroken or RequestRefused if the engine works on.
+        """
+        generation, target = self.generation, self._copy_target()
+        if not generation.shape.moves or target is None:
+            return generation.copy
+        stop = RunStop(
+            generation.fleet, generation.engine, generation.run_id, target, generation.copy_lock
+        )
+        match await stop.run():
+            case RunCopied(standby):
+                return standby
+            case RunContinues(refusal):
+                raise generation.broken(f"{why}; {refusal}")
+            case _:
+                return generation.copy
+
+    def _copy_target(self) -> Host | None:
+        """Return the engine to copy the run to: that which has a copy already, if any."""
+        generation = self.generation
+        if generation.copy is not None and generation.fleet.is_listed(generation.copy.host.name):
+            return generation.copy.host
+        return generation.fleet.best_move_target(generation.engine, generation.request.service)
+
+    async def _resume_at(self, standby: Standby, why: str) -> Resume:
+        generation, fleet = self.generation, self.generation.fleet
+        if not fleet.budget.try_spend(generation.admitted.service, "resume"):
+            raise generation.broken(why)
+        await fleet.rebind(
+            generation.request, generation.engine, standby.host, generation.generated
+        )
+        generation.engine = standby.host
+        generation.is_permitted = standby.is_permitted
+        return Resume(standby.holder, standby.handle, generation.last_id)
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -28,6 +28,7 @@
 from papayacourse.routed.relayedexchange import RelayedExchange
 from papayacourse.routed.relaying import RelayBroken, Relaying
 from papayacourse.routed.seams import Prompt
+from papayacourse.routed.streamedcall import StreamedCall
 from papayacourse.routed.worktimes import WorkTimes
 from papayacourse.stopdeadline import StopDeadline
 from papayacourse.types import GenerationRequest, Ran
@@ -320,7 +321,7 @@
         outcome.may_have_run = generation.may_have_run
         self.evacuation.running.add(generation)
         try:
-            await generation.run()
+            await StreamedCall(generation).run()
         finally:
             self.evacuation.ended(generation)
 
