Split the callers' front into the server, the router and the outcome

routed/front.py was the HTTP server, the way of each request to its service, and the log line in one. No behaviour changes: wire names, log lines, metrics and settings are as they were, and the moved lines are as they were but for the names of what they call.

- routed/front.py keeps Frontend: the server's delegate, the requests in progress, the bounds of a planned stop, and what a failure makes of a request.
- routed/router.py: Router.
Admits a request and gives it to a plain service, to engines or to another daemon (from _answer, _relay, _serve_here, _call, _generate, _may_begin and _refuse_while_stopping).
It now holds choice, relaying and work_times, so the daemon makes a Router and gives it to the Frontend.
- routed/outcome.py: Outcome.
- routed/generationrequest.py: generation_request, prefix_hashes and refuse_too_large.

--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -40,6 +40,7 @@
 from papayacourse.routed.pages import pages
 from papayacourse.routed.relaying import Relaying
 from papayacourse.routed.reports import AdapterReports
+from papayacourse.routed.router import Router
 from papayacourse.routed.seams import EngineCalls, EngineNotice, RequestCodec, Store
 from papayacourse.routed.sendlimiter import SendLimiter
 from papayacourse.routed.storefollower import StoreFollower
@@ -156,12 +157,14 @@
             self._shape, tasks=self.tasks,
         )  # fmt: skip
         self.evacuation = Evacuation(self.fleet, lambda: self.directory.store_is_away)
-        self.front = Frontend(
+        self.router = Router(
             self.documents, self.fleet, ServerChoice(Place(config.domain, config.region)),
-            self.evacuation, self.metrics,
-            self.lifecycle.deadline, config.body_room,
+            self.evacuation, self.lifecycle.deadline,
         )  # fmt: skip
-        self.front.relaying = Relaying(
+        self.front = Frontend(
+            self.documents, self.router, self.metrics, self.lifecycle.deadline, config.body_room
+        )
+        self.router.relaying = Relaying(
             self.membership, self.mesh.peers, self.notices.reach, self.front.begin_relayed,
             self._why_no_relays,
         )  # fmt: skip
@@ -346,7 +349,7 @@
         self.checked_hosts = self.membership.hosts
         self.notices.forget_unlisted(self.checked_hosts.by_name)
         self.limiter.forget_unlisted(self.checked_hosts.by_name)
-        self.front.choice.forget_unlisted(self.checked_hosts.by_name.keys())
+        self.router.choice.forget_unlisted(self.checked_hosts.by_name.keys())
         self.evacuation.look()
 
     async def _tick(self) -> None:
--- a/tests/features/steps/routedoddvalues_steps.py
+++ b/tests/features/steps/routedoddvalues_steps.py
@@ -12,7 +12,7 @@
 
 from papayacourse.exceptions import BackendProtocolError, RequestRefused
 from papayacourse.routed.admitted import AdmittedRequest, admit
-from papayacourse.routed.front import generation_request
+from papayacourse.routed.generationrequest import generation_request
 from papayacourse.types import Host, HostKind
 from tests.oddvalues import ODD_NUMBERS, check_loggable, check_random, encoded
 from tests.routedfleet import HOST, KEY, ROOT, document
