Parse a JSON object in one function

engines.read_fields and rollout.ask_daemon each parsed JSON and checked that it is an object. jsontext.parse_object does both now, beside parse; each caller adds whose answer it was. The texts of read_fields, which go to log lines, are as they were.

One visible wording changes, on the command line only: where a daemon answers something else than a JSON object, the one-line error of the debug commands reads "... answered no JSON object: not JSON: ..." or "... answered no JSON object: not an object", before "... answered no JSON: ..." or "... answered no JSON object". One function has one wording.

--- a/papayacourse/engines.py
+++ b/papayacourse/engines.py
@@ -230,12 +230,9 @@
 def read_fields(answer: bytes, origin: str) -> dict:
     """Decode an engine's JSON answer; raises BackendProtocolError if it is not an object."""
     try:
-        raw = jsontext.parse(answer)
+        return jsontext.parse_object(answer)
     except ValueError as error:
-        raise BackendProtocolError(f"{origin}: not JSON: {error}") from error
-    if not isinstance(raw, dict):
-        raise BackendProtocolError(f"{origin}: not an object")
-    return raw
+        raise BackendProtocolError(f"{origin}: {error}") from error
 
 
 def read_count(value: object) -> int:
--- a/papayacourse/jsontext.py
+++ b/papayacourse/jsontext.py
@@ -30,6 +30,23 @@
         raise ValueError("nested too deeply") from error
 
 
+def parse_object(text: str | bytes) -> dict:
+    """Parse a JSON text that must be an object.
+
+    Raises
+    ------
+    ValueError
+        If `parse` raises it, or if the text is something else than an object.
+    """
+    try:
+        value = parse(text)
+    except ValueError as error:
+        raise ValueError(f"not JSON: {error}") from error
+    if not isinstance(value, dict):
+        raise ValueError("not an object")
+    return value
+
+
 def parse_exact(text: str | bytes) -> Any:
     """Parse a JSON text whose content is passed on exactly as it is.
 
--- a/papayacourse/rollout.py
+++ b/papayacourse/rollout.py
@@ -116,9 +116,6 @@
     if call.status != 200:
         raise BackendError(f"{daemon} answered status {call.status}")
     try:
-        page = jsontext.parse(body)
+        return jsontext.parse_object(body)
     except ValueError as error:
-        raise BackendError(f"{daemon} answered no JSON: {error}") from error
-    if not isinstance(page, dict):
-        raise BackendError(f"{daemon} answered no JSON object")
-    return page
+        raise BackendError(f"{daemon} answered no JSON object: {error}") from error
