Split the stand-in of the users' engines

The moved lines are as they were; the stand-in's switches, paths and answers don't change.

- standins/platformruns.py: Run, Copy and PlatformEngine, the state and the switches.
- standins/platformfaults.py: the faults of answers, reset_at_close and die_if_due.
- standins/platformhandler.py: EngineHandler, what all answers share.
- standins/platformcopies.py: Move, TakeCopy and Handle, the copies between engines.
- standins/platformengine.py keeps callers' requests, the report, the admin page and main.

--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -1,186 +1,32 @@
 """The users' engines: plain services and model engines, whose runs can be copied to others."""
 
 import asyncio
-import contextlib
-import itertools
 import json
 import os
-import re
 import signal
-import socket
 import time
 
-from attrs import asdict, define, field
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
-from tornado.iostream import IOStream, StreamClosedError
+from attrs import asdict
+from tornado.iostream import StreamClosedError
 
 from standins.common import JsonHandler, parser, serve
-
-REQUEST_ID = "X-Attempt-Id"
-NOT_RUN = "X-Not-Executed"
-NOISE = b"n" * 1000
-ENDLESS = {
-    "endless_noise": (b"", b"\x00\x81\xfe" * 300),
-    "endless_line": (b"HTTP/1.1 200 OK\r\nX-Noise: ", NOISE),
-    "endless_head": (b"HTTP/1.1 200 OK\r\n", b"X-Noise: " + NOISE + b"\r\n"),
-    "endless_interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
-    "endless_body": (b"HEAD\r\n", NOISE),
-    "endless_chunks": (b"HEADTransfer-Encoding: chunked\r\n\r\n", b"3e8\r\n" + NOISE + b"\r\n"),
-    "endless_event": (b"HEAD\r\n", NOISE),
-    "endless_comments": (b"HEAD\r\n", b": noise\n\n"),
-    "endless_old": (b"HEAD\r\n", b"id: 1\ndata: token 1\n\n"),
-}  # what an answer begins with, and what then comes again and again; HEAD is a good answer's head
-UNFRAMED_ENDS = {
-    "unframed": b"", "reset_unframed": b"", "unframed_half": b"id: 21\ndata: to",
-    "unframed_early": b"id: 1\nda",
-}  # fmt: skip
-PARTIAL_HEADS = {
-    "half_head": b"HEAD",
-    "half_line": b"HEADContent-Len",
-    "half_head_after_interim": b"HTTP/1.1 103 Early Hints\r\n\r\nHEAD",
-}  # where an answer breaks off within its head; HEAD is the lines of a good one
-OLD_REFUSAL = (
-    b"HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: an-earlier-one\r\n"
-    b"X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+from standins.platformcopies import Handle, Move, TakeCopy
+from standins.platformfaults import (
+    CRASH_DELAY,
+    DEADLY_PART,
+    ENDLESS,
+    FAILURES,
+    MUTE_TIME,
+    OLD_REFUSAL,
+    PARTIAL_HEADS,
+    UNFRAMED_ENDS,
+    die_if_due,
+    reset_at_close,
 )
-FAILURES = {"fail": 500, "promise": 503}  # the status of a generation that ran and failed
-MUTE_TIME = 60.0  # seconds
-DEADLY_PART = re.compile(r"\bdead-\d+:\d+,")  # in a prompt's list of parts, never the last
-CRASH_DELAY = 0.1  # seconds from the head of an answer to the crash
-DEADLY = re.compile(r"\[(crash|hang)=(\d+)\]")  # in a body: how, and after how many events
-
-
-@define
-class Run:
-    """One request that an engine has begun to work on.
-
-    Attributes
-    ----------
-    first : int
-        The first event made here.
-    made : int
-        The last event made.
-    end : str
-        ``whole``, ``cancelled`` or ``stopped``; empty while it runs.
-    began, worked_at : float
-        When it began here and made its last event, in seconds of the host's monotonic clock.
-    """
-
-    name: str
-    method: str = ""
-    target: str = ""
-    headers: dict = field(factory=dict)
-    body: str = ""
-    first: int = 1
-    made: int = 0
-    end: str = ""
-    began: float = field(factory=time.monotonic)
-    worked_at: float = 0.0
-
-
-@define
-class Copy:
-    """The memory of another engine's run."""
-
-    run: str
-    made: int
-
-
-@define(eq=False)
-class PlatformEngine:
-    """An engine, and the switches that make it fail.
-
-    Attributes
-    ----------
-    step : float
-        Seconds for each event.
-    plain_work : float
-        Seconds for each plain call.
-    copy_time : float
-        Seconds for the first copy of a run.
-    room : bool
-        Whether copies of other engines' runs are taken.
-    fault : str
-        What goes wrong with answers: ``shed``, ``lose``, ``wrong_id``, ``garbage``, ``unframed``,
-        ``reset_unframed``, ``unframed_half``, ``unframed_early``, ``encoded``, ``half_event``,
-        ``fail``, ``promise``, ``promise_429``, ``promise_408``, ``mute``, ``unstoppable``,
-        ``old_refusal``, a name of ``ENDLESS`` or of ``PARTIAL_HEADS``; empty for nothing.
-    report_fault : str
-        What goes wrong with reports: a name of ``ENDLESS``; empty for nothing.
-    noise_pause : float
-        Seconds between the pieces of an answer without end.
-    says_leaving : str
-        Which answers say that it leaves: ``all``, ``requests`` or none.
-    pause : float
-        The seconds for which it wants to be left alone when it sheds a request; 0 for none.
-    brittle : int or str
-        How many rejections a second it bears before it ends; empty for any number.
-    slots : int
-        How many callers' requests it runs at once, before it rejects others; 0 for any number.
-    rejected : list of float
-        When it rejected requests for want of room, in seconds of the host's monotonic clock.
-    limit : float or str
-        The limit that its answers name, in requests per second; empty for none.
-    arrivals : list of str
-        The method and path of each call that came, also of one that was turned away.
-    request_times : list of float
-        When each caller's request came, in seconds of the host's monotonic clock.
-    """
-
-    instance: str
-    step: float = 0.01
-    plain_work: float = 0.0
-    copy_time: float = 0.05
-    room: bool = True
-    fault: str = ""
-    report_fault: str = ""
-    noise_pause: float = 0.0
-    state: str = "ready"
-    says_leaving: str = ""
-    pause: float = 0.0
-    brittle: int | str = ""
-    slots: int = 0
-    rejected: list[float] = field(factory=list)
-    limit: float | str = ""
-    request_times: list[float] = field(factory=list)
-    arrivals: list[str] = field(factory=list)
-    runs: list[Run] = field(factory=list)
-    copies: dict[str, Copy] = field(factory=dict)
-    targets: dict[str, str] = field(factory=dict)
-    stopped: dict[str, Copy] = field(factory=dict)
-    handles: itertools.count = field(factory=lambda: itertools.count(1))
-
-    def running(self, name: str) -> Run | None:
-        """Return a run that has not ended."""
-        return next((r for r in self.runs if r.name == name and not r.end), None)
-
-
-class EngineHandler(JsonHandler):
-    """What all answers of an engine share."""
-
-    kind = "orders"
+from standins.platformhandler import REQUEST_ID, EngineHandler
+from standins.platformruns import PlatformEngine, Run
 
-    async def prepare(self) -> None:
-        """Say that the engine leaves, if it is to say so."""
-        if self.standin.says_leaving in ("all", self.kind):
-            self.set_header("Server-Leaving", "1")
-        if self.standin.limit != "":
-            self.set_header("Server-Limit", str(self.standin.limit))
-        if self.standin.brittle != "":
-            self.set_header("Server-Brittle", str(self.standin.brittle))
-
-    async def answer_for_ever(self, fault: str, run: Run) -> None:
-        """Write bytes without end, until the other side closes."""
-        begin, more = ENDLESS[fault]
-        head = f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {run.name}\r\nX-Server-Signature: s\r\n"
-        stream = self.request.connection.stream
-        self._finished = True
-        with contextlib.suppress(StreamClosedError):
-            await stream.write(begin.replace(b"HEAD", head.encode()))
-            while True:
-                await stream.write(more)
-                await asyncio.sleep(self.standin.noise_pause)
-        run.end = "cancelled"
+NOT_RUN = "X-Not-Executed"
 
 
 class Work(EngineHandler):
@@ -395,85 +241,6 @@
     return f"id: {number}\ndata: token {number}\n\n"
 
 
-def reset_at_close(stream: IOStream) -> None:
-    """Make the closing of a connection a reset."""
-    linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
-    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-
-
-def die_if_due(run: Run) -> None:
-    """End this engine, or stop it for good, if the run's body says that it does that now."""
-    match DEADLY.search(run.body):
-        case re.Match() as found if run.made >= int(found[2]):
-            os.kill(os.getpid(), signal.SIGKILL if found[1] == "crash" else signal.SIGSTOP)
-
-
-class Move(EngineHandler):
-    """``POST /kv-move``."""
-
-    async def post(self) -> None:
-        """Copy a run to another engine; only to one at a time."""
-        engine, order = self.standin, self.body()
-        run = engine.running(order["Id"])
-        if run is None:
-            self.set_status(404)
-            self.finish()
-            return
-        if order["Last"] and engine.fault == "unstoppable":
-            self.set_status(500)
-            self.finish()
-            return
-        before = engine.targets.get(run.name)
-        if before not in (None, order["Target"]):
-            self.set_status(503)
-            self.finish({})
-            return
-        engine.targets[run.name] = order["Target"]
-        handle = f"h{next(engine.handles)}-{engine.instance}"
-        await asyncio.sleep(0.0 if before else engine.copy_time)
-        if order["Last"] and not run.end:
-            run.end = "stopped"
-        taken = await self.send(order["Target"], handle, run)
-        if order["Last"]:
-            engine.stopped[handle] = Copy(run.name, run.made)
-        if not taken:
-            engine.targets.pop(run.name, None)
-            self.set_status(503)
-        self.finish({"Handle": handle, "Created": run.made})
-
-    async def send(self, target: str, handle: str, run: Run) -> bool:
-        """Give a copy to another engine."""
-        body = json.dumps({"handle": handle, "run": run.name, "made": run.made})
-        try:
-            request = HTTPRequest(f"http://{target}/standin-copy", "POST", body=body)
-            await AsyncHTTPClient().fetch(request)
-        except (HTTPClientError, OSError):
-            return False
-        return True
-
-
-class TakeCopy(JsonHandler):
-    """``POST /standin-copy``: between stand-ins only."""
-
-    def post(self) -> None:
-        """Take a copy, if there is room."""
-        body = self.body()
-        if not self.standin.room:
-            self.set_status(503)
-        else:
-            self.standin.copies[body["handle"]] = Copy(body["run"], body["made"])
-        self.finish()
-
-
-class Handle(JsonHandler):
-    """``DELETE /kv-handle/ID``."""
-
-    def delete(self, _handle: str) -> None:
-        """Forget where runs were copied to."""
-        self.standin.targets.clear()
-        self.finish()
-
-
 class Report(EngineHandler):
     """``GET /report``."""
 
