--- a/papayacourse/completions.py
+++ b/papayacourse/completions.py
@@ -12,9 +12,10 @@
 from papayacourse.catalog import Client, may_use
 from papayacourse.cursor import Cursor
 from papayacourse.engines import End, Token
-from papayacourse.exceptions import RequestRefused
+from papayacourse.exceptions import RequestRefused, StopExpired
 from papayacourse.quarantine import fingerprint
 from papayacourse.settings import ServiceSettings
+from papayacourse.stopdeadline import EXPIRED
 from papayacourse.streams import Relay
 from papayacourse.types import GenerationRequest, HostKind, Ran
 from papayacourse.web import Handler
@@ -44,8 +45,23 @@
             # A stream without a cursor or a key cannot be resumed.
             window = self.service_settings.resume_window if self.resumable else 0.0
             self.daemon.hold(self.relay, window)
+            self._break_off_at_stop()
             raise
 
+    def _break_off_at_stop(self) -> None:
+        """End a stream that has begun with an error event if a planned stop ends it."""
+        deadline = self.daemon.lifecycle.deadline
+        if deadline.is_expired and self._headers_written and not self._finished:
+            self._end_with_error(self.stop_refusal(StopExpired(EXPIRED, has_begun=True)))
+            self.finish()
+
+    def may_have_run(self) -> bool:
+        """Return True unless it is certain that no engine has begun the generation."""
+        if self.request.headers.get("Last-Event-ID"):
+            # Another daemon may have started it.
+            return True
+        return self.relay is not None and self.relay.maybe_ran
+
     def refuse(self, refused: RequestRefused) -> None:
         """Write a refusal, which never claims that a resumed generation did not run."""
         if self.request.headers.get("Last-Event-ID") and refused.ran == Ran.NO:
@@ -136,10 +152,14 @@
         except RequestRefused as refused:
             if not begun:
                 raise
-            self.daemon.metrics.refusals.add(1, {"reason": refused.reason})
-            self.write(problems.error_event(refused, self.request_id))
+            self._end_with_error(refused)
         await self.finish()
 
+    def _end_with_error(self, refused: RequestRefused) -> None:
+        """Write the event that ends a broken-off stream."""
+        self.daemon.metrics.refusals.add(1, {"reason": refused.reason})
+        self.write(problems.error_event(refused, self.request_id))
+
     def _with_cursor(self, answer_format: chat.AnswerFormat) -> chat.AnswerFormat:
         return evolve(
             answer_format, stream=self.relay.generation.stream, cursor=self._cursor(answer_format)
--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -190,7 +190,13 @@
 
     @contextmanager
     def in_progress(self, client: Client) -> Iterator[None]:
-        """Count an in-flight request of an account; refuse it over the account's limit."""
+        """Count an in-flight request of an account; refuse it over the account's limit.
+
+        Raises
+        ------
+        StopExpired
+            When a planned stop leaves it no more time.
+        """
         account = (client.team, client.name)
         if self.busy[account] >= client.settings.max_in_progress:
             raise RequestRefused(
@@ -202,7 +208,8 @@
         self.busy[account] += 1
         self.idle.clear()
         try:
-            yield
+            with self.lifecycle.deadline.bound():
+                yield
         finally:
             self.busy[account] -= 1
             if not self.busy.total():
@@ -210,11 +217,18 @@
 
     @contextmanager
     def track_duty(self, duty: str) -> Iterator[None]:
-        """Count work for another daemon, which a graceful stop completes first."""
+        """Count work for another daemon, which a graceful stop completes first.
+
+        Raises
+        ------
+        StopExpired
+            When a planned stop leaves it no more time.
+        """
         self.busy[duty] += 1
         self.idle.clear()
         try:
-            yield
+            with self.lifecycle.deadline.bound():
+                yield
         finally:
             self.busy[duty] -= 1
             if not self.busy.total():
--- a/papayacourse/exceptions.py
+++ b/papayacourse/exceptions.py
@@ -171,7 +171,17 @@
 
 
 class StopExpired(PapayacourseError):
-    """A planned stop leaves no more time for a request."""
+    """A planned stop leaves no more time for a request.
+
+    Parameters
+    ----------
+    has_begun : bool
+        Whether the request was in progress already.
+    """
+
+    def __init__(self, why: str, has_begun: bool = False):
+        super().__init__(why)
+        self.has_begun = has_begun
 
 
 class RequestRefused(PapayacourseError):
--- a/papayacourse/once.py
+++ b/papayacourse/once.py
@@ -14,7 +14,7 @@
 from papayacourse.buckets import bucket_of, bucket_prefix, key_hash
 from papayacourse.callmessages import CallAnswer, CallRefused, RunOnce
 from papayacourse.deaths import ServerDeaths
-from papayacourse.exceptions import PeerError, RequestRefused
+from papayacourse.exceptions import PeerError, RequestRefused, StopExpired
 from papayacourse.membership import Membership
 from papayacourse.meshmessages import Hello
 from papayacourse.peers import Peers
@@ -22,6 +22,7 @@
 from papayacourse.records import Records
 from papayacourse.requestguard import RequestGuard
 from papayacourse.settings import ServiceSettings
+from papayacourse.stopdeadline import stop_refusal
 from papayacourse.types import Host, Ran
 
 MAX_ROUTED_BYTES = 256 * 1024  # of a call's body; a larger one runs at the entry daemon
@@ -168,15 +169,22 @@
         try:
             with self.daemon.track_duty("records"):
                 answer = await self.run_here(key, call)
+        except StopExpired as expired:
+            return call_refused(stop_refusal(expired, expired.has_begun))
         except RequestRefused as refused:
-            return CallRefused(
-                refused.status,
-                refused.reason,
-                str(refused),
-                str(refused.ran),
-                refused.retry_after,
-            )
+            return call_refused(refused)
         if len(answer.body) > MAX_ROUTED_ANSWER:
             detail = f"it ran with status {answer.status}; its answer is too long to be passed on"
             return CallRefused(502, "answer_too_long", detail, str(Ran.YES), None)
         return answer
+
+
+def call_refused(refused: RequestRefused) -> CallRefused:
+    """Return the message that carries a refusal."""
+    return CallRefused(
+        refused.status,
+        refused.reason,
+        str(refused),
+        str(refused.ran),
+        refused.retry_after,
+    )
--- a/papayacourse/stopdeadline.py
+++ b/papayacourse/stopdeadline.py
@@ -7,9 +7,11 @@
 
 from attrs import define, field
 
-from papayacourse.exceptions import StopExpired
+from papayacourse.exceptions import RequestRefused, StopExpired
+from papayacourse.types import Ran
 
 CANCEL_INTERVAL = 0.02  # seconds
+RETRY_AFTER = 1.0  # seconds; another daemon can serve the request at once
 EXPIRED = "the daemon stops, and no time is left"
 
 
@@ -65,7 +67,7 @@
         except asyncio.CancelledError as error:
             if not self.is_expired:
                 raise
-            raise StopExpired(EXPIRED) from error
+            raise StopExpired(EXPIRED, has_begun=True) from error
         finally:
             self.tasks.discard(task)
 
@@ -85,3 +87,10 @@
             return {}
         seconds = self.clock() - self.asked_at
         return {"stopping_for": round(seconds, 3), "stop_left": round(self.time_left(), 3)}
+
+
+def stop_refusal(expired: StopExpired, may_have_run: bool) -> RequestRefused:
+    """Return the refusal of a request for which a planned stop leaves no more time."""
+    if may_have_run:
+        return RequestRefused(504, "stopping", str(expired), Ran.UNKNOWN)
+    return RequestRefused(503, "stopping", str(expired), retry_after=RETRY_AFTER)
--- a/papayacourse/web.py
+++ b/papayacourse/web.py
@@ -9,8 +9,9 @@
 
 from papayacourse import logs, problems
 from papayacourse.catalog import Client, may_use
-from papayacourse.exceptions import RequestRefused
+from papayacourse.exceptions import RequestRefused, StopExpired
 from papayacourse.settings import ServiceSettings
+from papayacourse.stopdeadline import stop_refusal
 from papayacourse.types import HostKind, Ran
 
 MAX_LENGTH_DIGITS = 18  # of a Content-Length; more are beyond any limit
@@ -116,7 +117,18 @@
     def write_error(self, status_code: int, **kwargs) -> None:
         """Answer with problem details (called by tornado)."""
         error = kwargs.get("exc_info", (None, None, None))[1]
-        self.refuse(refusal_from(error, status_code))
+        if isinstance(error, StopExpired):
+            self.refuse(self.stop_refusal(error))
+        else:
+            self.refuse(refusal_from(error, status_code))
+
+    def may_have_run(self) -> bool:
+        """Return True unless it is certain that the request has not run."""
+        return True
+
+    def stop_refusal(self, expired: StopExpired) -> RequestRefused:
+        """Return the final answer to a request for which a planned stop leaves no more time."""
+        return stop_refusal(expired, expired.has_begun and self.may_have_run())
 
     def refuse(self, refused: RequestRefused) -> None:
         """Write a refusal as the response; nothing may have been written before."""
@@ -130,7 +142,7 @@
 
     def log_exception(self, kind, error, traceback) -> None:
         """Log unexpected errors; ``refuse`` logs refusals."""
-        if not isinstance(error, RequestRefused | HTTPError):
+        if not isinstance(error, RequestRefused | HTTPError | StopExpired):
             logs.failure("handler failed", error)
 
 
--- a/tests/features/steps/stopping_steps.py
+++ b/tests/features/steps/stopping_steps.py
@@ -2,17 +2,19 @@
 
 import http.client
 import json
+import threading
 import time
 
 from behave import given, then, when
 from leaving_steps import live
 
 from papayacourse.rendezvous import ranked, scheduling_duty
-from standins.fleet import wait_until
+from standins.fleet import call, wait_until
 from tests.balancer import Workload, is_ready
 from tests.callers import bearer, caller_of, check_all_whole, start_plans
 from tests.engines import total
 from tests.rawhttp import send
+from tests.refunds import Refund, look_up, times_run
 from tests.steptext import names_in
 
 TEAM = "sound-trust"
@@ -262,3 +264,53 @@
     rows = [json.loads(line) for line in log if "duties handed over" in line]
     assert rows and rows[-1]["queued"] > 0, rows
     print(f"{rows[-1]['queued']} requests handed over in {rows[-1]['seconds']:.4f} s")
+
+
+def ask_whole(context, tokens):
+    """Ask daemon "a" for a plan that is not streamed."""
+    body = {"model": "planner", "prompt": f"plan [len={tokens}]", "max_tokens": tokens}
+    address = context.fleet.processes["a"].http
+    return call(address, "POST", "/v1/completions", body, bearer("organisers"))
+
+
+@when(
+    "calls of each kind and plans of {tokens:d} tokens are in progress at "
+    '"{daemon}", which is asked to stop'
+)
+def all_kinds_in_progress(context, tokens, daemon):
+    context.fleet.admin("ledger-lagos-1-0", {"hold_after": True})
+    process = context.fleet.processes[daemon]
+    context.refund = Refund(process.http, "r-1").start()
+    context.asked = []
+    asks = (lambda: look_up(context.fleet, "GET"), lambda: ask_whole(context, tokens))
+    context.threads = [
+        threading.Thread(target=lambda a=ask: context.asked.append(a()), daemon=True)
+        for ask in asks
+    ]
+    for thread in context.threads:
+        thread.start()
+    context.caller = caller_of(context.fleet, daemon, f"plan [len={tokens}]").start()
+    context.caller.wait_tokens(1)
+    wait_until("calls run", lambda: context.fleet.counts("ledger-lagos-1-0")["holding"] == 2)
+    wait_until("plans run", lambda: started(context) == 2)
+    process.terminate()
+
+
+@then('each of them is answered 504 with ran "{ran}", and the stream ends with that error')
+def all_kinds_answered(context, ran):
+    for thread in context.threads:
+        thread.join(STOP_LIMIT)
+    refund = context.refund.join()
+    assert refund.answer is not None, refund.broken
+    answers = [refund.answer, *context.asked]
+    assert len(answers) == 3, answers
+    for answer in answers:
+        assert answer.status == 504 and answer.json["ran"] == ran, answer
+    context.caller.join()
+    assert context.caller.error and context.caller.error["reason"] == "stopping", context.caller
+    assert context.caller.error["ran"] == ran and not context.caller.done, context.caller.error
+
+
+@then("no refund has run twice")
+def refund_not_twice(context):
+    assert times_run(context.fleet, "r-1") == 1
--- a/tests/features/stopping.feature
+++ b/tests/features/stopping.feature
@@ -43,6 +43,15 @@
     And the log of "a" says "already stopping"
     And the log of "a" says "stopped before every request had ended"
 
+  # Guards against requests that are cut without an answer when the time of a stop runs out.
+  Scenario: What has not ended when the time of a stop runs out has a final answer
+    Given 1 plain service "ledger" in domain "lagos-1" of region "lagos"
+    And daemon "a" in domain "lagos-1" of region "lagos" stops within 2 seconds at most
+    When calls of each kind and plans of 6000 tokens are in progress at "a", which is asked to stop
+    Then each of them is answered 504 with ran "unknown", and the stream ends with that error
+    And no refund has run twice
+    And daemon "a" exits with status 3
+
   Scenario: A stream whose caller has gone is cancelled at its engine before a stop ends
     Given the planner's resume window is 3 seconds
     And daemons "a, b" in domain "lagos-1" of region "lagos"
