--- a/papayacourse/completions.py
+++ b/papayacourse/completions.py
@@ -71,6 +71,7 @@
 
     def on_connection_close(self) -> None:
         """Stop relaying to a disconnected caller (called by tornado)."""
+        super().on_connection_close()
         if self.task is not None:
             self.task.cancel()
 
@@ -268,6 +269,7 @@
 
     async def get(self) -> None:
         """Stream the events after Last-Event-ID."""
+        self.end_reading()
         client = self.client()
         last = self.request.headers.get("Last-Event-ID")
         if not last:
--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -8,7 +8,7 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Hashable, Iterator
 from contextlib import AsyncExitStack, contextmanager
 
 from attrs import define, field
@@ -28,7 +28,7 @@
 from papayacourse.joins import KeyedRelays
 from papayacourse.kvstore import KeyValueStore
 from papayacourse.leases import Lease
-from papayacourse.lifecycle import Lifecycle
+from papayacourse.lifecycle import UNREAD, Lifecycle
 from papayacourse.linkclasses import StreamTraffic
 from papayacourse.listener import Listener
 from papayacourse.mesh import Mesh
@@ -45,6 +45,7 @@
 from papayacourse.types import Address, GenerationRequest, Host, HostKind
 from papayacourse.version import __version__
 from papayacourse.watch import SettingsWatch
+from papayacourse.web import Handler
 
 IDLE_CONNECTION_TIMEOUT = 75.0  # seconds
 HARD_LIMIT_FACTOR = 4
@@ -66,10 +67,12 @@
     busy: Counter = field(factory=Counter)
     tasks: BackgroundTasks = field(factory=BackgroundTasks)
     held: set[asyncio.Task] = field(factory=set)
+    reading: set[Handler] = field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         config = self.config
         self.lifecycle = Lifecycle(self)
+        self.lifecycle.deadline.on_expire = self._refuse_unread
         self.idle = asyncio.Event()
         self.idle.set()
         self.metrics = Metrics(config.name)
@@ -205,15 +208,8 @@
                 "the account has too many requests in progress",
                 retry_after=1.0,
             )
-        self.busy[account] += 1
-        self.idle.clear()
-        try:
-            with self.lifecycle.deadline.bound():
-                yield
-        finally:
-            self.busy[account] -= 1
-            if not self.busy.total():
-                self.idle.set()
+        with self._counted(account), self.lifecycle.deadline.bound():
+            yield
 
     @contextmanager
     def track_duty(self, duty: str) -> Iterator[None]:
@@ -224,15 +220,39 @@
         StopExpired
             When a planned stop leaves it no more time.
         """
-        self.busy[duty] += 1
-        self.idle.clear()
+        with self._counted(duty), self.lifecycle.deadline.bound():
+            yield
+
+    def begin_reading(self, handler: Handler) -> None:
+        """Count a request whose headers have come as one in progress."""
+        self.reading.add(handler)
+        self._count(UNREAD, 1)
+
+    def end_reading(self, handler: Handler) -> None:
+        """Count a request no longer as unread: its body has come, or will not be read."""
+        if handler in self.reading:
+            self.reading.discard(handler)
+            self._count(UNREAD, -1)
+
+    def _refuse_unread(self) -> None:
+        """Refuse the requests whose bodies have not come when a planned stop ends."""
+        for handler in list(self.reading):
+            handler.refuse_unread()
+
+    @contextmanager
+    def _counted(self, kind: Hashable) -> Iterator[None]:
+        self._count(kind, 1)
         try:
-            with self.lifecycle.deadline.bound():
-                yield
+            yield
         finally:
-            self.busy[duty] -= 1
-            if not self.busy.total():
-                self.idle.set()
+            self._count(kind, -1)
+
+    def _count(self, kind: Hashable, change: int) -> None:
+        self.busy[kind] += change
+        if self.busy.total():
+            self.idle.clear()
+        else:
+            self.idle.set()
 
     def pending(self) -> list[asyncio.Task]:
         """Return the tasks that a graceful stop awaits besides in-flight requests."""
--- a/papayacourse/web.py
+++ b/papayacourse/web.py
@@ -44,6 +44,8 @@
         if announced_length(self.request) > config.max_body_bytes:
             raise self.body_too_large_refusal()
         self.body_deadline = IOLoop.current().call_later(config.body_timeout, self.refuse_slow_body)
+        if self.needs_account:
+            self.daemon.begin_reading(self)
 
     def data_received(self, chunk: bytes) -> None:
         """Append a chunk to the body (called by tornado)."""
@@ -57,21 +59,32 @@
 
     def body(self) -> bytes:
         """Return the whole body, which is complete when the handler's method runs."""
-        self.cancel_body_deadline()
+        self.end_reading()
         return b"".join(self.body_chunks)
 
-    def cancel_body_deadline(self) -> None:
-        """Cancel the timeout of the body."""
+    def end_reading(self) -> None:
+        """Cancel the timeout of the body, and count the request no longer as unread."""
+        self.daemon.end_reading(self)
         if self.body_deadline is not None:
             IOLoop.current().remove_timeout(self.body_deadline)
             self.body_deadline = None
 
     def on_finish(self) -> None:
-        """Cancel the body timeout and count the request (called by tornado)."""
-        self.cancel_body_deadline()
+        """End the reading of the body and count the request (called by tornado)."""
+        self.end_reading()
         if self.needs_account:
             self.daemon.metrics.requests.add(1, {"status": self.get_status()})
 
+    def on_connection_close(self) -> None:
+        """End the reading of the body (called by tornado when the caller has gone)."""
+        super().on_connection_close()
+        self.end_reading()
+
+    def refuse_unread(self) -> None:
+        """Refuse a request whose body has not come when a planned stop ends."""
+        why = "the daemon stops, and the body has not come"
+        self.refuse(stop_refusal(StopExpired(why), may_have_run=False))
+
     def body_too_large_refusal(self) -> RequestRefused:
         """Return the refusal of a body over the limit."""
         limit = f"the body is longer than {self.daemon.config.max_body_bytes} bytes"
--- a/tests/features/steps/stopping_steps.py
+++ b/tests/features/steps/stopping_steps.py
@@ -13,12 +13,17 @@
 from tests.balancer import Workload, is_ready
 from tests.callers import bearer, caller_of, check_all_whole, start_plans
 from tests.engines import total
+from tests.latecallers import LateCaller
 from tests.rawhttp import send
-from tests.refunds import Refund, look_up, times_run
+from tests.refunds import PATH, Refund, look_up, post, times_run
 from tests.steptext import names_in
 
 TEAM = "sound-trust"
 STOP_LIMIT = 90.0  # seconds
+LATE_STEP = 0.2  # seconds between the ends of requests
+OPENED = 0.2  # seconds after the signal, within the stop's notice
+NEVER = -1.0  # when the last byte is sent that is not
+READ_SLACK = 0.2  # seconds; a request that crosses the end of the stop is not read
 WINDOW_SERVICE = """[/teams/sound-trust/services/planner]
 kind = model
 max_output_tokens = 20000
@@ -314,3 +319,49 @@
 @then("no refund has run twice")
 def refund_not_twice(context):
     assert times_run(context.fleet, "r-1") == 1
+
+
+@when('callers send the last byte of a refund at any time of the stop of "{daemon}"')
+def late_refunds(context, daemon):
+    process = context.fleet.processes[daemon]
+    assert post(process.http, "r-before").status == 200
+    moments = [round(0.5 + LATE_STEP * number, 1) for number in range(25)]
+    context.late = []
+    for at in [*moments, NEVER]:
+        headers = bearer("depots") | {"Host": "x", "Idempotency-Key": f"r-at-{at}"}
+        context.late.append(LateCaller(process.http, PATH, headers, at, OPENED))
+    signal_at = time.monotonic() + 0.3
+    for caller in context.late:
+        caller.start(signal_at)
+    time.sleep(max(0.0, signal_at - time.monotonic()))
+    process.terminate()
+    for caller in context.late:
+        caller.thread.join(STOP_LIMIT)
+        print(caller.at, caller.status, caller.failure, round(caller.ended_at, 2))
+
+
+def key_runs(context, caller):
+    """Return how often a late caller's refund has run."""
+    return times_run(context.fleet, caller.headers["Idempotency-Key"])
+
+
+@then("each refund that was sent whole has a whole answer")
+def late_refunds_answered(context):
+    for caller in context.late:
+        was_read = caller.sent_at is None or caller.ended_at - caller.sent_at > READ_SLACK
+        if was_read or key_runs(context, caller):
+            assert caller.is_whole, caller
+
+
+@then("no refund that was answered 503 has run, and each 503 says when to come again")
+def late_refunds_not_run(context):
+    for caller in context.late:
+        if caller.status == 503:
+            assert caller.retry_after and not key_runs(context, caller), caller
+
+
+@then("each refund that was sent whole before {moment:g} s was answered 200")
+def late_refunds_served(context, moment):
+    for caller in context.late:
+        if 0 < caller.at < moment:
+            assert caller.status == 200 and key_runs(context, caller) == 1, caller
