Begin nothing that can't end in a stop of the own interface (LOST)

Callers whose calls came whole late in a stop of the own interface were answered 504 when its time ran out, after their calls had been sent to a service: 504 promises nothing, and a call that may not be repeated was lost to them.

Cause: nothing asked before a send how much of the stop's time is left. A request now begins only if the longest of the last 20 of its service, and 0.2 s, fit into what is left; otherwise it is answered 503 'stopping' with Retry-After. So is a call that another daemon asks to be run, which that daemon then runs itself; one of an earlier build passes the refusal on, which is true as well. No message has changed.

A resume is not refused, since its generation runs already.

The refusal to another daemon, and generations, are not shown by a scenario.

--- a/papayacourse/completions.py
+++ b/papayacourse/completions.py
@@ -217,7 +217,10 @@
                 return
             self.resumable = self._key() is not None
             self.relay = self._relay(generation, join=self.resumable)
-            with self.daemon.joins.joinable(self.relay):
+            with (
+                self.daemon.joins.joinable(self.relay),
+                self.daemon.beginning(client.team, parsed.model),
+            ):
                 events = self.relay.events()
                 await self.send_events(
                     events, self._answer_format(parsed, generation), parsed.stream
--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -36,6 +36,7 @@
 from papayacourse.metrics import Metrics
 from papayacourse.once import NonRepeatableRouter
 from papayacourse.orders import LEASE_KEY, Orders, WeightBudget
+from papayacourse.recenttimes import RecentTimes
 from papayacourse.records import Records
 from papayacourse.retries import RetryBudgets
 from papayacourse.streams import Relay
@@ -68,6 +69,7 @@
     tasks: BackgroundTasks = field(factory=BackgroundTasks)
     held: set[asyncio.Task] = field(factory=set)
     reading: set[Handler] = field(factory=set)
+    work_times: RecentTimes = field(factory=RecentTimes)
 
     def __attrs_post_init__(self) -> None:
         config = self.config
@@ -211,6 +213,20 @@
         with self._counted(account), self.lifecycle.deadline.bound():
             yield
 
+    @contextmanager
+    def beginning(self, team: str, service: str) -> Iterator[None]:
+        """Record how long a request takes; begin none that a planned stop leaves no time for.
+
+        Raises
+        ------
+        StopExpired
+            When a planned stop leaves too little time for it.
+        """
+        kind = f"{team}/{service}"
+        self.lifecycle.deadline.check_begin(self.work_times.expected(kind))
+        with self.work_times.record(kind):
+            yield
+
     @contextmanager
     def track_duty(self, duty: str) -> Iterator[None]:
         """Count work for another daemon, which a graceful stop completes first.
--- a/papayacourse/once.py
+++ b/papayacourse/once.py
@@ -31,9 +31,9 @@
 LIVENESS_POLL = 0.25  # seconds
 UNKNOWN_SERVICE = "unknown_model"
 
-# Refusals by an owner that doesn't know a service or its backends yet, or that is cut off from the
-# key-value service; another daemon may be able to run the call.
-OWNER_CANNOT_RUN = frozenset({UNKNOWN_SERVICE, "no_backend", "platform_down"})
+# Refusals by an owner that doesn't know a service or its backends yet, that is cut off from the
+# key-value service or that stops; another daemon may be able to run the call.
+OWNER_CANNOT_RUN = frozenset({UNKNOWN_SERVICE, "no_backend", "platform_down", "stopping"})
 
 
 @frozen
@@ -58,6 +58,9 @@
     def track_duty(self, duty: str):
         """Return a context manager that counts work for another daemon."""
 
+    def beginning(self, team: str, service: str):
+        """Return a context manager that begins no call that a stop leaves no time for."""
+
 
 @define(eq=False)
 class NonRepeatableRouter:
@@ -167,7 +170,7 @@
         key = CallerKey(ask.team, ask.service, ask.account, ask.key)
         call = PlainCall(ask.method, ask.path, ask.headers, ask.body)
         try:
-            with self.daemon.track_duty("records"):
+            with self.daemon.track_duty("records"), self.daemon.beginning(ask.team, ask.service):
                 answer = await self.run_here(key, call)
         except StopExpired as expired:
             return call_refused(stop_refusal(expired, expired.has_begun))
--- a/papayacourse/plaincalls.py
+++ b/papayacourse/plaincalls.py
@@ -35,7 +35,8 @@
         target = path + (f"?{split.query}" if split.query else "")
         call = PlainCall(self.request.method, target, headers, self.body())
         with self.daemon.in_progress(client):
-            answer = await self._run(client, name, settings, call, path)
+            with self.daemon.beginning(client.team, name):
+                answer = await self._run(client, name, settings, call, path)
             # The request is in progress until its caller has the answer; a drain waits for it.
             await self._answer(answer)
 
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -29,11 +29,10 @@
 from papayacourse.routed.relaying import RelayBroken, Relaying
 from papayacourse.routed.seams import Prompt
 from papayacourse.routed.worktimes import WorkTimes
-from papayacourse.stopdeadline import StopDeadline
+from papayacourse.stopdeadline import SPARE, StopDeadline
 from papayacourse.types import GenerationRequest, Ran
 
 SHORT_OUTPUT = 100  # tokens; an answer this short completes within a planned stop
-STOP_SPARE = 0.2  # seconds that a request must need less than a planned stop leaves
 PREFIX_HASH_BITS = 63
 RELAY_SLACK = 0.2  # seconds; the daemon that serves a relayed request answers at its deadline
 FINAL_REASONS = frozenset({QUARANTINED, "stopping"})  # of refusals that hold at any daemon
@@ -283,7 +282,7 @@
         """Return True unless a planned stop leaves too little time to serve a request."""
         if not self.closing():
             return True
-        return self.work_times.expected(admitted) + STOP_SPARE <= self.stop.time_left()
+        return self.work_times.expected(admitted) + SPARE <= self.stop.time_left()
 
     def _refuse_while_stopping(self, admitted: AdmittedRequest) -> None:
         """Refuse a long generation while stopping, so that the caller retries at another daemon.
--- a/papayacourse/stopdeadline.py
+++ b/papayacourse/stopdeadline.py
@@ -12,6 +12,7 @@
 
 CANCEL_INTERVAL = 0.02  # seconds
 RETRY_AFTER = 1.0  # seconds; another daemon can serve the request at once
+SPARE = 0.2  # seconds that a request must need less than a planned stop leaves
 EXPIRED = "the daemon stops, and no time is left"
 
 
@@ -49,6 +50,11 @@
         """Return the seconds until requests are ended; infinite unless the daemon stops."""
         return float("inf") if self.ends_at is None else self.ends_at - self.clock()
 
+    def check_begin(self, seconds: float) -> None:
+        """Raise StopExpired if the stop leaves too little time for a request that takes so long."""
+        if seconds + SPARE > self.time_left():
+            raise StopExpired("the daemon stops, and too little time is left")
+
     @contextmanager
     def bound(self) -> Iterator[None]:
         """Bound the time of the request that this task serves.
--- a/tests/features/steps/stopping_steps.py
+++ b/tests/features/steps/stopping_steps.py
@@ -365,3 +365,8 @@
     for caller in context.late:
         if 0 < caller.at < moment:
             assert caller.status == 200 and key_runs(context, caller) == 1, caller
+
+
+@given('plain services of "{domain}" take {seconds:g} s to answer')
+def slow_plain_services(context, domain, seconds):
+    context.fleet.admin(f"ledger-{domain}-0", {"delay": seconds})
