--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -257,7 +257,8 @@
         may_repeat = admitted.route.repeat == Repeat.SAFE
         try:
             async with asyncio.timeout(max(0.0, admitted.time_left()) + RELAY_SLACK):
-                outcome.relayed_to = await self.relaying.relay(exchange, may_repeat)
+                with self.work_times.record(admitted):
+                    outcome.relayed_to = await self.relaying.relay(exchange, may_repeat)
         except TimeoutError as error:
             if exchange.head_written:
                 raise RelayBroken("deadline of the request exceeded") from error
--- a/tests/features/routed_stranded.feature
+++ b/tests/features/routed_stranded.feature
@@ -61,3 +61,15 @@
     And a plan of 600 events is begun through "a"
     And daemon "n" is killed
     Then the plan that was begun ends early and does not look complete
+
+  # Guards against requests that are cut, or sent on with too little time left, at a daemon which
+  # stops while it relays, or serves for one that does.
+  Scenario: Who relays and who serves for it are both stopped
+    Given engines of "desk" take 2 s for each call
+    When daemons "a" are cut off from all servers, with connections refused
+    And 1 s have passed
+    And callers send requests through "a" while first "b" and then "a" itself is stopped
+    Then each request that was sent whole has a whole answer, or a stream that is seen to break off
+    And no request that was answered 503 has run, and each 503 says when to come again
+    And no unsafe request has run twice
+    And "a, b" ended by themselves within their grace, with status 0
--- a/tests/features/steps/routedstopping_steps.py
+++ b/tests/features/steps/routedstopping_steps.py
@@ -11,6 +11,7 @@
 
 from standins.fleet import wait_until
 from tests.latecallers import KeptCaller, LateCaller, PipeliningCaller, wait_for
+from tests.steptext import names_in
 
 GRACE = 8.0  # seconds, as in the daemons' configuration
 KINDS = ("book", "view")
@@ -21,6 +22,8 @@
 NOTICE = 0.5  # seconds, as in the daemons' configuration
 NEWCOMERS = 120  # callers
 LATECOMERS = (1.5, 1.6, 1.7)  # seconds after the signal
+FIRST_RELAYED = 0.3  # seconds after the callers began, when the first request becomes whole
+STOPS = (1.0, 1.5)  # seconds, of the daemon that serves for another and of the one that relays
 READ_SLACK = 0.2  # seconds; a request that crosses the close of its connection is not read
 
 
@@ -240,3 +243,35 @@
 def ended_at_once(context, seconds):
     spent = context.time_at_end - context.time_at_last_line
     assert spent < seconds, spent
+
+
+@when('callers send requests through "{cut}" while first "{other}" and then "{cut_too}" itself is stopped')  # noqa: E501  # fmt: skip
+def stop_relaying_daemons(context, cut, other, cut_too):
+    assert cut == cut_too
+    kinds = (*KINDS, "plans")
+    count = int((STOPS[1] + LAST - FIRST_RELAYED) / STEP)
+    moments = [round(FIRST_RELAYED + STEP * number, 2) for number in range(count)]
+    context.late = [
+        late_caller(context, cut, kinds[number % 3], at, OPENED)
+        for number, at in enumerate(moments)
+    ]
+    began_at = time.monotonic() + 0.5
+    for caller in context.late:
+        caller.start(began_at)
+    for name, at in zip((other, cut), STOPS, strict=True):
+        wait_for(began_at + at)
+        context.fleet.processes[name].popen.send_signal(signal.SIGTERM)
+    context.ends = {
+        name: end_of(context.fleet.processes[name], began_at + at)
+        for name, at in zip((other, cut), STOPS, strict=True)
+    }
+    for caller in context.late:
+        caller.thread.join(GRACE)
+    context.ended, context.kept = context.ends[cut], []
+    print_summary(context)
+
+
+@then('"{names}" ended by themselves within their grace, with status {status:d}')
+def all_ended_well(context, names, status):
+    assert all(at < GRACE for _, at in context.ends.values()), context.ends
+    assert all(context.ends[name][0] == status for name in names_in(names)), context.ends
