--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -8,7 +8,7 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Hashable, Iterator
 from contextlib import AsyncExitStack, contextmanager
 
 from attrs import define, field
@@ -28,7 +28,7 @@
 from papayacourse.joins import KeyedRelays
 from papayacourse.kvstore import KeyValueStore
 from papayacourse.leases import Lease
-from papayacourse.lifecycle import Lifecycle
+from papayacourse.lifecycle import UNREAD, Lifecycle
 from papayacourse.linkclasses import StreamTraffic
 from papayacourse.listener import Listener
 from papayacourse.mesh import Mesh
@@ -36,6 +36,7 @@
 from papayacourse.metrics import Metrics
 from papayacourse.once import NonRepeatableRouter
 from papayacourse.orders import LEASE_KEY, Orders, WeightBudget
+from papayacourse.recenttimes import RecentTimes
 from papayacourse.records import Records
 from papayacourse.retries import RetryBudgets
 from papayacourse.streams import Relay
@@ -45,6 +46,7 @@
 from papayacourse.types import Address, GenerationRequest, Host, HostKind
 from papayacourse.version import __version__
 from papayacourse.watch import SettingsWatch
+from papayacourse.web import Handler
 
 IDLE_CONNECTION_TIMEOUT = 75.0  # seconds
 HARD_LIMIT_FACTOR = 4
@@ -66,10 +68,13 @@
     busy: Counter = field(factory=Counter)
     tasks: BackgroundTasks = field(factory=BackgroundTasks)
     held: set[asyncio.Task] = field(factory=set)
+    reading: set[Handler] = field(factory=set)
+    work_times: RecentTimes = field(factory=RecentTimes)
 
     def __attrs_post_init__(self) -> None:
         config = self.config
         self.lifecycle = Lifecycle(self)
+        self.lifecycle.deadline.on_expire = self._refuse_unread
         self.idle = asyncio.Event()
         self.idle.set()
         self.metrics = Metrics(config.name)
@@ -190,7 +195,13 @@
 
     @contextmanager
     def in_progress(self, client: Client) -> Iterator[None]:
-        """Count an in-flight request of an account; refuse it over the account's limit."""
+        """Count an in-flight request of an account; refuse it over the account's limit.
+
+        Raises
+        ------
+        StopExpired
+            When a planned stop leaves it no more time.
+        """
         account = (client.team, client.name)
         if self.busy[account] >= client.settings.max_in_progress:
             raise RequestRefused(
@@ -199,26 +210,65 @@
                 "the account has too many requests in progress",
                 retry_after=1.0,
             )
-        self.busy[account] += 1
-        self.idle.clear()
-        try:
+        with self._counted(account), self.lifecycle.deadline.bound():
+            yield
+
+    @contextmanager
+    def beginning(self, team: str, service: str) -> Iterator[None]:
+        """Record how long a request takes; begin none that a planned stop leaves no time for.
+
+        Raises
+        ------
+        StopExpired
+            When a planned stop leaves too little time for it.
+        """
+        kind = f"{team}/{service}"
+        self.lifecycle.deadline.check_begin(self.work_times.expected(kind))
+        with self.work_times.record(kind):
             yield
-        finally:
-            self.busy[account] -= 1
-            if not self.busy.total():
-                self.idle.set()
 
     @contextmanager
     def track_duty(self, duty: str) -> Iterator[None]:
-        """Count work for another daemon, which a graceful stop completes first."""
-        self.busy[duty] += 1
-        self.idle.clear()
+        """Count work for another daemon, which a graceful stop completes first.
+
+        Raises
+        ------
+        StopExpired
+            When a planned stop leaves it no more time.
+        """
+        with self._counted(duty), self.lifecycle.deadline.bound():
+            yield
+
+    def begin_reading(self, handler: Handler) -> None:
+        """Count a request whose headers have come as one in progress."""
+        self.reading.add(handler)
+        self._count(UNREAD, 1)
+
+    def end_reading(self, handler: Handler) -> None:
+        """Count a request no longer as unread: its body has come, or will not be read."""
+        if handler in self.reading:
+            self.reading.discard(handler)
+            self._count(UNREAD, -1)
+
+    def _refuse_unread(self) -> None:
+        """Refuse the requests whose bodies have not come when a planned stop ends."""
+        for handler in list(self.reading):
+            handler.refuse_unread()
+
+    @contextmanager
+    def _counted(self, kind: Hashable) -> Iterator[None]:
+        self._count(kind, 1)
         try:
             yield
         finally:
-            self.busy[duty] -= 1
-            if not self.busy.total():
-                self.idle.set()
+            self._count(kind, -1)
+
+    def _count(self, kind: Hashable, change: int) -> None:
+        self.busy[kind] += change
+        if self.busy.total():
+            self.idle.clear()
+        else:
+            self.idle.set()
 
     def pending(self) -> list[asyncio.Task]:
         """Return the tasks that a graceful stop awaits besides in-flight requests."""
--- a/papayacourse/routed/router.py
+++ b/papayacourse/routed/router.py
@@ -23,11 +23,10 @@
 from papayacourse.routed.relaying import RelayBroken, Relaying
 from papayacourse.routed.streamedcall import StreamedCall
 from papayacourse.routed.worktimes import WorkTimes
-from papayacourse.stopdeadline import StopDeadline
+from papayacourse.stopdeadline import SPARE, StopDeadline
 from papayacourse.types import Ran
 
 SHORT_OUTPUT = 100  # tokens; an answer this short completes within a planned stop
-STOP_SPARE = 0.2  # seconds that a request must need less than a planned stop leaves
 RELAY_SLACK = 0.2  # seconds; the daemon that serves a relayed request answers at its deadline
 FINAL_REASONS = frozenset({QUARANTINED, "stopping"})  # of refusals that hold at any daemon
 
@@ -97,7 +96,8 @@
         may_repeat = admitted.route.repeat == Repeat.SAFE
         try:
             async with asyncio.timeout(max(0.0, admitted.time_left()) + RELAY_SLACK):
-                outcome.relayed_to = await self.relaying.relay(exchange, may_repeat)
+                with self.work_times.record(admitted):
+                    outcome.relayed_to = await self.relaying.relay(exchange, may_repeat)
         except TimeoutError as error:
             if exchange.head_written:
                 raise RelayBroken("deadline of the request exceeded") from error
@@ -156,7 +156,7 @@
         """Return True unless a planned stop leaves too little time to serve a request."""
         if not self._is_stopping():
             return True
-        return self.work_times.expected(admitted) + STOP_SPARE <= self.stop.time_left()
+        return self.work_times.expected(admitted) + SPARE <= self.stop.time_left()
 
     def _refuse_while_stopping(self, admitted: AdmittedRequest) -> None:
         """Refuse a long generation while stopping, so that the caller retries at another daemon.
--- a/papayacourse/stopdeadline.py
+++ b/papayacourse/stopdeadline.py
@@ -7,9 +7,12 @@
 
 from attrs import define, field
 
-from papayacourse.exceptions import StopExpired
+from papayacourse.exceptions import RequestRefused, StopExpired
+from papayacourse.types import Ran
 
 CANCEL_INTERVAL = 0.02  # seconds
+RETRY_AFTER = 1.0  # seconds; another daemon can serve the request at once
+SPARE = 0.2  # seconds that a request must need less than a planned stop leaves
 EXPIRED = "the daemon stops, and no time is left"
 
 
@@ -47,6 +50,11 @@
         """Return the seconds until requests are ended; infinite unless the daemon stops."""
         return float("inf") if self.ends_at is None else self.ends_at - self.clock()
 
+    def check_begin(self, seconds: float) -> None:
+        """Raise StopExpired if the stop leaves too little time for a request that takes so long."""
+        if seconds + SPARE > self.time_left():
+            raise StopExpired("the daemon stops, and too little time is left")
+
     @contextmanager
     def bound(self) -> Iterator[None]:
         """Bound the time of the request that this task serves.
@@ -65,7 +73,7 @@
         except asyncio.CancelledError as error:
             if not self.is_expired:
                 raise
-            raise StopExpired(EXPIRED) from error
+            raise StopExpired(EXPIRED, has_begun=True) from error
         finally:
             self.tasks.discard(task)
 
@@ -85,3 +93,10 @@
             return {}
         seconds = self.clock() - self.asked_at
         return {"stopping_for": round(seconds, 3), "stop_left": round(self.time_left(), 3)}
+
+
+def stop_refusal(expired: StopExpired, may_have_run: bool) -> RequestRefused:
+    """Return the refusal of a request for which a planned stop leaves no more time."""
+    if may_have_run:
+        return RequestRefused(504, "stopping", str(expired), Ran.UNKNOWN)
+    return RequestRefused(503, "stopping", str(expired), retry_after=RETRY_AFTER)
