Ask the router for the daemons whose requests are served here

The split of the front moved relaying to the router, and the merge left the old name in the report of a leaving engine, which would have failed with AttributeError.

--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -246,7 +246,7 @@
         not name the engine.
         """
         self.evacuation.look()
-        relaying = self.front.relaying.served_daemons()
+        relaying = self.router.relaying.served_daemons()
         await self._send_leaving(host, relaying | self._drain(host))
 
     def _drain(self, host: Host) -> set[str]:
