--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -45,7 +45,7 @@
 from papayacourse.routed.storefollower import StoreFollower
 from papayacourse.routed.watchers import Watchers
 from papayacourse.schedulingmessages import EngineLeaves
-from papayacourse.tasks import BackgroundTasks, cancel_all
+from papayacourse.tasks import SHORT_CANCEL_INTERVAL, BackgroundTasks, cancel_all
 from papayacourse.ticks import next_tick
 from papayacourse.types import Address, Host, HostKind
 from papayacourse.version import __version__
@@ -332,7 +332,8 @@
 
     async def _stop_tasks(self) -> None:
         await self.duties.close()
-        await cancel_all([*self.tasks.running, *self.mesh.waiting()])
+        # The grace may end any moment.
+        await cancel_all([*self.tasks.running, *self.mesh.waiting()], SHORT_CANCEL_INTERVAL)
 
     def _news(self, document: Document) -> None:
         """Put a newer document in force."""
--- a/papayacourse/tasks.py
+++ b/papayacourse/tasks.py
@@ -10,6 +10,7 @@
 from papayacourse import logs
 
 CANCEL_INTERVAL = 0.5  # seconds after which a task that has not ended is cancelled again
+SHORT_CANCEL_INTERVAL = 0.05  # seconds; for tasks that await nothing when they are cancelled
 CANCEL_TRIES = 20
 MIN_RESTART_PAUSE = 0.25  # seconds, on average, until a loop that failed is started again
 MAX_RESTART_PAUSE = 2.0  # seconds, on average
@@ -37,11 +38,17 @@
         pause = min(MAX_RESTART_PAUSE, pause * 2)
 
 
-async def cancel_all(tasks: Iterable[asyncio.Task]) -> None:
+async def cancel_all(tasks: Iterable[asyncio.Task], interval: float = CANCEL_INTERVAL) -> None:
     """Cancel tasks and wait until they end.
 
     ``asyncio.wait_for`` loses a cancellation that arrives in the same event-loop iteration as its
     result, so a task that loops would run forever if it were cancelled only once.
+
+    Parameters
+    ----------
+    interval : float
+        Seconds after which the tasks that have not ended are cancelled again, and so the longest
+        that their clean-up may take at first; it is doubled up to ``CANCEL_INTERVAL``.
     """
     pending = {task for task in tasks if not task.done()}
     for _ in range(CANCEL_TRIES):
@@ -49,7 +56,8 @@
             return
         for task in pending:
             task.cancel()
-        _, pending = await asyncio.wait(pending, timeout=CANCEL_INTERVAL)
+        _, pending = await asyncio.wait(pending, timeout=interval)
+        interval = min(CANCEL_INTERVAL, 2 * interval)
     for task in pending:
         logs.error("task ignores cancellation", task=repr(task))
 
--- a/tests/features/loops.feature
+++ b/tests/features/loops.feature
@@ -11,6 +11,13 @@
     When it is kept running for 0.3 s
     Then it was started 1 time
 
+  # Guards against a daemon that waits so long for a loop which lost its cancellation that it is
+  # killed at the end of its grace.
+  Scenario: A loop that loses a cancellation is soon cancelled again
+    Given a loop that loses its first cancellation
+    When it is cancelled as at the end of a routed daemon
+    Then it has ended within 0.3 s
+
   Scenario: A daemon goes on following the store after an error
     Given a platform store with document 5
     And an engine "desk-1" of "desk" in "lagos"
--- a/tests/features/steps/loops_steps.py
+++ b/tests/features/steps/loops_steps.py
@@ -1,11 +1,13 @@
 """Steps about loops that fail and are started again."""
 
 import asyncio
+import contextlib
+import time
 
 from behave import given, then, when
 from routed_steps import fleet_of
 
-from papayacourse.tasks import BackgroundTasks, keep_running
+from papayacourse.tasks import SHORT_CANCEL_INTERVAL, BackgroundTasks, cancel_all, keep_running
 from standins.fleet import wait_until
 from tests.routedfleet import ROOT
 
@@ -84,3 +86,35 @@
 
     before = reads()
     wait_until("its load is read twice more", lambda: reads() > before + 1, SOON)
+
+
+async def lose_a_cancellation() -> None:
+    """Run until the second cancellation."""
+    with contextlib.suppress(asyncio.CancelledError):
+        await asyncio.Event().wait()
+    await asyncio.Event().wait()
+
+
+@given("a loop that loses its first cancellation")
+def losing_loop(context):
+    context.loop = lose_a_cancellation
+
+
+async def time_to_cancel(loop) -> float:
+    """Return how long it takes to cancel a loop that runs, in seconds."""
+    task = asyncio.create_task(loop())
+    await asyncio.sleep(0)
+    began = time.monotonic()
+    await cancel_all([task], SHORT_CANCEL_INTERVAL)
+    assert task.cancelled()
+    return time.monotonic() - began
+
+
+@when("it is cancelled as at the end of a routed daemon")
+def cancel_loops(context):
+    context.cancel_time = asyncio.run(time_to_cancel(context.loop))
+
+
+@then("it has ended within {seconds:g} s")
+def loops_ended(context, seconds):
+    assert context.cancel_time < seconds, context.cancel_time
