--- a/tests/features/routed_stranded.feature
+++ b/tests/features/routed_stranded.feature
@@ -51,6 +51,18 @@
     And 2 s have passed
     Then 24 calls through "a" leave "desk-lagos-1, desk-lagos-2" alone, and "a" sends them itself
 
+  # Guards against a daemon that exceeds a limit which another daemon heard of for it (rule LIMIT).
+  Scenario: Who is served through another hears of limits
+    When daemons "a" are cut off from all servers, with connections refused
+    And 1 s have passed
+    And "desk-lagos-1" limits all daemons together to 2 requests a second
+    And each of "a, b, m, n" gets 6 calls of "/view/1" a second for 6 s
+    And daemons "a" reach the servers again
+    And each of "a, b, m, n" gets 6 calls of "/view/1" a second for 6 s
+    Then "a" has sent requests itself, and none to "desk-lagos-1" without knowing its limit
+    And "desk-lagos-1" got no more than its limit allows, in any 4 s
+    And every call was answered 200
+
   # Guards against waiting for what cannot come.
   Scenario: Where nobody reaches a server, callers are refused at once
     When daemons "a, b, m, n" are cut off from all servers, with connections hanging
--- a/tests/features/steps/routedstranded_steps.py
+++ b/tests/features/steps/routedstranded_steps.py
@@ -247,6 +247,13 @@
     assert sends(context, same) - sent >= count, (sends(context, same), sent)
 
 
+@then('"{daemon}" has sent requests itself, and none to "{engine}" without knowing its limit')
+def sent_with_limit(context, daemon, engine):
+    sent = fleet_of(context).lines(daemon, "sent")
+    limits = [line["limit"] for line in sent if line["server"].startswith(f"desk/{engine}@")]
+    assert sent and None not in limits, (len(sent), limits)
+
+
 @then('"{name}" has given no strikes')
 def no_strikes(context, name):
     assert not fleet_of(context).lines(name, "strike")
