Let daemons that stop serve what is relayed to them during their notice

What callers saw: at a daemon that reaches no server, while every other daemon had been asked to stop, 503 cut_off at once, though the others still served their own callers.

Now daemons that take no duties are asked last, and one that stops accepts until its notice is over; what it cannot end in time it refuses, as for its own callers. Others that take no duties are mostly cut off themselves: a daemon that knows this declines at once, without a check for which the caller would wait.

No message changes. The daemons of this feature have a stop notice of 4 s, so that a loaded machine does not end the notice between two calls.

--- a/papayacourse/lifecycle.py
+++ b/papayacourse/lifecycle.py
@@ -33,6 +33,12 @@
     stopping: asyncio.Event = field(factory=asyncio.Event)
     deadline: StopDeadline = field(factory=StopDeadline)
 
+    def takes_requests(self) -> bool:
+        """Return True unless the notice of a stop is over."""
+        if not self.stopping.is_set():
+            return True
+        return self.deadline.time_left() > self.daemon.config.stop_timeout
+
     def listen_for_signals(self) -> None:
         """Stop gracefully on SIGTERM or SIGINT."""
         for number in (signal.SIGTERM, signal.SIGINT):
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -213,7 +213,7 @@
 
     def _why_no_relays(self, request: RelayRequest) -> str:
         """Return why this daemon doesn't serve a request for another; empty if it does."""
-        if self.lifecycle.stopping.is_set():
+        if not self.lifecycle.takes_requests():
             return "it stops"
         if self.front.body_bytes + len(request.body) > self.front.body_room:
             return "it is reading too many requests"
--- a/papayacourse/routed/relaying.py
+++ b/papayacourse/routed/relaying.py
@@ -89,11 +89,15 @@
         return self.reach.is_cut_off and exchange.may_relay and fits
 
     def candidates(self) -> list[str]:
-        """Return the daemons to ask, the nearest first."""
+        """Return the daemons to ask, the nearest first, and last those that take no duties.
+
+        A daemon that stops takes none, but serves new requests during its notice.
+        """
         here = Place(self.membership.me.domain, self.membership.me.region)
         able = [member for member in self.membership.members.values() if self._may_ask(member)]
         random.shuffle(able)
         able.sort(key=lambda m: LINK_CLASSES_NEAREST_FIRST.index(here.link_to(m.domain, m.region)))
+        able.sort(key=self.membership.may_take_duties, reverse=True)
         return [member.name for member in able[:MAX_DAEMONS_ASKED]]
 
     def served_daemons(self) -> set[str]:
@@ -102,8 +106,7 @@
 
     def _may_ask(self, member: Member) -> bool:
         since = self.clock() - self.declined_at.get(member.name, float("-inf"))
-        able = self.membership.may_take_duties(member) and self.membership.is_alive(member.name)
-        return able and since > DECLINE_MEMORY
+        return self.membership.is_alive(member.name) and since > DECLINE_MEMORY
 
     # This daemon reaches no server.
 
@@ -226,7 +229,8 @@
         """Begin to serve a relayed request."""
         key = (peer.name, request.number)
         self.served[key] = None
-        is_cut_off = await self.reach.verify()
+        # A daemon that knows that it is cut off tries again by itself; a caller waits here.
+        is_cut_off = self.reach.is_cut_off or await self.reach.verify()
         if key not in self.served:
             return RelayDeclined("its caller has left")
         why = "it reaches no server either" if is_cut_off else self.why_not(request)
--- a/tests/features/routed_stranded.feature
+++ b/tests/features/routed_stranded.feature
@@ -63,6 +63,15 @@
     And "desk-lagos-1" got no more than its limit allows, in any 4 s
     And every call was answered 200
 
+  # Guards against refusing callers whom daemons that stop, and still serve their own, could serve (rule RECOVER).
+  Scenario: Daemons that stop serve what comes to a cut-off daemon as long as they serve their own callers
+    When daemons "a" are cut off from all servers, with connections refused
+    And 3 s have passed
+    And routed daemons "b, m, n" are asked to stop at once
+    Then 1 calls of each kind through "b, m, n" are served, and each has run once
+    And 4 calls of each kind through "a" are served, and each has run once
+    And 1 calls of each kind through "b, m, n" are served, and each has run once
+
   # Guards against waiting for what cannot come.
   Scenario: Where nobody reaches a server, callers are refused at once
     When daemons "a, b, m, n" are cut off from all servers, with connections hanging
--- a/tests/features/steps/routedstranded_steps.py
+++ b/tests/features/steps/routedstranded_steps.py
@@ -23,6 +23,7 @@
 RECEIVE_BUFFER = 8192  # bytes
 PLAN_PATH = "/plans/1"
 LONG_WAIT = 30.0  # seconds
+STOP_NOTICE = 4.0  # seconds; calls that are sent in it find the daemon still serving
 MAX_CALLS = 60  # until each of a few servers has answered one
 VIEW_PATH = "/view/1"
 
@@ -104,6 +105,7 @@
 def start_strandable(context, near, domain, far, other):
     routed = fleet_of(context)
     routed.wrapper = [str(ROOT / "tests" / "cutoff.py")]
+    routed.stop_notice = STOP_NOTICE
     context.hole = SilentPort()
     context.hole_address = context.hole.open()
     context.add_cleanup(context.hole.close)
@@ -254,6 +256,14 @@
     assert sent and None not in limits, (len(sent), limits)
 
 
+@when('routed daemons "{names}" are asked to stop at once')
+def stop_all(context, names):
+    for name in names_in(names):
+        context.fleet.processes[name].terminate()
+    stopping = lambda name: fleet_of(context).lines(name, "stopping")  # noqa: E731
+    wait_until("all are stopping", lambda: all(map(stopping, names_in(names))))
+
+
 @then('"{name}" has given no strikes')
 def no_strikes(context, name):
     assert not fleet_of(context).lines(name, "strike")
--- a/tests/routedfleet.py
+++ b/tests/routedfleet.py
@@ -76,12 +76,15 @@
         The IP number of each daemon.
     wrapper : list of str
         The program that starts the daemons', if any.
+    stop_notice : float
+        Seconds for which daemons that are asked to stop still take connections.
     """
 
     fleet: Fleet = field(factory=Fleet)
     addresses: dict[str, str] = field(factory=dict)
     places: dict[str, dict] = field(factory=dict)
     wrapper: list[str] = field(factory=list)
+    stop_notice: float = 0.5
     number: int = 0
 
     def close(self) -> None:
@@ -131,7 +134,8 @@
             "    lagos = lagos\n    kano = kano\n[listen]\n"
             + "".join(f"{part} = {ip}:{port}\n" for part, port in PORTS.items())
             + f"[platform]\nstore = {store or self.fleet.processes['store'].http}\n"
-            f"[mesh]\nkey = {mesh_key}\nseeds = {seeds}\n[limits]\ngrace = 8\nstop_notice = 0.5\n"
+            f"[mesh]\nkey = {mesh_key}\nseeds = {seeds}\n[limits]\ngrace = 8\n"
+            f"stop_notice = {self.stop_notice}\n"
         )
         (self.fleet.path / f"{name}.ini").write_text(text)
         self.start(name)
