--- a/tests/features/steps/reporting_steps.py
+++ b/tests/features/steps/reporting_steps.py
@@ -1,5 +1,7 @@
 """Steps about the reports by which schedulers know how far streams are."""
 
+import json
+
 from behave import given, then, when
 
 from papayacourse.rendezvous import ranked, scheduling_duty
@@ -13,6 +15,7 @@
 STALL = 4.0  # seconds
 LONG_STALL = 12.0  # seconds
 MISSED = "stream not reported"
+PLANNER_PATH = "/teams/sound-trust/services/planner"
 
 
 def order(context):
@@ -49,6 +52,19 @@
     context.fleet.log_level = "debug"
 
 
+def has_second_settings(context, daemon):
+    """Return True if a daemon's log says that it has the planner's second settings in force."""
+    lines = (context.fleet.path / f"{daemon}.log").read_text().splitlines()
+    rows = [json.loads(line) for line in lines if '"settings in force"' in line]
+    return len({row["revision"] for row in rows if row["path"] == PLANNER_PATH}) == 2
+
+
+@given("all daemons have the planner's second settings in force")
+def second_settings(context):
+    for name in order(context):
+        wait_until(f"{name} has them", lambda n=name: has_second_settings(context, n))
+
+
 @when("{count:d} numbered stream of {length:d} tokens runs through the {ordinal} entry daemon")
 @when("{count:d} numbered streams of {length:d} tokens run through the {ordinal} entry daemon")
 def run_streams(context, count, length, ordinal):
