Answer who joined a generation as the one that runs it at the end of a stop

What callers saw: whoever sent a key again while its generation ran, and joined it, got 503 "not run" with Retry-After when a planned stop ended both before the first token, though the generation may have run: the first caller got 504 "unknown".

Cause: a relay that joins another counts as run only once the other has been placed again.

Change: a relay asks the one that it joined.

Test: "Who joins a generation that may have run is not told that it has not" failed before with (504, unknown), (503, no), and passes.

--- a/papayacourse/completions.py
+++ b/papayacourse/completions.py
@@ -60,7 +60,7 @@
         if self.request.headers.get("Last-Event-ID"):
             # Another daemon may have started it.
             return True
-        return self.relay is not None and self.relay.maybe_ran
+        return self.relay is not None and self.relay.may_have_run()
 
     def refuse(self, refused: RequestRefused) -> None:
         """Write a refusal, which never claims that a resumed generation did not run."""
--- a/papayacourse/streams.py
+++ b/papayacourse/streams.py
@@ -71,6 +71,8 @@
         Whether the start request may have reached the current engine.
     maybe_ran : bool
         Whether any engine may have started the generation.
+    joined : Relay or None
+        The relay of another caller that this one joined.
     is_reporter : bool
         Whether this daemon reports the generation to the scheduler; a relay that joined another
         daemon's or caller's generation does not.
@@ -90,6 +92,7 @@
     position: Position = field(factory=Position)
     maybe_sent: bool = False
     maybe_ran: bool = False
+    joined: "Relay | None" = None
     is_reporter: bool = True
     held: bool = False
     written: Written | None = None
@@ -163,6 +166,7 @@
     async def join_relay(self, first: "Relay") -> AsyncIterator[list[EngineEvent]]:
         """Yield the events of a generation that this daemon already relays to another caller."""
         self.is_reporter = False
+        self.joined = first
         stream = ""
         while True:
             await first.wait_for_new_placement(stream)
@@ -374,9 +378,13 @@
             detail = "the engine was lost, and the service's retries are used up"
             raise RequestRefused(503, "retries_exhausted", detail, ran, RETRY_AFTER) from error
 
+    def may_have_run(self) -> bool:
+        """Return True unless it is certain that no engine has begun the generation."""
+        return self.maybe_ran or (self.joined is not None and self.joined.may_have_run())
+
     def _ran_status(self) -> Ran:
         """Return whether the generation may have run, for a failure before the first token."""
-        return Ran.UNKNOWN if self.maybe_ran else Ran.NO
+        return Ran.UNKNOWN if self.may_have_run() else Ran.NO
 
     def _interrupted(self, error: Exception) -> RequestRefused:
         detail = f"the engine was lost after {self.position.offset} tokens"
--- a/tests/features/joins.feature
+++ b/tests/features/joins.feature
@@ -77,3 +77,10 @@
     And the domains "lagos-1" and "kano-1" see each other
     And the daemons agree on who schedules
     Then 6 keys that begin through each of "a, m, b, n" at once have one generation each
+
+  # Guards against "not run" for a request that was sent again with its key, and joined one that an
+  # engine may have begun, when a planned stop ends both.
+  Scenario: Who joins a generation that may have run is not told that it has not
+    Given a relay of a generation whose start request has been sent
+    When a second caller joins it, and a planned stop ends both before its first token
+    Then both are answered 504 with ran "unknown"
