Start all late callers before the moment of a stop's signal is chosen

Answers did not say that the connection ends until 1.6 s, though each came 0.2 s to 0.3 s after its request; the daemon's own "stopping_for" was 6.256 s at 7.7 s, so that its stop began at 1.44 s. The test fixed the moment of the signal 0.5 s ahead, and then started 80 threads before it sent the signal, but killed the daemon 8 s after the moment that it had fixed.

Change: callers wait until all of them are there, and then the moment is chosen.

--- a/tests/features/steps/routedstopping_steps.py
+++ b/tests/features/steps/routedstopping_steps.py
@@ -10,13 +10,14 @@
 from routed_steps import fleet_of
 
 from standins.fleet import wait_until
-from tests.latecallers import KeptCaller, LateCaller, PipeliningCaller, wait_for
+from tests.latecallers import KeptCaller, LateCaller, PipeliningCaller, SignalMoment, wait_for
 from tests.steptext import names_in
 
 GRACE = 8.0  # seconds, as in the daemons' configuration
 KINDS = ("book", "view")
 STEP = 0.1  # seconds between the ends of requests
 LAST = 8.2  # seconds after the signal
+LEAD = 0.5  # seconds from the choice of a signal's moment to the signal
 OPENED = 0.2  # seconds after the signal, within the stop's notice
 KEPT = 4  # callers that keep their connections
 NOTICE = 0.5  # seconds, as in the daemons' configuration
@@ -86,10 +87,11 @@
         )
         for i in range(KEPT)
     ]
-    signal_at = time.monotonic() + 0.5
+    moment = SignalMoment()
     for caller in (*context.late, *context.kept):
-        caller.start(signal_at)
-    time.sleep(max(0.0, signal_at - time.monotonic()))
+        caller.start(moment)
+    signal_at = moment.choose(LEAD)
+    wait_for(signal_at)
     process = context.fleet.processes[name]
     process.popen.send_signal(signal.SIGTERM)
     for at, number in signals.items():
@@ -109,10 +111,10 @@
         caller = late_caller(context, name, KINDS[number % 2], 0.0, opened_at)
         caller.pause = 0.01 * (number % 3)
         context.late.append(caller)
-    signal_at = time.monotonic() + 0.5
+    moment = SignalMoment()
     for caller in context.late:
-        caller.start(signal_at)
-    time.sleep(max(0.0, signal_at - time.monotonic()))
+        caller.start(moment)
+    wait_for(moment.choose(LEAD))
     context.fleet.processes[name].popen.send_signal(signal.SIGTERM)
     for caller in context.late:
         caller.thread.join(GRACE)
@@ -255,9 +257,10 @@
         late_caller(context, cut, kinds[number % 3], at, OPENED)
         for number, at in enumerate(moments)
     ]
-    began_at = time.monotonic() + 0.5
+    moment = SignalMoment()
     for caller in context.late:
-        caller.start(began_at)
+        caller.start(moment)
+    began_at = moment.choose(LEAD)
     for name, at in zip((other, cut), STOPS, strict=True):
         wait_for(began_at + at)
         context.fleet.processes[name].popen.send_signal(signal.SIGTERM)
--- a/tests/features/steps/stopping_steps.py
+++ b/tests/features/steps/stopping_steps.py
@@ -13,7 +13,7 @@
 from tests.balancer import Workload, is_ready
 from tests.callers import bearer, caller_of, check_all_whole, start_plans
 from tests.engines import total
-from tests.latecallers import LateCaller
+from tests.latecallers import LateCaller, SignalMoment, wait_for
 from tests.rawhttp import send
 from tests.refunds import PATH, Refund, look_up, post, times_run
 from tests.steptext import names_in
@@ -352,10 +352,10 @@
     for at in [*moments, NEVER]:
         headers = bearer("depots") | {"Host": "x", "Idempotency-Key": f"r-at-{at}"}
         context.late.append(LateCaller(process.http, PATH, headers, at, OPENED))
-    signal_at = time.monotonic() + 0.3
+    moment = SignalMoment()
     for caller in context.late:
-        caller.start(signal_at)
-    time.sleep(max(0.0, signal_at - time.monotonic()))
+        caller.start(moment)
+    wait_for(moment.choose(0.3))
     process.terminate()
     for caller in context.late:
         caller.thread.join(STOP_LIMIT)
--- a/tests/latecallers.py
+++ b/tests/latecallers.py
@@ -12,6 +12,33 @@
 BODY = b"a body that is whole"
 
 
+@define(eq=False)
+class SignalMoment:
+    """When a daemon gets its signal, chosen once all callers are there.
+
+    On a busy machine the start of many threads takes over a second.
+
+    Attributes
+    ----------
+    at : float
+        The moment, on the monotonic clock; infinite until it is chosen.
+    """
+
+    at: float = float("inf")
+    chosen: threading.Event = field(factory=threading.Event)
+
+    def choose(self, seconds: float) -> float:
+        """Choose the moment so many seconds from now, and return it."""
+        self.at = time.monotonic() + seconds
+        self.chosen.set()
+        return self.at
+
+    def wait_chosen(self) -> float:
+        """Return the moment once it is chosen."""
+        assert self.chosen.wait(LIMIT), "no moment was chosen"
+        return self.at
+
+
 @define(eq=False)
 class LateCaller:
     """A connection whose request becomes whole late in a stop.
@@ -60,12 +87,13 @@
         """Return the id of the request."""
         return self.headers["X-Attempt-Id"]
 
-    def start(self, signal_at: float) -> None:
-        """Begin, with the moment of the signal on the monotonic clock."""
-        self.thread = threading.Thread(target=self._work, args=(signal_at,), daemon=True)
+    def start(self, moment: SignalMoment) -> None:
+        """Begin, with the moment of the signal."""
+        self.thread = threading.Thread(target=self._work, args=(moment,), daemon=True)
         self.thread.start()
 
-    def _work(self, signal_at: float) -> None:
+    def _work(self, moment: SignalMoment) -> None:
+        signal_at = moment.wait_chosen()
         try:
             wait_for(signal_at + self.opened_at)
             host, _, port = self.address.rpartition(":")
@@ -120,22 +148,22 @@
     cut_after_use: int = 0
     thread: threading.Thread | None = None
 
-    def start(self, signal_at: float) -> None:
+    def start(self, moment: SignalMoment) -> None:
         """Begin to send."""
-        self.thread = threading.Thread(target=self._work, args=(signal_at,), daemon=True)
+        self.thread = threading.Thread(target=self._work, args=(moment,), daemon=True)
         self.thread.start()
 
-    def _work(self, signal_at: float) -> None:
+    def _work(self, moment: SignalMoment) -> None:
         host, _, port = self.address.rpartition(":")
         while self.headers:
             with contextlib.suppress(OSError):
                 link = socket.create_connection((host, int(port)), timeout=LIMIT)
                 with link:
-                    self._use(link, signal_at)
+                    self._use(link, moment)
                 continue
             return
 
-    def _use(self, link: socket.socket, signal_at: float) -> None:
+    def _use(self, link: socket.socket, moment: SignalMoment) -> None:
         last_answer = -1.0
         while self.headers:
             try:
@@ -145,7 +173,7 @@
                 answer.read()
             except (OSError, http.client.HTTPException):
                 self.cut += 1
-                self.cut_after_use += last_answer > signal_at
+                self.cut_after_use += last_answer > moment.at
                 return
             last_answer = time.monotonic()
             self.statuses.append(answer.status)
