Answer 502 where a repeatable call that ran would be promised not to have run

What callers saw: a call of a route that may repeat, which a server had run and answered 408, 429 or 503 by itself, was answered with that status. To callers each of them says that the request has not run and never will.

Cause: the check of such statuses stood on the paths of calls that run once and of plans only, and each path kept its own account of what it had sent (sets of names, flags set and reset by hand).

Change: one record of all sends of a request, `SendHistory`, which each exchange with a caller has. A send counts as possibly run from before its first byte until something shows that it did not run. Both kinds of exchange ask it before they write any status that promises "not run", and before any refusal; so whichever path an answer takes, it passes there. Relays to other daemons are sends too. A repeatable call whose server answers 408, 421 or 429 by itself is tried at another server, as after a 5xx. The stand-in of engines names the request in its refusals, as engines do.

--- a/papayacourse/routed/answerrelay.py
+++ b/papayacourse/routed/answerrelay.py
@@ -10,7 +10,7 @@
 from papayacourse.httpcall import HttpCall
 from papayacourse.routed.events import EventSplitter, is_next_event, is_older, position
 from papayacourse.routed.generation import Generation
-from papayacourse.routed.sending import BackendAnswerLost, read_body, refuse_misleading_status
+from papayacourse.routed.sending import BackendAnswerLost, read_body
 
 STALL_TIMEOUT_GAPS = 8.0  # multiples of the route's max_gap; a longer silence means a lost engine
 MIN_STALL_TIMEOUT = 2.0  # seconds; a sound engine may be silent for more than one
@@ -90,7 +90,7 @@
             call.status >= SERVER_ERROR and generation.may_restart()
         ):
             raise BackendAnswerLost(f"{generation.engine.name} answered {call.status}")
-        refuse_misleading_status(call.status)
+        generation.exchange.sends.check_status(call.status)
         with generation.fleet.answers.reservation() as reservation:
             body = await read_body(call, reservation, generation.admitted.time_left())
             await generation.exchange.answer(call.status, headers, body)
--- a/papayacourse/routed/exchange.py
+++ b/papayacourse/routed/exchange.py
@@ -19,6 +19,7 @@
 from papayacourse.exceptions import RequestRefused
 from papayacourse.listener import has_input
 from papayacourse.routed.document import CallerLimits
+from papayacourse.routed.sendhistory import SendHistory
 
 
 class CallerDisconnected(Exception):
@@ -40,6 +41,8 @@
         When the request was complete, in seconds of the monotonic clock.
     may_relay : bool
         Whether another daemon may serve the request.
+    sends : SendHistory
+        Where the request was sent; answers that are not true to it are refused.
     """
 
     may_relay = True
@@ -57,6 +60,7 @@
         self.caller_gone = False
         self.task: asyncio.Task | None = None
         self.received_at = 0.0
+        self.sends = SendHistory()
 
     # Called by tornado.
 
@@ -125,6 +129,7 @@
 
     async def refuse(self, refused: RequestRefused) -> None:
         """Write the problem response for a refused request."""
+        refused = self.sends.truthful(refused)
         body = refusal_body(refused, self.server.request_id(self))
         await self.answer(refused.status, refusal_headers(refused), body)
 
@@ -135,7 +140,11 @@
         self.end()
 
     async def begin(self, status: int, headers: HTTPHeaders, chunk: bytes = b"") -> None:
-        """Write the response headers and optionally a first chunk of the body."""
+        """Write the response headers and optionally a first chunk of the body.
+
+        Raises RequestRefused if the status says that the request did not run, and it may have.
+        """
+        self.sends.check_status(status)
         self.head_written = True
         if self.server.closing() and not self._has_more_requests():
             headers["Connection"] = "close"
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -157,7 +157,7 @@
             except StopExpired as expired:
                 await self._end_at_stop(exchange, outcome, str(expired))
             except RequestRefused as error:
-                refused = as_not_executed(error)
+                refused = exchange.sends.truthful(as_not_executed(error))
                 outcome.record_refusal(refused)
                 await self._refuse(exchange, refused)
             except (StreamBroken, RelayBroken) as broken:
@@ -188,7 +188,7 @@
             exchange.abort()
             return
         refused = RequestRefused(503, "stopping", why, retry_after=STOPPING_RETRY_AFTER)
-        if outcome.may_have_run():
+        if exchange.sends.may_have_run():
             refused = RequestRefused(504, "stopping", why, Ran.UNKNOWN)
         outcome.record_refusal(refused)
         await self._refuse(exchange, refused)
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -49,10 +49,6 @@
         Number of relayed events.
     first_at : float
         When the first event was relayed, in seconds of the monotonic clock.
-    ran : bool
-        Whether an engine may have started to run it.
-    is_sent : bool
-        Whether it has been sent to the current engine, which has not yet answered.
     is_answering : bool
         Whether the current engine has sent the head of its answer.
     unmovable : bool
@@ -82,8 +78,6 @@
     last_id: str = ""
     events: int = 0
     first_at: float = 0.0
-    ran: bool = False
-    is_sent: bool = False
     is_answering: bool = False
     unmovable: bool = False
     is_permitted: bool = False
@@ -133,7 +127,7 @@
 
     def may_have_run(self) -> bool:
         """Return True if an engine may have started to run it."""
-        return self.ran or self.is_sent
+        return self.exchange.sends.may_have_run()
 
     def may_restart(self) -> bool:
         """Return True if the request may run again from the beginning on another engine."""
--- a/papayacourse/routed/outcome.py
+++ b/papayacourse/routed/outcome.py
@@ -1,7 +1,5 @@
 """The outcome of a caller's request."""
 
-from collections.abc import Callable
-
 from attrs import define
 
 from papayacourse.exceptions import RequestRefused
@@ -22,7 +20,6 @@
     ran: str = ""
     relayed_to: str = ""
     generation: Generation | None = None
-    may_have_run: Callable[[], bool] = lambda: False
 
     def stream_fields(self) -> dict[str, object]:
         """Return the log fields of a streamed generation; empty for other requests."""
--- a/papayacourse/routed/plaincall.py
+++ b/papayacourse/routed/plaincall.py
@@ -16,13 +16,13 @@
 from papayacourse.routed.document import Repeat
 from papayacourse.routed.notices import EngineNotices
 from papayacourse.routed.seams import Dispatch, RequestCodec
+from papayacourse.routed.sendhistory import NOT_EXECUTED_STATUSES, SendHistory
 from papayacourse.routed.sending import (
     BackendAnswerLost,
     RequestNotExecuted,
     no_opening_refusal,
     open_call,
     read_body,
-    refuse_misleading_status,
 )
 from papayacourse.routed.sendlimiter import SendLimiter
 from papayacourse.types import Host, Ran
@@ -49,14 +49,12 @@
     ----------
     reservation : AnswerReservation
         The memory reserved for its answer.
-    ran : set of str
-        Names of servers that may have run it.
+    sends : SendHistory
+        Where it has been sent.
     tried : set of str
         Names of servers that are not tried again.
     attempts : int
         Number of attempts, not counting servers that refused the connection.
-    is_sent : bool
-        Whether it has been sent to a server that has not yet answered.
     arrived : bool
         Whether it has reached any server, so that another attempt uses the retry budget.
     failure : Answer or None
@@ -74,10 +72,9 @@
     budget: FleetRetryBudget
     hosts: list[Host]
     reservation: AnswerReservation
-    ran: set[str] = field(factory=set)
+    sends: SendHistory
     tried: set[str] = field(factory=set)
     attempts: int = 0
-    is_sent: bool = False
     arrived: bool = False
     failure: Answer | None = None
     last_error: str = ""
@@ -95,10 +92,6 @@
             return self.failure
         raise self._refusal()
 
-    def may_have_run(self) -> bool:
-        """Return True if a server may have run it."""
-        return self.is_sent or bool(self.ran)
-
     async def _next_server(self) -> Host | None:
         """Return the server to send the request to next, or None."""
         host = self._choose()
@@ -120,7 +113,7 @@
         route = self.admitted.route
         if self.admitted.time_left() <= 0:
             return False
-        if self.ran and (route.repeat != Repeat.SAFE or len(self.ran) >= route.max_engines):
+        if self.sends.may_have_run() and not self._may_run_more(route.max_engines):
             return False
         if self.guard.is_condemned():
             return False
@@ -143,29 +136,27 @@
                 self.attempts -= 1
                 record.record_unreachable()
         except RequestNotExecuted as error:
-            self.arrived, self.is_sent = True, False
+            self.arrived = True
             self.last_error = str(error)
         except BackendAnswerLost as error:
             self.arrived = True
-            self.ran.add(host.name)
             self.last_error = str(error)
         finally:
             record.running -= 1
             record.record_result(failed, time.monotonic())
         self.tried.add(host.name)
         logs.info(
-            "send failed", server=host.name, why=self.last_error, may_have_run=sorted(self.ran),
+            "send failed", server=host.name, why=self.last_error,
+            may_have_run=sorted(self.sends.receivers()),
             seconds=round(time.monotonic() - began, 3), record=round(record.failed, 2),
         )  # fmt: skip
         return None
 
     def _accept(self, host: Host, answer: Answer) -> Answer | None:
         """Return an answer that is final; keep a retryable error as `failure` and return None."""
-        self.ran.add(host.name)
         if self.admitted.route.repeat != Repeat.SAFE:
-            refuse_misleading_status(answer.status)
             return answer
-        if answer.status < SERVER_ERROR:
+        if answer.status < SERVER_ERROR and answer.status not in NOT_EXECUTED_STATUSES:
             return answer
         self.failure = answer
         self.last_error = f"{host.name} answered {answer.status}"
@@ -175,27 +166,24 @@
     async def _send(self, host: Host) -> Answer:
         left = self.admitted.time_left()
         dispatch = Dispatch(host, left, self.admitted.account_name)
-        limit = left * FIRST_ATTEMPT_FRACTION if self._may_run_again() else left
+        may_try_another = self._may_run_more(self.admitted.route.max_engines - 1)
+        limit = left * FIRST_ATTEMPT_FRACTION if may_try_another else left
         call = self.admitted.call
         async with self.guard.watch_run(host) as run:
-            exchange = await open_call(
-                self.codec, self.notices, call, dispatch, limit, self._mark_sent
-            )
+            exchange = await open_call(self.codec, self.notices, call, dispatch, limit, self.sends)
             run.record_activity()
             body = await read_body(exchange, self.reservation, self.admitted.time_left())
             run.record_answer(exchange.status)
         headers = self.codec.answer_headers(exchange.headers)
         return Answer(exchange.status, headers, body)
 
-    def _mark_sent(self) -> None:
-        self.is_sent = True
-
-    def _may_run_again(self) -> bool:
-        route = self.admitted.route
-        return route.repeat == Repeat.SAFE and len(self.ran) + 1 < route.max_engines
+    def _may_run_more(self, max_engines: int) -> bool:
+        """Return True if the request may run on a further server, `max_engines` in all."""
+        is_repeatable = self.admitted.route.repeat == Repeat.SAFE
+        return is_repeatable and len(self.sends.receivers()) < max_engines
 
     def _refusal(self) -> RequestRefused:
-        if self.ran:
+        if self.sends.may_have_run():
             late = self.admitted.time_left() <= 0
             return RequestRefused(504 if late else 502, "answer_lost", self.last_error, Ran.UNKNOWN)
         self.admitted.check_begin()
--- a/papayacourse/routed/relayedexchange.py
+++ b/papayacourse/routed/relayedexchange.py
@@ -12,6 +12,7 @@
 from papayacourse.exceptions import PeerError, RequestRefused
 from papayacourse.relaymessages import RelayEnd, RelayPart, RelayRequest
 from papayacourse.routed.exchange import CallerDisconnected, refusal_body, refusal_headers
+from papayacourse.routed.sendhistory import SendHistory
 from papayacourse.types import Ran
 
 MAX_PART_BYTES = 256 * 1024
@@ -33,6 +34,8 @@
         Returns the id of the request, for refusals.
     received_at : float
         When the other daemon received the request, in seconds of the monotonic clock here.
+    sends : SendHistory
+        Where this daemon sent the request; answers that are not true to it are refused.
     queued : deque of RelayPart
         The parts that have not been sent.
     """
@@ -47,6 +50,7 @@
     done: bool = False
     caller_gone: bool = False
     task: asyncio.Task | None = None
+    sends: SendHistory = field(factory=SendHistory)
     queued: deque[RelayPart] = field(factory=deque)
     queued_bytes: int = 0
     changed: asyncio.Event = field(factory=asyncio.Event)
@@ -89,6 +93,7 @@
 
     async def refuse(self, refused: RequestRefused) -> None:
         """Send the problem response for a refused request, or leave it to another daemon."""
+        refused = self.sends.truthful(refused)
         if refused.ran is Ran.NO and self.is_cut_off():
             self.done = True
             self._queue(0, HTTPHeaders(), b"", RelayEnd.NOT_SERVED)
@@ -129,6 +134,7 @@
             self._queue(0, HTTPHeaders(), b"", RelayEnd.BROKEN)
 
     def _begin(self, status: int, headers: HTTPHeaders, data: bytes, end: RelayEnd) -> None:
+        self.sends.check_status(status)
         self.head_written = True
         self._queue(status, headers, data, end)
 
--- a/papayacourse/routed/relaying.py
+++ b/papayacourse/routed/relaying.py
@@ -28,6 +28,7 @@
 from papayacourse.routed.exchange import Exchange
 from papayacourse.routed.partqueue import PartQueue
 from papayacourse.routed.relayedexchange import RelayedExchange
+from papayacourse.routed.sendhistory import NOT_EXECUTED_STATUSES, Send
 from papayacourse.serverreach import ServerReach
 from papayacourse.types import Ran
 
@@ -149,9 +150,13 @@
             exchange.body, time.monotonic() - exchange.received_at,
         )  # fmt: skip
         is_over = False
+        send = exchange.sends.begin(name)
         try:
-            served = await self._ask(name, request) and await self._pass_on(name, exchange, parts)
+            accepted = await self._ask(name, request)
+            served = accepted and await self._pass_on(send, exchange, parts)
             is_over = True
+            if not served:
+                send.record_not_executed()
             return served
         finally:
             del self.answers[number]
@@ -180,10 +185,14 @@
             # The other daemon cancels the request when its parts cannot be delivered.
             logs.info("relay not cancelled", daemon=name, why=str(error))
 
-    async def _pass_on(self, name: str, exchange: Exchange, parts: PartQueue) -> bool:
+    async def _pass_on(self, send: Send, exchange: Exchange, parts: PartQueue) -> bool:
         """Pass an answer on to the caller; returns False if the request was not served."""
+        name = send.receiver
         while True:
             part = await self._next_part(name, parts)
+            if part.status in NOT_EXECUTED_STATUSES:
+                # The other daemon says this only if it knows it of each of its own sends.
+                send.record_not_executed()
             headers = HTTPHeaders()
             for field_name, value in part.headers:
                 headers.add(field_name, value)
--- a/papayacourse/routed/router.py
+++ b/papayacourse/routed/router.py
@@ -88,11 +88,11 @@
     def _may_relay_refused(self, exchange: Exchange, refused: RequestRefused) -> bool:
         """Return True if another daemon may serve a request that was refused here."""
         is_temporary = refused.status == 503 and refused.reason not in FINAL_REASONS
-        return is_temporary and refused.ran is Ran.NO and self.relaying.is_needed(exchange)
+        has_run = refused.ran is not Ran.NO or exchange.sends.may_have_run()
+        return is_temporary and not has_run and self.relaying.is_needed(exchange)
 
     async def _relay(self, exchange: Exchange, outcome: Outcome) -> None:
         admitted = outcome.admitted
-        outcome.may_have_run = lambda: True
         may_repeat = admitted.route.repeat == Repeat.SAFE
         try:
             async with asyncio.timeout(max(0.0, admitted.time_left()) + RELAY_SLACK):
@@ -124,9 +124,8 @@
         with guard.answers.reservation() as reservation:
             call = PlainCall(
                 admitted, self.fleet.codec, self.choice, self.fleet.notices, self.fleet.limiter,
-                guard, self.fleet.budget, hosts, reservation,
+                guard, self.fleet.budget, hosts, reservation, exchange.sends,
             )  # fmt: skip
-            outcome.may_have_run = call.may_have_run
             with self.work_times.record(admitted):
                 answer = await call.run()
             await exchange.answer(answer.status, answer.headers, answer.body)
@@ -139,7 +138,6 @@
         request = generation_request(admitted)
         generation = Generation(admitted, exchange, self.fleet, request, service.engine, guard)
         outcome.generation = generation
-        outcome.may_have_run = generation.may_have_run
         self.evacuation.running.add(generation)
         try:
             await StreamedCall(generation).run()
--- a/papayacourse/routed/sending.py
+++ b/papayacourse/routed/sending.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 from papayacourse.answermemory import AnswerReservation
 from papayacourse.exceptions import (
@@ -17,10 +17,10 @@
 from papayacourse.httpcall import HttpCall
 from papayacourse.routed.notices import EngineNotices
 from papayacourse.routed.seams import Call, Dispatch, RequestCodec
-from papayacourse.types import Address, Host, Ran
+from papayacourse.routed.sendhistory import Send, SendHistory
+from papayacourse.types import Address, Host
 
 MAX_RETRY_SPREAD = 0.4  # seconds; callers retry within this time after a pause ends
-NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})  # to callers: the request did not run
 REJECTED_STATUS = 503  # of a request that an engine did not run for want of room
 CONNECT_TIMEOUT = 0.4  # seconds; a handshake between regions takes 30 ms
 
@@ -29,12 +29,6 @@
     """The engine reports that it did not run the request."""
 
 
-def refuse_misleading_status(status: int) -> None:
-    """Refuse with 502 if the status of a request that ran would say that it did not run."""
-    if status in NOT_EXECUTED_STATUSES:
-        raise RequestRefused(502, "server_failed", "the server failed", Ran.YES)
-
-
 def connect_limit(time_left: float) -> float:
     """Return the connect timeout, in seconds."""
     return max(0.01, min(CONNECT_TIMEOUT, time_left))
@@ -42,7 +36,7 @@
 
 async def open_call(
     codec: RequestCodec, notices: EngineNotices, call: Call, dispatch: Dispatch, head_limit: float,
-    before_send: Callable[[], None] = lambda: None,
+    sends: SendHistory,
 ) -> HttpCall:  # fmt: skip
     """Send a request and return the exchange once the response headers have arrived.
 
@@ -50,8 +44,8 @@
     ----------
     head_limit : float
         How long to wait for the response headers, in seconds.
-    before_send : callable, optional
-        Called when the connection is open, before anything is sent.
+    sends : SendHistory
+        The sends of the request, among which this one is recorded.
 
     Raises
     ------
@@ -63,10 +57,12 @@
         When it may have run the request and its answer is lost.
     """
     asked_at = notices.limits.clock()
+    send: Send | None = None
 
     def record_send() -> None:
+        nonlocal send
         notices.admit_send(dispatch.engine, dispatch.resume is not None)
-        before_send()
+        send = sends.begin(dispatch.engine.name)
         notices.record_send(dispatch.engine)
         exchange.on_close = lambda: notices.brittle.record_end(dispatch.engine.name)
 
@@ -84,6 +80,8 @@
         await notices.reach.wait_for_check()
         raise
     except BackendNotSendable as error:
+        if send is not None:
+            send.record_not_executed()
         raise RequestNotExecuted(str(error)) from error
     except (BackendLinkLost, BackendProtocolError) as error:
         raise BackendAnswerLost(str(error)) from error
@@ -94,6 +92,7 @@
     notice = codec.notice(status, headers)
     notices.take(dispatch.engine, notice, asked_at if is_certain else None)
     if not_run:
+        send.record_not_executed()
         if status == REJECTED_STATUS:
             notices.brittle.record_rejection(dispatch.engine)
         await exchange.__aexit__(None, None, None)
--- a/papayacourse/routed/streamedcall.py
+++ b/papayacourse/routed/streamedcall.py
@@ -103,7 +103,6 @@
             try:
                 return await self._send_and_relay(None, admitted.time_left())
             except (BackendUnreachable, RequestNotExecuted) as error:
-                generation.is_sent = False
                 why = str(error)
                 outcome = "gone" if isinstance(error, BackendGone) else "failed"
                 arrived = arrived or isinstance(error, RequestNotExecuted)
@@ -171,15 +170,11 @@
     async def _open(self, dispatch: Dispatch, head_limit: float) -> HttpCall:
         fleet, call = self.generation.fleet, self.generation.admitted.call
         return await open_call(
-            fleet.codec, fleet.notices, call, dispatch, head_limit, self._mark_sent
+            fleet.codec, fleet.notices, call, dispatch, head_limit, self.generation.exchange.sends
         )
 
-    def _mark_sent(self) -> None:
-        self.generation.is_sent = True
-
     def _record_run(self, resume: Resume | None) -> None:
-        """Record that an engine may have run the request; resuming a copy adds no run."""
-        self.generation.ran = True
+        """Count an engine that may have run the request; resuming a copy adds no run."""
         if resume is None or not resume.from_copy:
             self.generation.runs += 1
 
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -61,6 +61,8 @@
         """Answer that the request has not run."""
         self.set_status(status)
         self.set_header(NOT_RUN, "1")
+        if REQUEST_ID in self.request.headers:
+            self.set_header(REQUEST_ID, self.request.headers[REQUEST_ID])
         if status == 503 and self.standin.pause:
             self.set_header("Retry-After", str(self.standin.pause))
         self.finish()
@@ -82,7 +84,9 @@
         die_if_due(run)
         if self.standin.fault == "old_refusal":
             await self.request.connection.stream.write(OLD_REFUSAL)
-        if self.standin.fault in ENDLESS:
+        if self.standin.after_run:
+            self.answer_oddly(run)
+        elif self.standin.fault in ENDLESS:
             await self.answer_for_ever(self.standin.fault, run)
         elif self.standin.fault in PARTIAL_HEADS:
             await self.break_off_in_head(run)
@@ -99,6 +103,15 @@
         if run is not None:
             run.end = "cancelled"
 
+    def answer_oddly(self, run: Run) -> None:
+        """Answer as `after_run` says."""
+        run.end = "whole"
+        status, headers = self.standin.after_run
+        self.set_status(status)
+        for name, value in headers:
+            self.add_header(name, value.replace("ID", run.name))
+        self.finish()
+
     async def answer(self, run: Run) -> None:
         """Answer a plain call."""
         await asyncio.sleep(self.standin.plain_work)
--- a/standins/platformruns.py
+++ b/standins/platformruns.py
@@ -61,6 +61,9 @@
         ``reset_unframed``, ``unframed_half``, ``unframed_early``, ``encoded``, ``half_event``,
         ``fail``, ``promise``, ``promise_429``, ``promise_408``, ``mute``, ``unstoppable``,
         ``old_refusal``, a name of ``ENDLESS`` or of ``PARTIAL_HEADS``; empty for nothing.
+    after_run : list
+        The status and headers, a list of pairs, of the answer to a request that has run; ``ID``
+        stands for the request's id. Empty for a good answer.
     report_fault : str
         What goes wrong with reports: a name of ``ENDLESS``; empty for nothing.
     noise_pause : float
@@ -91,6 +94,7 @@
     copy_time: float = 0.05
     room: bool = True
     fault: str = ""
+    after_run: list = field(factory=list)
     report_fault: str = ""
     noise_pause: float = 0.0
     state: str = "ready"
--- /dev/null
+++ b/tests/features/refusal_proofs.feature
@@ -0,0 +1,32 @@
+Feature: Callers are told that a request has not run only where that is proved
+
+  # Guards against a promise to the caller of a call that may be repeated: it holds for every request.
+  Scenario Outline: A repeatable call that has run is not answered <status>
+    Given a platform store with document 5
+    And an engine "desk-1" of "desk" in "lagos"
+    And a routed daemon "a" in "lagos"
+    When "desk-1" run what they get, and then answer with a signed <status>
+    Then GET "/view/1" through "a" is answered 502
+    And "desk-1" has run it
+
+    Examples:
+      | status |
+      | 408    |
+      | 429    |
+      | 503    |
+
+  # Guards against losing requests to true refusals, which let them be sent to another server.
+  Scenario Outline: A true refusal lets a <kind> run elsewhere
+    Given a platform store with document 5
+    And an engine "<service>-1" of "<service>" in "lagos"
+    And an engine "<service>-2" of "<service>" in "lagos"
+    And a routed daemon "a" in "lagos"
+    When "<service>-1" has fault "shed"
+    And a <kind> is sent through "a"
+    Then it is answered 200
+    And it ran once on "<service>-1, <service>-2"
+
+    Examples:
+      | kind             | service |
+      | call             | desk    |
+      | plan of 5 events | planner |
--- a/tests/features/steps/routedoddanswers_steps.py
+++ b/tests/features/steps/routedoddanswers_steps.py
@@ -17,6 +17,7 @@
 from papayacourse.exceptions import BackendError
 from papayacourse.routed.notices import EngineNotices
 from papayacourse.routed.seams import Call, Dispatch
+from papayacourse.routed.sendhistory import SendHistory
 from papayacourse.routed.sending import RequestNotExecuted, open_call
 from papayacourse.types import Host, HostKind
 from standins.fleet import wait_until
@@ -177,7 +178,9 @@
             engine = Host("e", HostKind.PLAIN, f"{host}:{port}", "lagos", "lagos", instance="e")
             dispatch = Dispatch(engine, TIME_ALLOWED, account)
             try:
-                await open_call(HeaderCodec(), EngineNotices(), call, dispatch, TIME_ALLOWED)
+                sends = SendHistory()
+                codec = HeaderCodec()
+                await open_call(codec, EngineNotices(), call, dispatch, TIME_ALLOWED, sends)
             except BackendError as error:
                 context.error = error
             await asyncio.sleep(0.05)
