Believe a refusal only if it names the request

What callers saw: unsafe calls and plans that a server ran and answered 503 with X-Not-Executed and no request id ran at a second server, and were answered 503 "not run".

Cause: an answer without an id was taken as if it named the call at hand. PROTOCOL: engines echo the id in their responses, and "the ID identifies it" where an earlier response comes late.

--- a/tests/features/refusal_proofs.feature
+++ b/tests/features/refusal_proofs.feature
@@ -1,5 +1,21 @@
 Feature: Callers are told that a request has not run only where that is proved
 
+  # Guards against "not run" for a request that ran, and against running it again: the answer of the server does not show that it refused this request (incident REFUSED).
+  Scenario Outline: A <kind> that has run and is answered with <answer> is no "not run", and does not run again
+    Given a platform store with document 5
+    And an engine "<service>-1" of "<service>" in "lagos"
+    And an engine "<service>-2" of "<service>" in "lagos"
+    And a routed daemon "a" in "lagos"
+    When "<service>-1, <service>-2" run what they get, and then answer with <answer>
+    And a <kind> is sent through "a"
+    Then it is answered 502
+    And it ran once on "<service>-1, <service>-2"
+
+    Examples:
+      | kind             | service | answer                                      |
+      | call             | desk    | a 503 that says not run and names no call   |
+      | plan of 5 events | planner | a 503 that says not run and names no call   |
+
   # Guards against a promise to the caller of a call that may be repeated: it holds for every request.
   Scenario Outline: A repeatable call that has run is not answered <status>
     Given a platform store with document 5
