--- a/tests/features/refusal_proofs.feature
+++ b/tests/features/refusal_proofs.feature
@@ -15,6 +15,8 @@
       | kind             | service | answer                                      |
       | call             | desk    | a 503 that says not run and names no call   |
       | plan of 5 events | planner | a 503 that says not run and names no call   |
+      | call             | desk    | a 503 whose "not run" is 0                  |
+      | plan of 5 events | planner | a 503 whose "not run" is 0                  |
 
   # Guards against a promise to the caller of a call that may be repeated: it holds for every request.
   Scenario Outline: A repeatable call that has run is not answered <status>
