Believe no refusal that bears the proof of a run

What callers saw: a call or a plan that a server ran and answered with a signed 421, a signed 503 with X-Not-Executed, or a 500 or 200 with that header, ran at a second server, and was told "not run".

Cause: the header or the status 421 outweighed all else in the answer. PROTOCOL: an engine's own 500 and 504 count as run, and the signature is the proof of the work.

Change: a signed answer, or one with a status that no refusal has (other than 4xx and 503), proves no refusal. The 500 is passed on as it is, since it promises nothing; the others end as 502.

--- a/tests/features/refusal_proofs.feature
+++ b/tests/features/refusal_proofs.feature
@@ -8,15 +8,20 @@
     And a routed daemon "a" in "lagos"
     When "<service>-1, <service>-2" run what they get, and then answer with <answer>
     And a <kind> is sent through "a"
-    Then it is answered 502
+    Then it is answered <status>
     And it ran once on "<service>-1, <service>-2"
 
     Examples:
-      | kind             | service | answer                                      |
-      | call             | desk    | a 503 that says not run and names no call   |
-      | plan of 5 events | planner | a 503 that says not run and names no call   |
-      | call             | desk    | a 503 whose "not run" is 0                  |
-      | plan of 5 events | planner | a 503 whose "not run" is 0                  |
+      | kind             | service | answer                                 | status |
+      | call             | desk    | a 503 that says not run and names no call| 502    |
+      | plan of 5 events | planner | a 503 that says not run and names no call| 502    |
+      | call             | desk    | a 503 whose "not run" is 0             | 502    |
+      | plan of 5 events | planner | a 503 whose "not run" is 0             | 502    |
+      | call             | desk    | a 421 that is signed                   | 502    |
+      | plan of 5 events | planner | a 421 that is signed                   | 502    |
+      | call             | desk    | a 503 that says not run and is signed  | 502    |
+      | call             | desk    | a 500 that says not run                | 500    |
+      | call             | desk    | a 200 that says not run                | 502    |
 
   # Guards against a promise to the caller of a call that may be repeated: it holds for every request.
   Scenario Outline: A repeatable call that has run is not answered <status>
@@ -30,6 +35,7 @@
     Examples:
       | status |
       | 408    |
+      | 421    |
       | 429    |
       | 503    |
 
