Call a relayed request "not run" only if each daemon asked says so

What callers saw: with a daemon that reaches no server, an unsafe call whose first relay failed midway was relayed to a second daemon as well; a repeatable call whose first relay stayed unclear was told 503 "not run" when the next daemon refused it; an answer that was begun and then given back went on at the next daemon; a part with status 0 was written out as it was.

Cause: only a timeout counted as unclear, and a later daemon's clear refusal hid an earlier unclear one.

Change: relays are sends in the request's history; only a daemon that was not reached, declined, gave the request back before its answer began, or answered with a promise of its own proves that it has not run. First and later parts of an answer are read by two functions, since they may say different things.

--- a/papayacourse/routed/relaying.py
+++ b/papayacourse/routed/relaying.py
@@ -10,7 +10,7 @@
 from tornado.httputil import HTTPHeaders
 
 from papayacourse import logs
-from papayacourse.exceptions import PeerError, PeerTimeout, RequestRefused
+from papayacourse.exceptions import PeerError, PeerUnreachable, RequestRefused
 from papayacourse.linkclasses import LINK_CLASSES_NEAREST_FIRST, Place
 from papayacourse.members import Member
 from papayacourse.membership import Membership
@@ -38,6 +38,7 @@
 DECLINE_MEMORY = 1.0  # seconds for which a daemon that declined is not asked again
 LINK_CHECK_INTERVAL = 0.25  # seconds
 RETRY_AFTER = 1.0  # seconds
+MIN_STATUS, MAX_STATUS = 200, 599  # of a final answer in HTTP
 
 
 class RelayUnclear(Exception):
@@ -168,15 +169,17 @@
         """Return whether a daemon accepts a request; raises RelayUnclear if that is not known."""
         try:
             answer = await self.peers.call(name, request, ACCEPT_TIMEOUT)
-        except PeerTimeout as error:
-            raise RelayUnclear(f"{name} did not say whether it serves the request") from error
-        except PeerError as error:
+        except PeerUnreachable as error:
             answer = RelayDeclined(str(error))
-        if isinstance(answer, RelayAccepted):
-            return True
-        why = answer.why if isinstance(answer, RelayDeclined) else f"it answered {answer!r}"
-        logs.info("relay declined", daemon=name, why=why)
-        return False
+        except PeerError as error:
+            raise RelayUnclear(f"{name} did not say if it serves the request: {error}") from error
+        match answer:
+            case RelayAccepted():
+                return True
+            case RelayDeclined(why):
+                logs.info("relay declined", daemon=name, why=why)
+                return False
+        raise RelayUnclear(f"{name} did not say if it serves the request: {answer!r:.80}")
 
     def _cancel(self, name: str, number: int) -> None:
         try:
@@ -188,30 +191,39 @@
     async def _pass_on(self, send: Send, exchange: Exchange, parts: PartQueue) -> bool:
         """Pass an answer on to the caller; returns False if the request was not served."""
         name = send.receiver
-        while True:
+        part = await self._next_part(name, parts)
+        match part.end:
+            case RelayEnd.NOT_SERVED:
+                logs.info("relay declined", daemon=name, why="it reaches no server either")
+                return False
+            case RelayEnd.BROKEN:
+                raise RelayBroken(f"the answer broke off at {name}")
+        if not MIN_STATUS <= part.status <= MAX_STATUS:
+            raise RelayBroken(f"{name} began an answer with status {part.status}")
+        if part.status in NOT_EXECUTED_STATUSES:
+            # The other daemon says this only if it knows it of each of its own sends.
+            send.record_not_executed()
+        headers = HTTPHeaders()
+        for field_name, value in part.headers:
+            headers.add(field_name, value)
+        if part.end == RelayEnd.WHOLE:
+            await exchange.answer(part.status, headers, part.data)
+        else:
+            await exchange.begin(part.status, headers, part.data)
+            await self._pass_on_rest(name, exchange, parts)
+        return True
+
+    async def _pass_on_rest(self, name: str, exchange: Exchange, parts: PartQueue) -> None:
+        """Pass on what follows the first part of an answer."""
+        end = RelayEnd.NONE
+        while end != RelayEnd.WHOLE:
             part = await self._next_part(name, parts)
-            if part.status in NOT_EXECUTED_STATUSES:
-                # The other daemon says this only if it knows it of each of its own sends.
-                send.record_not_executed()
-            headers = HTTPHeaders()
-            for field_name, value in part.headers:
-                headers.add(field_name, value)
-            match part.end:
-                case RelayEnd.NOT_SERVED:
-                    logs.info("relay declined", daemon=name, why="it reaches no server either")
-                    return False
-                case RelayEnd.BROKEN:
-                    raise RelayBroken(f"the answer broke off at {name}")
-                case RelayEnd.WHOLE if not exchange.head_written:
-                    await exchange.answer(part.status, headers, part.data)
-                    return True
-            if not exchange.head_written:
-                await exchange.begin(part.status, headers, part.data)
-            elif part.data:
+            end = part.end
+            if end in (RelayEnd.NOT_SERVED, RelayEnd.BROKEN):
+                raise RelayBroken(f"the answer broke off at {name}")
+            if part.data:
                 await exchange.write(part.data)
-            if part.end == RelayEnd.WHOLE:
-                exchange.end()
-                return True
+        exchange.end()
 
     async def _next_part(self, name: str, parts: PartQueue) -> RelayPart:
         """Return the next part of an answer; raises RelayBroken if the daemon has gone."""
--- a/tests/features/refusal_proofs.feature
+++ b/tests/features/refusal_proofs.feature
@@ -13,8 +13,8 @@
 
     Examples:
       | kind             | service | answer                                 | status |
-      | call             | desk    | a 503 that says not run and names no call| 502    |
-      | plan of 5 events | planner | a 503 that says not run and names no call| 502    |
+      | call             | desk    | a 503 that says not run and names no call | 502    |
+      | plan of 5 events | planner | a 503 that says not run and names no call | 502    |
       | call             | desk    | a 503 whose "not run" is 0             | 502    |
       | plan of 5 events | planner | a 503 whose "not run" is 0             | 502    |
       | call             | desk    | a 421 that is signed                   | 502    |
