--- a/tests/features/routed_settings.feature
+++ b/tests/features/routed_settings.feature
@@ -108,6 +108,11 @@
   Scenario: Python's own module "platform" is found beside the folder of that name
     Then "import platform" in the daemon's program gives Python's own module
 
+  # Guards against a daemon that runs an earlier version which is installed on its host, in place of the one that was built.
+  Scenario: An installed package of another version is not run in place of the one beside the program
+    Given a folder of installed packages with another papayacourse
+    Then the daemon's program loads the papayacourse beside it
+
   Scenario: A configuration file with faults is refused, and each is named
     Given a routed configuration file that lacks the store and has an unknown option
     Then "papayacourse check --routed" names both
--- a/tests/features/steps/routed_steps.py
+++ b/tests/features/steps/routed_steps.py
@@ -1,8 +1,10 @@
 """Steps about routed requests on the stand-in of the users' platform."""
 
+import os
 import signal
 import subprocess
 import sys
+import tempfile
 import threading
 import time
 from pathlib import Path
@@ -322,6 +324,30 @@
     assert str(ROOT) not in file, file
 
 
+@given("a folder of installed packages with another papayacourse")
+def installed_package(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.installed = Path(folder.name)
+    (context.installed / "papayacourse").mkdir()
+    (context.installed / "papayacourse" / "__init__.py").touch()
+
+
+@then("the daemon's program loads the papayacourse beside it")
+def own_package(context):
+    code = (
+        "import runpy, sys; sys.path[0] = sys.argv[1]; "
+        "runpy.run_path(sys.argv[1] + '/run.py', run_name='not_main'); "
+        "import papayacourse; print(papayacourse.__file__)"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code, str(ROOT / "platform")], cwd="/",
+        env=os.environ | {"PYTHONPATH": str(context.installed)},
+        capture_output=True, text=True, check=False,
+    )  # fmt: skip
+    assert done.stdout.strip() == str(ROOT / "papayacourse" / "__init__.py"), done
+
+
 @then('"papayacourse explain" tells it from the log of "{name}" with "{text}"')
 def explains(context, name, text):
     routed = fleet_of(context)
