Say "unknown" in a stop of a call whose key's record was not read

What callers saw: the repeat of a call that had run, with the same Idempotency-Key, was told 503 "stopping", ran "no", by a daemon whose planned stop left too little time.

Cause: the refusal of a stop comes before the record of the key is read.

Change: such a refusal says ran "unknown" if the call has a key.

Evidence: "With a key, while too little time of a planned stop is left" failed before, and passes. Tried as well: the same while the key-value service is down. There the daemon that ran the call answers from its record, before and now; the scenario stays.

--- a/papayacourse/plaincalls.py
+++ b/papayacourse/plaincalls.py
@@ -4,7 +4,12 @@
 
 from papayacourse.callmessages import CallAnswer
 from papayacourse.catalog import Client
-from papayacourse.exceptions import BackendError, BackendUnreachable, RequestRefused
+from papayacourse.exceptions import (
+    BackendError,
+    BackendUnreachable,
+    RequestRefused,
+    StopExpired,
+)
 from papayacourse.once import CallerKey
 from papayacourse.plain import (
     REQUEST_ID,
@@ -40,6 +45,14 @@
             # The request is in progress until its caller has the answer; a drain waits for it.
             await self._answer(answer)
 
+    def stop_refusal(self, expired: StopExpired) -> RequestRefused:
+        """Return the final answer to a call for which a planned stop leaves no more time."""
+        refused = super().stop_refusal(expired)
+        if "Idempotency-Key" in self.request.headers:
+            # The key's record has not been read: an earlier call with it may have run.
+            refused.ran = Ran.UNKNOWN
+        return refused
+
     async def _answer(self, answer: CallAnswer) -> None:
         self.set_status(answer.status)
         self.clear_header("Content-Type")
--- a/tests/features/notrun.feature
+++ b/tests/features/notrun.feature
@@ -54,6 +54,19 @@
     When a balance is looked up with "GET"
     Then the last answer is 200
 
+  # Guards against "not run" for a key whose call has run, as an earlier answer said.
+  Scenario: With the key of a call that ran, while the key-value service is down
+    When refund "r-1" is posted through "a"
+    Then the last answer is 200
+    Given the key-value service is down
+    When refund "r-1" is posted through "a"
+    Then the last answer does not say that "r-1" has not run
+
+  # Guards against "not run" for a key whose record has not been read.
+  Scenario: With a key, while too little time of a planned stop is left
+    When a call with an Idempotency-Key meets the end of a planned stop
+    Then it is refused with 503 and ran "unknown"
+
   Scenario: After no backend server took the connection, the same key runs
     Given the plain service is listed at an address that refuses connections
     When refund "r-1" is posted through "a"
--- a/tests/features/steps/joinedstop_steps.py
+++ b/tests/features/steps/joinedstop_steps.py
@@ -8,6 +8,7 @@
 
 from papayacourse.completions import GenerationHandler
 from papayacourse.exceptions import StopExpired
+from papayacourse.plaincalls import Plain
 from papayacourse.streams import Relay
 
 GENERATION = SimpleNamespace(stream="stream-1")
@@ -56,6 +57,18 @@
     return handler.stop_refusal(StopExpired("the daemon stops", has_begun=True))
 
 
+@when("a call with an Idempotency-Key meets the end of a planned stop")
+def keyed_call_stopped(context):
+    handler = object.__new__(Plain)
+    handler.request = SimpleNamespace(headers={"Idempotency-Key": "r-1"})
+    context.refused = handler.stop_refusal(StopExpired("too little time is left"))
+
+
+@then('it is refused with {status:d} and ran "{ran}"')
+def refused_with(context, status, ran):
+    assert (context.refused.status, str(context.refused.ran)) == (status, ran), context.refused
+
+
 @then('both are answered 504 with ran "{ran}"')
 def both_answered(context, ran):
     answers = [(refused.status, str(refused.ran)) for refused in context.refusals]
--- a/tests/features/steps/records_steps.py
+++ b/tests/features/steps/records_steps.py
@@ -92,6 +92,13 @@
     assert context.answer.status == status, (context.answer.status, context.answer.body)
 
 
+@then('the last answer does not say that "{key}" has not run')
+def last_answer_true(context, key):
+    assert times_run(context.fleet, key) == 1
+    found = context.answer
+    assert found.status == 200 or found.json["ran"] in ("yes", "unknown"), found.body
+
+
 @then("the last answer says when to ask again")
 def says_when(context):
     assert int(context.answer.headers["Retry-After"]) >= 1
