Count an engine's failure of a start as a possible run

What callers saw: a generation whose engine answered its start with 500, 502, 504 or 302 was told "engine_lost" or "retries_exhausted" with ran "no", though the engine may have begun it.

Cause: every status but 200 was taken for a refusal.

Change: only 4xx and 503 are refusals; after others the generation may have run.

--- a/papayacourse/streams.py
+++ b/papayacourse/streams.py
@@ -42,6 +42,7 @@
 JOIN_PLACEMENT_TIMEOUT = 30.0  # seconds that a joining request waits for the placement
 RETRY_AFTER = 1.0  # seconds
 HTTP_CONFLICT, HTTP_NOT_FOUND, HTTP_RANGE_NOT_SATISFIABLE = 409, 404, 416
+HTTP_UNAVAILABLE = 503
 
 # An event encoded for the caller is at most a few times as long as the engine's.
 MAX_OUTPUT_EXPANSION = 16
@@ -289,7 +290,10 @@
                 raise RequestRefused(400, "bad_cursor", detail, Ran.YES) from error
             case status if status == HTTP_NOT_FOUND and self.run_id:
                 raise EngineDied(f"{self.engine}: {error}") from error
-            case _:
+            case status:
+                if not 400 <= status < 500 and status != HTTP_UNAVAILABLE:
+                    # Not a refusal: the engine may have begun, and failed.
+                    self.maybe_sent = self.maybe_ran = True
                 raise EngineLost(f"{self.engine}: {error}") from error
 
     async def _read_link(self) -> AsyncIterator[list[EngineEvent]]:
--- a/tests/features/steps/joinedstop_steps.py
+++ b/tests/features/steps/joinedstop_steps.py
@@ -7,7 +7,8 @@
 from behave import given, then, when
 
 from papayacourse.completions import GenerationHandler
-from papayacourse.exceptions import StopExpired
+from papayacourse.exceptions import BackendRefused, StopExpired
+from papayacourse.ordering import EngineLost
 from papayacourse.plaincalls import Plain
 from papayacourse.streams import Relay
 
@@ -57,6 +58,18 @@
     return handler.stop_refusal(StopExpired("the daemon stops", has_begun=True))
 
 
+@when("an engine answers the start of a generation with {status:d}")
+def start_refused(context, status):
+    context.first = relay()
+    with contextlib.suppress(EngineLost):
+        context.first._handle_engine_refusal(BackendRefused(status, "refused"))
+
+
+@then('the generation has run "{ran}"')
+def has_run(context, ran):
+    assert str(context.first._ran_status()) == ran, ran
+
+
 @when("a call with an Idempotency-Key meets the end of a planned stop")
 def keyed_call_stopped(context):
     handler = object.__new__(Plain)
--- a/tests/features/streams.feature
+++ b/tests/features/streams.feature
@@ -147,6 +147,21 @@
     When account "organisers" asks 1 times for "plan [crash=0]" from "planner" through "a"
     Then every answer has status 422, a Retry-After and ran "unknown"
 
+  # Guards against "not run" for a generation that its engine began and then failed.
+  Scenario Outline: A start that an engine answers with <status> has run "<ran>"
+    When an engine answers the start of a generation with <status>
+    Then the generation has run "<ran>"
+
+    Examples:
+      | status | ran     |
+      | 429    | no      |
+      | 503    | no      |
+      | 400    | no      |
+      | 500    | unknown |
+      | 502    | unknown |
+      | 504    | unknown |
+      | 302    | unknown |
+
   Scenario Outline: A stream that waits <seconds> s in its engine's own queue is started once
     Given an engine "planner-1" that runs one stream at a time in domain "lagos-1" of region "lagos"
     And daemons "a" in domain "lagos-1" of region "lagos"
