Test that no odd answer is told as "not run", or lets a request run again

None but those that nothing tells from a true refusal may reach the caller as 408, 421, 429 or 503, or let the request run again; here and over relays.

--- a/tests/features/refusal_proofs.feature
+++ b/tests/features/refusal_proofs.feature
@@ -54,3 +54,20 @@
       | kind             | service |
       | call             | desk    |
       | plan of 5 events | planner |
+
+  # Guards against every other answer that passes for "not run": a table of odd ones, drawn at random and the same each time.
+  Scenario Outline: No odd answer to a <kind> that has run <way> is told as "not run", or lets it run again
+    Given a platform store with document 5
+    And 2 servers of "<service>" in "lagos" that run all they get and then answer at will
+    And daemons "a, b" in "lagos" and "m" in "kano" that can be cut off from servers
+    When daemons "<cut>" are cut off from all servers, with connections refused
+    Then no odd answer to a <kind> through "a" is told as "not run", or lets it run more than <most> times
+
+    Examples:
+      | kind             | way         | service | cut | most |
+      | call             | here        | desk    | m   | 1    |
+      | repeatable call  | here        | desk    | m   | 2    |
+      | plan of 3 events | here        | planner | m   | 1    |
+      | call             | over relays | desk    | a   | 1    |
+      | repeatable call  | over relays | desk    | a   | 2    |
+      | plan of 3 events | over relays | planner | a   | 1    |
--- a/tests/features/steps/refusalproofs_steps.py
+++ b/tests/features/steps/refusalproofs_steps.py
@@ -1,11 +1,25 @@
 """Steps about answers that say that a request has not run."""
 
+import itertools
 import re
+from collections import Counter
+from http.client import HTTPException
 
-from behave import when
-from routed_steps import fleet_of
+from behave import given, then, when
+from routed_steps import SOON, fleet_of
+from wirefuzz_steps import check_random
 
+from standins.fleet import wait_until
 from tests.steptext import names_in
+from tests.willfulserver import PROMISES, WillfulAnswer, WillfulServer, odd_answers
+
+ANSWERS_DRAWN = 150  # in each row of the table
+REQUESTS = {
+    "call": ("POST", "/book/1", {}),
+    "repeatable call": ("GET", "/view/1", {}),
+    "plan of 3 events": ("POST", "/plans/1", {"X_Model": "m", "X_Token_Counts": "100,3"}),
+}
+GOOD = WillfulAnswer(200, ("ID",), (), True, False, "whole")
 
 ID, SIGNATURE, NOT_EXECUTED = (
     ("X-Attempt-Id", "ID"),
@@ -33,3 +47,42 @@
 def answer_oddly(context, names, answer):
     for name in names_in(names):
         fleet_of(context).fleet.admin(name, {"after_run": status_and_headers(answer)})
+
+
+@given(
+    '{count:d} servers of "{service}" in "{domain}" that run all they get and then answer at will'
+)
+def willful_servers(context, count, service, domain):
+    routed, context.run_counts = fleet_of(context), Counter()
+    context.willful = [WillfulServer(context.run_counts, GOOD) for _ in range(count)]
+    for number, server in enumerate(context.willful):
+        context.add_cleanup(server.close)
+        name = f"willful-{number}"
+        routed.places[name] = {"Service": service, "Address": server.address, "Zone": domain}
+        routed.list_engine(name)
+
+
+def ask(context, kind: str, daemon: str, number: int) -> int:
+    """Send a request through a daemon; return the status, 0 where the answer broke off."""
+    method, path, more = REQUESTS[kind]
+    body = f"request {number}".encode() if method == "POST" else b""
+    try:
+        return fleet_of(context).ask(daemon, method, path, body, **more).status
+    except (OSError, HTTPException):
+        return 0
+
+
+@then('no odd answer to a {kind} through "{name}" is told as "not run", or lets it run more than {most:d} times')  # noqa: E501  # fmt: skip
+def none_told_not_run(context, kind, name, most):
+    numbers, routed = itertools.count(), fleet_of(context)
+    wait_until("it is served", lambda: ask(context, kind, name, next(numbers)) == 200, SOON)
+
+    def check(answer: WillfulAnswer) -> None:
+        for server in context.willful:
+            server.answer = answer
+        status = ask(context, kind, name, next(numbers))
+        runs = context.run_counts[f"id-{routed.number}"]
+        assert 1 <= runs <= most, (runs, status, answer)
+        assert status not in PROMISES, (runs, status, answer)
+
+    check_random(ANSWERS_DRAWN, odd_answers, check)
