--- a/tests/features/steps/routedparts_steps.py
+++ b/tests/features/steps/routedparts_steps.py
@@ -27,6 +27,8 @@
 from papayacourse.types import GenerationRequest, Host, HostKind, HostState
 from tests.steptext import names_in
 
+CHECKS, CHECK_INTERVAL = 500, 0.01  # of a condition, in seconds
+
 
 class Clock:
     """A clock that steps set."""
@@ -54,6 +56,15 @@
     context.begun = []
 
 
+async def is_met(condition) -> None:
+    """Wait until a condition is met."""
+    for _ in range(CHECKS):
+        if condition():
+            return
+        await asyncio.sleep(CHECK_INTERVAL)
+    raise AssertionError("the condition is not met")
+
+
 @when("a request reaches the connection in the moment in which a stop closes it")
 def crossing(context):
     async def work() -> None:
@@ -61,9 +72,8 @@
         sockets = bind_sockets(0, "127.0.0.1")
         server.add_sockets(sockets)
         caller = socket.create_connection(sockets[0].getsockname()[:2])
-        while not server.idle or server.has_new_connections():
-            # A new connection is left open: its first request is on the way.
-            await asyncio.sleep(0.01)
+        # A connection that is new is left open: its first request is on the way.
+        await is_met(lambda: bool(server.idle) and not server.has_new_connections())
         caller.sendall(b"POST /refund HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
         for connection in list(server.idle):
             # What the event loop does when bytes and the stop's timer are due in one turn.
