Remove an absolved request's strikes also after a refused write

What was seen: a request that had been absolved was still condemned by its strikes in the store, where the store had refused further ones of it for good; daemons that start later refuse the request.

Cause: a request whose write was refused was left out of every later change, its removal included.

Change: an absolution lets the daemon write of that request again.

--- a/papayacourse/routed/keptstrikes.py
+++ b/papayacourse/routed/keptstrikes.py
@@ -67,6 +67,8 @@
     def absolved(self, fingerprint: str) -> None:
         """Queue the removal of a request's strikes from the store."""
         if self.strikes_stored_for(fingerprint):
+            # A store that took no more strikes may well remove those that it has.
+            self.refused.pop(fingerprint, None)
             self._queue_write(fingerprint)
 
     def _queue_write(self, fingerprint: str) -> None:
--- a/tests/features/routed_entries.feature
+++ b/tests/features/routed_entries.feature
@@ -84,3 +84,9 @@
     Given a store that answers writes of strikes of "first" with 503
     When the strikes of "first" and then those of "second" are to be stored
     Then within 3 s the store has been asked more than once for "first" and 1 time for "second"
+
+  # Guards against strikes that stay in the store and condemn a request again, though it was absolved.
+  Scenario: Stored strikes of an absolved request are removed, also where the store has refused others of it
+    Given a store that has two strikes of "first" and refuses further ones for good
+    When two more strikes of "first" are to be stored, and then "first" is absolved
+    Then all strikes of "first" that the store had are removed
--- a/tests/features/steps/routedstrikewrites_steps.py
+++ b/tests/features/steps/routedstrikewrites_steps.py
@@ -12,6 +12,7 @@
 
 from papayacourse import logs, partblame
 from papayacourse.callmessages import Strike
+from papayacourse.exceptions import PlatformRefused
 from papayacourse.quarantine import Quarantine
 from papayacourse.routed.keptstrikes import StoredStrikes
 from papayacourse.types import Address
@@ -131,3 +132,49 @@
     fingerprint = partblame.encode("request", [f"part-{n}" for n in range(parts)])
     key = strike_key(Strike(fingerprint, ENGINE, 1.5))
     assert len(key.encode()) <= most, len(key)
+
+
+@define(eq=False)
+class FullStore:
+    """A store that takes no more strikes, and removes those that it has."""
+
+    era: int = 0
+    removed: list[Strike] = field(factory=list)
+
+    async def keep_strikes(self, _strikes: tuple[Strike, ...], _ttl: float) -> None:
+        """Refuse a write."""
+        raise PlatformRefused("too many")
+
+    async def drop_strikes(self, strikes: tuple[Strike, ...]) -> None:
+        """Remove strikes."""
+        self.removed.extend(strikes)
+
+
+@given('a store that has two strikes of "{name}" and refuses further ones for good')
+def full_store(context, name):
+    context.full = FullStore()
+    context.kept = StoredStrikes(context.full, Quarantine(NoPeers()))
+    old = [Strike(name, f"desk/old@{number}", 9e9) for number in (1, 2)]
+    context.kept.stored = {(strike.fingerprint, strike.engine): strike for strike in old}
+    context.kept.eras = dict.fromkeys(context.kept.stored, 0)
+
+
+@when('two more strikes of "{name}" are to be stored, and then "{again}" is absolved')
+def strike_and_absolve(context, name, again):
+    quarantine = context.kept.quarantine
+
+    async def work() -> None:
+        for engine in ("desk/new@1", "desk/new@2"):
+            quarantine.strike(engine, (name,))
+        await context.kept.write()
+        await quarantine.clear_suspect(again)
+        await context.kept.write()
+
+    asyncio.run(work())
+
+
+@then('all strikes of "{name}" that the store had are removed')
+def all_removed(context, name):
+    removed = sorted(strike.engine for strike in context.full.removed)
+    assert removed == ["desk/old@1", "desk/old@2"], removed
+    assert not context.kept.strikes_stored_for(name)
