--- a/tests/features/routed_settings.feature
+++ b/tests/features/routed_settings.feature
@@ -113,6 +113,19 @@
     Given a folder of installed packages with another papayacourse
     Then the daemon's program loads the papayacourse beside it
 
+  # Guards against a daemon that can't start, since its libraries came with a folder from another machine.
+  Scenario Outline: Libraries that were installed for <what> are installed <again>
+    Given libraries that the build has installed for <what>
+    Then the build installs them <again>
+
+    Examples:
+      | what                    | again    |
+      | this machine            | not anew |
+      | another kind of machine | anew     |
+      | another Python          | anew     |
+      | other requirements      | anew     |
+      | nobody knows what       | anew     |
+
   Scenario: A configuration file with faults is refused, and each is named
     Given a routed configuration file that lacks the store and has an unknown option
     Then "papayacourse check --routed" names both
--- a/tests/features/steps/routed_steps.py
+++ b/tests/features/steps/routed_steps.py
@@ -1,6 +1,7 @@
 """Steps about routed requests on the stand-in of the users' platform."""
 
 import os
+import runpy
 import signal
 import subprocess
 import sys
@@ -348,6 +349,29 @@
     assert done.stdout.strip() == str(ROOT / "papayacourse" / "__init__.py"), done
 
 
+@given("libraries that the build has installed for {what}")
+def installed_libraries(context, what):
+    context.build = runpy.run_path(str(ROOT / "deploy" / "build.py"), run_name="not_main")
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.libraries = Path(folder.name)
+    machine, python, requirements = context.build["stamp"](ROOT / "requirements.txt").split()
+    changed = {
+        "another kind of machine": ("other-machine", python, requirements),
+        "another Python": (machine, "cpython-27", requirements),
+        "other requirements": (machine, python, "0" * 64),
+    }
+    found = changed.get(what, (machine, python, requirements))
+    if what != "nobody knows what":
+        (context.libraries / context.build["STAMP"]).write_text(" ".join(found) + "\n")
+
+
+@then("the build installs them {again}")
+def builds_again(context, again):
+    is_current = context.build["is_current"](context.libraries, ROOT / "requirements.txt")
+    assert is_current == (again == "not anew")
+
+
 @then('"papayacourse explain" tells it from the log of "{name}" with "{text}"')
 def explains(context, name, text):
     routed = fleet_of(context)
