Say that a request ran where its server's signature shows it

Change: a send knows that its receiver has shown to have run the request: the answer names it and is signed.

--- a/papayacourse/routed/seams.py
+++ b/papayacourse/routed/seams.py
@@ -208,6 +208,9 @@
     def not_run(self, call: Call, status: int, headers: HTTPHeaders) -> bool:
         """Return True if an answer says that the engine did not run this call."""
 
+    def shows_run(self, call: Call, headers: HTTPHeaders) -> bool:
+        """Return True if an answer shows that the engine has run this call."""
+
     def answers_call(self, call: Call, status: int, headers: HTTPHeaders) -> bool:
         """Return True if an answer belongs to this call and comes unaltered from its engine."""
 
--- a/papayacourse/routed/sendhistory.py
+++ b/papayacourse/routed/sendhistory.py
@@ -22,10 +22,13 @@
     ----------
     receiver : str
         The server's or the daemon's name.
+    has_run : bool
+        Whether the receiver has shown that it ran the request.
     """
 
     receiver: str
     history: "SendHistory"
+    has_run: bool = False
 
     def record_not_executed(self) -> None:
         """Record that the receiver has not run the request and never will."""
@@ -55,6 +58,12 @@
         """Return True unless every send is known not to have run the request."""
         return bool(self.unproved)
 
+    def ran(self) -> Ran:
+        """Return whether the request has run, as far as that is known."""
+        if any(send.has_run for send in self.unproved):
+            return Ran.YES
+        return Ran.UNKNOWN if self.unproved else Ran.NO
+
     def receivers(self) -> set[str]:
         """Return the names of those that may have run the request."""
         return {send.receiver for send in self.unproved}
@@ -64,7 +73,7 @@
         if status in NOT_EXECUTED_STATUSES and self.may_have_run():
             logs.info("status replaced", status=status, may_have_run=sorted(self.receivers()))
             why = f"the server answered {status}, and may have run the request"
-            raise RequestRefused(UNPROVED_STATUS, "server_failed", why, Ran.UNKNOWN)
+            raise RequestRefused(UNPROVED_STATUS, "server_failed", why, self.ran())
 
     def truthful(self, refused: RequestRefused) -> RequestRefused:
         """Return a refusal that promises no more than is known: the same, if that is true."""
@@ -76,5 +85,5 @@
             may_have_run=sorted(self.receivers()),
         )  # fmt: skip
         status = UNPROVED_STATUS if promises else refused.status
-        ran = Ran.UNKNOWN if refused.ran is Ran.NO else refused.ran
+        ran = self.ran() if refused.ran is Ran.NO else refused.ran
         return RequestRefused(status, refused.reason, refused.detail, ran)
--- a/papayacourse/routed/sending.py
+++ b/papayacourse/routed/sending.py
@@ -97,6 +97,7 @@
             notices.brittle.record_rejection(dispatch.engine)
         await exchange.__aexit__(None, None, None)
         raise RequestNotExecuted(f"{dispatch.engine.name} answered {status} without running it")
+    send.has_run = codec.shows_run(call, headers)
     if not is_answer:
         await exchange.__aexit__(None, None, None)
         raise BackendAnswerLost(f"{dispatch.engine.name} sent an answer to another request")
