Name the parts of the record of sends for what they hold

Now: possible_runs, corrected, UNKNOWN_OUTCOME_STATUS, and the history records what is shown of a send. The servers of the table of odd answers are scripted ones.

--- a/papayacourse/routed/exchange.py
+++ b/papayacourse/routed/exchange.py
@@ -129,7 +129,7 @@
 
     async def refuse(self, refused: RequestRefused) -> None:
         """Write the problem response for a refused request."""
-        refused = self.sends.truthful(refused)
+        refused = self.sends.corrected(refused)
         body = refusal_body(refused, self.server.request_id(self))
         await self.answer(refused.status, refusal_headers(refused), body)
 
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -157,7 +157,7 @@
             except StopExpired as expired:
                 await self._end_at_stop(exchange, outcome, str(expired))
             except RequestRefused as error:
-                refused = exchange.sends.truthful(as_not_executed(error))
+                refused = exchange.sends.corrected(as_not_executed(error))
                 outcome.record_refusal(refused)
                 await self._refuse(exchange, refused)
             except (StreamBroken, RelayBroken) as broken:
--- a/papayacourse/routed/relayedexchange.py
+++ b/papayacourse/routed/relayedexchange.py
@@ -93,7 +93,7 @@
 
     async def refuse(self, refused: RequestRefused) -> None:
         """Send the problem response for a refused request, or leave it to another daemon."""
-        refused = self.sends.truthful(refused)
+        refused = self.sends.corrected(refused)
         if refused.ran is Ran.NO and self.is_cut_off():
             self.done = True
             self._queue(0, HTTPHeaders(), b"", RelayEnd.NOT_SERVED)
--- a/papayacourse/routed/relaying.py
+++ b/papayacourse/routed/relaying.py
@@ -157,7 +157,7 @@
             served = accepted and await self._pass_on(send, exchange, parts)
             is_over = True
             if not served:
-                send.record_not_executed()
+                exchange.sends.record_not_executed(send)
             return served
         finally:
             del self.answers[number]
@@ -202,7 +202,7 @@
             raise RelayBroken(f"{name} began an answer with status {part.status}")
         if part.status in NOT_EXECUTED_STATUSES:
             # The other daemon says this only if it knows it of each of its own sends.
-            send.record_not_executed()
+            exchange.sends.record_not_executed(send)
         headers = HTTPHeaders()
         for field_name, value in part.headers:
             headers.add(field_name, value)
--- a/papayacourse/routed/sendhistory.py
+++ b/papayacourse/routed/sendhistory.py
@@ -11,7 +11,7 @@
 from papayacourse.types import Ran
 
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})  # to callers: the request did not run
-UNPROVED_STATUS = 502  # promises nothing
+UNKNOWN_OUTCOME_STATUS = 502  # promises nothing
 
 
 @define(eq=False)
@@ -27,14 +27,8 @@
     """
 
     receiver: str
-    history: "SendHistory"
     has_run: bool = False
 
-    def record_not_executed(self) -> None:
-        """Record that the receiver has not run the request and never will."""
-        if self in self.history.unproved:
-            self.history.unproved.remove(self)
-
 
 @define(eq=False)
 class SendHistory:
@@ -42,40 +36,45 @@
 
     Attributes
     ----------
-    unproved : list of Send
+    possible_runs : list of Send
         The sends that may have run the request: nothing shows that they have not.
     """
 
-    unproved: list[Send] = field(factory=list)
+    possible_runs: list[Send] = field(factory=list)
 
     def begin(self, receiver: str) -> Send:
         """Record that the request is about to be sent to a receiver."""
-        send = Send(receiver, self)
-        self.unproved.append(send)
+        send = Send(receiver)
+        self.possible_runs.append(send)
         return send
 
+    def record_not_executed(self, send: Send) -> None:
+        """Record that a send's receiver has not run the request and never will."""
+        if send in self.possible_runs:
+            self.possible_runs.remove(send)
+
     def may_have_run(self) -> bool:
         """Return True unless every send is known not to have run the request."""
-        return bool(self.unproved)
+        return bool(self.possible_runs)
 
     def ran(self) -> Ran:
         """Return whether the request has run, as far as that is known."""
-        if any(send.has_run for send in self.unproved):
+        if any(send.has_run for send in self.possible_runs):
             return Ran.YES
-        return Ran.UNKNOWN if self.unproved else Ran.NO
+        return Ran.UNKNOWN if self.possible_runs else Ran.NO
 
     def receivers(self) -> set[str]:
         """Return the names of those that may have run the request."""
-        return {send.receiver for send in self.unproved}
+        return {send.receiver for send in self.possible_runs}
 
     def check_status(self, status: int) -> None:
         """Raise RequestRefused if an answer's status promises what is not known."""
         if status in NOT_EXECUTED_STATUSES and self.may_have_run():
             logs.info("status replaced", status=status, may_have_run=sorted(self.receivers()))
             why = f"the server answered {status}, and may have run the request"
-            raise RequestRefused(UNPROVED_STATUS, "server_failed", why, self.ran())
+            raise RequestRefused(UNKNOWN_OUTCOME_STATUS, "server_failed", why, self.ran())
 
-    def truthful(self, refused: RequestRefused) -> RequestRefused:
+    def corrected(self, refused: RequestRefused) -> RequestRefused:
         """Return a refusal that promises no more than is known: the same, if that is true."""
         promises = refused.status in NOT_EXECUTED_STATUSES
         if not self.may_have_run() or not (promises or refused.ran is Ran.NO):
@@ -84,6 +83,6 @@
             "refusal corrected", reason=refused.reason, status=refused.status,
             may_have_run=sorted(self.receivers()),
         )  # fmt: skip
-        status = UNPROVED_STATUS if promises else refused.status
+        status = UNKNOWN_OUTCOME_STATUS if promises else refused.status
         ran = self.ran() if refused.ran is Ran.NO else refused.ran
         return RequestRefused(status, refused.reason, refused.detail, ran)
--- a/papayacourse/routed/sending.py
+++ b/papayacourse/routed/sending.py
@@ -81,7 +81,7 @@
         raise
     except BackendNotSendable as error:
         if send is not None:
-            send.record_not_executed()
+            sends.record_not_executed(send)
         raise RequestNotExecuted(str(error)) from error
     except (BackendLinkLost, BackendProtocolError) as error:
         raise BackendAnswerLost(str(error)) from error
@@ -92,7 +92,7 @@
     notice = codec.notice(status, headers)
     notices.take(dispatch.engine, notice, asked_at if is_certain else None)
     if not_run:
-        send.record_not_executed()
+        sends.record_not_executed(send)
         if status == REJECTED_STATUS:
             notices.brittle.record_rejection(dispatch.engine)
         await exchange.__aexit__(None, None, None)
--- a/tests/features/refusal_proofs.feature
+++ b/tests/features/refusal_proofs.feature
@@ -58,7 +58,7 @@
   # Guards against every other answer that passes for "not run": a table of odd ones, drawn at random and the same each time.
   Scenario Outline: No odd answer to a <kind> that has run <way> is told as "not run", or lets it run again
     Given a platform store with document 5
-    And 2 servers of "<service>" in "lagos" that run all they get and then answer at will
+    And 2 servers of "<service>" in "lagos" that run all and then answer as scripted
     And daemons "a, b" in "lagos" and "m" in "kano" that can be cut off from servers
     When daemons "<cut>" are cut off from all servers, with connections refused
     Then no odd answer to a <kind> through "a" is told as "not run", or lets it run more than <most> times
--- a/tests/features/steps/refusalproofs_steps.py
+++ b/tests/features/steps/refusalproofs_steps.py
@@ -10,8 +10,8 @@
 from wirefuzz_steps import check_random
 
 from standins.fleet import wait_until
+from tests.scriptedserver import PROMISES, ScriptedAnswer, ScriptedServer, odd_answers
 from tests.steptext import names_in
-from tests.willfulserver import PROMISES, WillfulAnswer, WillfulServer, odd_answers
 
 ANSWERS_DRAWN = 150  # in each row of the table
 REQUESTS = {
@@ -19,7 +19,7 @@
     "repeatable call": ("GET", "/view/1", {}),
     "plan of 3 events": ("POST", "/plans/1", {"X_Model": "m", "X_Token_Counts": "100,3"}),
 }
-GOOD = WillfulAnswer(200, ("ID",), (), True, False, "whole")
+GOOD = ScriptedAnswer(200, ("ID",), (), True, False, "whole")
 
 ID, SIGNATURE, NOT_EXECUTED = (
     ("X-Attempt-Id", "ID"),
@@ -49,15 +49,13 @@
         fleet_of(context).fleet.admin(name, {"after_run": status_and_headers(answer)})
 
 
-@given(
-    '{count:d} servers of "{service}" in "{domain}" that run all they get and then answer at will'
-)
-def willful_servers(context, count, service, domain):
+@given('{count:d} servers of "{service}" in "{domain}" that run all and then answer as scripted')
+def scripted_servers(context, count, service, domain):
     routed, context.run_counts = fleet_of(context), Counter()
-    context.willful = [WillfulServer(context.run_counts, GOOD) for _ in range(count)]
-    for number, server in enumerate(context.willful):
+    context.scripted = [ScriptedServer(context.run_counts, GOOD) for _ in range(count)]
+    for number, server in enumerate(context.scripted):
         context.add_cleanup(server.close)
-        name = f"willful-{number}"
+        name = f"scripted-{number}"
         routed.places[name] = {"Service": service, "Address": server.address, "Zone": domain}
         routed.list_engine(name)
 
@@ -77,8 +75,8 @@
     numbers, routed = itertools.count(), fleet_of(context)
     wait_until("it is served", lambda: ask(context, kind, name, next(numbers)) == 200, SOON)
 
-    def check(answer: WillfulAnswer) -> None:
-        for server in context.willful:
+    def check(answer: ScriptedAnswer) -> None:
+        for server in context.scripted:
             server.answer = answer
         status = ask(context, kind, name, next(numbers))
         runs = context.run_counts[f"id-{routed.number}"]
--- a/tests/willfulserver.py
+++ b/tests/scriptedserver.py
@@ -22,7 +22,7 @@
 
 
 @define
-class WillfulAnswer:
+class ScriptedAnswer:
     """An answer to a request that has run.
 
     Attributes
@@ -59,13 +59,13 @@
 
 
 odd_answers = st.builds(
-    WillfulAnswer, st.sampled_from(STATUSES), st.sampled_from(IDS), st.sampled_from(CLAIMS),
+    ScriptedAnswer, st.sampled_from(STATUSES), st.sampled_from(IDS), st.sampled_from(CLAIMS),
     st.booleans(), st.booleans(), st.sampled_from(("whole", "whole", "close", "reset")),
 ).filter(lambda answer: not answer.is_lie())  # fmt: skip
 
 
 @define(eq=False)
-class WillfulServer:
+class ScriptedServer:
     """A server that counts what it has run, and answers as it is told.
 
     Attributes
@@ -75,7 +75,7 @@
     """
 
     runs: Counter
-    answer: WillfulAnswer | None = None
+    answer: ScriptedAnswer | None = None
     listener: socketserver.ThreadingTCPServer = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -99,7 +99,7 @@
     """Takes connections for a server."""
 
     daemon_threads = True
-    owner: WillfulServer
+    owner: ScriptedServer
 
 
 class Handler(socketserver.StreamRequestHandler):
