Gather the migration of runs into a folder of its own

Cause: the modules that copy, move and resume runs lay among 48 others, and the module that supervises them was called evacuation, which is now needed for domains that an operator drains.

Change: papayacourse/routed/migration holds copying, emptying, moving, moveschedule, standby, failover and supervisor (evacuation before); the class Evacuation is RunSupervisor. No behaviour changes.

--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -31,10 +31,10 @@
 from papayacourse.routed.directory import HostDirectory
 from papayacourse.routed.document import CallerLimits, Document, EngineCapacity
 from papayacourse.routed.documents import Documents
-from papayacourse.routed.evacuation import Evacuation
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.front import Frontend
 from papayacourse.routed.keptstrikes import StoredStrikes
+from papayacourse.routed.migration.supervisor import RunSupervisor
 from papayacourse.routed.notices import EngineNotices, GuardedEngineCalls
 from papayacourse.routed.pages import pages
 from papayacourse.routed.relaying import Relaying
@@ -155,10 +155,10 @@
             engine_calls, self.notices, self.limiter, self.deaths, self._note_first_event,
             self._shape, tasks=self.tasks,
         )  # fmt: skip
-        self.evacuation = Evacuation(self.fleet, lambda: self.directory.store_is_away)
+        self.supervisor = RunSupervisor(self.fleet, lambda: self.directory.store_is_away)
         self.router = Router(
             self.documents, self.fleet, ServerChoice(Place(config.domain, config.region)),
-            self.evacuation, self.lifecycle.deadline,
+            self.supervisor, self.lifecycle.deadline,
         )  # fmt: skip
         self.front = Frontend(
             self.documents, self.router, self.metrics, self.lifecycle.deadline, config.body_room
@@ -237,7 +237,7 @@
         host = self.host(news.engine)
         if host is not None:
             self.notices.record_leaving(host, f"peer {peer.name}")
-            self.evacuation.look()
+            self.supervisor.look()
 
     async def _report_leaving(self, host: Host) -> None:
         """Report a leaving engine to the daemons that cannot know it otherwise.
@@ -245,7 +245,7 @@
         A daemon that relays its requests here passes on what the engine says, but the answer does
         not name the engine.
         """
-        self.evacuation.look()
+        self.supervisor.look()
         relaying = self.router.relaying.served_daemons()
         await self._send_leaving(host, relaying | self._drain(host))
 
@@ -311,7 +311,7 @@
             self.stored_strikes.run,
             self.deaths.run,
             *self.mesh.loops(),
-            self.evacuation.run,
+            self.supervisor.run,
             self.limiter.run,
             self.notices.reach.run,
             self._tick,
@@ -359,7 +359,7 @@
         self.notices.forget_unlisted(self.checked_hosts.by_name)
         self.limiter.forget_unlisted(self.checked_hosts.by_name)
         self.router.choice.forget_unlisted(self.checked_hosts.by_name.keys())
-        self.evacuation.look()
+        self.supervisor.look()
 
     async def _tick(self) -> None:
         """Expire directory entries and check the host list, forever."""
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -14,7 +14,7 @@
 from papayacourse.routed.events import can_resume_after
 from papayacourse.routed.exchange import Exchange
 from papayacourse.routed.fleetview import FleetView
-from papayacourse.routed.standby import Standby
+from papayacourse.routed.migration.standby import Standby
 from papayacourse.types import GenerationRequest, Host, Ran
 
 INITIAL_SECONDS_PER_TOKEN = 0.012  # until the run's own speed is known
--- a/papayacourse/routed/copying.py
+++ b/papayacourse/routed/migration/copying.py
@@ -9,7 +9,7 @@
 from papayacourse.exceptions import BackendError
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.generation import Generation
-from papayacourse.routed.standby import Standby
+from papayacourse.routed.migration.standby import Standby
 from papayacourse.types import Host
 
 COPY_INTERVAL = 3.0  # seconds between copies; an engine drops one not renewed for 5 s
--- a/papayacourse/routed/emptying.py
+++ b/papayacourse/routed/migration/emptying.py
@@ -11,8 +11,8 @@
 from papayacourse.exceptions import BackendError, BackendNoRoom
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.generation import Generation
-from papayacourse.routed.moveschedule import MIN_REGION_COPY, schedule_moves
-from papayacourse.routed.moving import Move
+from papayacourse.routed.migration.moveschedule import MIN_REGION_COPY, schedule_moves
+from papayacourse.routed.migration.moving import Move
 from papayacourse.routed.seams import EngineRuns, RunState
 from papayacourse.types import Host
 
--- a/papayacourse/routed/failover.py
+++ b/papayacourse/routed/migration/failover.py
@@ -4,9 +4,9 @@
 
 from papayacourse.routed.events import can_resume_after
 from papayacourse.routed.generation import Generation
+from papayacourse.routed.migration.standby import Standby
 from papayacourse.routed.runstop import RunContinues, RunCopied, RunStop
 from papayacourse.routed.seams import Resume
-from papayacourse.routed.standby import Standby
 from papayacourse.types import Host
 
 
--- a/papayacourse/routed/moving.py
+++ b/papayacourse/routed/migration/moving.py
@@ -10,7 +10,7 @@
 from papayacourse.exceptions import BackendError, BackendNoRoom, BackendUnreachable
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.generation import Generation
-from papayacourse.routed.standby import Standby
+from papayacourse.routed.migration.standby import Standby
 from papayacourse.types import Host
 
 NO_ROOM_STATUS = 503  # HTTP status reported for a move that an engine's limit does not permit
--- a/papayacourse/routed/evacuation.py
+++ b/papayacourse/routed/migration/supervisor.py
@@ -8,10 +8,10 @@
 
 from papayacourse import logs
 from papayacourse.exceptions import BackendError
-from papayacourse.routed.copying import Copying, is_worth_copying
-from papayacourse.routed.emptying import Emptying, is_worth_moving
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.generation import Generation
+from papayacourse.routed.migration.copying import Copying, is_worth_copying
+from papayacourse.routed.migration.emptying import Emptying, is_worth_moving
 from papayacourse.ticks import next_tick
 from papayacourse.types import Host
 
@@ -21,7 +21,7 @@
 
 
 @define(eq=False)
-class Evacuation:
+class RunSupervisor:
     """Starts the copies of long runs and the moves off engines that are leaving.
 
     Attributes
--- a/papayacourse/routed/router.py
+++ b/papayacourse/routed/router.py
@@ -12,11 +12,11 @@
 from papayacourse.routed.choice import ServerChoice
 from papayacourse.routed.document import Repeat, Service
 from papayacourse.routed.documents import Documents
-from papayacourse.routed.evacuation import Evacuation
 from papayacourse.routed.exchange import Exchange
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.generation import Generation
 from papayacourse.routed.generationrequest import generation_request, refuse_too_large
+from papayacourse.routed.migration.supervisor import RunSupervisor
 from papayacourse.routed.outcome import Outcome
 from papayacourse.routed.plaincall import PlainCall
 from papayacourse.routed.relayedexchange import RelayedExchange
@@ -48,7 +48,7 @@
     documents: Documents
     fleet: FleetView
     choice: ServerChoice
-    evacuation: Evacuation
+    supervisor: RunSupervisor
     stop: StopDeadline
     relaying: Relaying = field(init=False)
     work_times: WorkTimes = field(factory=WorkTimes)
@@ -138,11 +138,11 @@
         request = generation_request(admitted)
         generation = Generation(admitted, exchange, self.fleet, request, service.engine, guard)
         outcome.generation = generation
-        self.evacuation.running.add(generation)
+        self.supervisor.running.add(generation)
         try:
             await StreamedCall(generation).run()
         finally:
-            self.evacuation.ended(generation)
+            self.supervisor.ended(generation)
 
     # Planned stops.
 
--- a/papayacourse/routed/runstop.py
+++ b/papayacourse/routed/runstop.py
@@ -20,8 +20,8 @@
 )
 from papayacourse.httpcall import connect
 from papayacourse.routed.fleetview import FleetView
+from papayacourse.routed.migration.standby import Standby
 from papayacourse.routed.seams import CopyResult
-from papayacourse.routed.standby import Standby
 from papayacourse.types import Address, Host
 
 STOP_TIMEOUT = 2.5  # seconds
--- a/papayacourse/routed/streamedcall.py
+++ b/papayacourse/routed/streamedcall.py
@@ -16,8 +16,8 @@
 )
 from papayacourse.httpcall import HttpCall
 from papayacourse.routed.answerrelay import AnswerRelay
-from papayacourse.routed.failover import Failover
 from papayacourse.routed.generation import Generation, StreamBroken
+from papayacourse.routed.migration.failover import Failover
 from papayacourse.routed.placing import EngineSearch
 from papayacourse.routed.seams import Dispatch, Resume
 from papayacourse.routed.sending import BackendAnswerLost, RequestNotExecuted, open_call
--- a/tests/features/steps/routeddocuments_steps.py
+++ b/tests/features/steps/routeddocuments_steps.py
@@ -18,7 +18,7 @@
 from papayacourse.routed.derived import TEAM, derived_values, update_catalog
 from papayacourse.routed.document import Document
 from papayacourse.routed.generationrequest import generation_request
-from papayacourse.routed.moveschedule import copy_time
+from papayacourse.routed.migration.moveschedule import copy_time
 from papayacourse.routed.seams import Call, Dispatch
 from papayacourse.types import Host, HostKind
 from papayacourse.wire import Frame, decode, encode
--- a/tests/features/steps/routedmoves_steps.py
+++ b/tests/features/steps/routedmoves_steps.py
@@ -8,7 +8,7 @@
 from papayacourse.exceptions import BackendNoRoom
 from papayacourse.linkclasses import Place
 from papayacourse.routed.document import EngineCapacity
-from papayacourse.routed.emptying import Emptying
+from papayacourse.routed.migration.emptying import Emptying
 from papayacourse.routed.seams import CopyResult, EngineRuns, RunState
 from papayacourse.types import Host, HostKind
 from tests.limitfleet import NoLimits
--- a/tests/features/steps/routedparts_steps.py
+++ b/tests/features/steps/routedparts_steps.py
@@ -21,7 +21,7 @@
 from papayacourse.routed.budget import FleetRetryBudget, RetryBudgetLimits
 from papayacourse.routed.choice import ServerChoice
 from papayacourse.routed.directory import HostDirectory
-from papayacourse.routed.moveschedule import schedule_moves
+from papayacourse.routed.migration.moveschedule import schedule_moves
 from papayacourse.routed.reports import AdapterReports
 from papayacourse.routed.seams import RunState, StorePosition, StoreUpdate
 from papayacourse.types import GenerationRequest, Host, HostKind, HostState
