List the servers of a domain that the operator drains as leaving

Change: the follower of the store lists the live servers of drained domains as leaving, with is_drained set, so that all that sends, grants, copies or moves passes them over. Runs move off without a deadline; a run continues at no drained engine; crashes there still count as strikes.

--- a/papayacourse/deaths.py
+++ b/papayacourse/deaths.py
@@ -23,7 +23,7 @@
 from papayacourse.quarantine import Quarantine
 from papayacourse.serverreach import ServerReach
 from papayacourse.ticks import next_tick
-from papayacourse.types import Address, Host, HostState
+from papayacourse.types import Address, Host
 
 PROBE_TIMEOUT = 0.2  # seconds a server may take to accept a connection
 # Seconds before each probe; an ending process closes its sockets one by one.
@@ -232,7 +232,7 @@
     def is_end_announced(self, server: Host) -> bool:
         """Return True if a server or its operator has announced its end."""
         listed = self.listed(server.name) or server
-        is_leaving = listed.state != HostState.LIVE or self.has_announced_leave(server.name)
+        is_leaving = listed.leaves() or self.has_announced_leave(server.name)
         return is_leaving or server.name in self.leaving_seen_at
 
     # Commands.
@@ -252,7 +252,7 @@
     def _record_listing(self, listing: HostListing) -> None:
         """Record the servers that the list marks as leaving, and drop old entries."""
         now, self.last_listing = self.clock(), listing
-        leaving = {host.name: now for host in listing.hosts if host.state != HostState.LIVE}
+        leaving = {host.name: now for host in listing.hosts if host.leaves()}
         self.leaving_seen_at = {
             n: at for n, at in self.leaving_seen_at.items() if now - at < ENDED_RETENTION_SECONDS
         } | leaving
--- a/papayacourse/hostchanges.py
+++ b/papayacourse/hostchanges.py
@@ -13,12 +13,16 @@
 MAX_STEPS = 64  # versions back
 DIGEST_CACHE_SIZE = 4096  # hosts; more than a fleet has
 MAX_CHANGED_HOSTS = 1024  # in all steps; with more, the full list is as good
+LATER_FIELDS = 1  # at the end of Host, which daemons of protocol version 3 may not know
 
 
 @lru_cache(DIGEST_CACHE_SIZE)
 def host_digest(host: Host) -> int:
-    """Return a hash of one host."""
-    return xxhash.xxh3_64_intdigest("\0".join(map(str, astuple(host))).encode())
+    """Return a hash of one host; fields that earlier builds do not know are left out if unset."""
+    values = astuple(host)
+    if not any(values[-LATER_FIELDS:]):
+        values = values[:-LATER_FIELDS]
+    return xxhash.xxh3_64_intdigest("\0".join(map(str, values)).encode())
 
 
 def digest(hosts: tuple[Host, ...]) -> int:
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -139,6 +139,7 @@
             self.membership.host_sync.apply_listing,
             in_force=lambda: self.membership.hosts,
         )
+        self.metrics.watch("papayacourse_servers_drained", "", self._drained_servers)
         self.metrics.watch("papayacourse_store_era", "", lambda: float(self.directory.era))
         self.membership.informed = self._can_take_duties
         self.mesh.peers.handlers[EngineLeaves] = self._on_engine_leaves
@@ -274,6 +275,10 @@
         yield from self.membership.backends(HostKind.ENGINE)
         yield from self.membership.backends(HostKind.PLAIN)
 
+    def _drained_servers(self) -> float:
+        """Return how many servers are of failure domains that the operator drains."""
+        return float(sum(server.is_drained for server in self._servers()))
+
     def _servers_of(self, service: str) -> Iterator[Host]:
         """Yield the listed servers of a service."""
         return self.fleet.servers(service)
--- a/papayacourse/routed/directory.py
+++ b/papayacourse/routed/directory.py
@@ -23,6 +23,9 @@
     missing then. A store that returns from an older copy may also list a leaving server as live;
     it stays leaving for as long, until its entry has been written again.
 
+    The servers of a failure domain that the operator drains are listed as leaving until the
+    operator takes it back; see docs/design/drained-domains.md.
+
     Attributes
     ----------
     publish : callable
@@ -37,6 +40,10 @@
         Whether the last read of the store failed.
     engines_known : bool
         Whether the servers have been read at least once.
+    drained : frozenset of str
+        The failure domains that the operator drains.
+    reported_drained : frozenset of str
+        Those of them that the store has; an older copy of it may lack some.
     in_force : callable
         Returns the newest listing known here, whichever daemon published it.
     numbering : ListNumbering
@@ -54,6 +61,8 @@
     era: int = 0
     revision: int = 0
     engines: tuple[Host, ...] = ()
+    drained: frozenset[str] = frozenset()
+    reported_drained: frozenset[str] = frozenset()
     members: tuple[Host, ...] = ()
     lapsed: dict[str, Host] = field(factory=dict)
     left: frozenset[str] = frozenset()
@@ -97,12 +106,15 @@
         self.revision = news.position.revision
         if news.is_complete:
             self._begin(known, news)
+        if news.drained is not None:
+            self._update_drained(news.drained, news.is_complete)
         if news.members is not None:
             self.members = news.members
         if news.engines is not None:
             self._update_engines(news.engines)
+        changes = (news.members, news.engines, news.drained)
         # A listing published before the servers are read would contain none.
-        if self.engines_known and (news.members is not None or news.engines is not None):
+        if self.engines_known and any(part is not None for part in changes):
             self._publish()
 
     def _begin(self, known: HostListing, news: StoreUpdate) -> None:
@@ -114,19 +126,36 @@
         if self.numbering.epoch != epoch:
             self.published_hosts = None
 
-    def _update_engines(self, listed: tuple[Host, ...]) -> None:
+    def _update_drained(self, reported: frozenset[str], is_complete: bool) -> None:
+        """Apply which domains the store says are drained; one just returned may lack some."""
+        self.reported_drained = reported
+        known = frozenset(host.domain for host in self.in_force().hosts if host.is_drained)
+        kept = known if is_complete and self._may_be_old() else frozenset()
+        self._drain(reported | kept)
+
+    def _drain(self, domains: frozenset[str]) -> None:
+        for domain in sorted(domains - self.drained):
+            logs.info("domain drained", domain=domain, revision=self.revision)
+        for domain in sorted(self.drained - domains):
+            logs.info("domain taken back", domain=domain, revision=self.revision)
+        self.drained = domains
+
+    def _update_engines(self, entries: tuple[Host, ...]) -> None:
         servers = (host for host in self.in_force().hosts if host.kind == HostKind.ENGINE)
-        before = {host.name: host for host in servers} | self.lapsed
-        now = {host.name for host in listed}
-        self._log_changes(before, listed)
+        before = {host.name: undrained(host) for host in servers} | self.lapsed
+        now = {host.name for host in entries}
+        self._log_changes(before, entries)
         missing = {name: host for name, host in before.items() if name not in now}
         self.lapsed = self._kept(missing)
-        self.left = self._still_leaving(before, listed)
-        self.engines, self.engines_known = listed, True
+        self.left = self._still_leaving(before, entries)
+        self.engines, self.engines_known = entries, True
 
     def expire(self) -> None:
-        """Remove servers that are still missing ``LAPSE_GRACE`` after the store returned."""
-        if not (self.lapsed or self.left) or self.store_is_away or self._may_be_old():
+        """Remove what is still missing ``LAPSE_GRACE`` after the store returned."""
+        is_settled = self.drained == self.reported_drained
+        if not (self.lapsed or self.left) and is_settled:
+            return
+        if self.store_is_away or self._may_be_old():
             return
         if self.lapsed:
             logs.info("servers gone", names=sorted(self.lapsed), why="missing after an outage")
@@ -135,6 +164,7 @@
                 "servers live again", names=sorted(self.left), why="so listed after an outage"
             )
         self.lapsed, self.left = {}, frozenset()
+        self._drain(self.reported_drained)
         self._publish()
 
     def _may_be_old(self) -> bool:
@@ -157,9 +187,13 @@
 
     def _servers(self) -> Iterator[Host]:
         """Yield the servers to publish."""
-        for host in self.engines:
-            yield evolve(host, state=HostState.LEAVING) if host.name in self.left else host
-        yield from self.lapsed.values()
+        for host in (*self.engines, *self.lapsed.values()):
+            if host.domain in self.drained and host.state == HostState.LIVE:
+                yield evolve(host, state=HostState.LEAVING, is_drained=True)
+            elif host.name in self.left:
+                yield evolve(host, state=HostState.LEAVING)
+            else:
+                yield host
 
     def _log_changes(self, before: dict[str, Host], listed: tuple[Host, ...]) -> None:
         for host in listed:
@@ -180,3 +214,8 @@
         # Listings of one revision differ only in the entries that have expired since.
         version = self.numbering.next_version(self.revision)
         self.publish(HostListing(version, hosts, self.numbering.epoch))
+
+
+def undrained(host: Host) -> Host:
+    """Return a published server as its entry has it, whether its domain is drained or not."""
+    return evolve(host, state=HostState.LIVE, is_drained=False) if host.is_drained else host
--- a/papayacourse/routed/fleetview.py
+++ b/papayacourse/routed/fleetview.py
@@ -77,6 +77,11 @@
         """Yield the backend servers of a service."""
         return iter(self.membership.hosts.by_service.get(service, ()))
 
+    def is_drained(self, name: str) -> bool:
+        """Return True if a host is of a failure domain that the operator drains."""
+        host = self.host(name)
+        return host is not None and host.is_drained
+
     def stays(self, name: str) -> bool:
         """Return True if a host is listed and not leaving."""
         host = self.host(name)
--- a/papayacourse/routed/migration/emptying.py
+++ b/papayacourse/routed/migration/emptying.py
@@ -1,4 +1,4 @@
-"""Moves the runs of one leaving engine to engines that stay."""
+"""Moves the runs of an engine that leaves or is drained to engines that stay."""
 
 import asyncio
 import math
@@ -18,6 +18,7 @@
 
 WAIT_STEP = 0.1  # seconds between checks for runs still to be moved
 NO_ROOM_BACKOFF = 0.2  # back-off in seconds after no engine had room
+DRAINED_NO_ROOM_BACKOFF = 1.0  # seconds; the engine serves on, so that nothing is lost meanwhile
 TARGETS_TRIED = 3
 DEFAULT_NOTICE = 1.4  # seconds from notice to shutdown, if the engine reports no time
 REPORT_AGE = 0.5  # seconds by which an engine's report may be out of date
@@ -42,7 +43,8 @@
     since : float
         When it became known that the engine is leaving, in seconds of the monotonic clock.
     ends_at : float
-        When the engine is expected to stop, in seconds of the monotonic clock.
+        When the engine is expected to stop, in seconds of the monotonic clock; infinite for one
+        that serves on in a drained domain.
     move_starts : dict of str to float
         When each run's move starts, by run id, in seconds of the monotonic clock.
     reports_end : bool
@@ -88,6 +90,11 @@
         """Return the expected time in seconds until the engine stops."""
         return self.ends_at - time.monotonic()
 
+    def _serves_on(self) -> bool:
+        """Return True if the engine's domain is drained, and the engine itself is not leaving."""
+        name = self.engine.name
+        return self.fleet.is_drained(name) and not self.fleet.notices.is_leaving(name)
+
     def _outlives_notice(self) -> bool:
         """Return True if the engine still runs past the default notice, and reports no end."""
         return not self.reports_end and self._left() < 0
@@ -124,6 +131,8 @@
         self.reports_end = report.leaves_in is not None
         if self.reports_end:
             self.ends_at = time.monotonic() + report.leaves_in - REPORT_AGE
+        elif self._serves_on():
+            self.ends_at = math.inf
         else:
             self.ends_at = self.since + DEFAULT_NOTICE
 
@@ -149,7 +158,8 @@
         try:
             await move.run(targets)
         except BackendNoRoom:
-            self.move_starts[generation.run_id] = time.monotonic() + NO_ROOM_BACKOFF
+            backoff = DRAINED_NO_ROOM_BACKOFF if self._serves_on() else NO_ROOM_BACKOFF
+            self.move_starts[generation.run_id] = time.monotonic() + backoff
         except BackendError:
             generation.unmovable = True
 
--- a/papayacourse/routed/migration/failover.py
+++ b/papayacourse/routed/migration/failover.py
@@ -32,7 +32,7 @@
         generation.copy = None
         if not can_resume_after(generation.last_id):
             raise generation.broken(f"{why}; no event has an id that can be sent")
-        if standby is not None and generation.fleet.is_listed(standby.host.name):
+        if standby is not None and self._may_continue_at(standby.host):
             return await self._resume_at(standby, why)
         if not generation.may_restart():
             raise generation.broken(why)
@@ -60,10 +60,15 @@
     def _copy_target(self) -> Host | None:
         """Return the engine to copy the run to: that which has a copy already, if any."""
         generation = self.generation
-        if generation.copy is not None and generation.fleet.is_listed(generation.copy.host.name):
+        if generation.copy is not None and self._may_continue_at(generation.copy.host):
             return generation.copy.host
         return generation.fleet.best_move_target(generation.engine, generation.request.service)
 
+    def _may_continue_at(self, host: Host) -> bool:
+        """Return True if a run may continue on an engine: a drained one gets no request."""
+        fleet = self.generation.fleet
+        return fleet.is_listed(host.name) and not fleet.is_drained(host.name)
+
     async def _resume_at(self, standby: Standby, why: str) -> Resume:
         generation, fleet = self.generation, self.generation.fleet
         if not fleet.budget.try_spend(generation.admitted.service, "resume"):
--- a/papayacourse/routed/seams.py
+++ b/papayacourse/routed/seams.py
@@ -268,6 +268,8 @@
         The encoded settings document.
     strikes : tuple of Strike or None
         All strikes that daemons have stored.
+    drained : frozenset of str or None
+        The failure domains that the operator drains.
     """
 
     position: StorePosition
@@ -276,11 +278,12 @@
     engines: tuple[Host, ...] | None = None
     members: tuple[Host, ...] | None = None
     strikes: tuple[Strike, ...] | None = None
+    drained: frozenset[str] | None = None
 
     @property
     def has_changes(self) -> bool:
         """Return True if anything is new."""
-        parts = (self.document, self.engines, self.members, self.strikes)
+        parts = (self.document, self.engines, self.members, self.strikes, self.drained)
         return any(part is not None for part in parts)
 
 
--- a/papayacourse/serverreach.py
+++ b/papayacourse/serverreach.py
@@ -12,7 +12,7 @@
 from papayacourse.exceptions import BackendUnreachable
 from papayacourse.httpcall import connect
 from papayacourse.ticks import next_tick
-from papayacourse.types import Address, Host, HostState
+from papayacourse.types import Address, Host
 
 CONNECT_TIMEOUT = 0.4  # seconds; a handshake between regions takes 30 ms
 RECENT_CONTACT = 0.2  # seconds after a connection in which a failed one means nothing
@@ -139,7 +139,7 @@
 
     def _sample(self) -> list[Host]:
         """Return some servers; the first ones are of many services and failure domains."""
-        live = [server for server in self.servers() if server.state == HostState.LIVE]
+        live = [server for server in self.servers() if not server.leaves()]
         random.shuffle(live)
         by_place = {(server.service, server.domain): server for server in live}
         first = list(by_place.values())
--- a/papayacourse/types.py
+++ b/papayacourse/types.py
@@ -92,6 +92,9 @@
         The name that a backend server reports for itself, if it differs from ``name``.
     slots : int
         Requests that a backend server runs concurrently; 0 if unknown.
+    is_drained : bool
+        Whether the operator drains its failure domain. Its state is then ``LEAVING``, which daemons
+        of earlier builds understand, although the server itself goes on.
     """
 
     name: str
@@ -104,6 +107,11 @@
     service: str = ""
     instance: str = ""
     slots: int = 0
+    is_drained: bool = False
+
+    def leaves(self) -> bool:
+        """Return True if a backend server itself is leaving; those of a drained domain go on."""
+        return self.state == HostState.LEAVING and not self.is_drained
 
 
 @frozen
--- /dev/null
+++ b/tests/features/steps/routeddrained_steps.py
@@ -0,0 +1,193 @@
+"""Steps about failure domains that the operator drains."""
+
+import time
+
+import xxhash
+from attrs import astuple, evolve
+from behave import given, then, when
+from routed_steps import SOON, fleet_of
+from routedmoves_steps import add_engine, leaving_engine
+from routedparts_steps import empty_directory, server, update
+from userplatform.storeclient import Item, Items
+from userplatform.storeview import DRAINED, StoreContent
+
+from papayacourse.hostchanges import host_digest
+from papayacourse.types import HostState
+from standins.fleet import wait_until
+from tests.steptext import names_in
+
+REGIONS = {"lagos": "lagos", "kano": "kano"}
+
+
+# The directory.
+
+
+@given('a directory of "{here}" with "{one}" and of "{there}" with "{two}"')
+def directory_of_two(context, here, one, there, two):
+    empty_directory(context)
+    context.entries = {
+        one: evolve(server(one), domain=here), two: evolve(server(two), domain=there)
+    }  # fmt: skip
+    update(context, engines=tuple(context.entries.values()), drained=frozenset())
+
+
+@when('the operator drains "{domains}"')
+def operator_drains(context, domains):
+    update(context, drained=frozenset(names_in(domains)))
+
+
+@when("the operator drains nothing")
+def operator_drains_nothing(context):
+    update(context, drained=frozenset())
+
+
+@when('"{name}" says that it leaves')
+def entry_leaves(context, name):
+    context.entries[name] = evolve(context.entries[name], state=HostState.LEAVING)
+    update(context, engines=tuple(context.entries.values()))
+
+
+@when("the store comes back from an older copy, without the drain")
+def store_forgets_drain(context):
+    context.directory.record_store_failure("a test")
+    context.clock.now += 1
+    context.era, context.revision = context.era + 1, 0
+    engines = tuple(context.entries.values())
+    update(context, engines=engines, members=(), drained=frozenset(), is_complete=True)
+
+
+@when('the whole store is read, with "{name}" in "{domain}", while "{drained}" is drained')
+def whole_read_drained(context, name, domain, drained):
+    engines = (evolve(server(name), domain=domain),)
+    update(context, engines=engines, members=(), drained=frozenset({drained}), is_complete=True)
+
+
+@when('the store is away for {seconds:g} s, and comes back without "{name}"')
+def store_lacks(context, seconds, name):
+    context.directory.record_store_failure("a test")
+    context.clock.now += seconds
+    del context.entries[name]
+    update(context, engines=tuple(context.entries.values()))
+
+
+def published(context) -> dict:
+    """Return the state of each published host, and whether it is drained."""
+    hosts = context.published[-1].hosts
+    return {host.name: (host.state, host.is_drained) for host in hosts}
+
+
+@then('"{one}" is published as drained, and "{two}" as live')
+def one_drained(context, one, two):
+    found = published(context)
+    assert found == {one: (HostState.LEAVING, True), two: (HostState.LIVE, False)}, found
+
+
+@then('"{names}" are published as live')
+def all_live(context, names):
+    found = published(context)
+    assert found == dict.fromkeys(names_in(names), (HostState.LIVE, False)), found
+
+
+@then('"{names}" are published as drained')
+def all_drained(context, names):
+    found = published(context)
+    assert found == dict.fromkeys(names_in(names), (HostState.LEAVING, True)), found
+
+
+@then('"{name}" is published as leaving')
+def one_leaves(context, name):
+    assert published(context)[name] == (HostState.LEAVING, False), published(context)
+
+
+@then('keys of the domains "{names}" with odd values drain "{drained}" only')
+def odd_keys(context, names, drained):
+    values = (b"", b"{", b"\xff" * 9)
+    items = [Item(DRAINED + name, v, 7) for name, v in zip(names_in(names), values, strict=True)]
+    update = StoreContent(REGIONS, 1).apply(Items(tuple(items), 7))
+    assert update.drained == {drained}, update
+
+
+@then("the hash of a host is that of daemons without drained domains, unless it is drained")
+def hash_of_host(context):
+    host = server("one")
+    before = xxhash.xxh3_64_intdigest("\0".join(map(str, astuple(host)[:-1])).encode())
+    assert host_digest(host) == before
+    assert host_digest(evolve(host, is_drained=True)) != before
+
+
+# The runs on a drained engine.
+
+
+@given('an engine of a drained domain, with run "{names}" of {tokens:d} tokens in its report')
+@given('an engine of a drained domain, with runs "{names}" of {tokens:d} tokens in its report')
+def drained_engine(context, names, tokens):
+    leaving_engine(context, names, tokens)
+    context.fleet_view.drains = True
+
+
+@given('an engine "{name}" in another region that has room after {seconds:g} s')
+def far_engine_later(context, name, seconds):
+    add_engine(context, name, "kano", seconds)
+
+
+# Real daemons.
+
+
+@when('the operator writes that "{domain}" is drained')
+def write_drained(context, domain):
+    fleet_of(context).write({f"op/evacuate/{domain}": {}})
+
+
+@when('the operator writes that "{domain}" is taken back')
+def write_taken_back(context, domain):
+    fleet_of(context).write({f"op/evacuate/{domain}": None})
+
+
+@when('all of "{names}" are killed and started again')
+def kill_all(context, names):
+    routed = fleet_of(context)
+    for name in names_in(names):
+        context.fleet.processes[name].kill()
+    for name in names_in(names):
+        routed.start(name)
+    for name in names_in(names):
+        wait_until(f"{name} is ready", lambda name=name: routed.readiness(name) == 200, SOON)
+
+
+@then('"{engine}" gets nothing for {seconds:g} s of calls through "{names}"')
+def gets_nothing(context, engine, seconds, names):
+    routed = fleet_of(context)
+    before, end = len(routed.runs(engine)), time.monotonic() + seconds
+    while time.monotonic() < end:
+        for name in names_in(names):
+            assert routed.ask(name, "GET", "/view/1").status == 200
+    assert len(routed.runs(engine)) == before
+
+
+def drained_servers(context, name: str) -> float:
+    """Return how many servers of drained domains a daemon's metrics count."""
+    lines = fleet_of(context).metrics(name).splitlines()
+    metric = "papayacourse_servers_drained"
+    (value,) = [line.split()[-1] for line in lines if line.startswith(metric)]
+    return float(value)
+
+
+@then('the metrics of "{name}" count {count:d} drained servers')
+def counts_drained(context, name, count):
+    assert drained_servers(context, name) == count, drained_servers(context, name)
+
+
+@when('"{name}" has learned of {count:d} drained servers')
+def learned_drained(context, name, count):
+    wait_until("it has learned", lambda: drained_servers(context, name) == count, SOON)
+
+
+@then(
+    'a second plan through "{name}" is answered {status:d} within {most:g} s, with a time to return'
+)
+def second_plan_refused(context, name, status, most):
+    began = time.monotonic()
+    answer = fleet_of(context).ask(name, "POST", "/plans/2", **{"X-Token-Counts": "1000,5"})
+    assert answer.status == status, (answer.status, answer.body)
+    assert time.monotonic() - began < most, time.monotonic() - began
+    assert float(answer.headers["retry-after"]) > 0 and answer.json["ran"] == "no", answer
--- a/tests/features/steps/routedmoves_steps.py
+++ b/tests/features/steps/routedmoves_steps.py
@@ -9,6 +9,7 @@
 from papayacourse.linkclasses import Place
 from papayacourse.routed.document import EngineCapacity
 from papayacourse.routed.migration.emptying import Emptying
+from papayacourse.routed.notices import EngineNotices
 from papayacourse.routed.seams import CopyResult, EngineRuns, RunState
 from papayacourse.types import Host, HostKind
 from tests.limitfleet import NoLimits
@@ -80,7 +81,13 @@
     def __init__(self):
         self.engine_calls = Engines()
         self.limiter = NoLimits()
+        self.notices = EngineNotices()
         self.others = []
+        self.drains = False
+
+    def is_drained(self, _name) -> bool:
+        """Tell whether the engine's domain is drained."""
+        return self.drains
 
     def move_targets(self, _engine, _service) -> list[Host]:
         """Return the other engines, the nearest first."""
--- a/tests/features/steps/routedstoreanswers_steps.py
+++ b/tests/features/steps/routedstoreanswers_steps.py
@@ -128,7 +128,7 @@
 def random_answers(context, count):
     def check(answer) -> None:
         client = CannedStore(encoded(answer))
-        for call in (client.range("s"), client.item("s"), first_watched(client)):
+        for call in (client.range("s"), first_watched(client)):
             try:
                 found = asyncio.run(call)
             except PlatformError as error:
