Serve, copy and relay requests in their home regions only

Change: AdmittedRequest.homes() is asked by all that sends, relays, copies or continues, and reads the document in force. A daemon outside the homes, or in a drained domain, asks the other domains again until a place comes free (RemoteSearch), instead of being refused after two of them.

--- a/papayacourse/placement.py
+++ b/papayacourse/placement.py
@@ -132,9 +132,16 @@
             message = stream_ended(asked.generation, "", 0, "never_started", asked.cell)
             await self._send_end(asked.owner, message)
 
-    async def place(self, request: GrantRequest) -> Place:
+    async def place(
+        self, request: GrantRequest, may_use: Callable[[str], bool] = lambda _region: True
+    ) -> Place:
         """Request a place and wait until it is granted.
 
+        Parameters
+        ----------
+        may_use : callable
+            Returns True for the regions whose other failure domains may be asked.
+
         Raises
         ------
         RequestRefused
@@ -147,7 +154,7 @@
         answer = None
         try:
             while True:
-                answer = await self._ask_with_spill(request)
+                answer = await self._ask_with_spill(request, may_use)
                 if isinstance(answer, Queued):
                     answer = await self._wait(stream)
                 if isinstance(answer, NotScheduler):
@@ -185,7 +192,9 @@
         answer = self.waiting[stream]
         return answer.result() if await is_done_within(answer, REASK_INTERVAL) else None
 
-    async def _ask_with_spill(self, request: GrantRequest) -> Answer:
+    async def _ask_with_spill(
+        self, request: GrantRequest, may_use: Callable[[str], bool]
+    ) -> Answer:
         """Ask this failure domain, then others if that saves more time than the link costs."""
         without_prompt = evolve(request, generation=evolve(request.generation, prompt=""))
         answer = await self._ask_here(without_prompt)
@@ -194,7 +203,8 @@
             return await self._join_other_domain(request, answer) if no_place else answer
         if isinstance(answer, Granted):
             return answer
-        placed = await self.spill.place(without_prompt, implied_wait(answer, request.wait_limit))
+        wait = implied_wait(answer, request.wait_limit)
+        placed = await self.spill.place(without_prompt, wait, may_use)
         if placed is None:
             return answer
         await self.release_grant(request.generation)
--- a/papayacourse/routed/admitted.py
+++ b/papayacourse/routed/admitted.py
@@ -9,7 +9,9 @@
 
 from papayacourse.exceptions import RequestRefused
 from papayacourse.routed.document import Account, Document, Route
+from papayacourse.routed.homes import Homes
 from papayacourse.routed.seams import Call
+from papayacourse.types import Host
 
 NO_SETTINGS_RETRY_AFTER = 1.0  # seconds
 STOPPING_RETRY_AFTER = 0.1  # seconds; another daemon can serve the request at once
@@ -27,6 +29,8 @@
         The version of the settings document that admitted it.
     may_begin : callable
         Returns False if a planned stop leaves too little time to send it to a server.
+    document_in_force : callable
+        Returns the newest settings document, whose home regions hold also for admitted requests.
     """
 
     call: Call
@@ -37,6 +41,7 @@
     version: int
     received_at: float = field(factory=time.monotonic)
     may_begin: Callable[[], bool] = lambda: True
+    document_in_force: Callable[[], Document | None] = lambda: None
 
     @property
     def account_name(self) -> str:
@@ -69,6 +74,19 @@
         """Return the names of the parts that prompts of others may hold: all but the last."""
         return self.part_names[:-1]
 
+    def homes(self) -> Homes:
+        """Return the regions in which it may be served by the settings now in force."""
+        document, route, account = self.document_in_force(), self.route, self.account
+        if document is not None:
+            route = document.by_route_name.get(route.name, route)
+        if document is not None and account is not None:
+            account = document.by_account_name.get(account.name, account)
+        return route.homes.within(account.homes) if account else route.homes
+
+    def may_go_to(self, server: Host) -> bool:
+        """Return True if its home regions allow a server."""
+        return self.homes().allow(server.region)
+
     def time_left(self) -> float:
         """Return the time until the deadline, in seconds."""
         return self.deadline - time.monotonic()
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -30,7 +30,7 @@
 from papayacourse.routed.derived import TEAM, derived_catalog, update_catalog
 from papayacourse.routed.directory import HostDirectory
 from papayacourse.routed.document import CallerLimits, Document, EngineCapacity
-from papayacourse.routed.documents import Documents
+from papayacourse.routed.documents import Documents, log_unknown_homes
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.front import Frontend
 from papayacourse.routed.keptstrikes import StoredStrikes
@@ -354,6 +354,7 @@
     def _news(self, document: Document) -> None:
         """Put a newer document in force."""
         update_catalog(self.catalog, document, TEAM)
+        log_unknown_homes(document, self.config.regions.values())
         self.server.conn_params.header_timeout = document.limits.idle_time
 
     def _hosts_changed(self) -> None:
--- a/papayacourse/routed/document.py
+++ b/papayacourse/routed/document.py
@@ -5,6 +5,8 @@
 
 from attrs import field, frozen
 
+from papayacourse.routed.homes import ANYWHERE, Homes
+
 DEFAULT_COPY_RATE = 10_000.0  # tokens per second, if the document sets none
 
 
@@ -46,6 +48,8 @@
         Whether requests without an account's key are accepted.
     resumable : bool
         Whether an interrupted stream may continue as a new run after its last event.
+    homes : Homes
+        The regions in which its requests may be served.
     """
 
     name: str
@@ -60,6 +64,7 @@
     max_engines: int = 1
     anonymous: bool = False
     resumable: bool = False
+    homes: Homes = ANYWHERE
 
     def service(self) -> str:
         """Choose the service of a new request at random by weight."""
@@ -112,6 +117,8 @@
         Whether its name can be sent to backend servers exactly as it is.
     unusable_keys : int
         How many further keys it has that no caller can send.
+    homes : Homes
+        The regions in which its requests may be served.
     """
 
     name: str
@@ -119,6 +126,7 @@
     rank: int | None = None
     can_be_sent: bool = True
     unusable_keys: int = 0
+    homes: Homes = ANYWHERE
 
 
 @frozen
@@ -152,6 +160,8 @@
     needs_accounts: bool = False
     by_host: dict[str, list[Route]] = field(init=False, repr=False, eq=False)
     by_key: dict[str, Account] = field(init=False, repr=False, eq=False)
+    by_route_name: dict[str, Route] = field(init=False, repr=False, eq=False)
+    by_account_name: dict[str, Account] = field(init=False, repr=False, eq=False)
 
     @by_host.default
     def _routes_by_host(self) -> dict[str, list[Route]]:
@@ -164,6 +174,14 @@
     def _accounts_by_key(self) -> dict[str, Account]:
         return {key: account for account in self.accounts for key in account.keys}
 
+    @by_route_name.default
+    def _routes_by_name(self) -> dict[str, Route]:
+        return {route.name: route for route in self.routes}
+
+    @by_account_name.default
+    def _accounts_by_name(self) -> dict[str, Account]:
+        return {account.name: account for account in self.accounts}
+
     def route(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest prefix that matches a path."""
         routes = self.by_host.get(host.lower()) or self.by_host.get(without_port(host).lower(), [])
--- a/papayacourse/routed/documents.py
+++ b/papayacourse/routed/documents.py
@@ -2,7 +2,7 @@
 
 import time
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from attrs import define, field
 
@@ -125,6 +125,16 @@
             logs.error("document not readable", source=f"peer {name}", why=str(error))
 
 
+def log_unknown_homes(document: Document, regions: Collection[str]) -> None:
+    """Log the home regions that no failure domain is in; nothing is served there."""
+    holders = (*document.routes, *document.accounts)
+    named = {region for holder in holders for region in holder.homes.regions or ()}
+    unknown = sorted(named - set(regions))
+    if unknown:
+        shown = [name[:MAX_LOGGED_NAME] for name in unknown[:MAX_LOGGED_NAMES]]
+        logs.warning("home regions not known", regions=shown, count=len(unknown))
+
+
 def log_refused_accounts(document: Document) -> None:
     """Log which accounts get no answers because their names cannot be sent."""
     names = [account.name for account in document.accounts if not account.can_be_sent]
--- a/papayacourse/routed/fleetview.py
+++ b/papayacourse/routed/fleetview.py
@@ -17,6 +17,7 @@
 from papayacourse.routed.budget import FleetRetryBudget
 from papayacourse.routed.derived import TEAM
 from papayacourse.routed.document import EngineCapacity
+from papayacourse.routed.homes import ANYWHERE, Homes
 from papayacourse.routed.notices import EngineNotices
 from papayacourse.routed.seams import EngineCalls, RequestCodec
 from papayacourse.routed.sendlimiter import SendLimiter
@@ -104,21 +105,28 @@
         """Return True if a run can be copied between two engines within a stop notice."""
         return self.reach(engine, other) != LinkClass.OTHER_REGION
 
-    def others(self, engine: Host, service: str) -> list[Host]:
-        """Return the other engines of a service that accept work."""
+    def others(self, engine: Host, service: str, homes: Homes = ANYWHERE) -> list[Host]:
+        """Return the other engines of a service that accept work, in some regions."""
         return [
             host
             for host in self.servers(service)
-            if host.name != engine.name and self.notices.takes_work(host)
+            if host.name != engine.name
+            and homes.allow(host.region)
+            and self.notices.takes_work(host)
         ]
 
-    def move_targets(self, engine: Host, service: str) -> list[Host]:
+    def move_targets(self, engine: Host, service: str, homes: Homes = ANYWHERE) -> list[Host]:
         """Return the engines to move a run to: near ones first, then those with near peers.
 
         Engines with a limit come last, since a run that arrives may have to wait for permission.
+
+        Parameters
+        ----------
+        homes : Homes
+            The regions that the run may be moved to.
         """
         return sorted(
-            self.others(engine, service),
+            self.others(engine, service, homes),
             key=lambda host: (
                 self.notices.limits.rate(host.name) is not None,
                 LINK_CLASSES_NEAREST_FIRST.index(self.reach(engine, host)),
@@ -127,21 +135,23 @@
             ),
         )
 
-    def best_move_target(self, engine: Host, service: str) -> Host | None:
+    def best_move_target(self, engine: Host, service: str, homes: Homes = ANYWHERE) -> Host | None:
         """Return the best engine to move a run to, or None."""
-        return next(iter(self.move_targets(engine, service)), None)
+        return next(iter(self.move_targets(engine, service, homes)), None)
 
     def has_near_target(self, engine: Host, service: str) -> bool:
         """Return True if a run can be moved from an engine within its stop notice."""
         return any(self.is_near(engine, host) for host in self.others(engine, service))
 
-    def safer_domains(self, service: str) -> list[str]:
-        """Return the failure domains to prefer for long runs, the nearest first.
+    def safer_domains(self, admitted: AdmittedRequest) -> list[str]:
+        """Return the failure domains to prefer for a long run, the nearest first.
 
         The region of such a domain has room to take over the runs of any one of its engines. The
         list is empty if the region of this domain has that room itself.
         """
-        engines = [host for host in self.servers(service) if self.is_live(host)]
+        service, homes = admitted.service, admitted.homes()
+        listed = (host for host in self.servers(service) if homes.allow(host.region))
+        engines = [host for host in listed if self.is_live(host)]
         spare = spare_regions(
             engines, lambda domain: self.loads(domain, service), self.shape(service).memory_tokens
         )
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -219,7 +219,8 @@
         logs.info(
             "request ended", end=outcome.end, why=outcome.why, reason=outcome.reason,
             status=outcome.status, ran=outcome.ran, route=route, account=account,
-            service=admitted.service if admitted else "", seconds=round(seconds, 3),
+            service=admitted.service if admitted else "",
+            homes=admitted.homes().names() if admitted else None, seconds=round(seconds, 3),
             fingerprint=admitted.fingerprint if admitted else "",
             parts=admitted.part_names[:MAX_LOGGED_PARTS] if admitted else (),
             relayed_to=outcome.relayed_to,
--- a/papayacourse/routed/migration/copying.py
+++ b/papayacourse/routed/migration/copying.py
@@ -66,6 +66,7 @@
         """Return True if the engine with the copy stays and has memory for it."""
         return (
             self.fleet.stays(host.name)
+            and self.generation.admitted.may_go_to(host)
             and await self._memory_fraction(host) <= MAX_MEMORY_FRACTION_KEPT_COPY
         )
 
@@ -74,7 +75,8 @@
 
         A first copy to another region would occupy links that moves of other runs need.
         """
-        found = self.fleet.move_targets(self.source, self.generation.request.service)
+        service, homes = self.generation.request.service, self.generation.admitted.homes()
+        found = self.fleet.move_targets(self.source, service, homes)
         near = [host for host in found if self.fleet.is_near(self.source, host)]
         return near[:TARGETS_ASKED]
 
--- a/papayacourse/routed/migration/emptying.py
+++ b/papayacourse/routed/migration/emptying.py
@@ -154,7 +154,7 @@
 
     async def _move(self, generation: Generation) -> None:
         move = Move(self.fleet, self.engine, generation)
-        targets = self._targets()
+        targets = self._targets(generation)
         try:
             await move.run(targets)
         except BackendNoRoom:
@@ -163,13 +163,16 @@
         except BackendError:
             generation.unmovable = True
 
-    def _targets(self) -> list[Host]:
+    def _targets(self, generation: Generation) -> list[Host]:
         """Return the engines to ask for room: those of the region, or others if it has none.
 
+        They are in the home regions of the run.
+
         If little time is left, a copy to another region would not arrive, and it would delay
         the retry within the region.
         """
-        found = self.fleet.move_targets(self.engine, self.service)
+        homes = generation.admitted.homes()
+        found = self.fleet.move_targets(self.engine, self.service, homes)
         near = [host for host in found if self.fleet.is_near(self.engine, host)]
         far_arrives = self._left() > MIN_REGION_COPY or self._outlives_notice()
         return (found if far_arrives else near or found)[:TARGETS_TRIED]
--- a/papayacourse/routed/migration/failover.py
+++ b/papayacourse/routed/migration/failover.py
@@ -62,12 +62,15 @@
         generation = self.generation
         if generation.copy is not None and self._may_continue_at(generation.copy.host):
             return generation.copy.host
-        return generation.fleet.best_move_target(generation.engine, generation.request.service)
+        return generation.fleet.best_move_target(
+            generation.engine, generation.request.service, generation.admitted.homes()
+        )
 
     def _may_continue_at(self, host: Host) -> bool:
-        """Return True if a run may continue on an engine: a drained one gets no request."""
-        fleet = self.generation.fleet
-        return fleet.is_listed(host.name) and not fleet.is_drained(host.name)
+        """Return True if the run may continue on an engine: one listed, not drained, at home."""
+        fleet, admitted = self.generation.fleet, self.generation.admitted
+        is_open = fleet.is_listed(host.name) and not fleet.is_drained(host.name)
+        return is_open and admitted.may_go_to(host)
 
     async def _resume_at(self, standby: Standby, why: str) -> Resume:
         generation, fleet = self.generation, self.generation.fleet
--- a/papayacourse/routed/placing.py
+++ b/papayacourse/routed/placing.py
@@ -8,6 +8,7 @@
 from papayacourse import logs
 from papayacourse.routed.admitted import AdmittedRequest
 from papayacourse.routed.fleetview import FleetView
+from papayacourse.routed.remoteplacing import RemoteSearch
 from papayacourse.routed.sending import no_opening_refusal
 from papayacourse.schedulingmessages import Granted, GrantRequest
 from papayacourse.types import GenerationRequest, Host
@@ -61,19 +62,29 @@
             await self.fleet.placement.release_grant(self.request)
 
     async def _may_send(self, host: Host) -> bool:
-        return self.fleet.notices.takes_work(host) and await self.fleet.limiter.admit(host)
+        is_open = self.fleet.notices.takes_work(host) and self.admitted.may_go_to(host)
+        return is_open and await self.fleet.limiter.admit(host)
+
+    def _servers(self) -> list[Host]:
+        """Return the engines of the service in the request's home regions."""
+        homes = self.admitted.homes()
+        servers = self.fleet.servers(self.admitted.service)
+        return [host for host in servers if homes.allow(host.region)]
 
     def _refuse_if_none_opens(self) -> None:
         """Refuse the request at once if no engine of its service can be sent a request now."""
-        servers = self.fleet.servers(self.admitted.service)
-        refusal = no_opening_refusal(self.fleet.notices, servers, self.admitted.time_left())
+        time_left = self.admitted.time_left()
+        refusal = no_opening_refusal(self.fleet.notices, self._servers(), time_left)
         if refusal is not None:
             raise refusal
 
     def _excluded(self) -> tuple[str, ...]:
-        """Return the engines that the schedulers must not grant."""
-        servers = self.fleet.servers(self.admitted.service)
-        unavailable = {host.name for host in servers if not self.fleet.notices.takes_work(host)}
+        """Return the engines that the schedulers must not grant.
+
+        Those of drained domains are left out: their schedulers know it, and there may be many.
+        """
+        listed = (host for host in self._servers() if not host.is_drained)
+        unavailable = {host.name for host in listed if not self.fleet.notices.takes_work(host)}
         return tuple(sorted(self.refused | unavailable))
 
     async def _request_grant(self, is_long: bool) -> Granted:
@@ -81,17 +92,30 @@
         ask = GrantRequest(self.request, limit, self._excluded())
         asked_at = time.monotonic()
         grant = await self._request_safer_grant(ask) if is_long else None
-        grant = grant or await self.fleet.placement.place(ask)
+        grant = grant or await self._place(ask)
         waited = time.monotonic() - asked_at
         logs.info("placed", engine=grant.engine, waited=round(waited, 3), is_long=is_long)
         return grant
 
+    async def _place(self, ask: GrantRequest) -> Granted:
+        """Return a place of this failure domain's scheduler, or else of another domain's."""
+        if not self._may_be_served_here():
+            return await RemoteSearch(self.fleet, self.admitted).find(ask)
+        return await self.fleet.placement.place(ask, self.admitted.homes().allow)
+
+    def _may_be_served_here(self) -> bool:
+        """Return False if homes exclude this region, or the operator drains this domain."""
+        here = self.fleet.here
+        servers = self.fleet.servers(self.admitted.service)
+        is_drained = any(host.is_drained for host in servers if host.domain == here.domain)
+        return not is_drained and self.admitted.homes().allow(here.region)
+
     async def _request_safer_grant(self, ask: GrantRequest) -> Granted | None:
         """Request a grant in a failure domain whose engines' runs can be moved nearby.
 
         Returns None if there is none.
         """
-        domains = self.fleet.safer_domains(self.admitted.service)
+        domains = self.fleet.safer_domains(self.admitted)
         grant = await self.fleet.placement.place_in(domains, ask) if domains else None
         if domains and grant is None:
             logs.info("no grant in a safer domain", domains=domains)
--- a/papayacourse/routed/plaincall.py
+++ b/papayacourse/routed/plaincall.py
@@ -102,8 +102,10 @@
         return host
 
     def _choose(self) -> Host | None:
-        hosts = filter(self.notices.takes_work, self.hosts)
-        return self.choice.choose(hosts, self.tried, self._suspect())
+        homes = self.admitted.homes()
+        hosts = (host for host in self.hosts if homes.allow(host.region))
+        open_hosts = filter(self.notices.takes_work, hosts)
+        return self.choice.choose(open_hosts, self.tried, self._suspect())
 
     def _suspect(self) -> str:
         """Return the request's fingerprint if a server died while running it, else an empty one."""
@@ -187,8 +189,9 @@
             late = self.admitted.time_left() <= 0
             return RequestRefused(504 if late else 502, "answer_lost", self.last_error, Ran.UNKNOWN)
         self.admitted.check_begin()
-        refusal = no_opening_refusal(self.notices, self.hosts, self.admitted.time_left())
+        allowed = [host for host in self.hosts if self.admitted.may_go_to(host)]
+        refusal = no_opening_refusal(self.notices, allowed, self.admitted.time_left())
         if refusal is not None:
             return refusal
-        why = self.last_error or "no server of the service is listed"
+        why = self.last_error or "no server of the service that may serve it takes work"
         return RequestRefused(503, "no_server", why, retry_after=RETRY_AFTER)
--- a/papayacourse/routed/relaying.py
+++ b/papayacourse/routed/relaying.py
@@ -26,6 +26,7 @@
     RelayRequest,
 )
 from papayacourse.routed.exchange import Exchange
+from papayacourse.routed.homes import ANYWHERE, Homes
 from papayacourse.routed.partqueue import PartQueue
 from papayacourse.routed.relayedexchange import RelayedExchange
 from papayacourse.routed.sendhistory import NOT_EXECUTED_STATUSES, Send
@@ -90,13 +91,20 @@
         fits = len(exchange.body) <= MAX_RELAYED_BODY
         return self.reach.is_cut_off and exchange.may_relay and fits
 
-    def candidates(self) -> list[str]:
+    def candidates(self, homes: Homes = ANYWHERE) -> list[str]:
         """Return the daemons to ask, the nearest first, and last those that take no duties.
 
         A daemon that stops takes none, but serves new requests during its notice.
+
+        Parameters
+        ----------
+        homes : Homes
+            The regions that the body of the request may be sent to. That of this daemon is not
+            among them by itself: the caller may be elsewhere.
         """
         here = Place(self.membership.me.domain, self.membership.me.region)
-        able = [member for member in self.membership.members.values() if self._may_ask(member)]
+        members = (m for m in self.membership.members.values() if homes.allow(m.region))
+        able = [member for member in members if self._may_ask(member)]
         random.shuffle(able)
         able.sort(key=lambda m: LINK_CLASSES_NEAREST_FIRST.index(here.link_to(m.domain, m.region)))
         able.sort(key=self.membership.may_take_duties, reverse=True)
@@ -112,13 +120,15 @@
 
     # This daemon reaches no server.
 
-    async def relay(self, exchange: Exchange, may_repeat: bool) -> str:
+    async def relay(self, exchange: Exchange, may_repeat: bool, homes: Homes = ANYWHERE) -> str:
         """Serve a request through another daemon; returns which.
 
         Parameters
         ----------
         may_repeat : bool
             Whether the request may run more than once.
+        homes : Homes
+            The regions in which it may be served.
 
         Raises
         ------
@@ -127,7 +137,7 @@
         RelayBroken
             When the answer breaks off after part of it was sent to the caller.
         """
-        for name in self.candidates():
+        for name in self.candidates(homes):
             try:
                 if await self._relay_to(name, exchange):
                     return name
--- a/papayacourse/routed/router.py
+++ b/papayacourse/routed/router.py
@@ -69,6 +69,7 @@
         admitted = admit(self.documents.current, call, outcome.received_at)
         outcome.admitted = admitted
         admitted.may_begin = lambda: self._may_begin(admitted)
+        admitted.document_in_force = lambda: self.documents.current
         admitted.check_begin()
         guard = RequestGuard(
             self.fleet.deaths, self.fleet.answers, admitted.fingerprint, admitted.shared_parts
@@ -97,7 +98,9 @@
         try:
             async with asyncio.timeout(max(0.0, admitted.time_left()) + RELAY_SLACK):
                 with self.work_times.record(admitted):
-                    outcome.relayed_to = await self.relaying.relay(exchange, may_repeat)
+                    outcome.relayed_to = await self.relaying.relay(
+                        exchange, may_repeat, admitted.homes()
+                    )
         except TimeoutError as error:
             if exchange.head_written:
                 raise RelayBroken("deadline of the request exceeded") from error
--- a/papayacourse/spill.py
+++ b/papayacourse/spill.py
@@ -130,9 +130,15 @@
     loads: Callable[[str, str, str], list[ServiceLoad]] = no_loads
     query_counts: Counter[str] = field(factory=Counter)
 
-    async def place(self, request: GrantRequest, wait: float) -> RemotePlacement | None:
-        """Return a free place in another failure domain that is worth the cost of its link."""
-        return await self.place_in(self._domains_to_ask(request, wait)[:DOMAINS_TRIED], request)
+    async def place(
+        self, request: GrantRequest, wait: float, may_use: Callable[[str], bool]
+    ) -> RemotePlacement | None:
+        """Return a free place in another failure domain that is worth the cost of its link.
+
+        Only the domains of regions that `may_use` allows are asked.
+        """
+        domains = self._domains_to_ask(request, wait, may_use)
+        return await self.place_in(domains[:DOMAINS_TRIED], request)
 
     async def place_in(
         self, domains: Iterable[str], request: GrantRequest
@@ -160,12 +166,15 @@
         found = self.alternative_cell(domain, request, NO_CELL)
         return first_cells(generation, layout)[0] if found is None else found
 
-    def _domains_to_ask(self, request: GrantRequest, wait: float) -> list[str]:
+    def _domains_to_ask(
+        self, request: GrantRequest, wait: float, may_use: Callable[[str], bool]
+    ) -> list[str]:
         me, generation = self.membership.me, request.generation
         service = self.membership.catalog.service(generation.team, generation.service)
         if service is None or wait <= 0:
             return []
-        regions = {m.domain: m.region for m in self.membership.members.values()}
+        members = self.membership.members.values()
+        regions = {m.domain: m.region for m in members if may_use(m.region)}
         others = []
         for domain in regions.keys() - {me.domain}:
             load = total_load(self.loads(domain, generation.team, generation.service))
--- a/tests/features/steps/routedmoves_steps.py
+++ b/tests/features/steps/routedmoves_steps.py
@@ -8,6 +8,7 @@
 from papayacourse.exceptions import BackendNoRoom
 from papayacourse.linkclasses import Place
 from papayacourse.routed.document import EngineCapacity
+from papayacourse.routed.homes import ANYWHERE, Homes
 from papayacourse.routed.migration.emptying import Emptying
 from papayacourse.routed.notices import EngineNotices
 from papayacourse.routed.seams import CopyResult, EngineRuns, RunState
@@ -36,6 +37,11 @@
         self.copy = self.pending_move = None
         self.unmovable = self.is_moved = False
         self.copy_lock = asyncio.Lock()
+        self.admitted = self
+
+    def homes(self) -> Homes:
+        """Return where it may be served."""
+        return ANYWHERE
 
     def can_move(self) -> bool:
         """Tell whether it can be moved."""
@@ -89,9 +95,9 @@
         """Tell whether the engine's domain is drained."""
         return self.drains
 
-    def move_targets(self, _engine, _service) -> list[Host]:
-        """Return the other engines, the nearest first."""
-        return self.others
+    def move_targets(self, _engine, _service, homes=ANYWHERE) -> list[Host]:
+        """Return the other engines in some regions, the nearest first."""
+        return [host for host in self.others if homes.allow(host.region)]
 
     def best_move_target(self, engine, service) -> Host | None:
         """Return the nearest other engine."""
--- a/tests/features/steps/routedplaces_steps.py
+++ b/tests/features/steps/routedplaces_steps.py
@@ -10,6 +10,7 @@
 from papayacourse.cellmap import CellMap
 from papayacourse.cells import Cell
 from papayacourse.hostlist import HostList, HostListing
+from papayacourse.linkclasses import Place
 from papayacourse.membership import Membership
 from papayacourse.meshmessages import Hello, ServiceLoad
 from papayacourse.peers import Peers
@@ -200,7 +201,7 @@
         self.names = names
         self.given_back = 0
 
-    async def place(self, ask: GrantRequest) -> Granted:
+    async def place(self, ask: GrantRequest, _may_use) -> Granted:
         """Give a place."""
         name = next(name for name in self.names if name not in ask.avoid)
         return Granted(ask.generation.stream, name, "127.0.0.1:9")
@@ -218,6 +219,7 @@
         self.known = {}
         self.notices = EngineNotices()
         self.limiter = NoLimits()
+        self.here = Place(REGION, REGION)
 
     def servers(self, _service):
         """Return the engines that are known from the start."""
