Know a drain that ended while another daemon followed the store

Cause: the daemon that follows the store compared what is drained with what it had itself seen last. One that begins to follow after a domain was taken back did not list its servers as cold, so that the domain filled up at once; one that follows again listed servers as cold which had long been warm. The servers were also applied after the drains, so that a first reading knew of none to list.

Change: a complete reading starts from the list in force; servers are applied first.

Result: two scenarios in routed_cold.feature, which failed before, pass.

--- a/papayacourse/routed/directory.py
+++ b/papayacourse/routed/directory.py
@@ -117,12 +117,13 @@
         self.revision = news.position.revision
         if news.is_complete:
             self._begin(known, news)
-        if news.drained is not None:
-            self._update_drained(news.drained, news.is_complete)
         if news.members is not None:
             self.members = news.members
         if news.engines is not None:
             self._update_engines(news.engines)
+        if news.drained is not None:
+            # After the servers, since those of a domain that is taken back are listed as cold.
+            self._update_drained(news.drained, news.is_complete)
         changes = (news.members, news.engines, news.drained)
         # A listing published before the servers are read would contain none.
         if self.engines_known and any(part is not None for part in changes):
@@ -140,8 +141,11 @@
     def _update_drained(self, reported: frozenset[str], is_complete: bool) -> None:
         """Apply which domains the store says are drained; one just returned may lack some."""
         self.reported_drained = reported
-        known = frozenset(host.domain for host in self.in_force().hosts if host.is_drained)
-        kept = known if is_complete and self._may_be_old() else frozenset()
+        kept: frozenset[str] = frozenset()
+        if is_complete:
+            # Other daemons may have followed the store meanwhile.
+            self.drained = frozenset(h.domain for h in self.in_force().hosts if h.is_drained)
+            kept = self.drained if self._may_be_old() else kept
         self._drain(reported | kept)
 
     def _drain(self, domains: frozenset[str]) -> None:
--- a/tests/features/routed_cold.feature
+++ b/tests/features/routed_cold.feature
@@ -79,6 +79,23 @@
     And the operator drains its domain, and takes it back
     Then it is listed as cold for 4 s
 
+  # Guards against a domain that fills up at once, since its return fell into a change of the daemon
+  # that follows the store.
+  Scenario: A daemon that begins to follow the store finds a domain taken back
+    Given a directory of a service whose servers are cold for 4 s
+    And another daemon's list in which a server is of a drained domain
+    When the whole store is read, in which nothing is drained
+    Then it is listed as cold for 4 s
+
+  # Guards against servers that count as cold once more, long after their domain was taken back.
+  Scenario: A daemon follows the store again after others took a domain back
+    Given a directory of a service whose servers are cold for 4 s
+    When a server's entry says that it is cold for 0 s
+    And the operator drains its domain
+    And others list it as taken back and warm
+    And the whole store is read, in which nothing is drained
+    Then it is listed as cold for 0 s
+
   Scenario: Where a service's servers bear any pace, nothing is listed as cold
     Given a directory of a service whose servers bear any pace
     When a server's entry says that it is cold for 4 s
--- a/tests/features/steps/routedcold_steps.py
+++ b/tests/features/steps/routedcold_steps.py
@@ -20,6 +20,7 @@
 from papayacourse.routed.notices import EngineNotices
 from papayacourse.routed.placing import EngineSearch
 from papayacourse.routed.seams import EngineNotice, StorePosition, StoreUpdate
+from papayacourse.types import HostState
 from tests.routedfleet import document
 from tests.steptext import names_in
 
@@ -242,9 +243,41 @@
     update_directory(context, drained=frozenset())
 
 
+@when("the operator drains its domain")
+def drain(context):
+    update_directory(context, drained=frozenset({REGION}))
+
+
+@given("another daemon's list in which a server is of a drained domain")
+def listed_drained(context):
+    found = evolve(server("one"), domain=REGION, state=HostState.LEAVING, is_drained=True)
+    context.listings.append(HostListing(1, (found,)))
+
+
+@when("others list it as taken back and warm")
+def listed_taken_back(context):
+    found = evolve(server("one"), domain=REGION)
+    context.listings.append(HostListing(context.listings[-1].version + 1, (found,)))
+
+
+@when("the whole store is read, in which nothing is drained")
+def whole_read(context):
+    engines = (evolve(server("one"), domain=REGION),)
+    update_directory(context, engines=engines, members=(), drained=frozenset(), is_complete=True)
+
+
+@when("{passed:g} s pass, and the operator drains another domain")
+def drain_another(context, passed):
+    context.clock.now += passed
+    context.listings_before = len(context.listings)
+    entry = evolve(server("two"), domain="elsewhere")
+    engines = (*context.directory.engines, entry)
+    update_directory(context, engines=engines, drained=frozenset({"elsewhere"}))
+
+
 @then("it is listed as cold for {seconds:g} s")
 def listed_cold(context, seconds):
-    (found,) = context.listings[-1].hosts
+    found = context.listings[-1].by_name["one"]
     assert found.cold == seconds, found
 
 
