Count an entry's cold time from when it was read

Cause: any other change of the list, more than half a second after an entry was read, took its cold time as counting from then, listed the server as cold once more and made a new list of hosts.

Change: ColdListing keeps the end that an entry meant when it was first read.

Result: a scenario in routed_cold.feature, which failed before, passes.

--- a/papayacourse/routed/coldservers.py
+++ b/papayacourse/routed/coldservers.py
@@ -167,10 +167,13 @@
     ----------
     published : dict of str to (float, float)
         The cold time in the list and the end that it means, in seconds of the clock, by server.
+    entries : dict of str to (float, float)
+        The cold time in the entry and the end that it meant when the entry was read, by server.
     """
 
     clock: Callable[[], float] = time.monotonic
     published: dict[str, tuple[float, float]] = field(factory=dict)
+    entries: dict[str, tuple[float, float]] = field(factory=dict)
 
     SLACK = 0.5  # seconds; an entry is as old as its way here takes
     RESOLUTION = 0.001  # seconds
@@ -179,14 +182,21 @@
         """Return the cold time to list for a server whose entry says `seconds`."""
         now = self.clock()
         value, until = self.published.get(server, (0.0, NEVER))
-        if seconds > 0 and now + seconds > until + self.SLACK:
+        if seconds > 0 and self._entry_end(server, seconds) > until + self.SLACK:
             self.list_as_cold(server, seconds)
             return self.published[server][0]
         if not seconds and until <= now:
             self.published.pop(server, None)
+            self.entries.pop(server, None)
             return 0.0
         return value
 
+    def _entry_end(self, server: str, seconds: float) -> float:
+        """Return until when an entry means a server to be cold, counted from its first reading."""
+        if self.entries.get(server, (0.0, NEVER))[0] != seconds:
+            self.entries[server] = (seconds, self.clock() + seconds)
+        return self.entries[server][1]
+
     def list_as_cold(self, server: str, seconds: float) -> None:
         """List a server as cold for a time, whatever its entry says."""
         if self.published.get(server, (0.0, NEVER))[0] == seconds:
--- a/tests/features/routed_cold.feature
+++ b/tests/features/routed_cold.feature
@@ -96,6 +96,12 @@
     And the whole store is read, in which nothing is drained
     Then it is listed as cold for 0 s
 
+  Scenario: Other changes of the list do not renew the cold time of an entry that was read before
+    Given a directory of a service whose servers are cold for 4 s
+    When a server's entry says that it is cold for 4 s
+    And 0.9 s pass, and the operator drains another domain
+    Then it is listed as cold for 4 s
+
   Scenario: Where a service's servers bear any pace, nothing is listed as cold
     Given a directory of a service whose servers bear any pace
     When a server's entry says that it is cold for 4 s
