Keep a drain that a returned store lacks when another changes

Cause: in the 2.2 s after the store had come back without a drain, any other change of the drains took the first domain back at once, before the operator had written it again.

Change: in that time only an explicit removal takes a domain back.

Result: a scenario in routed_drained.feature, which failed before, passes.

--- a/papayacourse/routed/directory.py
+++ b/papayacourse/routed/directory.py
@@ -140,12 +140,12 @@
 
     def _update_drained(self, reported: frozenset[str], is_complete: bool) -> None:
         """Apply which domains the store says are drained; one just returned may lack some."""
+        taken_back = frozenset() if is_complete else self.reported_drained - reported
         self.reported_drained = reported
-        kept: frozenset[str] = frozenset()
         if is_complete:
             # Other daemons may have followed the store meanwhile.
             self.drained = frozenset(h.domain for h in self.in_force().hosts if h.is_drained)
-            kept = self.drained if self._may_be_old() else kept
+        kept = self.drained - taken_back if self._may_be_old() else frozenset()
         self._drain(reported | kept)
 
     def _drain(self, domains: frozenset[str]) -> None:
--- a/tests/features/routed_drained.feature
+++ b/tests/features/routed_drained.feature
@@ -30,6 +30,15 @@
     When 3 s pass for the directory
     Then "one, two" are published as live
 
+  Scenario: Another domain is drained while the store has come back without the first drain
+    Given a directory of "lagos" with "one" and of "kano" with "two"
+    When the operator drains "lagos"
+    And the store comes back from an older copy, without the drain
+    And the operator drains "kano"
+    Then "one, two" are published as drained
+    When the operator drains nothing
+    Then "one" is published as drained, and "two" as live
+
   Scenario: A server of a drained domain that lapsed while the store was away keeps its place
     Given a directory of "lagos" with "one" and of "kano" with "two"
     When the operator drains "lagos"
