Place a request elsewhere that waits while its domain is drained

Cause: a request in the queue of a domain that is drained was refused with 503 after two other domains were asked once, though others had places, or had one a moment later.

Change: where the scheduler says that no engine can serve and the domain is drained or cold by now, RemoteSearch goes on for what is left of the wait.

Result: a scenario in routed_homes.feature, which failed before, passes; a second one bounds the wait.

--- a/papayacourse/routed/placing.py
+++ b/papayacourse/routed/placing.py
@@ -3,9 +3,10 @@
 import asyncio
 import time
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from papayacourse import logs
+from papayacourse.exceptions import RequestRefused
 from papayacourse.routed.admitted import AdmittedRequest
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.remoteplacing import RemoteSearch
@@ -16,6 +17,7 @@
 MAX_WAIT_FRACTION = 0.8  # fraction of the route's objective that a request may wait for a place
 LISTING_ATTEMPTS = 12  # looks for a granted engine in the local host list, which may lag
 LISTING_RETRY_DELAY = 0.02  # seconds
+NO_ENGINE = "no_engine"  # a scheduler's reason where no engine of its domain can serve
 
 
 @define(eq=False)
@@ -105,9 +107,17 @@
 
     async def _place(self, ask: GrantRequest) -> Granted:
         """Return a place of this failure domain's scheduler, or else of another domain's."""
+        remote, began = RemoteSearch(self.fleet, self.admitted), time.monotonic()
         if not self._may_be_served_here():
-            return await RemoteSearch(self.fleet, self.admitted).find(ask)
-        return await self.fleet.placement.place(ask, self.admitted.homes().allow)
+            return await remote.find(ask)
+        try:
+            return await self.fleet.placement.place(ask, self.admitted.homes().allow)
+        except RequestRefused as error:
+            # Its domain may have been drained while it waited there.
+            if error.reason != NO_ENGINE or self._may_be_served_here():
+                raise
+        left = max(0.0, ask.wait_limit - (time.monotonic() - began))
+        return await remote.find(evolve(ask, wait_limit=left))
 
     def _may_be_served_here(self) -> bool:
         """Return False if homes exclude this region, or its engines here are drained or cold."""
--- a/tests/features/routed_homes.feature
+++ b/tests/features/routed_homes.feature
@@ -57,6 +57,19 @@
     When a request with homes "kano" that may wait for 0.5 s is placed in "lagos-a"
     Then it is refused with 503 and a time to return within 0.8 s
 
+  # Guards against requests refused while places are free, since they had waited in a drained domain.
+  Scenario: A request that waits in a queue while its domain is drained is placed elsewhere
+    Given engines in domains "lagos-a" of "lagos", "kano-a" and "kano-b" of "kano"
+    And "kano-a" never has a place, and "kano-b" has one after 0.9 s
+    When a request that may wait for 2 s waits in "lagos-a", which is drained after 0.5 s
+    Then it has a place in "kano-b" after 0.8 to 1.4 s, and "lagos-a" was not asked
+
+  Scenario: A request that waits in a drained domain waits no longer than it may
+    Given engines in domains "lagos-a" of "lagos", "kano-a" and "kano-b" of "kano"
+    And "kano-a" never has a place, and "kano-b" has one after 60 s
+    When a request that may wait for 1 s waits in "lagos-a", which is drained after 0.5 s
+    Then it is refused with 503 and a time to return within 1.4 s
+
   Scenario: Runs are moved and copied to engines in their homes only
     Given engines in domains "lagos-a" of "lagos", "kano-a" and "kano-b" of "kano"
     Then a run in "kano-a" with homes "kano" may be moved to "kano-b" only
--- a/tests/features/steps/routedhomes_steps.py
+++ b/tests/features/steps/routedhomes_steps.py
@@ -32,11 +32,13 @@
 from papayacourse.routed.homes import ANYWHERE, Homes
 from papayacourse.routed.migration.failover import Failover
 from papayacourse.routed.notices import EngineNotices
+from papayacourse.routed.placing import EngineSearch
 from papayacourse.routed.relaying import Relaying
 from papayacourse.routed.remoteplacing import RemoteSearch
 from papayacourse.schedulingmessages import Granted, GrantRequest
 from papayacourse.serverreach import ServerReach
 from papayacourse.spill import Spill
+from papayacourse.types import HostState
 from tests.routedfleet import document, route
 from tests.steptext import names_in
 
@@ -195,6 +197,31 @@
     context.took = time.monotonic() - began
 
 
+@when(
+    'a request that may wait for {seconds:g} s waits in "{here}",'
+    " which is drained after {after:g} s"
+)
+def waits_in_drained(context, seconds, here, after):
+    view, wanted = context.fleet_view, admitted(ANYWHERE)
+
+    async def refuse_once_drained(_ask, _may_use):
+        await asyncio.sleep(after)
+        drained = evolve(view.host(here), state=HostState.LEAVING, is_drained=True)
+        others = [host for host in view.servers(SERVICE) if host.name != here]
+        view.membership.hosts.by_service[SERVICE] = (drained, *others)
+        raise RequestRefused(503, "no_engine", "no engine can serve now", retry_after=0.1)
+
+    context.placements.place = refuse_once_drained
+    search = EngineSearch(view, wanted, run("r"))
+    began = context.placements.began = time.monotonic()
+    context.refused = context.granted = None
+    try:
+        context.granted = asyncio.run(search._place(GrantRequest(search.request, seconds)))
+    except RequestRefused as refused:
+        context.refused = refused
+    context.took = time.monotonic() - began
+
+
 @then('it has a place in "{domain}" after {least:g} to {most:g} s, and "{other}" was not asked')
 def has_place(context, domain, least, most, other):
     assert context.granted.engine == domain, context.refused
