Keep runs that go on at cold servers to their pace

Cause: requests that continue a run, or run it again from its beginning, went to cold servers without asking for the pace. When an engine or a domain is lost, its runs may go on at one that has just started all at once.

--- a/papayacourse/routed/coldservers.py
+++ b/papayacourse/routed/coldservers.py
@@ -6,6 +6,7 @@
 it is warm. Each of the chosen sends at its part of the pace and saves up one request at most.
 """
 
+import asyncio
 import time
 from collections import Counter
 from collections.abc import Callable, Collection, Iterable, Iterator
@@ -95,6 +96,21 @@
         """Return the number of cold servers, for the metrics."""
         return float(sum(map(self.is_cold, self.known)))
 
+    async def wait_for_turn(self, server: str, patience: float) -> bool:
+        """Wait until this daemon may send a server a request; returns False if that is too late.
+
+        Parameters
+        ----------
+        patience : float
+            The longest wait, in seconds.
+        """
+        deadline = self.clock() + patience
+        while wait := self.wait_for(server):
+            if self.clock() + wait > deadline:
+                return False
+            await asyncio.sleep(wait)
+        return True
+
     # Commands.
 
     def apply_listing(self, hosts: Iterable[Host]) -> None:
--- a/papayacourse/routed/migration/failover.py
+++ b/papayacourse/routed/migration/failover.py
@@ -7,6 +7,7 @@
 from papayacourse.routed.migration.standby import Standby
 from papayacourse.routed.runstop import RunContinues, RunCopied, RunStop
 from papayacourse.routed.seams import Resume
+from papayacourse.routed.sendlimiter import SAVE_PATIENCE
 from papayacourse.types import Host
 
 
@@ -67,10 +68,14 @@
         )
 
     def _may_continue_at(self, host: Host) -> bool:
-        """Return True if the run may continue on an engine: one listed, not drained, at home."""
+        """Return True if the run may continue on an engine.
+
+        It is listed, not drained, in the run's homes, and warm, or this daemon soon has a turn.
+        """
         fleet, admitted = self.generation.fleet, self.generation.admitted
         is_open = fleet.is_listed(host.name) and not fleet.is_drained(host.name)
-        return is_open and admitted.may_go_to(host)
+        has_turn = fleet.notices.cold.wait_for(host.name) <= SAVE_PATIENCE
+        return is_open and has_turn and admitted.may_go_to(host)
 
     async def _resume_at(self, standby: Standby, why: str) -> Resume:
         generation, fleet = self.generation, self.generation.fleet
--- a/papayacourse/routed/migration/moving.py
+++ b/papayacourse/routed/migration/moving.py
@@ -11,6 +11,7 @@
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.generation import Generation
 from papayacourse.routed.migration.standby import Standby
+from papayacourse.routed.sendlimiter import SAVE_PATIENCE
 from papayacourse.types import Host
 
 NO_ROOM_STATUS = 503  # HTTP status reported for a move that an engine's limit does not permit
@@ -61,6 +62,8 @@
         calls, run = self.fleet.engine_calls, self.generation.run_id
         target = await self._usable_copy_target() or await self._copy_first(targets)
         # Asked while the run still continues: it stays where it is if it may not go there.
+        if not await self.fleet.notices.cold.wait_for_turn(target.name, SAVE_PATIENCE):
+            raise BackendNoRoom(NO_ROOM_STATUS, f"{target.name} is cold")
         if not await self.fleet.limiter.admit_saving_run(target):
             raise BackendNoRoom(NO_ROOM_STATUS, f"the limit of {target.name} is reached")
         copied = await calls.copy_run(self.engine, run, target, stop=True)
--- a/papayacourse/routed/notices.py
+++ b/papayacourse/routed/notices.py
@@ -136,17 +136,19 @@
         Parameters
         ----------
         saves_run : bool
-            Whether it continues a run, which then goes ahead of new requests.
+            Whether it continues a run, which then goes ahead of new requests, except at a cold
+            server.
 
         Raises
         ------
         BackendUnreachable
-            When other requests have taken this daemon's places at a brittle server meanwhile.
+            When other requests have taken this daemon's places at a brittle server meanwhile, or
+            its turn at a cold one.
         """
         self.reach.record_contact()
         if not saves_run and self.brittle.wait_for(host):
             raise BackendUnreachable(f"no place at {host.name}, which is brittle")
-        if not saves_run and self.cold.wait_for(host.name):
+        if self.cold.wait_for(host.name):
             self.cold.record_declined(host.name)
             raise BackendUnreachable(f"{host.name} is cold, and others have been sent to it")
 
--- a/papayacourse/routed/streamedcall.py
+++ b/papayacourse/routed/streamedcall.py
@@ -21,6 +21,7 @@
 from papayacourse.routed.placing import EngineSearch
 from papayacourse.routed.seams import Dispatch, Resume
 from papayacourse.routed.sending import BackendAnswerLost, RequestNotExecuted, open_call
+from papayacourse.routed.sendlimiter import SAVE_PATIENCE
 
 MAX_PLACEMENTS = 4  # engines tried until one accepts the request
 RESUME_HEAD_TIMEOUT = 2.5  # seconds in which an engine must start to resume a run
@@ -202,6 +203,9 @@
     async def _get_permit(self) -> None:
         """Get permission to resume at the engine; raises BackendRefused if there is none."""
         generation, limiter = self.generation, self.generation.fleet.limiter
+        cold = generation.fleet.notices.cold
+        if not await cold.wait_for_turn(generation.engine.name, SAVE_PATIENCE):
+            raise BackendRefused(503, f"{generation.engine.name} is cold")
         is_permitted, generation.is_permitted = generation.is_permitted, False
         if not is_permitted and not await limiter.admit_saving_run(generation.engine):
             raise BackendRefused(503, f"the limit of {generation.engine.name} is reached")
--- a/tests/features/routed_cold.feature
+++ b/tests/features/routed_cold.feature
@@ -39,6 +39,13 @@
     When an answer of it says that it is cold for 2 s
     Then the server is cold for 2 s
 
+  # Guards against a cold server that falls over under the runs that go on there all at once.
+  Scenario: Runs that go on at a cold server keep to its pace, too
+    Given a daemon that knows of a cold server, at 26 requests a second for 4 s
+    Then no run may go on there now
+    And of 8 runs that wait for a turn there for 0.3 s, at least 1 and at most 5 get one
+    And a run may not go on there where this daemon has no part of its pace
+
   Scenario: A call goes to a warm server far away rather than to a cold one near
     Given servers with 4 places, one near and one in another region
     When the near one turns cold
--- a/tests/features/steps/routedcold_steps.py
+++ b/tests/features/steps/routedcold_steps.py
@@ -1,5 +1,6 @@
 """Steps about servers that have just started and bear few requests."""
 
+import asyncio
 import json
 import time
 from bisect import bisect_left
@@ -11,7 +12,7 @@
 from routedplaces_steps import REGION, SERVICE, Fleet, engine, run
 from userplatform.entries import read_entry
 
-from papayacourse.exceptions import PlatformError
+from papayacourse.exceptions import BackendUnreachable, PlatformError
 from papayacourse.hostlist import HostListing
 from papayacourse.routed.admitted import AdmittedRequest
 from papayacourse.routed.coldservers import ColdServers
@@ -153,6 +154,49 @@
     assert not context.notices.cold.is_cold(COLD) and context.notices.takes_work(server(COLD))
 
 
+@given("a daemon that knows of a cold server, at {pace:g} requests a second for {seconds:g} s")
+def knows_cold(context, pace, seconds):
+    start = ColdStart(seconds, pace)
+    context.notices = EngineNotices(cold=ColdServers("me", lambda: {"me"}, lambda _service: start))
+    context.notices.cold.apply_listing([evolve(server(COLD), cold=seconds)])
+
+
+@then("no run may go on there now")
+def not_admitted(context):
+    try:
+        context.notices.admit_send(server(COLD), saves_run=True)
+    except BackendUnreachable:
+        return
+    raise AssertionError("it was admitted")
+
+
+@then(
+    "of {count:d} runs that wait for a turn there for {seconds:g} s,"
+    " at least {least:d} and at most {most:d} get one"
+)
+def turns(context, count, seconds, least, most):
+    async def go_on() -> bool:
+        has_turn = await context.notices.cold.wait_for_turn(COLD, seconds)
+        try:
+            context.notices.admit_send(server(COLD), saves_run=True)
+        except BackendUnreachable:
+            return False
+        context.notices.cold.record_send(COLD)
+        return has_turn
+
+    async def all_of_them() -> int:
+        return sum(await asyncio.gather(*(go_on() for _ in range(count))))
+
+    gone_on = asyncio.run(all_of_them())
+    assert least <= gone_on <= most, gone_on
+
+
+@then("a run may not go on there where this daemon has no part of its pace")
+def no_part(context):
+    context.notices.cold.known[COLD].rate = 0.0
+    assert not asyncio.run(context.notices.cold.wait_for_turn(COLD, 0.3))
+
+
 @when("the near one turns cold")
 def near_turns_cold(context):
     context.choice.is_cold = lambda name: name == "near"
