Continue a run at the copy before if its last one does not arrive

Change: the copy before is kept until the last one has arrived, and used where the run may not continue on its engine.

Result: a scenario in routed_drained.feature, which failed before, passes.

--- a/papayacourse/routed/migration/failover.py
+++ b/papayacourse/routed/migration/failover.py
@@ -30,6 +30,8 @@
             raise generation.broken(why)
         if standby is None and (generation.copy is not None or generation.may_restart()):
             standby = await self._stop_lost_run(why)
+        if standby is not None and not self._may_continue_at(standby.host):
+            standby = generation.copy
         generation.copy = None
         if not can_resume_after(generation.last_id):
             raise generation.broken(f"{why}; no event has an id that can be sent")
--- a/papayacourse/routed/migration/moving.py
+++ b/papayacourse/routed/migration/moving.py
@@ -67,9 +67,10 @@
         if not await self.fleet.limiter.admit_saving_run(target):
             raise BackendNoRoom(NO_ROOM_STATUS, f"the limit of {target.name} is reached")
         copied = await calls.copy_run(self.engine, run, target, stop=True)
-        self.generation.copy = None
         if not copied.complete:
+            # The copy before is kept, in case that the run may not go on where it is.
             return Standby(self.engine, self.engine.address, copied.handle)
+        self.generation.copy = None
         return Standby(target, self.engine.address, copied.handle, is_permitted=True)
 
     async def _copy_first(self, targets: Iterable[Host]) -> Host:
--- a/tests/features/routed_drained.feature
+++ b/tests/features/routed_drained.feature
@@ -72,6 +72,13 @@
     When its runs are moved for 2 s
     Then "old" was copied to "far" after 0.9 s
 
+  # Guards against a run that is lost by its move: its engine has stopped it, and gets nothing more.
+  Scenario: A run whose last copy does not arrive continues at the one before
+    Given an engine of a drained domain, with run "one" of 500 tokens in its report
+    And an engine "near" in its region, to which last copies do not arrive
+    When its runs are moved for 1 s
+    Then run "one" continues at "near", from the copy "h1"
+
   Scenario: Nothing new goes to a drained domain, whichever daemon is asked
     Given a platform store with document 5
     And an engine "desk-1" of "desk" in "lagos"
--- a/tests/features/steps/routeddrained_steps.py
+++ b/tests/features/steps/routeddrained_steps.py
@@ -1,6 +1,9 @@
 """Steps about failure domains that the operator drains."""
 
+import asyncio
 import time
+from types import SimpleNamespace
+from unittest.mock import AsyncMock
 
 import xxhash
 from attrs import astuple, evolve
@@ -12,6 +15,8 @@
 from userplatform.storeview import DRAINED, StoreContent
 
 from papayacourse.hostchanges import host_digest
+from papayacourse.routed.migration.failover import Failover
+from papayacourse.routed.notices import EngineNotices
 from papayacourse.types import HostState
 from standins.fleet import wait_until
 from tests.steptext import names_in
@@ -131,6 +136,36 @@
     add_engine(context, name, "kano", seconds)
 
 
+@given('an engine "{name}" in its region, to which last copies do not arrive')
+def lossy_target(context, name):
+    add_engine(context, name, "lagos", 0.0)
+    context.fleet_view.engine_calls.loses_last = True
+
+
+@then('run "{name}" continues at "{engine}", from the copy "{handle}"')
+def continues_at(context, name, engine, handle):
+    (found,) = [run for run in context.runs if run.run_id == name]
+
+    async def resume() -> tuple[str, str]:
+        moved = asyncio.get_running_loop().create_future()
+        moved.set_result(found.moved_to)
+        view = SimpleNamespace(
+            is_listed=lambda _name: True, is_drained=lambda name: name != engine,
+            notices=EngineNotices(), budget=SimpleNamespace(try_spend=lambda *_: True),
+            rebind=AsyncMock(),
+        )  # fmt: skip
+        generation = SimpleNamespace(
+            fleet=view, admitted=SimpleNamespace(may_go_to=lambda _host: True, service="planner"),
+            guard=SimpleNamespace(is_condemned=lambda: False), log_failed=lambda _why: None,
+            pending_move=moved, copy=found.copy, last_id="7", may_restart=lambda: False,
+            broken=RuntimeError, request=None, engine=None, generated=7,
+        )  # fmt: skip
+        resume = await Failover(generation).plan_resume("moved")
+        return generation.engine.name, resume.handle
+
+    assert asyncio.run(resume()) == (engine, handle)
+
+
 # Real daemons.
 
 
--- a/tests/features/steps/routedmoves_steps.py
+++ b/tests/features/steps/routedmoves_steps.py
@@ -52,8 +52,8 @@
         return 60.0
 
     def finish_move(self, standby) -> None:
-        """Note that it has been moved."""
-        self.is_moved = standby is not None
+        """Note that it has been moved, and where to."""
+        self.is_moved, self.moved_to = standby is not None, standby
 
 
 class Engines:
@@ -63,6 +63,7 @@
         self.report = EngineRuns(None, ())
         self.room_after = {}
         self.began = 0.0
+        self.loses_last = False
         self.asked = []
         self.copied = []
 
@@ -78,7 +79,8 @@
             raise BackendNoRoom(NO_ROOM, "/kv-move")
         if not stop:
             self.copied.append((run, target.name, after))
-        return CopyResult("h1", True)
+        arrives = not (stop and self.loses_last)
+        return CopyResult("h2" if stop else "h1", arrives)
 
 
 class Fleet:
