Find the route of a request in every form that the RFCs allow

A target in absolute form, a final dot of the host and escapes of unreserved letters were answered 404 no_route; a target or host that is malformed was matched as it stood.

requesttarget.py reads target and authority, spellings.py compares hosts and paths, routetable.py finds the route. What is sent on keeps path and query; an absolute target replaces Host (RFC 9112, 3.2.2), so that a server reads the host whose route was used. A path is refused with 400 where servers that resolve dot segments or decode separators would take it for another route's. The line of a refusal names host, path and where the document is from.

--- a/papayacourse/routed/document.py
+++ b/papayacourse/routed/document.py
@@ -6,6 +6,7 @@
 from attrs import field, frozen
 
 from papayacourse.routed.homes import ANYWHERE, Homes
+from papayacourse.routed.routetable import RouteTable
 
 DEFAULT_COPY_RATE = 10_000.0  # tokens per second, if the document sets none
 
@@ -183,17 +184,14 @@
     limits: CallerLimits
     source: bytes = b""
     needs_accounts: bool = False
-    by_host: dict[str, list[Route]] = field(init=False, repr=False, eq=False)
+    table: RouteTable = field(init=False, repr=False, eq=False)
     by_key: dict[str, Account] = field(init=False, repr=False, eq=False)
     by_route_name: dict[str, Route] = field(init=False, repr=False, eq=False)
     by_account_name: dict[str, Account] = field(init=False, repr=False, eq=False)
 
-    @by_host.default
-    def _routes_by_host(self) -> dict[str, list[Route]]:
-        found: dict[str, list[Route]] = {}
-        for route in sorted(self.routes, key=lambda route: -len(route.prefix)):
-            found.setdefault(route.host.lower(), []).append(route)
-        return found
+    @table.default
+    def _route_table(self) -> RouteTable:
+        return RouteTable(self.routes)
 
     @by_key.default
     def _accounts_by_key(self) -> dict[str, Account]:
@@ -208,11 +206,8 @@
         return {account.name: account for account in self.accounts}
 
     def route(self, host: str, path: str) -> Route | None:
-        """Return the route of a host with the longest prefix that matches a path."""
-        routes = self.by_host.get(host.lower()) or self.by_host.get(without_port(host).lower(), [])
-        return next((route for route in routes if path.startswith(route.prefix)), None)
+        """Return the route of a host with the longest prefix that matches a path.
 
-
-def without_port(host: str) -> str:
-    """Return the host name of a Host header."""
-    return host.rpartition(":")[0] or host
+        Raises RequestRefused for a path that servers may take for another route's.
+        """
+        return self.table.find(host, path)
--- a/papayacourse/routed/documents.py
+++ b/papayacourse/routed/documents.py
@@ -32,6 +32,8 @@
         The document in force; None before the first.
     since : float
         When it came into force, in seconds of the monotonic clock.
+    origin : str
+        Where it came from: the store, or which peer; empty before the first.
     offers : dict of str to int
         Versions newer than the one here that peers have announced, by peer.
     packed : bytes
@@ -44,6 +46,7 @@
     clock: Callable[[], float] = time.monotonic
     current: Document | None = None
     since: float = 0.0
+    origin: str = ""
     offers: dict[str, int] = field(factory=dict)
     is_asking: bool = False
     packed: bytes = b""
@@ -66,7 +69,7 @@
         if document.version <= self.version:
             return False
         before, self.current = self.version, document
-        self.since = self.clock()
+        self.since, self.origin = self.clock(), source
         invariants.check(self.version > before, "documents_never_revert", before=before)
         self.on_news(document)
         logs.info(
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -22,6 +22,7 @@
 from papayacourse.routed.outcome import Outcome
 from papayacourse.routed.relayedexchange import RelayedExchange
 from papayacourse.routed.relaying import RelayBroken
+from papayacourse.routed.requesttarget import shown_host, shown_target
 from papayacourse.routed.router import Router
 from papayacourse.stopdeadline import StopDeadline
 from papayacourse.types import Ran
@@ -225,9 +226,20 @@
             parts=admitted.part_names[:MAX_LOGGED_PARTS] if admitted else (),
             relayed_to=outcome.relayed_to,
             document=self.documents.version, document_age=None if age is None else round(age, 1),
-            **outcome.stream_fields(), **self.stop.log_fields(),
+            **outcome.stream_fields(), **self._refusal_fields(exchange, outcome),
+            **self.stop.log_fields(),
         )  # fmt: skip
 
+    def _refusal_fields(self, exchange: Exchange, outcome: Outcome) -> dict[str, str]:
+        """Return what a refused request named, and where the document that was asked is from."""
+        if outcome.end != "refused":
+            return {}
+        return {
+            "host": shown_host(exchange.headers.get("Host", "")),
+            "path": shown_target(exchange.target),
+            "document_from": self.documents.origin,
+        }
+
 
 def as_not_executed(refused: RequestRefused) -> RequestRefused:
     """Return a quarantine refusal with status 503, which means that the request did not run.
--- a/papayacourse/routed/router.py
+++ b/papayacourse/routed/router.py
@@ -21,6 +21,7 @@
 from papayacourse.routed.plaincall import PlainCall
 from papayacourse.routed.relayedexchange import RelayedExchange
 from papayacourse.routed.relaying import RelayBroken, Relaying
+from papayacourse.routed.requesttarget import with_named_target
 from papayacourse.routed.streamedcall import StreamedCall
 from papayacourse.routed.worktimes import WorkTimes
 from papayacourse.stopdeadline import SPARE, StopDeadline
@@ -66,6 +67,7 @@
         headers = exchange.headers
         call = self.fleet.codec.read(exchange.method, exchange.target, headers, exchange.body)
         logs.bind(call.request_id)
+        call = with_named_target(call)
         admitted = admit(self.documents.current, call, outcome.received_at)
         outcome.admitted = admitted
         admitted.may_begin = lambda: self._may_begin(admitted)
