--- a/papayacourse/listener.py
+++ b/papayacourse/listener.py
@@ -1,6 +1,8 @@
 """The HTTP server for callers; it tracks idle connections."""
 
 import contextlib
+import logging
+import re
 import socket
 import time
 
@@ -9,8 +11,26 @@
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPConnection, HTTPMessageDelegate
 from tornado.iostream import IOStream
+from tornado.log import gen_log
+
+from papayacourse import logs
 
 NEW_TIME = 0.08  # seconds for which a connection is new; callers send their request at once
+MAX_LOGGED_CAUSE = 100  # characters
+
+
+class MalformedHeads(logging.Filter):
+    """Logs the heads that tornado answers 400 by itself, of which it tells nobody else."""
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Log a malformed head of a caller; the cause, without the caller's values."""
+        if str(record.msg).startswith("Malformed HTTP message") and record.args[0] is not None:
+            cause = re.split(r"[:'\"]", str(record.args[1]), maxsplit=1)[0]
+            logs.info("head not readable", why=cause.strip()[:MAX_LOGGED_CAUSE], status=400)
+        return True
+
+
+MALFORMED_HEADS = MalformedHeads()
 
 
 @define(eq=False, slots=False)
@@ -70,6 +90,8 @@
         self.used: set[HTTP1ServerConnection] = set()
         self.opened_at: dict[HTTP1ServerConnection, float] = {}
         self.draining = False
+        gen_log.addFilter(MALFORMED_HEADS)
+        gen_log.setLevel(logging.INFO)
 
     def start_request(
         self, server_conn: HTTP1ServerConnection, request_conn: HTTPConnection
--- a/papayacourse/routed/exchange.py
+++ b/papayacourse/routed/exchange.py
@@ -15,12 +15,15 @@
 )
 from tornado.iostream import StreamClosedError
 
-from papayacourse import problems
+from papayacourse import logs, problems
 from papayacourse.exceptions import RequestRefused
 from papayacourse.listener import has_input
 from papayacourse.routed.document import CallerLimits
+from papayacourse.routed.requesttarget import shown_host, shown_target
 from papayacourse.routed.sendhistory import SendHistory
 
+CONTINUE = "100-continue"
+
 
 class CallerDisconnected(Exception):
     """The caller closed its connection."""
@@ -67,6 +70,8 @@
     def headers_received(self, start_line: RequestStartLine, headers: HTTPHeaders) -> None:
         """Store the request line and headers; refuses a request over the size limits."""
         self.method, self.target, self.headers = start_line.method, start_line.path, headers
+        if headers.get("Expect", "").lower() == CONTINUE:
+            headers["Expect"] = CONTINUE  # tornado compares the case, RFC 9110 does not
         self.server.begin_reading(self)
         limits = self.server.limits()
         if head_bytes(start_line, headers) > limits.header_bytes:
@@ -122,6 +127,7 @@
     ) -> None:
         """Refuse a request before its body has been read completely."""
         self.server.end_reading(self)
+        logs.info("request not read", reason=reason, status=status, **shown_request(self))
         refused = RequestRefused(status, reason, detail, retry_after=retry_after)
         asyncio.ensure_future(self.refuse(refused))
         self.done = True
@@ -229,6 +235,12 @@
     return json.dumps(problems.problem(refused, request)).encode()
 
 
+def shown_request(exchange) -> dict[str, str]:
+    """Return the host and path that a request names, for log lines."""
+    host = exchange.headers.get("Host", "")
+    return {"host": shown_host(host), "path": shown_target(exchange.target)}
+
+
 def head_bytes(start_line: RequestStartLine, headers: HTTPHeaders) -> int:
     """Return the size of the request line and headers, in bytes."""
     lines = sum(len(name) + len(value) + 4 for name, value in headers.get_all())
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -17,12 +17,11 @@
 from papayacourse.routed.admitted import STOPPING_RETRY_AFTER
 from papayacourse.routed.document import CallerLimits
 from papayacourse.routed.documents import Documents
-from papayacourse.routed.exchange import CallerDisconnected, Exchange, ExchangeOwner
+from papayacourse.routed.exchange import CallerDisconnected, Exchange, ExchangeOwner, shown_request
 from papayacourse.routed.generation import StreamBroken
 from papayacourse.routed.outcome import Outcome
 from papayacourse.routed.relayedexchange import RelayedExchange
 from papayacourse.routed.relaying import RelayBroken
-from papayacourse.routed.requesttarget import shown_host, shown_target
 from papayacourse.routed.router import Router
 from papayacourse.stopdeadline import StopDeadline
 from papayacourse.types import Ran
@@ -234,11 +233,7 @@
         """Return what a refused request named, and where the document that was asked is from."""
         if outcome.end != "refused":
             return {}
-        return {
-            "host": shown_host(exchange.headers.get("Host", "")),
-            "path": shown_target(exchange.target),
-            "document_from": self.documents.origin,
-        }
+        return shown_request(exchange) | {"document_from": self.documents.origin}
 
 
 def as_not_executed(refused: RequestRefused) -> RequestRefused:
--- a/tests/features/steps/routedrequestforms_steps.py
+++ b/tests/features/steps/routedrequestforms_steps.py
@@ -93,3 +93,46 @@
         assert "secret" not in json.dumps(line), line
         assert (line["document"], line["document_from"]) == (version, origin), line
         assert line["document_age"] >= 0, line
+
+
+@when('heads that cannot be read are sent to "{name}"')
+def send_unreadable(context, name):
+    routed = fleet_of(context)
+    context.causes = [row["why"] for row in context.table]
+    context.answers = [
+        send_head(routed, name, row["request line"], row["headers"])[0] for row in context.table
+    ]
+
+
+@then('each is answered 400 and has a line "head not readable" with its cause alone')
+def unreadable_have_lines(context):
+    def causes():
+        return [line["why"] for line in fleet_of(context).lines("a", "head not readable")]
+
+    assert set(context.answers) == {400}, context.answers
+    wait_until("the lines are there", lambda: causes() == context.causes, SOON)
+
+
+@then('a request of {size:d} bytes to "{name}" is answered 413 and has a line "request not read"')
+def unread_has_line(context, size, name):
+    fields = f"Host: site.example; Content-Length: {size}"
+    assert send_head(fleet_of(context), name, "POST /open/x?q HTTP/1.1", fields)[0] == 413
+    lines = wait_until("its line", lambda: fleet_of(context).lines(name, "request not read"), SOON)
+    found = [(line["reason"], line["host"], line["path"]) for line in lines]
+    assert found == [("body_too_large", "site.example", "/open/x")], lines
+
+
+@then('a caller of "{name}" that expects "{value}" gets 100 and then 200')
+def gets_100(context, name, value):
+    host, _, port = fleet_of(context).address(name).rpartition(":")
+    head = (
+        f"POST /open/x HTTP/1.1\r\nHost: site.example\r\nX-Attempt-Id: expecting\r\n"
+        f"Expect: {value}\r\nContent-Length: 2\r\n\r\n"
+    )
+    with socket.create_connection((host, int(port)), LIMIT) as link:
+        link.sendall(head.encode())
+        assert link.recv(1000).startswith(b"HTTP/1.1 100"), "no interim answer"
+        link.sendall(b"ab")
+        response = HTTPResponse(link)
+        response.begin()
+        assert response.status == 200, response.status
