Log servers' 3xx and 4xx without proof, and test spellings over relays

A server's own 404 that bears no signature reaches the caller as it is, and nothing in the log told it from a refusal of the daemon.

--- a/papayacourse/routed/sending.py
+++ b/papayacourse/routed/sending.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Iterable
 
+from papayacourse import logs
 from papayacourse.answermemory import AnswerReservation
 from papayacourse.exceptions import (
     BackendAnswerLost,
@@ -101,6 +102,8 @@
     if not is_answer:
         await exchange.__aexit__(None, None, None)
         raise BackendAnswerLost(f"{dispatch.engine.name} sent an answer to another request")
+    if not send.has_run and 300 <= status < 500:
+        logs.info("answer without proof", engine=dispatch.engine.name, status=status)
     return exchange
 
 
--- a/tests/features/steps/routedproperrequests_steps.py
+++ b/tests/features/steps/routedproperrequests_steps.py
@@ -150,3 +150,32 @@
             "its route is served",
             lambda name=name: routed.ask(name, "GET", "/new0/x").status == 200, SOON,
         )  # fmt: skip
+
+
+@then('each form of a proper request through "{name}" is answered 200 by way of "{other}"')
+def forms_over_relays(context, name, other):
+    routed = fleet_of(context)
+    served = lambda: routed.ask(name, "GET", "/open/x").status == 200  # noqa: E731
+    wait_until("it is served", served, SOON)
+    for target, host in FORMS:
+        answer = routed.ask(name, "GET", target, Host=host)
+        assert answer.status == 200, (target, answer)
+        wait_until("its line", lambda: relayed_to(routed, name) == [other], SOON)
+
+
+def relayed_to(routed, name: str) -> list[str]:
+    """Return where a daemon relayed the last request, by its line."""
+    lines = routed.lines(name, "request ended")
+    return [li["relayed_to"] for li in lines if li["request"] == f"id-{routed.number}"]
+
+
+@when('"{name}" answers all with a {status:d} that is not signed')
+def answers_unsigned(context, name, status):
+    fleet_of(context).fleet.admin(name, {"after_run": [status, [["X-Attempt-Id", "ID"]]]})
+
+
+@then('the log of "{daemon}" names "{engine}" and {status:d} in a line "{kind}"')
+def names_engine_and_status(context, daemon, engine, status, kind):
+    lines = wait_until("the line", lambda: fleet_of(context).lines(daemon, kind), SOON)
+    found = [(line["engine"].partition("@")[0], line["status"]) for line in lines]
+    assert found == [(f"desk/{engine}", status)], lines
