Load numpy at a lasting owner of a cell before its first request

A forecast that loads numpy holds up the whole daemon, on a small host for most of a second. A daemon that has owned a cell for 3 s now loads it in a thread; the own interface's daemon imports it at its start, as before. The compiled methods are kept by a digest, so the file takes 634 KB in place of 952.

--- a/papayacourse/classcode.py
+++ b/papayacourse/classcode.py
@@ -2,10 +2,12 @@
 
 attrs writes the source of each class's methods when the class is defined, and compiles it; for all
 classes of a daemon, that takes longer than to load the modules. The build keeps the compiled code
-in a file, each piece under its source: a class or an attrs that has changed finds none there.
+in a file, each piece under the digest of its source: a class or an attrs that has changed finds
+none there.
 """
 
 import contextlib
+import hashlib
 import importlib.util
 import marshal
 import zlib
@@ -21,13 +23,14 @@
 
 
 class ClassCode(dict):
-    """Compiled code by the arguments of ``compile``: source, file name and mode."""
+    """Compiled code by the digest of its source, and by its file name and mode."""
 
-    def compile(self, *arguments: str) -> CodeType:
+    def compile(self, source: str, *named: str) -> CodeType:
         """Return the code for a source, compiled if it is new."""
-        code = self.get(arguments)
+        key = (hashlib.sha256(source.encode()).digest(), *named)
+        code = self.get(key)
         if code is None:
-            code = self[arguments] = compile(*arguments, dont_inherit=True)
+            code = self[key] = compile(source, *named, dont_inherit=True)
         return code
 
 
--- a/papayacourse/control.py
+++ b/papayacourse/control.py
@@ -15,6 +15,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application
 
+import papayacourse.forecastgrid  # noqa: F401  before the first request, which would wait for it
 from papayacourse import invariants, linkclasses, logs, routes
 from papayacourse.answermemory import AnswerMemory
 from papayacourse.catalog import Catalog, Client
--- a/papayacourse/duties.py
+++ b/papayacourse/duties.py
@@ -1,6 +1,7 @@
 """Manages the schedulers of this daemon: started on demand, handed over, dropped when idle."""
 
 import asyncio
+import importlib
 import time
 from collections.abc import Callable, Iterator
 
@@ -18,6 +19,8 @@
 
 SCHEDULER_IDLE_TIMEOUT = 30.0  # seconds, for the scheduler of a cell owned elsewhere
 MAINTENANCE_INTERVAL = 1.0  # seconds
+OWNER_TIME = 3.0  # seconds; while daemons start, each owns every cell until it meets the others
+FORECASTS = "papayacourse.forecastgrid"
 
 
 @define(eq=False)
@@ -30,6 +33,10 @@
         Returns a new scheduler of a cell, not yet started.
     last_used : dict of Cell to float
         When each cell was last owned or busy, in seconds of the monotonic clock.
+    owner_since : float or None
+        Since when this daemon has owned some cell, in seconds of the monotonic clock.
+    has_forecasts : bool
+        Whether what forecasts need is imported.
     """
 
     membership: Membership
@@ -38,6 +45,8 @@
     clock: Callable[[], float] = time.monotonic
     schedulers: dict[Cell, Scheduler] = field(factory=dict)
     last_used: dict[Cell, float] = field(factory=dict)
+    owner_since: float | None = None
+    has_forecasts: bool = False
 
     def __attrs_post_init__(self) -> None:
         self.membership.loads_here = self.loads
@@ -105,6 +114,7 @@
         while True:
             await next_tick(MAINTENANCE_INTERVAL)
             self.hand_over()
+            await self.prepare_forecasts()
             for cell, scheduler in list(self.schedulers.items()):
                 busy = len(scheduler.grant_queue.queue) or any(
                     led.streams for led in scheduler.ledgers.values()
@@ -116,6 +126,22 @@
                     await scheduler.__aexit__(None, None, None)
                     logs.info("no longer scheduling", duty=cell.duty)
 
+    async def prepare_forecasts(self) -> None:
+        """Import what forecasts need once this daemon is an owner, before its first request.
+
+        A daemon that owns no cell does without, and a start need not wait for it.
+        """
+        if self.has_forecasts:
+            return
+        if not any(map(self.owns, self.cell_map.cells(self.membership.me.domain))):
+            self.owner_since = None
+            return
+        if self.owner_since is None:
+            self.owner_since = self.clock()
+        if self.clock() - self.owner_since >= OWNER_TIME:
+            self.has_forecasts = True
+            await asyncio.to_thread(importlib.import_module, FORECASTS)
+
     async def close(self) -> None:
         """Stop every scheduler."""
         for scheduler in self.schedulers.values():
