--- a/papayacourse/metrics.py
+++ b/papayacourse/metrics.py
@@ -16,6 +16,7 @@
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 SECONDS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.044, 0.1, 0.2, 0.5, 1.0, 1.5, 3.0, 10.0, 30.0, 100.0)
+GAP_SECONDS = (0.02, 0.05, 0.1, 0.15, 0.2, 0.25, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0)
 MAX_LABEL_CHARACTERS = 100  # beyond which a label is cut
 CUT = "..."
 TOKENS = tuple(float(2**power) for power in range(0, 18))
@@ -78,6 +79,7 @@
             buckets("papayacourse_queue_wait", SECONDS),
             buckets("papayacourse_request_time", SECONDS),
             buckets("papayacourse_time_to_first_event", SECONDS),
+            buckets("papayacourse_longest_gap", GAP_SECONDS),
             buckets("papayacourse_output_length", TOKENS),
         ]
         self.provider = MeterProvider(
@@ -92,6 +94,7 @@
         self.queue_wait = self._histogram("papayacourse_queue_wait", "s")
         self.request_time = self._histogram("papayacourse_request_time", "s")
         self.first_event = self._histogram("papayacourse_time_to_first_event", "s")
+        self.longest_gap = self._histogram("papayacourse_longest_gap", "s")
         self.output_length = self._histogram("papayacourse_output_length", "{token}")
         self.requests = self._counter("papayacourse_requests")
         self.refusals = self._counter("papayacourse_refusals")
--- a/papayacourse/routed/answerrelay.py
+++ b/papayacourse/routed/answerrelay.py
@@ -102,10 +102,12 @@
             if is_older(generation.last_id, event_id):
                 return
             raise BackendAnswerLost(f"event {event_id} after {generation.last_id}")
+        arrived_at, is_copying = time.monotonic(), generation.copy_lock.locked()
         if not generation.exchange.head_written:
             await generation.exchange.begin(200, headers, event)
         else:
             await generation.exchange.write(event)
+        generation.gaps.record_event(arrived_at, time.monotonic(), is_copying)
         if not generation.events:
             generation.first_at = time.monotonic()
             generation.fleet.note_first_event(generation.admitted)
--- a/papayacourse/routed/front.py
+++ b/papayacourse/routed/front.py
@@ -18,7 +18,7 @@
 from papayacourse.routed.document import CallerLimits
 from papayacourse.routed.documents import Documents
 from papayacourse.routed.exchange import CallerDisconnected, Exchange, ExchangeOwner
-from papayacourse.routed.generation import StreamBroken
+from papayacourse.routed.generation import Generation, StreamBroken
 from papayacourse.routed.outcome import Outcome
 from papayacourse.routed.relayedexchange import RelayedExchange
 from papayacourse.routed.relaying import RelayBroken
@@ -216,6 +216,8 @@
         account = admitted.account_name if admitted else ""
         self.metrics.requests.add(1, {"route": route, "account": account, "end": outcome.end})
         self.metrics.request_time.record(seconds, {"route": route, "account": account})
+        if outcome.generation is not None:
+            self._record_longest_gap(outcome.generation, route, account)
         logs.info(
             "request ended", end=outcome.end, why=outcome.why, reason=outcome.reason,
             status=outcome.status, ran=outcome.ran, route=route, account=account,
@@ -228,6 +230,12 @@
             **outcome.stream_fields(), **self.stop.log_fields(),
         )  # fmt: skip
 
+    def _record_longest_gap(self, generation: Generation, route: str, account: str) -> None:
+        gaps = generation.gaps
+        if gaps.cause is not None:
+            labels = {"route": route, "account": account, "cause": gaps.cause}
+            self.metrics.longest_gap.record(gaps.longest, labels)
+
 
 def as_not_executed(refused: RequestRefused) -> RequestRefused:
     """Return a quarantine refusal with status 503, which means that the request did not run.
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -11,6 +11,7 @@
 from papayacourse.requestguard import RequestGuard
 from papayacourse.routed.admitted import AdmittedRequest
 from papayacourse.routed.document import EngineCapacity
+from papayacourse.routed.eventgaps import EventGaps
 from papayacourse.routed.events import can_resume_after
 from papayacourse.routed.exchange import Exchange
 from papayacourse.routed.fleetview import FleetView
@@ -65,6 +66,8 @@
         A copy of the run on another engine, at most a few seconds old.
     copy_lock : asyncio.Lock
         Held while an engine copies the run, since the engine refuses a concurrent copy.
+    gaps : EventGaps
+        The gaps between its events.
     """
 
     admitted: AdmittedRequest
@@ -86,6 +89,7 @@
     relayed: HttpCall | None = None
     copy: Standby | None = None
     copy_lock: asyncio.Lock = field(factory=asyncio.Lock)
+    gaps: EventGaps = field(factory=EventGaps)
 
     # Queries.
 
--- a/papayacourse/routed/migration/failover.py
+++ b/papayacourse/routed/migration/failover.py
@@ -2,6 +2,7 @@
 
 from attrs import define
 
+from papayacourse.routed.eventgaps import GapCause
 from papayacourse.routed.events import can_resume_after
 from papayacourse.routed.generation import Generation
 from papayacourse.routed.migration.standby import Standby
@@ -25,6 +26,7 @@
         generation.log_failed(why)
         standby = await generation.pending_move if generation.pending_move is not None else None
         generation.pending_move = None
+        generation.gaps.interruption = GapCause.ENGINE_LOST if standby is None else GapCause.MOVE
         if generation.guard.is_condemned():
             raise generation.broken(why)
         if standby is None and (generation.copy is not None or generation.may_restart()):
--- a/papayacourse/routed/outcome.py
+++ b/papayacourse/routed/outcome.py
@@ -32,6 +32,7 @@
             "events": generation.events,
             "first_event": None if waited is None else round(waited, 3),
             "resumes": generation.resumes,
+            **generation.gaps.log_fields(),
         }
 
     def record_refusal(self, refused: RequestRefused) -> None:
--- a/tests/features/routed_streams.feature
+++ b/tests/features/routed_streams.feature
@@ -17,6 +17,7 @@
     Then the plan is whole
     And the run went on at "planner-2" where it had stopped at "planner-1"
     And no two engines worked on the run at once
+    And the log of "a" tells the longest gap of the plan, by move, and so does a metric
 
   Scenario: Where one engine has no room another is tried
     Given an engine "planner-2" of "planner" in "lagos" that is listed last
