--- a/papayacourse/grants.py
+++ b/papayacourse/grants.py
@@ -11,7 +11,7 @@
 from attrs import define, field
 
 from papayacourse import invariants
-from papayacourse.admission import choose_engine
+from papayacourse.admission import accepts_streams, choose_engine, eligible_engines
 from papayacourse.copies import Copies
 from papayacourse.crossdomainjoins import JOIN_SETTLING_TIME
 from papayacourse.delays import accepts_prompt, record_prompt
@@ -26,6 +26,7 @@
 from papayacourse.meshmessages import ServiceLoad
 from papayacourse.reservations import Reservations
 from papayacourse.schedulingmessages import (
+    TOO_SLOW,
     Granted,
     GrantRefused,
     GrantRequest,
@@ -34,6 +35,7 @@
     Queued,
 )
 from papayacourse.tasks import cancel_all
+from papayacourse.timeliness import lateness, shortest
 from papayacourse.types import GenerationRequest
 from papayacourse.waits import Backlog, ReleaseRate
 
@@ -98,9 +100,21 @@
         ledgers = self.engines.usable(())
         wait = self.waits.expected_wait() if ledgers else math.inf
         free = sum(max(0.0, ledger.budget - ledger.tokens) for ledger in ledgers)
-        team, service = self.engines.cell.team, self.engines.cell.service
+        cell = self.engines.cell
+        step, pause = shortest(filter(accepts_streams, ledgers), self.engines.paces)
         return ServiceLoad(
-            team, service, len(self.queue), wait, int(free), self.engines.cell.number
+            cell.team, cell.service, len(self.queue), wait, int(free), cell.number, step, pause
+        )
+
+    def keeps_targets(self, daemon: str, request: GrantRequest) -> bool:
+        """Return True if an engine has room for a request and is fast enough for its streams."""
+        now, prefixes = self.clock(), self.engines.prefixes
+        candidate = Stream(request.generation, daemon, seen_at=now, granted_at=now)
+        usable = self.engines.usable(request.avoid)
+        ready = [led for led in usable if accepts_prompt(led, request.generation, prefixes, now)]
+        return any(
+            lateness(ledger, candidate, self.engines.paces) <= 1
+            for ledger in eligible_engines(ready, candidate, self.lengths, now)
         )
 
     # Commands.
@@ -124,6 +138,9 @@
             return GrantRefused(
                 stream, "no_engine", "no engine can serve now", MIN_RETRY_AFTER_SECONDS
             )
+        if request.only_in_time and not self.keeps_targets(daemon, request):
+            self._log_refused(request, TOO_SLOW)
+            return GrantRefused(stream, TOO_SLOW, "no engine keeps the targets of its streams", 0.0)
         if stream in self.queue:
             return self._queued_answer(generation)
         item = QueuedRequest(daemon, request, self.clock())
@@ -253,7 +270,9 @@
         if ledger is None:
             return None
         self.queue.discard(stream)
-        log_granted(ledger, candidate, now - item.queued_at)
+        log_granted(
+            ledger, candidate, now - item.queued_at, lateness(ledger, candidate, self.engines.paces)
+        )
         self.add_stream(ledger, candidate)
         self.grants += 1
         record_prompt(ledger, candidate, self.engines.prefixes, now)
--- a/papayacourse/loads.py
+++ b/papayacourse/loads.py
@@ -6,6 +6,7 @@
 from papayacourse.meshmessages import ServiceLoad
 
 SIGNIFICANT_FRACTION = 0.1  # of a value, by which it must change to be sent again
+MIN_PACE_CHANGE = 0.005  # seconds; smaller changes of an engine's pace are not sent
 MIN_WAIT_CHANGE = 0.1  # seconds; smaller changes of the expected wait are not sent
 
 
@@ -22,6 +23,8 @@
         is_close(before.queued, now.queued, 0)
         and is_close(before.expected_wait, now.expected_wait, MIN_WAIT_CHANGE)
         and is_close(before.free_tokens, now.free_tokens, 0)
+        and is_close(before.step, now.step, MIN_PACE_CHANGE)
+        and is_close(before.pause, now.pause, MIN_PACE_CHANGE)
     )
 
 
--- a/papayacourse/meshmessages.py
+++ b/papayacourse/meshmessages.py
@@ -48,6 +48,9 @@
         The expected wait of a new request, in seconds.
     free_tokens : int
         Memory still available to admission control, in tokens.
+    step, pause : float
+        The seconds per token with one more stream, and the pauses for prompts, of the engine with
+        the shortest; in seconds, 0 if unknown.
     """
 
     team: str
@@ -56,6 +59,8 @@
     expected_wait: UnboundedSeconds
     free_tokens: int
     cell: int = 0
+    step: float = 0.0
+    pause: float = 0.0
 
 
 @frozen
--- a/papayacourse/placement.py
+++ b/papayacourse/placement.py
@@ -22,6 +22,7 @@
 from papayacourse.reporting import Reporting
 from papayacourse.scheduling import Scheduling
 from papayacourse.schedulingmessages import (
+    TOO_SLOW,
     Granted,
     GrantRefused,
     GrantRequest,
@@ -34,7 +35,7 @@
     StreamState,
     StreamsUnknown,
 )
-from papayacourse.spill import RemotePlacement, Spill, implied_wait, lacks_capacity
+from papayacourse.spill import DOMAINS_TRIED, RemotePlacement, Spill, implied_wait, lacks_capacity
 from papayacourse.tasks import is_done_within
 from papayacourse.types import GenerationRequest
 
@@ -197,6 +198,9 @@
     ) -> Answer:
         """Ask this failure domain, then others if that saves more time than the link costs."""
         without_prompt = evolve(request, generation=evolve(request.generation, prompt=""))
+        timely = None if request.join else await self._ask_in_time(without_prompt, may_use)
+        if timely is not None:
+            return timely
         answer = await self._ask_here(without_prompt)
         if request.join:
             no_place = isinstance(answer, Queued | GrantRefused)
@@ -210,6 +214,30 @@
         await self.release_grant(request.generation)
         return self._placed(request, placed)
 
+    async def _ask_in_time(
+        self, request: GrantRequest, may_use: Callable[[str], bool]
+    ) -> Granted | None:
+        """Ask for a place that keeps the target for gaps, if another domain seems to have one.
+
+        Returns None if there is none, here or there: then any place will do.
+        """
+        domains = self.spill.timely_domains(request, may_use)
+        if not domains:
+            return None
+        strict = evolve(request, only_in_time=True, wait_limit=0.0)
+        answer = await self._ask_here(strict)
+        match answer:
+            case Granted():
+                return answer
+            case GrantRefused(reason=reason) if reason == TOO_SLOW:
+                placed = await self.spill.place_in(domains[:DOMAINS_TRIED], strict)
+            case _:
+                return None
+        if placed is None:
+            return None
+        await self.release_grant(request.generation)
+        return self._placed(request, placed)
+
     def _placed(self, request: GrantRequest, placed: RemotePlacement) -> Granted:
         self.remote_domains[request.generation.stream] = placed.domain
         self.requested_cells[request.generation.stream] = placed.cell
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -174,7 +174,7 @@
 
     def _record_pace(self, ledger: EngineLedger, stream: Stream, row: Progress) -> None:
         """Learn an engine's pace from the progress of a stream since its last report."""
-        if not row.generated > stream.generated > 0:
+        if not row.generated > stream.generated > 0 or not stream.generation.max_gap:
             return
         paces, since = self.engines.paces, stream.seen_at
         seconds = (self.clock() - since) / (row.generated - stream.generated)
--- a/papayacourse/schedulingmessages.py
+++ b/papayacourse/schedulingmessages.py
@@ -4,6 +4,8 @@
 
 from papayacourse.types import GenerationRequest, UnboundedSeconds
 
+TOO_SLOW = "too_slow"  # reason of a refusal that only GrantRequest.only_in_time brings
+
 
 @frozen
 class GrantRequest:
@@ -22,6 +24,8 @@
         The number of the stream in the progress reports of the requesting daemon.
     cell : int
         The cell of the service that the request is for.
+    only_in_time : bool
+        Whether a place is refused on engines that are too slow for the targets of their streams.
     """
 
     generation: GenerationRequest
@@ -30,6 +34,7 @@
     join: bool = False
     number: int = 0
     cell: int = 0
+    only_in_time: bool = False
 
 
 @frozen
--- a/papayacourse/spill.py
+++ b/papayacourse/spill.py
@@ -16,6 +16,7 @@
 from papayacourse.peers import Peers
 from papayacourse.schedulingmessages import Granted, GrantRefused, GrantRequest, Joined, Queued
 from papayacourse.settings import ServiceSettings
+from papayacourse.timeliness import expected_gap
 from papayacourse.types import GenerationRequest
 
 ANSWER_TIMEOUT = 0.4  # seconds until another domain's scheduler answers
@@ -78,6 +79,11 @@
             return 0.0
 
 
+def has_place(load: ServiceLoad) -> bool:
+    """Return True if a cell's engines have room, and their pace is known."""
+    return load.step > 0 and load.expected_wait <= 0
+
+
 def lacks_capacity(answer: Answer) -> bool:
     """Return True if a scheduler has engines but no free place now."""
     match answer:
@@ -140,6 +146,26 @@
         domains = self._domains_to_ask(request, wait, may_use)
         return await self.place_in(domains[:DOMAINS_TRIED], request)
 
+    def timely_domains(self, request: GrantRequest, may_use: Callable[[str], bool]) -> list[str]:
+        """Return the other domains with a place now whose engines keep the target for gaps.
+
+        Those of this region come first. There is none for a request without that target.
+        """
+        me, generation = self.membership.me, request.generation
+        if generation.max_gap <= 0:
+            return []
+        members = self.membership.members.values()
+        regions = {m.domain: m.region for m in members if may_use(m.region)}
+        found = []
+        for domain in regions.keys() - {me.domain}:
+            loads = self.loads(domain, generation.team, generation.service)
+            gaps = [
+                expected_gap(generation, load.step, load.pause) for load in loads if has_place(load)
+            ]
+            if gaps and min(gaps) <= generation.max_gap:
+                found.append((regions[domain] != me.region, min(gaps), domain))
+        return [domain for _, _, domain in sorted(found)]
+
     async def place_in(
         self, domains: Iterable[str], request: GrantRequest
     ) -> RemotePlacement | None:
--- a/papayacourse/timeliness.py
+++ b/papayacourse/timeliness.py
@@ -3,10 +3,10 @@
 Only streams with such a target count, and only engines whose pace is known can be too slow.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from papayacourse.ledger import EngineLedger, Stream
-from papayacourse.pace import Paces
+from papayacourse.pace import Line, Paces
 from papayacourse.types import GenerationRequest
 
 SIMILAR_LATENESS = 1.1  # ratio up to which engines on which streams are late count as equals
@@ -22,11 +22,26 @@
     line = paces.line(ledger.name) if targets else None
     if line is None:
         return 0.0
-    step = line.at(len(ledger.streams) + 1) + line.deviation
-    pause = paces.pause(ledger.name)
+    step, pause = step_with_one_more(ledger, line), paces.pause(ledger.name)
     return max(expected_gap(each, step, pause) / each.max_gap for each in targets)
 
 
+def step_with_one_more(ledger: EngineLedger, line: Line) -> float:
+    """Return the seconds per token to expect on an engine with one more stream."""
+    return line.at(len(ledger.streams) + 1) + line.deviation
+
+
+def shortest(ledgers: Iterable[EngineLedger], paces: Paces) -> tuple[float, float]:
+    """Return the expected step and pause of the engine where they are shortest; 0 if unknown."""
+    lines = ((ledger, paces.line(ledger.name)) for ledger in ledgers)
+    found = [
+        (step_with_one_more(ledger, line), paces.pause(ledger.name))
+        for ledger, line in lines
+        if line is not None
+    ]
+    return min(found, key=sum, default=(0.0, 0.0))
+
+
 def expected_gap(generation: GenerationRequest, step: float, pause: float) -> float:
     """Return the longest gap between a stream's events to expect, in seconds.
 
--- a/tests/features/engine_pace.feature
+++ b/tests/features/engine_pace.feature
@@ -59,9 +59,49 @@
 
   Scenario: A scheduler learns paces and pauses from reports of progress
     Given a scheduler with engines "one" of 30000 tokens
-    When a run there reports 20 tokens a second for 5 s, and gaps of 0.15 s for prompts
+    When a run there reports 20 tokens a second for 5 s, gaps of 0.15 s for prompts
     Then its engine is taken for one of 0.05 s a token that pauses for 0.1 s
 
   Scenario: Reports carry the longest gaps, and only where a stream has one
     Then a report of gaps of 0.15, 0 and 0.02 s is read as it was sent
     And a report without gaps is sent as before
+
+  Scenario Outline: A scheduler that is asked for a place in time gives none where targets are missed
+    Given a scheduler with engines "one" of 30000 tokens
+    When a run there reports <rate> tokens a second for 5 s, gaps of <gap> s for prompts
+    Then a request for a place in time there is <answer>, and one for any place is granted
+    And the load told to other domains has <step> s a token
+
+    Examples:
+      | rate | gap  | answer   | step |
+      | 20   | 0.19 | too_slow | 0.05 |
+      | 50   | 0.05 | granted  | 0.02 |
+
+  # With one engine in a domain, its scheduler had no other to choose: 15 of 19 streams stayed late.
+  Scenario Outline: Domains are asked whose engines keep the target, those of this region first
+    Given these domains
+      | domain | region | wait | step | pause |
+      | near   | lagos  | 0    | 0.02 | 0.10  |
+      | slow   | lagos  | 0    | 0.05 | 0.14  |
+      | full   | lagos  | 1    | 0.02 | 0.02  |
+      | new    | lagos  | 0    | 0    | 0     |
+      | far    | kano   | 0    | 0.02 | 0.02  |
+    Then a request with a gap of <gap> s asks for places in time in "<domains>"
+
+    Examples:
+      | gap  | domains          |
+      | 0.18 | near, far        |
+      | 0.25 | near, slow, far  |
+      | 0    | none             |
+
+  Scenario Outline: A stream goes to another domain only if no engine here keeps the target
+    Given another domain that has a place in time <elsewhere>
+    When this domain answers "<here>" to a request for a place in time
+    Then the stream is <placed>
+
+    Examples:
+      | elsewhere | here       | placed              |
+      | yes       | granted    | placed here         |
+      | yes       | too_slow   | placed there        |
+      | yes       | overloaded | to get any place    |
+      | no        | too_slow   | to get any place    |
--- a/tests/features/steps/enginepace_steps.py
+++ b/tests/features/steps/enginepace_steps.py
@@ -1,20 +1,33 @@
 """Steps about the paces of engines, without processes."""
 
+import asyncio
 import time
 from itertools import cycle
+from types import SimpleNamespace
 
 from attrs import evolve
 from behave import given, then, when
+from routedhomes_steps import member, membership
 from routedplaces_steps import SERVICE, run
 
 from papayacourse.admission import choose_engine
 from papayacourse.cells import Cell
 from papayacourse.ledger import EngineLedger, Stream, add_stream
 from papayacourse.lengths import LengthModel
+from papayacourse.meshmessages import ServiceLoad
 from papayacourse.numbering import Progress, ProgressRow, decode_progress, encode_progress
 from papayacourse.pace import Paces
+from papayacourse.placement import Placement
 from papayacourse.policies import POLICIES
-from papayacourse.schedulingmessages import StreamReport, StreamState
+from papayacourse.routed.derived import TEAM
+from papayacourse.schedulingmessages import (
+    Granted,
+    GrantRefused,
+    GrantRequest,
+    StreamReport,
+    StreamState,
+)
+from papayacourse.spill import Spill
 
 MEMORY = 30_000  # tokens
 SAMPLES = 6  # reports at each batch size
@@ -88,11 +101,9 @@
 # Through the messages.
 
 
-@when(
-    "a run there reports {rate:d} tokens a second for {count:d} s, and gaps of {gap:g} s for prompts"
-)
+@when("a run there reports {rate:d} tokens a second for {count:d} s, gaps of {gap:g} s for prompts")
 def reports(context, rate, count, gap):
-    scheduler, start = context.scheduler, time.monotonic()
+    scheduler, start = context.scheduler, time.monotonic() - count - 1
     context.engine = f"{SERVICE}/one"
     state = StreamState(stream("run", TARGET).generation, context.engine, 1, 1)
     for second in range(count + 1):
@@ -120,3 +131,82 @@
 @then("a report without gaps is sent as before")
 def no_gaps(_context):
     assert encode_progress(CELL, [ProgressRow(3, 20)]).gaps == ()
+
+
+# In time, here or in another domain.
+
+
+def asked(gap: float = TARGET, **more) -> GrantRequest:
+    """Return a request for a place."""
+    return GrantRequest(stream("new", gap).generation, 5.0, **more)
+
+
+@then("a request for a place in time there is {answer}, and one for any place is granted")
+def asked_in_time(context, answer):
+    async def work():
+        grant = context.scheduler.request_grant
+        strict = grant("me", asked(only_in_time=True))
+        assert getattr(strict, "reason", "granted") == answer, strict
+        assert isinstance(grant("me", asked()), Granted)
+
+    asyncio.run(work())
+
+
+@then("the load told to other domains has {step:g} s a token")
+def load_told(context, step):
+    load = context.scheduler.grant_queue.load()
+    assert abs(load.step - step) < 0.1 * step, load
+
+
+@given("these domains")
+def domains(context):
+    view = membership("here", "lagos")
+    view.members = {
+        row["domain"]: member("d", row["domain"], row["region"]) for row in context.table
+    }
+    loads = {
+        row["domain"]: ServiceLoad(
+            TEAM, SERVICE, 0, float(row["wait"]), 9, 0, float(row["step"]), float(row["pause"])
+        )
+        for row in context.table
+    }
+    context.spill = Spill(view, view.peers, None, lambda domain, *_: [loads[domain]])
+
+
+@then('a request with a gap of {gap:g} s asks for places in time in "{names}"')
+def domains_asked(context, gap, names):
+    found = context.spill.timely_domains(asked(gap), lambda _region: True)
+    assert (", ".join(found) or "none") == names, found
+
+
+@given("another domain that has a place in time {answer}")
+def other_domain(context, answer):
+    async def place_in(_domains, request):
+        assert request.only_in_time
+        return Granted("new", "there", "") if answer == "yes" else None
+
+    context.released = []
+    timely = lambda *_: ["there"]  # noqa: E731
+    context.placement = SimpleNamespace(
+        spill=SimpleNamespace(timely_domains=timely, place_in=place_in),
+        release_grant=lambda generation: asyncio.sleep(0, context.released.append(generation)),
+        _placed=lambda _request, placed: placed,
+    )
+
+
+@when('this domain answers "{here}" to a request for a place in time')
+def answers_here(context, here):
+    async def ask(request):
+        assert request.only_in_time
+        granted = Granted("new", "here", "")
+        return granted if here == "granted" else GrantRefused("new", here, "", 0.0)
+
+    context.placement._ask_here = ask
+    context.found = asyncio.run(Placement._ask_in_time(context.placement, asked(), None))
+
+
+@then("the stream is {placed}")
+def is_placed(context, placed):
+    expected = {"placed here": "here", "placed there": "there", "to get any place": None}[placed]
+    assert getattr(context.found, "engine", None) == expected, context.found
+    assert bool(context.released) == (expected == "there")
