--- a/papayacourse/grantlog.py
+++ b/papayacourse/grantlog.py
@@ -21,21 +21,12 @@
     }
 
 
-def log_granted(ledger: EngineLedger, stream: Stream, waited: float, late: float) -> None:
-    """Log a granted place.
-
-    Parameters
-    ----------
-    waited : float
-        How long the request waited for it, in seconds.
-    late : float
-        The longest gap to expect there over the target of the stream that is worst off.
-    """
+def log_granted(ledger: EngineLedger, stream: Stream, waited: float, **inputs) -> None:
+    """Log a granted place; ``waited`` is in seconds."""
     logs.info(
         "granted", request=stream.generation.stream, engine=ledger.name,
         daemon_asking=stream.daemon, waited=round(waited, 3), tokens=stream.tokens,
-        lateness=round(late, 2),
-        **engine_state(ledger),
+        **inputs, **engine_state(ledger),
     )  # fmt: skip
 
 
--- a/papayacourse/grants.py
+++ b/papayacourse/grants.py
@@ -270,9 +270,7 @@
         if ledger is None:
             return None
         self.queue.discard(stream)
-        log_granted(
-            ledger, candidate, now - item.queued_at, lateness(ledger, candidate, self.engines.paces)
-        )
+        self._log_granted(ledger, candidate, now - item.queued_at)
         self.add_stream(ledger, candidate)
         self.grants += 1
         record_prompt(ledger, candidate, self.engines.prefixes, now)
@@ -284,6 +282,11 @@
         self.charge(generation.priority, generation.account, cost)
         return Granted(stream, ledger.name, ledger.address)
 
+    def _log_granted(self, ledger: EngineLedger, stream: Stream, waited: float) -> None:
+        paces = self.engines.paces
+        late, pause = lateness(ledger, stream, paces), paces.pause(ledger.name)
+        log_granted(ledger, stream, waited, lateness=round(late, 2), pause=round(pause, 3))
+
     def _choose_engine(
         self, candidate: Stream, usable: list[EngineLedger], now: float
     ) -> EngineLedger | None:
--- a/papayacourse/pace.py
+++ b/papayacourse/pace.py
@@ -152,10 +152,13 @@
         return Line(*(median(getattr(each, name) for each in lines) for name in LINE_FIELDS))
 
     def pause(self, engine: str) -> float:
-        """Return the pause to expect while an engine prefills, or the service's; 0 if unknown."""
+        """Return the pause to expect while an engine prefills, 0 while none was seen there.
+
+        Of an engine whose pace isn't known it is the median of the others.
+        """
         found = self.engines.get(engine)
-        if found is not None and found.has_pause():
-            return found.long_pause()
+        if found is not None and found.is_known():
+            return found.long_pause() if found.has_pause() else 0.0
         known = [each.long_pause() for each in self.engines.values() if each.has_pause()]
         return median(known) if known else 0.0
 
--- a/papayacourse/placement.py
+++ b/papayacourse/placement.py
@@ -246,7 +246,11 @@
     async def place_in(self, domains: Iterable[str], request: GrantRequest) -> Granted | None:
         """Return a place in one of the given failure domains, or None if none is free now."""
         request = evolve(request, number=self.numbers.of(request.generation.stream))
-        placed = await self.spill.place_in(domains, request)
+        domains = list(domains)
+        timely = self.spill.timely_domains(request, lambda _region: True)
+        strict = evolve(request, only_in_time=True)
+        placed = await self.spill.place_in([d for d in timely if d in domains], strict)
+        placed = placed or await self.spill.place_in(domains, request)
         return self._placed(request, placed) if placed is not None else None
 
     async def _join_other_domain(self, request: GrantRequest, answer: Answer) -> Answer:
--- a/papayacourse/promptqueue.py
+++ b/papayacourse/promptqueue.py
@@ -37,10 +37,6 @@
             return 0.0
         return max(0.0, self.tokens - self.speed * (now - self.updated_at))
 
-    def was_busy(self, since: float) -> bool:
-        """Return True if there have been prompts to prefill at or after a time."""
-        return self.updated_at >= since or self.pending_tokens(since) > 0
-
     def expected_wait(self, tokens: int, now: float) -> float:
         """Return the time until a prompt added now is prefilled, in seconds."""
         return (self.pending_tokens(now) + tokens) / self.speed
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -185,8 +185,7 @@
         if not row.longest_gap or line is None:
             return
         usual = line.at(batch) * stream.generation.event_tokens
-        # The prompts of other schedulers' requests, and slow prefills, aren't known here.
-        if row.longest_gap > NOTABLE_GAP * usual or ledger.prompt_queue.was_busy(since):
+        if row.longest_gap > NOTABLE_GAP * usual:
             paces.record_pause(ledger.name, row.longest_gap - usual)
 
     def has_stream(self, stream: str) -> bool:
