--- a/papayacourse/grantlog.py
+++ b/papayacourse/grantlog.py
@@ -21,12 +21,12 @@
     }
 
 
-def log_granted(ledger: EngineLedger, stream: Stream, waited: float) -> None:
+def log_granted(ledger: EngineLedger, stream: Stream, waited: float, **inputs) -> None:
     """Log a granted place; ``waited`` is in seconds."""
     logs.info(
         "granted", request=stream.generation.stream, engine=ledger.name,
         daemon_asking=stream.daemon, waited=round(waited, 3), tokens=stream.tokens,
-        **engine_state(ledger),
+        **inputs, **engine_state(ledger),
     )  # fmt: skip
 
 
--- a/papayacourse/placement.py
+++ b/papayacourse/placement.py
@@ -22,6 +22,7 @@
 from papayacourse.reporting import Reporting
 from papayacourse.scheduling import Scheduling
 from papayacourse.schedulingmessages import (
+    TOO_SLOW,
     Granted,
     GrantRefused,
     GrantRequest,
@@ -34,7 +35,7 @@
     StreamState,
     StreamsUnknown,
 )
-from papayacourse.spill import RemotePlacement, Spill, implied_wait, lacks_capacity
+from papayacourse.spill import DOMAINS_TRIED, RemotePlacement, Spill, implied_wait, lacks_capacity
 from papayacourse.tasks import is_done_within
 from papayacourse.types import GenerationRequest
 
@@ -197,6 +198,9 @@
     ) -> Answer:
         """Ask this failure domain, then others if that saves more time than the link costs."""
         without_prompt = evolve(request, generation=evolve(request.generation, prompt=""))
+        timely = None if request.join else await self._ask_in_time(without_prompt, may_use)
+        if timely is not None:
+            return timely
         answer = await self._ask_here(without_prompt)
         if request.join:
             no_place = isinstance(answer, Queued | GrantRefused)
@@ -210,6 +214,30 @@
         await self.release_grant(request.generation)
         return self._placed(request, placed)
 
+    async def _ask_in_time(
+        self, request: GrantRequest, may_use: Callable[[str], bool]
+    ) -> Granted | None:
+        """Ask for a place that keeps the target for gaps, if another domain seems to have one.
+
+        Returns None if there is none, here or there: then any place will do.
+        """
+        domains = self.spill.timely_domains(request, may_use)
+        if not domains:
+            return None
+        strict = evolve(request, only_in_time=True, wait_limit=0.0)
+        answer = await self._ask_here(strict)
+        match answer:
+            case Granted():
+                return answer
+            case GrantRefused(reason=reason) if reason == TOO_SLOW:
+                placed = await self.spill.place_in(domains[:DOMAINS_TRIED], strict)
+            case _:
+                return None
+        if placed is None:
+            return None
+        await self.release_grant(request.generation)
+        return self._placed(request, placed)
+
     def _placed(self, request: GrantRequest, placed: RemotePlacement) -> Granted:
         self.remote_domains[request.generation.stream] = placed.domain
         self.requested_cells[request.generation.stream] = placed.cell
@@ -218,7 +246,11 @@
     async def place_in(self, domains: Iterable[str], request: GrantRequest) -> Granted | None:
         """Return a place in one of the given failure domains, or None if none is free now."""
         request = evolve(request, number=self.numbers.of(request.generation.stream))
-        placed = await self.spill.place_in(domains, request)
+        domains = list(domains)
+        timely = self.spill.timely_domains(request, lambda _region: True)
+        strict = evolve(request, only_in_time=True)
+        placed = await self.spill.place_in([d for d in timely if d in domains], strict)
+        placed = placed or await self.spill.place_in(domains, request)
         return self._placed(request, placed) if placed is not None else None
 
     async def _join_other_domain(self, request: GrantRequest, answer: Answer) -> Answer:
@@ -348,14 +380,24 @@
             # The place expires, because no daemon reports the stream any more.
             logs.debug("failed to report end of stream", daemon=owner, why=str(error))
 
-    def progress(self, generation: GenerationRequest, engine: str, generated: int) -> None:
-        """Record the progress of a stream for the next report."""
+    def progress(
+        self, generation: GenerationRequest, engine: str, generated: int, gap: float = 0.0
+    ) -> None:
+        """Record the progress of a stream for the next report.
+
+        Parameters
+        ----------
+        gap : float
+            The gap before its last event, in seconds, if the engine made it; 0 if not.
+        """
         before = self.relayed.get(generation.stream)
         without_prompt = (
             before.generation if before is not None else evolve(generation, prompt="", prefixes=())
         )
         number = self.numbers.of(generation.stream)
         self.relayed[generation.stream] = StreamState(without_prompt, engine, generated, number)
+        if generation.max_gap > 0:
+            self.reporting.record_gap(generation.stream, gap)
 
     def adopt(self, generation: GenerationRequest, engine: str, domain: str) -> None:
         """Record a stream that continues on an engine without a scheduler's grant."""
