Know the load of plain servers across daemons

Each daemon judged plain servers by its own few calls, and of equal ones took the first listed. Daemons now report their use of servers to one daemon of their domain, which answers with that of all others; what several equal servers are sent is spread by their cost. A rejection counts for a moment.

--- a/papayacourse/messages.py
+++ b/papayacourse/messages.py
@@ -35,6 +35,7 @@
     SettingsSummary,
     SettingsUpdate,
 )
+from papayacourse.plainmessages import ServerUses
 from papayacourse.relaymessages import (
     RelayAccepted,
     RelayCancelled,
@@ -111,4 +112,5 @@
     | RelayDeclined
     | RelayPart
     | RelayCancelled
+    | ServerUses
 )
--- a/papayacourse/routed/choice.py
+++ b/papayacourse/routed/choice.py
@@ -1,24 +1,37 @@
 """Chooses servers of plain services by distance, load and recent failures."""
 
+import random
 import time
 from collections import defaultdict
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Iterator
+from contextlib import contextmanager
 
 from attrs import define, field
 
+from papayacourse import logs
 from papayacourse.linkclasses import LinkClass, Place
+from papayacourse.plainmessages import ServerUse
 from papayacourse.rendezvous import weight
+from papayacourse.routed.serveruse import ServerUseView
 from papayacourse.types import Host, HostState
 
 FAILURE_RATE_WEIGHT = 0.25  # of the last call in the moving average of failures
 POOR_FAILURE_RATE = 0.5  # fraction of failed calls from which a server ranks last
 POOR_RECORD_LIFETIME = 3.0  # seconds after the last failure until such a server is tried again
 DEFAULT_SLOTS = 4  # of a server that reports none
+REJECTION_COST = 0.5  # in units of load, of one rejection in the last moment
+SLOW_TIME = 0.1  # seconds a call that count as much as a full server
+SLOW_FACTOR = 2.0  # times the fastest server's time a call; what differs less may be the calls
+MIN_TIMED = 1.0  # calls, from which a server's time a call is known
+IDLE_COST = 0.05  # in units of load; what differs less between idle servers counts little
+# Daemons that know the same would all fill the same server until they hear of it.
+SPREAD = 3.0  # times the lowest cost up to which servers share the calls, cheaper ones more
+MAX_SLOWNESS = 1.0  # in units of load
 
 # In units of load: a full server in this domain ranks equal to an idle one in another region.
 LINK_COST = {
     LinkClass.SAME_DOMAIN: 0.0,
-    LinkClass.SAME_REGION: 0.5,
+    LinkClass.SAME_REGION: 0.2,
     LinkClass.OTHER_REGION: 1.0,
 }
 
@@ -29,15 +42,12 @@
 
     Attributes
     ----------
-    running : int
-        Number of calls in progress from this daemon.
     failed : float
         Exponential moving average of failed calls, from 0 to 1.
     failed_at : float
         Time of the last failure, in seconds of the clock.
     """
 
-    running: int = 0
     failed: float = 0.0
     failed_at: float = float("-inf")
 
@@ -56,30 +66,49 @@
         return self.failed >= POOR_FAILURE_RATE and now - self.failed_at < POOR_RECORD_LIFETIME
 
 
+@define
+class CallResult:
+    """What has become of a call to a server, for the choice of the next one.
+
+    Attributes
+    ----------
+    failed : bool
+        Whether it has brought no answer.
+    rejected : bool
+        Whether the server has not run it for want of room.
+    reached : bool
+        Whether it was sent at all.
+    """
+
+    failed: bool = True
+    rejected: bool = False
+    reached: bool = False
+
+
 @define(eq=False)
 class ServerChoice:
-    """Chooses among the servers of plain services, by the results of this daemon's own calls.
+    """Chooses among the servers of plain services, by what all daemons' calls have shown.
 
     Attributes
     ----------
     is_cold : callable
         Returns True for a server that has just started.
+    records : dict of str to ServerRecord
+        The failures of this daemon's own calls, by server.
+    use : ServerUseView
+        How servers are used, by this daemon and by all others as far as known.
+    draw : callable
+        Returns one of several equal servers, given their weights.
     """
 
     here: Place
     is_cold: Callable[[str], bool] = lambda _server: False
     clock: Callable[[], float] = time.monotonic
     records: dict[str, ServerRecord] = field(factory=lambda: defaultdict(ServerRecord))
+    use: ServerUseView = field(factory=ServerUseView)
+    draw: Callable[[list[Host], list[float]], list[Host]] = random.choices
 
-    def cost(self, host: Host) -> tuple[bool, bool, float]:
-        """Return the cost of sending the next call to a server; the lowest is best.
-
-        Servers that have just started rank after all warm ones, wherever these are.
-        """
-        record = self.records[host.name]
-        load = record.running / (host.slots or DEFAULT_SLOTS)
-        link = LINK_COST[self.here.link_to(host.domain, host.region)]
-        return record.is_poor(self.clock()), self.is_cold(host.name), link + load
+    # Queries.
 
     def choose(
         self, hosts: Iterable[Host], avoid: Collection[str], suspect: str = ""
@@ -95,17 +124,107 @@
         """
         live = (host for host in hosts if host.state == HostState.LIVE)
         candidates = [host for host in live if host.name not in avoid]
+        if not candidates:
+            return None
         if suspect:
-            return min(candidates, key=lambda host: self._suspect_rank(suspect, host), default=None)
-        return min(candidates, key=self.cost, default=None)
+            return min(candidates, key=lambda host: self._suspect_rank(suspect, host))
+        return self._draw_best(candidates)
+
+    def _draw_best(self, candidates: list[Host]) -> Host:
+        """Return one of the servers that cost about the least, mostly a cheaper one.
+
+        A daemon that knows only its own calls sends to the best one.
+        """
+        uses = {host.name: self.use.of(host.name) for host in candidates}
+        slow_from = SLOW_FACTOR * fastest_time(uses.values())
+        costs = {host.name: self._cost(host, uses[host.name], slow_from) for host in candidates}
+        *best_rank, lowest = min(costs.values())
+        limit = (lowest + IDLE_COST) * (SPREAD if self.use.is_informed() else 1.0)
+        equal = [
+            host
+            for host in candidates
+            if list(costs[host.name][:-1]) == best_rank
+            and costs[host.name][-1] + IDLE_COST <= limit
+        ]
+        weights = [slots(host) / (costs[host.name][-1] + IDLE_COST) for host in equal]
+        chosen = self.draw(equal, weights)[0]
+        self._log_detour(chosen, candidates, uses[chosen.name])
+        return chosen
+
+    def _link_cost(self, host: Host) -> float:
+        return LINK_COST[self.here.link_to(host.domain, host.region)]
+
+    def _log_detour(self, chosen: Host, candidates: list[Host], use: ServerUse) -> None:
+        nearest = min(candidates, key=self._link_cost)
+        if self._link_cost(chosen) == self._link_cost(nearest):
+            return
+        past = self.use.of(nearest.name)
+        logs.info(
+            "nearer server passed over", server=chosen.name, load=round(load(chosen, use), 2),
+            nearer=nearest.name, nearer_load=round(load(nearest, past), 2),
+            nearer_rejected=round(past.rejected, 2), nearer_time=round(time_per_call(past), 3),
+            informed=self.use.is_informed(),
+        )  # fmt: skip
+
+    def _cost(self, host: Host, use: ServerUse, slow_from: float) -> tuple[bool, bool, float]:
+        """Return the cost of sending the next call to a server; the lowest is best.
+
+        Servers that have just started rank after all warm ones, wherever these are.
+        """
+        rejection = REJECTION_COST * min(1.0, use.rejected)
+        slowness = min(MAX_SLOWNESS, max(0.0, time_per_call(use) - slow_from) / SLOW_TIME)
+        is_poor = self.records[host.name].is_poor(self.clock())
+        return (
+            is_poor,
+            self.is_cold(host.name),
+            (self._link_cost(host) + load(host, use) + rejection + slowness),
+        )
 
     def _suspect_rank(self, suspect: str, host: Host) -> tuple[bool, int]:
         """Return a server's rank for a suspect by rendezvous hashing; poor records rank last."""
         is_poor = self.records[host.name].is_poor(self.clock())
         return is_poor, -weight(suspect, host.name)
 
+    # Commands.
+
+    @contextmanager
+    def watch_call(self, host: Host) -> Iterator[CallResult]:
+        """Record a call to a server, whose result the caller fills in."""
+        result = CallResult()
+        self.use.begin(host.name)
+        began = self.use.clock()
+        try:
+            yield result
+        finally:
+            # The way to another region takes longer than most calls, and isn't the server's time.
+            is_far = self.here.link_to(host.domain, host.region) == LinkClass.OTHER_REGION
+            is_timed = result.reached and not result.rejected and not is_far
+            seconds = self.use.clock() - began if is_timed else None
+            self.use.end(host.name, seconds, result.rejected)
+            self.records[host.name].record_result(result.failed, self.clock())
+
     def forget_unlisted(self, names: Collection[str]) -> None:
-        """Drop the records of idle servers that are not among the listed names."""
-        for name in [n for n, record in self.records.items() if not record.running]:
-            if name not in names:
-                del self.records[name]
+        """Drop what is known of idle servers that are not among the listed names."""
+        self.use.forget_unlisted(names)
+        for name in self.records.keys() - names - self.use.meters.keys():
+            del self.records[name]
+
+
+def slots(host: Host) -> int:
+    """Return how many calls a server runs at once."""
+    return host.slots or DEFAULT_SLOTS
+
+
+def load(host: Host, use: ServerUse) -> float:
+    """Return the calls at a server as a fraction of its slots."""
+    return use.running / slots(host)
+
+
+def time_per_call(use: ServerUse) -> float:
+    """Return how long a server takes for a call, in seconds; 0 if that is not known."""
+    return use.seconds / use.ended if use.ended >= MIN_TIMED else 0.0
+
+
+def fastest_time(uses: Iterable[ServerUse]) -> float:
+    """Return the time a call of the fastest server, in seconds; 0 if none is known."""
+    return min(filter(None, map(time_per_call, uses)), default=0.0)
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -43,6 +43,7 @@
 from papayacourse.routed.seams import EngineCalls, EngineNotice, RequestCodec, Store
 from papayacourse.routed.sendlimiter import SendLimiter
 from papayacourse.routed.storefollower import StoreFollower
+from papayacourse.routed.usesharing import UseSharing
 from papayacourse.routed.watchers import Watchers
 from papayacourse.schedulingmessages import EngineLeaves
 from papayacourse.tasks import SHORT_CANCEL_INTERVAL, BackgroundTasks, cancel_all
@@ -174,6 +175,13 @@
         self.front = Frontend(
             self.documents, self.router, self.metrics, self.lifecycle.deadline, config.body_room
         )
+        use = self.router.choice.use
+        self.use_sharing = UseSharing(self.membership, self.mesh.peers, use, self._listed_daemons)
+        self.metrics.watch("papayacourse_plain_running", "", use.running)
+        self.metrics.watch_totals("papayacourse_plain_rejected", "", use.rejections_by_server)
+        self.metrics.watch(
+            "papayacourse_plain_use_shared", "", lambda: float(not self.use_sharing.is_alone)
+        )
         self.router.relaying = Relaying(
             self.membership, self.mesh.peers, self.notices.reach, self.front.begin_relayed,
             self._why_no_relays,
@@ -339,6 +347,7 @@
             *self.mesh.loops(),
             self.supervisor.run,
             self.limiter.run,
+            self.use_sharing.run,
             self.notices.reach.run,
             self._tick,
             self._watch_file,
--- a/papayacourse/routed/plaincall.py
+++ b/papayacourse/routed/plaincall.py
@@ -20,6 +20,7 @@
 from papayacourse.routed.sending import (
     BackendAnswerLost,
     RequestNotExecuted,
+    RequestRejected,
     no_opening_refusal,
     open_call,
     read_body,
@@ -123,34 +124,28 @@
 
     async def _try(self, host: Host) -> Answer | None:
         """Send the request to one server; returns None if it gave no final answer."""
-        record = self.choice.records[host.name]
-        record.running += 1
         self.attempts += 1
-        failed = True
         began = time.monotonic()
-        try:
-            answer = await self._send(host)
-            self.arrived, failed = True, False
-            return self._accept(host, answer)
-        except BackendUnreachable as error:
-            self.last_error = str(error)
-            if isinstance(error, BackendGone):
-                self.attempts -= 1
-                record.record_unreachable()
-        except RequestNotExecuted as error:
-            self.arrived = True
-            self.last_error = str(error)
-        except BackendAnswerLost as error:
-            self.arrived = True
-            self.last_error = str(error)
-        finally:
-            record.running -= 1
-            record.record_result(failed, time.monotonic())
+        with self.choice.watch_call(host) as result:
+            try:
+                answer = await self._send(host)
+                self.arrived, result.reached, result.failed = True, True, False
+                return self._accept(host, answer)
+            except BackendUnreachable as error:
+                self.last_error = str(error)
+                if isinstance(error, BackendGone):
+                    self.attempts -= 1
+                    self.choice.records[host.name].record_unreachable()
+            except (RequestNotExecuted, BackendAnswerLost) as error:
+                self.arrived = result.reached = True
+                result.rejected = isinstance(error, RequestRejected)
+                self.last_error = str(error)
         self.tried.add(host.name)
         logs.info(
             "send failed", server=host.name, why=self.last_error,
             may_have_run=sorted(self.sends.receivers()),
-            seconds=round(time.monotonic() - began, 3), record=round(record.failed, 2),
+            seconds=round(time.monotonic() - began, 3),
+            record=round(self.choice.records[host.name].failed, 2),
         )  # fmt: skip
         return None
 
--- a/papayacourse/routed/sending.py
+++ b/papayacourse/routed/sending.py
@@ -29,6 +29,10 @@
     """The engine reports that it did not run the request."""
 
 
+class RequestRejected(RequestNotExecuted):
+    """The engine did not run the request for want of room."""
+
+
 def connect_limit(time_left: float) -> float:
     """Return the connect timeout, in seconds."""
     return max(0.01, min(CONNECT_TIMEOUT, time_left))
@@ -93,10 +97,12 @@
     notices.take(dispatch.engine, notice, asked_at if is_certain else None)
     if not_run:
         sends.record_not_executed(send)
-        if status == REJECTED_STATUS:
+        is_rejected = status == REJECTED_STATUS
+        if is_rejected:
             notices.brittle.record_rejection(dispatch.engine)
         await exchange.__aexit__(None, None, None)
-        raise RequestNotExecuted(f"{dispatch.engine.name} answered {status} without running it")
+        refusal = RequestRejected if is_rejected else RequestNotExecuted
+        raise refusal(f"{dispatch.engine.name} answered {status} without running it")
     send.has_run = codec.shows_run(call, headers)
     if not is_answer:
         await exchange.__aexit__(None, None, None)
--- a/tests/features/steps/routedparts_steps.py
+++ b/tests/features/steps/routedparts_steps.py
@@ -24,6 +24,7 @@
 from papayacourse.routed.migration.moveschedule import schedule_moves
 from papayacourse.routed.reports import AdapterReports
 from papayacourse.routed.seams import RunState, StorePosition, StoreUpdate
+from papayacourse.routed.serveruse import ServerUseView
 from papayacourse.types import GenerationRequest, Host, HostKind, HostState
 from tests.steptext import names_in
 
@@ -268,7 +269,9 @@
 @given("servers with 4 places, one near and one in another region")
 def make_servers(context):
     context.clock = Clock()
-    context.choice = ServerChoice(Place("lagos", "lagos"), context.clock)
+    context.choice = ServerChoice(
+        Place("lagos", "lagos"), clock=context.clock, use=ServerUseView(context.clock)
+    )
     context.servers = [server("near"), server("far", "kano")]
 
 
@@ -279,15 +282,15 @@
 
 @when("4 calls run there")
 def calls_run(context):
-    context.choice.records["near"].running = 5
+    for _ in range(5):
+        context.choice.use.begin("near")
 
 
 @when("those calls end and 5 calls there fail")
 def calls_fail(context):
-    record = context.choice.records["near"]
-    record.running = 0
     for _ in range(5):
-        record.record_result(True, context.clock())
+        context.choice.use.end("near", None, rejected=False)
+        context.choice.records["near"].record_result(True, context.clock())
 
 
 @when("{seconds:g} s pass for the choice")
