--- a/papayacourse/routed/choice.py
+++ b/papayacourse/routed/choice.py
@@ -138,13 +138,13 @@
         uses = {host.name: self.use.of(host.name) for host in candidates}
         slow_from = SLOW_FACTOR * fastest_time(uses.values())
         costs = {host.name: self._cost(host, uses[host.name], slow_from) for host in candidates}
-        *best_rank, lowest = min(costs.values())
-        limit = (lowest + IDLE_COST) * (SPREAD if self.use.is_informed() else 1.0)
+        lowest = min(costs.values())
+        best_rank = lowest[:-1]
+        limit = (lowest[-1] + IDLE_COST) * (SPREAD if self.use.is_informed() else 1.0)
         equal = [
             host
             for host in candidates
-            if list(costs[host.name][:-1]) == best_rank
-            and costs[host.name][-1] + IDLE_COST <= limit
+            if costs[host.name][:-1] == best_rank and costs[host.name][-1] + IDLE_COST <= limit
         ]
         weights = [slots(host) / (costs[host.name][-1] + IDLE_COST) for host in equal]
         chosen = self.draw(equal, weights)[0]
@@ -177,7 +177,7 @@
         return (
             is_poor,
             self.is_cold(host.name),
-            (self._link_cost(host) + load(host, use) + rejection + slowness),
+            self._link_cost(host) + load(host, use) + rejection + slowness,
         )
 
     def _suspect_rank(self, suspect: str, host: Host) -> tuple[bool, int]:
--- a/papayacourse/routed/serveruse.py
+++ b/papayacourse/routed/serveruse.py
@@ -17,6 +17,7 @@
 ACTIVE_TIME = 3.0  # seconds after its last plain call in which a daemon needs others' reports
 
 NEVER = float("-inf")
+UNUSED = ServerUse("", 0)
 
 
 def freshness(age: float) -> float:
@@ -110,12 +111,13 @@
 
     def of(self, server: str) -> ServerUse:
         """Return the use of a server by all daemons; this daemon's calls as they are now."""
+        meter, others = self.meters.get(server), self.others.get(server)
+        if meter is None and others is None:
+            return UNUSED
         now, own = self.clock(), ServerUse(server, 0)
-        meter = self.meters.get(server)
         if meter is not None:
             average = meter.read(now)
             own = ServerUse(server, meter.running, average.ended, average.seconds, average.rejected)
-        others = self.others.get(server)
         return own + others.scaled(freshness(now - self.heard_at)) if others else own
 
     def running(self) -> float:
--- a/papayacourse/routed/useboard.py
+++ b/papayacourse/routed/useboard.py
@@ -6,7 +6,9 @@
 from attrs import define, field
 
 from papayacourse.plainmessages import ServerUse
-from papayacourse.routed.serveruse import LIFETIME, busiest, freshness, total
+from papayacourse.routed.serveruse import LIFETIME, NEVER, busiest, freshness, total
+
+SUM_INTERVAL = 0.1  # seconds
 
 
 @define
@@ -32,19 +34,20 @@
         By daemon of this domain.
     domains : dict of str to Report
         By other domain.
+    busiest : tuple of ServerUse
+        The use of the busiest servers by all daemons, as summed at `summed_at`.
+    summed : dict of str to Report
+        The reports of this domain's daemons in that sum.
     """
 
     clock: Callable[[], float] = time.monotonic
     daemons: dict[str, Report] = field(factory=dict)
     domains: dict[str, Report] = field(factory=dict)
+    busiest: tuple[ServerUse, ...] = ()
+    summed: dict[str, Report] = field(factory=dict)
+    summed_at: float = NEVER
 
-    def record_daemon(self, name: str, uses: Iterable[ServerUse]) -> None:
-        """Record how a daemon of this domain uses servers."""
-        self.daemons[name] = Report(tuple(uses), self.clock())
-
-    def record_domain(self, name: str, uses: Iterable[ServerUse]) -> None:
-        """Record how another domain uses servers."""
-        self.domains[name] = Report(tuple(uses), self.clock())
+    # Queries.
 
     def has_heard(self, domain: str, seconds: float) -> bool:
         """Return True if another domain has reported within the last seconds."""
@@ -53,17 +56,40 @@
 
     def of_domain(self) -> tuple[ServerUse, ...]:
         """Return how the daemons of this domain use servers."""
-        now = self.clock()
-        uses = (use for report in self.daemons.values() for use in report.weighted(now))
-        return busiest(total(uses).values())
+        return busiest(total(self._weighted(self.daemons.values())).values())
 
     def of_others(self, daemon: str) -> tuple[ServerUse, ...]:
         """Return how all daemons but one use servers."""
+        self._sum_if_old()
+        report = self.summed.get(daemon)
+        own = total(report.weighted(self.summed_at)) if report else {}
+        rest = (
+            use + own[use.server].scaled(-1) if use.server in own else use for use in self.busiest
+        )
+        return busiest(rest)
+
+    def _weighted(self, reports: Iterable[Report]) -> Iterator[ServerUse]:
+        now = self.clock()
+        return (use for report in reports for use in report.weighted(now))
+
+    # Commands.
+
+    def record_daemon(self, name: str, uses: Iterable[ServerUse]) -> None:
+        """Record how a daemon of this domain uses servers."""
+        self.daemons[name] = Report(tuple(uses), self.clock())
+
+    def record_domain(self, name: str, uses: Iterable[ServerUse]) -> None:
+        """Record how another domain uses servers."""
+        self.domains[name] = Report(tuple(uses), self.clock())
+
+    def _sum_if_old(self) -> None:
+        """Sum all reports; one sum serves the answers of a short time."""
         now = self.clock()
-        reports = [report for name, report in self.daemons.items() if name != daemon]
-        reports += self.domains.values()
-        uses = (use for report in reports for use in report.weighted(now))
-        return busiest(total(uses).values())
+        if now - self.summed_at < SUM_INTERVAL:
+            return
+        reports = [*self.daemons.values(), *self.domains.values()]
+        self.busiest = busiest(total(self._weighted(reports)).values())
+        self.summed, self.summed_at = dict(self.daemons), now
 
     def forget_old(self) -> None:
         """Drop the reports that count no more."""
--- a/tests/features/routed_plain_use.feature
+++ b/tests/features/routed_plain_use.feature
@@ -72,6 +72,7 @@
     Given reports of 380 daemons on 3200 servers
     Then the answer to one of them names 64 servers, the busiest of all first
     And it is shorter than 8000 bytes
+    And what it reported itself is not in the answer
 
   Scenario: Real daemons know of each other's calls
     Given a platform store with document 1
--- a/tests/features/steps/routedplainuse_steps.py
+++ b/tests/features/steps/routedplainuse_steps.py
@@ -331,6 +331,16 @@
     assert len(encode(Frame(1, True, ServerUses(context.uses)))) < size
 
 
+@then("what it reported itself is not in the answer")
+def own_left_out(context):
+    board = UseBoard(Clock())
+    board.record_daemon("a", [ServerUse("near", 3.0), ServerUse("far", 1.0)])
+    board.record_daemon("b", [ServerUse("near", 2.0)])
+    assert [(use.server, use.running) for use in board.of_others("a")] == [("near", 2.0)]
+    board.record_daemon("a", [ServerUse("near", 9.0)])
+    assert board.of_others("a")[0].running == 2.0, "the sum is of the report before"
+
+
 # Real daemons.
 
 
