--- a/papayacourse/routed/choice.py
+++ b/papayacourse/routed/choice.py
@@ -67,9 +67,9 @@
     """
 
     here: Place
-    is_cold: Callable[[str], bool] = lambda _server: False
     clock: Callable[[], float] = time.monotonic
     records: dict[str, ServerRecord] = field(factory=lambda: defaultdict(ServerRecord))
+    is_cold: Callable[[str], bool] = lambda _server: False
 
     def cost(self, host: Host) -> tuple[bool, bool, float]:
         """Return the cost of sending the next call to a server; the lowest is best.
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -168,7 +168,7 @@
         self.supervisor = RunSupervisor(self.fleet, lambda: self.directory.store_is_away)
         self.router = Router(
             self.documents, self.fleet,
-            ServerChoice(Place(config.domain, config.region), self.notices.cold.is_cold),
+            ServerChoice(Place(config.domain, config.region), is_cold=self.notices.cold.is_cold),
             self.supervisor, self.lifecycle.deadline,
         )  # fmt: skip
         self.front = Frontend(
