Leave runs where they are once their drained domain is taken back

Cause: the task that empties a drained engine went on after its domain was taken back, and moved also the runs that had come there since.

Change: the task ends when the engine stays again; off an engine that serves on, a failed move is tried again.

Result: two scenarios in routed_drained.feature, which failed before, pass.

--- a/papayacourse/routed/migration/emptying.py
+++ b/papayacourse/routed/migration/emptying.py
@@ -62,10 +62,13 @@
     asked_again: bool = False
 
     async def run(self) -> None:
-        """Move runs one after another until none is left to move."""
+        """Move runs one after another until none is left to move, or the engine stays again."""
         await self._move_copied()
         await self._plan()
         while (generation := self._next()) is not None:
+            if self.fleet.stays(self.engine.name):
+                logs.info("engine stays again", engine=self.engine.name, here=len(self.running()))
+                return
             await self._ask_for_end()
             wait = self._begin(generation) - time.monotonic()
             if self.reports_end and self._left() < MIN_MOVE_TIME:
@@ -157,11 +160,13 @@
         targets = self._targets(generation)
         try:
             await move.run(targets)
-        except BackendNoRoom:
-            backoff = DRAINED_NO_ROOM_BACKOFF if self._serves_on() else NO_ROOM_BACKOFF
-            self.move_starts[generation.run_id] = time.monotonic() + backoff
-        except BackendError:
-            generation.unmovable = True
+        except BackendError as error:
+            serves_on = self._serves_on()
+            if serves_on or isinstance(error, BackendNoRoom):
+                backoff = DRAINED_NO_ROOM_BACKOFF if serves_on else NO_ROOM_BACKOFF
+                self.move_starts[generation.run_id] = time.monotonic() + backoff
+            else:
+                generation.unmovable = True
 
     def _targets(self, generation: Generation) -> list[Host]:
         """Return the engines to ask for room: those of the region, or others if it has none.
--- a/tests/features/routed_drained.feature
+++ b/tests/features/routed_drained.feature
@@ -72,6 +72,19 @@
     When its runs are moved for 2 s
     Then "old" was copied to "far" after 0.9 s
 
+  # Guards against runs that leave an engine which serves again, those that have just come included.
+  Scenario: No run is moved off an engine whose domain was taken back
+    Given an engine of a drained domain, with runs "one, two" of 500 tokens in its report
+    And an engine "far" in another region that has room after 1.5 s
+    When its runs are moved for 3 s, and its domain is taken back after 0.5 s
+    Then nothing was copied
+
+  Scenario: A run is moved off a drained engine once another takes work, if none did at first
+    Given an engine of a drained domain, with run "one" of 500 tokens in its report
+    And an engine "near" in its region that takes work after 0.5 s
+    When its runs are moved for 2 s
+    Then "one" was copied to "near" after 0.5 s
+
   # Guards against a run that is lost by its move: its engine has stopped it, and gets nothing more.
   Scenario: A run whose last copy does not arrive continues at the one before
     Given an engine of a drained domain, with run "one" of 500 tokens in its report
--- a/tests/features/steps/routeddrained_steps.py
+++ b/tests/features/steps/routeddrained_steps.py
@@ -9,7 +9,7 @@
 from attrs import astuple, evolve
 from behave import given, then, when
 from routed_steps import SOON, fleet_of
-from routedmoves_steps import add_engine, leaving_engine
+from routedmoves_steps import add_engine, leaving_engine, move_runs
 from routedparts_steps import empty_directory, server, update
 from userplatform.storeclient import Item, Items
 from userplatform.storeview import DRAINED, StoreContent
@@ -136,6 +136,23 @@
     add_engine(context, name, "kano", seconds)
 
 
+@given('an engine "{name}" in its region that takes work after {seconds:g} s')
+def takes_work_later(context, name, seconds):
+    add_engine(context, name, "lagos", 0.0)
+    context.fleet_view.takes_work_after = seconds
+
+
+@when("its runs are moved for {seconds:g} s, and its domain is taken back after {after:g} s")
+def moved_until_back(context, seconds, after):
+    context.fleet_view.taken_back_after = after
+    move_runs(context, seconds)
+
+
+@then("nothing was copied")
+def nothing_copied(context):
+    assert context.fleet_view.engine_calls.copied == [], context.fleet_view.engine_calls.copied
+
+
 @given('an engine "{name}" in its region, to which last copies do not arrive')
 def lossy_target(context, name):
     add_engine(context, name, "lagos", 0.0)
--- a/tests/features/steps/routedmoves_steps.py
+++ b/tests/features/steps/routedmoves_steps.py
@@ -17,6 +17,7 @@
 from tests.steptext import names_in
 
 SERVICE = "planner"
+LEAVER = "leaver"
 NO_ROOM = 503
 NEVER = float("inf")
 COPY_RATE = 10_000.0  # tokens a second
@@ -92,6 +93,12 @@
         self.notices = EngineNotices()
         self.others = []
         self.drains = False
+        self.takes_work_after = 0.0
+        self.taken_back_after = NEVER
+
+    def after(self) -> float:
+        """Return for how long runs have been moved, in seconds."""
+        return time.monotonic() - self.engine_calls.began
 
     def is_drained(self, _name) -> bool:
         """Tell whether the engine's domain is drained."""
@@ -99,6 +106,8 @@
 
     def move_targets(self, _engine, _service, homes=ANYWHERE) -> list[Host]:
         """Return the other engines in some regions, the nearest first."""
+        if self.after() < self.takes_work_after:
+            return []
         return [host for host in self.others if homes.allow(host.region)]
 
     def best_move_target(self, engine, service) -> Host | None:
@@ -117,9 +126,9 @@
         """Return what engines can do."""
         return EngineCapacity(24, 30_000, moves=True, copy_rate=COPY_RATE)
 
-    def stays(self, _name) -> bool:
-        """Tell that an engine stays."""
-        return True
+    def stays(self, name) -> bool:
+        """Tell whether an engine stays."""
+        return name != LEAVER or self.after() >= self.taken_back_after
 
 
 @given('an engine that leaves, with run "{names}" of {tokens:d} tokens in its report')
@@ -174,7 +183,7 @@
         now = time.monotonic()
         context.fleet_view.engine_calls.began = now
         running = lambda: [run for run in context.runs if run.can_move()]  # noqa: E731
-        leaver = engine("leaver", "lagos")
+        leaver = engine(LEAVER, "lagos")
         emptying = Emptying(context.fleet_view, leaver, SERVICE, running, since=now)
         try:
             await asyncio.wait_for(emptying.run(), seconds)
