Send plain calls again by the list of servers of that moment

Cause: a plain call kept the servers of when it began. Where the first one was silent, it was sent again up to seconds later to a server whose domain had been drained, or which had been listed as leaving, meanwhile.

Change: PlainCall asks for the servers at each choice.

Result: a scenario in routed_drained.feature, with a real daemon, which failed before, passes.

--- a/papayacourse/routed/plaincall.py
+++ b/papayacourse/routed/plaincall.py
@@ -1,6 +1,7 @@
 """One call of a plain service: chooses its server, and retries it where that is allowed."""
 
 import time
+from collections.abc import Callable, Iterable
 
 from attrs import define, field
 from tornado.httputil import HTTPHeaders
@@ -47,6 +48,8 @@
 
     Attributes
     ----------
+    servers : callable
+        Returns the servers of the service that are listed now.
     reservation : AnswerReservation
         The memory reserved for its answer.
     sends : SendHistory
@@ -70,7 +73,7 @@
     limiter: SendLimiter
     guard: RequestGuard
     budget: FleetRetryBudget
-    hosts: list[Host]
+    servers: Callable[[], Iterable[Host]]
     reservation: AnswerReservation
     sends: SendHistory
     tried: set[str] = field(factory=set)
@@ -103,7 +106,7 @@
 
     def _choose(self) -> Host | None:
         homes = self.admitted.homes()
-        hosts = (host for host in self.hosts if homes.allow(host.region))
+        hosts = (host for host in self.servers() if homes.allow(host.region))
         open_hosts = filter(self.notices.takes_work, hosts)
         return self.choice.choose(open_hosts, self.tried, self._suspect())
 
@@ -189,7 +192,7 @@
             late = self.admitted.time_left() <= 0
             return RequestRefused(504 if late else 502, "answer_lost", self.last_error, Ran.UNKNOWN)
         self.admitted.check_begin()
-        allowed = [host for host in self.hosts if self.admitted.may_go_to(host)]
+        allowed = [host for host in self.servers() if self.admitted.may_go_to(host)]
         refusal = no_opening_refusal(self.notices, allowed, self.admitted.time_left())
         if refusal is not None:
             return refusal
--- a/papayacourse/routed/router.py
+++ b/papayacourse/routed/router.py
@@ -1,6 +1,7 @@
 """Routes callers' requests: to servers of their services, or through another daemon."""
 
 import asyncio
+from functools import partial
 
 from attrs import define, field
 
@@ -123,11 +124,11 @@
 
     async def _call(self, exchange: Exchange, outcome: Outcome, guard: RequestGuard) -> None:
         admitted = outcome.admitted
-        hosts = list(self.fleet.servers(admitted.service))
+        servers = partial(self.fleet.servers, admitted.service)
         with guard.answers.reservation() as reservation:
             call = PlainCall(
                 admitted, self.fleet.codec, self.choice, self.fleet.notices, self.fleet.limiter,
-                guard, self.fleet.budget, hosts, reservation, exchange.sends,
+                guard, self.fleet.budget, servers, reservation, exchange.sends,
             )  # fmt: skip
             with self.work_times.record(admitted):
                 answer = await call.run()
--- a/tests/features/routed_drained.feature
+++ b/tests/features/routed_drained.feature
@@ -113,6 +113,18 @@
     Then GET "/view/1" through "a" is soon answered 200 by "desk-1"
     And GET "/view/1" through "b" is soon answered 200 by "desk-1"
 
+  # Guards against a call that is sent again by the list of servers of when it began.
+  Scenario: A call that waits for a silent server is not repeated in a domain drained meanwhile
+    Given a platform store with document 5
+    And an engine "desk-1" of "desk" in "lagos"
+    And an engine "desk-2" of "desk" in "kano"
+    And a routed daemon "a" in "lagos"
+    When "desk-1" is frozen
+    And GET "/view/1" through "a" is begun, with 4 s left
+    And the operator writes that "kano" is drained
+    And "a" has learned of 1 drained servers
+    Then the call fails, and "desk-2" has run nothing
+
   Scenario: The runs of a drained domain go on elsewhere
     Given a platform store with document 5
     And an engine "planner-1" of "planner" in "lagos"
--- a/tests/features/steps/routeddrained_steps.py
+++ b/tests/features/steps/routeddrained_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from concurrent.futures import ThreadPoolExecutor
 from types import SimpleNamespace
 from unittest.mock import AsyncMock
 
@@ -217,6 +218,22 @@
     assert len(routed.runs(engine)) == before
 
 
+@when('GET "{path}" through "{name}" is begun, with {seconds:g} s left')
+def begin_call(context, path, name, seconds):
+    routed, left = fleet_of(context), str(int(seconds * 1000))
+    context.call_pool = ThreadPoolExecutor(1)
+    context.begun_call = context.call_pool.submit(
+        routed.ask, name, "GET", path, **{"X-Time-Remaining": left}
+    )
+
+
+@then('the call fails, and "{engine}" has run nothing')
+def call_fails(context, engine):
+    status = context.begun_call.result().status
+    context.call_pool.shutdown()
+    assert status in (502, 504) and not fleet_of(context).runs(engine), status
+
+
 def drained_servers(context, name: str) -> float:
     """Return how many servers of drained domains a daemon's metrics count."""
     lines = fleet_of(context).metrics(name).splitlines()
