Say that a daemon knows its own calls alone only when it hears nobody

Reports that age let servers share the calls: the outline about them now draws 200 times, since one draw met the near server now and then.

--- a/papayacourse/routed/usesharing.py
+++ b/papayacourse/routed/usesharing.py
@@ -95,8 +95,9 @@
         due = [domain for domain in domains if not self.board.has_heard(domain, MIN_INTERVAL / 2)]
         await asyncio.gather(*(self._exchange(domain, uses) for domain in due))
         self.view.hear(self.board.of_others(me))
-        has_heard = self.board.domains or self.board.daemons.keys() - {me}
-        self._record_company(bool(has_heard) or self.listed_daemons() <= {me})
+        # Those of this domain that have no plain calls report nothing.
+        hears_others = self.board.domains or set(self.membership.live()) - {me}
+        self._record_company(bool(hears_others) or self.listed_daemons() <= {me})
 
     async def _exchange(self, domain: str, uses: tuple[ServerUse, ...]) -> None:
         summing = self._summing_daemon(domain)
--- a/tests/features/steps/routedplainuse_steps.py
+++ b/tests/features/steps/routedplainuse_steps.py
@@ -232,6 +232,13 @@
     context.clock.now += seconds
 
 
+@then("the far one gets {least:d} to {most:d} of 200 calls")
+def far_gets(context, least, most):
+    context.choice.draw = random.Random(7).choices
+    chosen = Counter(context.choice.choose(context.servers, ()).name for _ in range(200))
+    assert least <= chosen["far"] <= most, chosen
+
+
 @then("the near one is chosen if it is the only one")
 def only_one(context):
     assert context.choice.choose(context.servers[:1], ()).name == "near"
