Split the daemon's metrics off, and read paths in other ways only when asked

Change: routed.statemetrics; the other readings are made for the first path that has escapes or dot segments.

--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -42,6 +42,7 @@
 from papayacourse.routed.router import Router
 from papayacourse.routed.seams import EngineCalls, EngineNotice, RequestCodec, Store
 from papayacourse.routed.sendlimiter import SendLimiter
+from papayacourse.routed.statemetrics import watch_states
 from papayacourse.routed.storefollower import StoreFollower
 from papayacourse.routed.usesharing import UseSharing
 from papayacourse.routed.watchers import Watchers
@@ -126,8 +127,7 @@
         )  # fmt: skip
         self.stored_strikes = StoredStrikes(self.adapter.store, self.mesh.quarantine)
         self.membership, self.duties = self.mesh.membership, self.mesh.duties
-        self.metrics.watch_totals("papayacourse_mesh_frames", "", self.mesh.peers.traffic.labelled)
-        self.notices.reach.servers = self._servers
+        self.notices.reach.servers = self.servers
         self.notices.brittle.me = config.name
         self.notices.brittle.daemons = lambda: {config.name, *self.membership.members}
         self.notices.brittle.servers = self._servers_of
@@ -135,22 +135,12 @@
         self.notices.cold.daemons = self._listed_daemons
         self.notices.cold.cold_start = self._cold_start
         self.membership.on_listing = lambda listing: self.notices.cold.apply_listing(listing.hosts)
-        self.metrics.watch("papayacourse_servers_cold", "", self.notices.cold.count)
-        self.metrics.watch_totals(
-            "papayacourse_cold_declined", "", self.notices.cold.declined_by_server
-        )
-        self.metrics.watch(
-            "papayacourse_servers_reachable", "", lambda: float(not self.notices.reach.is_cut_off)
-        )
-        self.metrics.watch_totals("papayacourse_sends", "", self.notices.sends_by_server)
         self.documents = Documents(self.mesh.peers, self.adapter.store.decode_document, self._news)
         self.directory = HostDirectory(
             self.membership.host_sync.apply_listing,
             in_force=lambda: self.membership.hosts,
             cold_start=self._cold_start,
         )
-        self.metrics.watch("papayacourse_servers_drained", "", self._drained_servers)
-        self.metrics.watch("papayacourse_store_era", "", lambda: float(self.directory.era))
         self.membership.informed = self._can_take_duties
         self.mesh.peers.handlers[EngineLeaves] = self._on_engine_leaves
         self.membership.document_version = lambda: self.documents.version
@@ -160,7 +150,6 @@
             self.membership, self.mesh.peers, self.notices.limits, self.host, self._daemons
         )
         self.mesh.on_linked = self.limiter.send_known
-        self.metrics.watch_totals("papayacourse_limit_reached", "", self.limiter.refusals_by_server)
         self.fleet = FleetView(
             self.membership, self.mesh.placement, self.budget, self.adapter.codec,
             engine_calls, self.notices, self.limiter, self.deaths, self._note_first_event,
@@ -177,11 +166,6 @@
         )
         use = self.router.choice.use
         self.use_sharing = UseSharing(self.membership, self.mesh.peers, use, self._listed_daemons)
-        self.metrics.watch("papayacourse_plain_running", "", use.running)
-        self.metrics.watch_totals("papayacourse_plain_rejected", "", use.rejections_by_server)
-        self.metrics.watch(
-            "papayacourse_plain_use_shared", "", lambda: float(not self.use_sharing.is_alone)
-        )
         self.router.relaying = Relaying(
             self.membership, self.mesh.peers, self.notices.reach, self.front.begin_relayed,
             self._why_no_relays,
@@ -199,6 +183,7 @@
         )  # fmt: skip
         self.follower.should_follow = self.watchers.should_follow
         self.follower.on_contact = self.watchers.tell
+        watch_states(self)
 
     # Interface for the lifecycle.
 
@@ -288,15 +273,11 @@
             except PeerError as error:
                 logs.info("leaving not told", engine=host.name, daemon=name, why=str(error))
 
-    def _servers(self) -> Iterator[Host]:
+    def servers(self) -> Iterator[Host]:
         """Yield the listed servers of all services."""
         yield from self.membership.backends(HostKind.ENGINE)
         yield from self.membership.backends(HostKind.PLAIN)
 
-    def _drained_servers(self) -> float:
-        """Return how many servers are of failure domains that the operator drains."""
-        return float(sum(server.is_drained for server in self._servers()))
-
     def _servers_of(self, service: str) -> Iterator[Host]:
         """Yield the listed servers of a service."""
         return self.fleet.servers(service)
--- a/papayacourse/routed/routetable.py
+++ b/papayacourse/routed/routetable.py
@@ -1,9 +1,10 @@
 """Finds the route that a host and path name."""
 
 from collections.abc import Callable, Iterable
+from functools import cached_property
 from typing import Protocol
 
-from attrs import field, frozen
+from attrs import frozen
 
 from papayacourse.exceptions import RequestRefused
 from papayacourse.routed.spellings import NEEDS_READINGS, READINGS, host_and_port
@@ -35,11 +36,16 @@
     """
 
     routes: tuple[Routed, ...]
-    readings: tuple[dict[str, list[Entry]], ...] = field(init=False, repr=False, eq=False)
 
-    @readings.default
-    def _read_routes(self) -> tuple[dict[str, list[Entry]], ...]:
-        return tuple(by_host(self.routes, reading) for reading in READINGS)
+    @cached_property
+    def plain_entries(self) -> dict[str, list[Entry]]:
+        """Return the routes of each host for paths with one reading, which nearly all have."""
+        return by_host(self.routes, READINGS[0])
+
+    @cached_property
+    def other_entries(self) -> tuple[dict[str, list[Entry]], ...]:
+        """Return the routes of each host for the other readings, made for the first such path."""
+        return tuple(by_host(self.routes, reading) for reading in READINGS[1:])
 
     def find(self, host: str, path: str) -> Routed | None:
         """Return the route of a host with the longest prefix that begins a path, or None.
@@ -49,11 +55,13 @@
         RequestRefused
             When servers that read the path in other ways would take it for another route's.
         """
-        used = len(READINGS) if NEEDS_READINGS.search(path) else 1
+        tables = (self.plain_entries,)
+        if NEEDS_READINGS.search(path):
+            tables = (*tables, *self.other_entries)
         name, port = host_and_port(host)
         found = [
             first_match(table.get(f"{name}:{port}") or table.get(name, ()), reading(path))
-            for table, reading in zip(self.readings[:used], READINGS, strict=False)
+            for table, reading in zip(tables, READINGS, strict=False)
         ]
         if any(route is not found[0] for route in found):
             raise RequestRefused(
