--- a/bench/startup.py
+++ b/bench/startup.py
@@ -85,7 +85,10 @@
 
 @contextmanager
 def bytecode(kept: bool) -> Iterator[None]:
-    """Let processes find what the build compiles, or nothing; the folder target/ has it or not."""
+    """Let processes find compiled modules and classes, as after a build, or neither.
+
+    Leaves the compiled classes in target/ if ``kept`` is true, and removes them if not.
+    """
     compiled = ROOT / "target" / classcode.FILE_NAME
     compiled.parent.mkdir(exist_ok=True)
     compiled.unlink(missing_ok=True)
--- a/deploy/compileclasses.py
+++ b/deploy/compileclasses.py
@@ -16,13 +16,13 @@
 
 
 def main(folder: Path) -> None:
-    """Import the daemon, and keep what was compiled."""
+    """Import the daemon, and store what attrs has compiled meanwhile."""
     file = folder / classcode.FILE_NAME
     file.unlink(missing_ok=True)
-    with classcode.kept_in(file) as made:
+    with classcode.kept_in(file) as codes:
         for module in MODULES:
             importlib.import_module(module)
-    classcode.write(file, made)
+    classcode.write(file, codes)
 
 
 if __name__ == "__main__":
--- a/papayacourse/grants.py
+++ b/papayacourse/grants.py
@@ -35,7 +35,7 @@
     Queued,
 )
 from papayacourse.tasks import cancel_all
-from papayacourse.timeliness import SAFE_LATENESS, lateness, shortest
+from papayacourse.timeliness import SAFE_LATENESS, lateness, shortest_step_and_pause
 from papayacourse.types import GenerationRequest
 from papayacourse.waits import Backlog, ReleaseRate
 
@@ -101,7 +101,7 @@
         wait = self.waits.expected_wait() if ledgers else math.inf
         free = sum(max(0.0, ledger.budget - ledger.tokens) for ledger in ledgers)
         cell = self.engines.cell
-        step, pause = shortest(filter(accepts_streams, ledgers), self.engines.paces)
+        step, pause = shortest_step_and_pause(filter(accepts_streams, ledgers), self.engines.paces)
         return ServiceLoad(
             cell.team, cell.service, len(self.queue), wait, int(free), cell.number, step, pause
         )
--- a/papayacourse/lazymodule.py
+++ b/papayacourse/lazymodule.py
@@ -1,4 +1,4 @@
-"""Stands for a module that is imported when something of it is first used."""
+"""Postpones the import of a module until one of its names is first used."""
 
 import importlib
 from typing import Any
--- a/papayacourse/pace.py
+++ b/papayacourse/pace.py
@@ -1,7 +1,7 @@
 """Learns how fast each engine of a service generates, from the progress of its streams.
 
 Engines of one kind may differ severalfold in pace, and each is slower the more streams it runs.
-Medians keep single odd reports from counting.
+Medians are used throughout, so that single odd reports have little effect.
 """
 
 from collections import deque
@@ -13,14 +13,14 @@
 from papayacourse.lazymodule import LazyModule
 
 SAMPLES_PER_BATCH_SIZE = 16  # kept; newer ones replace them
-MIN_SAMPLES = 3  # from which an engine counts as known
-RENEW_AFTER_SAMPLES = 16  # then an engine's line is drawn anew
-MIN_SIZES_FOR_LINE = 3  # distinct batch sizes from which an engine's line is drawn
+MIN_SAMPLES = 3  # samples or pauses from which those of an engine count as known
+RENEW_AFTER_SAMPLES = 16  # new samples after which an engine's line is fitted again
+MIN_SIZES_FOR_SLOPE = 3  # distinct batch sizes from which an engine's own slope is fitted
 MAX_PAUSES = 32  # kept of each engine
 PLAUSIBLE_SECONDS = (0.0005, 2.0)  # per token; others come from lost or late reports
 LINE_FIELDS = ("base", "slope", "deviation")
 PAUSE_QUANTILE = 0.9
-MAD_TO_DEVIATION = 1.4826  # of a normal distribution
+MAD_TO_DEVIATION = 1.4826  # standard deviation of a normal distribution per median deviation
 
 np = LazyModule("numpy")
 
@@ -34,7 +34,7 @@
     base, slope : float
         In seconds per token, and seconds per token and stream.
     deviation : float
-        The spread of the measured seconds per token around the line.
+        The standard deviation of the measured seconds per token from the line.
     """
 
     base: float
@@ -58,9 +58,9 @@
         How much longer than usual streams waited for an event while a prompt was prefilled, in
         seconds.
     new_samples : int
-        Number of samples since ``line`` was drawn.
+        Number of samples since ``line`` was fitted.
     line : Line or None
-        The line last drawn.
+        The line last fitted; None before the first.
     """
 
     samples: dict[int, deque[float]] = field(factory=dict)
@@ -74,9 +74,9 @@
         """Return True if there are enough samples to tell its pace."""
         return sum(map(len, self.samples.values())) >= MIN_SAMPLES
 
-    def has_line(self) -> bool:
+    def has_slope(self) -> bool:
         """Return True if it has run enough batch sizes to tell how its pace depends on them."""
-        return len(self.samples) >= MIN_SIZES_FOR_LINE
+        return len(self.samples) >= MIN_SIZES_FOR_SLOPE
 
     def points(self) -> "tuple[np.ndarray, np.ndarray]":
         """Return the batch sizes of its samples, and the seconds per token of each."""
@@ -85,7 +85,11 @@
         return batches, seconds
 
     def own_slope(self) -> float:
-        """Return the median slope between its median paces at each two batch sizes."""
+        """Return the slope by the Theil-Sen estimator, in seconds per token and stream.
+
+        It is the median of the slopes between all pairs of batch sizes, of whose samples the
+        medians are taken.
+        """
         batches = np.array(sorted(self.samples), dtype=float)
         seconds = np.array([median(self.samples[int(batch)]) for batch in batches])
         low, high = np.triu_indices(len(batches), 1)
@@ -97,7 +101,10 @@
         return len(self.pauses) >= MIN_SAMPLES
 
     def long_pause(self) -> float:
-        """Return a pause that few exceed, since a stream is late by a single one; in seconds."""
+        """Return a pause that few exceed, in seconds.
+
+        A usual pause wouldn't do, since a single long one makes a stream late.
+        """
         return float(np.quantile(self.pauses, PAUSE_QUANTILE))
 
     # Commands.
@@ -109,18 +116,19 @@
         self.new_samples += 1
 
     def renew_line(self, service_slope: float) -> Line:
-        """Return the line through its samples, drawn anew if many have come since.
+        """Return the line through its samples, fitted again if many have come since.
 
         Parameters
         ----------
         service_slope : float
-            The slope to assume while it has run too few batch sizes.
+            The slope to assume while it has run too few batch sizes; in seconds per token and
+            stream.
         """
         due = self.line is None or self.new_samples >= min(
             RENEW_AFTER_SAMPLES, sum(map(len, self.samples.values())) / 2
         )
         if due:
-            slope = self.own_slope() if self.has_line() else service_slope
+            slope = self.own_slope() if self.has_slope() else service_slope
             batches, seconds = self.points()
             base = max(0.0, float(np.median(seconds - slope * batches)))
             errors = np.abs(seconds - base - slope * batches)
@@ -147,17 +155,17 @@
         """Return an engine's line, the service's if it is new, or None if none is known."""
         found = self.engines.get(engine)
         if found is not None and found.is_known():
-            return found.renew_line(self._slope())
-        slope = self._slope()
+            return found.renew_line(self._service_slope())
+        slope = self._service_slope()
         lines = [each.renew_line(slope) for each in self.engines.values() if each.is_known()]
         if not lines:
             return None
         return Line(*(median(getattr(each, name) for each in lines) for name in LINE_FIELDS))
 
     def pause(self, engine: str) -> float:
-        """Return the pause to expect while an engine prefills, 0 while none was seen there.
+        """Return the pause to expect while an engine prefills, in seconds; 0 if none was seen.
 
-        Of an engine whose pace isn't known it is the median of the others.
+        For an engine whose pace isn't known, it is the median of the other engines' pauses.
         """
         found = self.engines.get(engine)
         if found is not None and found.is_known():
@@ -165,9 +173,9 @@
         known = [each.long_pause() for each in self.engines.values() if each.has_pause()]
         return median(known) if known else 0.0
 
-    def _slope(self) -> float:
+    def _service_slope(self) -> float:
         slopes = [
-            each.line.slope for each in self.engines.values() if each.line and each.has_line()
+            each.line.slope for each in self.engines.values() if each.line and each.has_slope()
         ]
         return median(slopes) if slopes else 0.0
 
@@ -176,17 +184,17 @@
     def record(self, engine: str, batch: int, seconds: float) -> None:
         """Record the seconds per token of one stream of a batch; implausible ones are dropped."""
         if PLAUSIBLE_SECONDS[0] <= seconds <= PLAUSIBLE_SECONDS[1]:
-            self._of(engine).add(batch, seconds)
+            self._pace_of(engine).add(batch, seconds)
 
     def record_pause(self, engine: str, seconds: float) -> None:
         """Record how much longer than usual a stream waited while its engine prefilled."""
         if seconds <= PLAUSIBLE_SECONDS[1]:
-            self._of(engine).pauses.append(max(0.0, seconds))
+            self._pace_of(engine).pauses.append(max(0.0, seconds))
 
     def retain_engines(self, names: Iterable[str]) -> None:
         """Forget the engines that are not among the given names."""
         for name in self.engines.keys() - set(names):
             del self.engines[name]
 
-    def _of(self, engine: str) -> EnginePace:
+    def _pace_of(self, engine: str) -> EnginePace:
         return self.engines.setdefault(engine, EnginePace())
--- a/papayacourse/placement.py
+++ b/papayacourse/placement.py
@@ -141,7 +141,7 @@
         Parameters
         ----------
         may_use : callable
-            Returns True for the regions whose other failure domains may be asked.
+            Returns True for a region whose failure domains may be asked, besides this domain.
 
         Raises
         ------
@@ -217,9 +217,11 @@
     async def _ask_in_time(
         self, request: GrantRequest, may_use: Callable[[str], bool]
     ) -> Granted | None:
-        """Ask for a place that keeps the target for gaps, if another domain seems to have one.
+        """Return a place that keeps the target for gaps, of this domain or else of another one.
 
-        Returns None if there is none, here or there: then any place will do.
+        Other domains are asked if this one refuses because its engines are too slow. Returns None,
+        without asking, if no other domain seems to have such a place, or None if it isn't granted;
+        the caller then asks for any place.
         """
         domains = self.spill.timely_domains(request, may_use)
         if not domains:
@@ -244,7 +246,10 @@
         return placed.granted
 
     async def place_in(self, domains: Iterable[str], request: GrantRequest) -> Granted | None:
-        """Return a place in one of the given failure domains, or None if none is free now."""
+        """Return a place in one of the given failure domains, or None if none is free now.
+
+        Domains whose engines seem to keep the target for gaps are asked for such a place first.
+        """
         request = evolve(request, number=self.numbers.of(request.generation.stream))
         domains = list(domains)
         timely = self.spill.timely_domains(request, lambda _region: True)
--- a/papayacourse/spill.py
+++ b/papayacourse/spill.py
@@ -143,13 +143,13 @@
 
         Only the domains of regions that `may_use` allows are asked.
         """
-        domains = self._domains_to_ask(request, wait, may_use)
+        domains = self.domains_worth_asking(request, wait, may_use)
         return await self.place_in(domains[:DOMAINS_TRIED], request)
 
     def timely_domains(self, request: GrantRequest, may_use: Callable[[str], bool]) -> list[str]:
         """Return the other domains with a place now whose engines keep the target for gaps.
 
-        Those of this region come first. There is none for a request without that target.
+        Those of this region come first. Empty for a request without that target.
         """
         me, generation = self.membership.me, request.generation
         if generation.max_gap <= 0:
@@ -192,9 +192,18 @@
         found = self.alternative_cell(domain, request, NO_CELL)
         return first_cells(generation, layout)[0] if found is None else found
 
-    def _domains_to_ask(
+    def domains_worth_asking(
         self, request: GrantRequest, wait: float, may_use: Callable[[str], bool]
     ) -> list[str]:
+        """Return the other domains whose places are worth the cost of their links, best first.
+
+        Parameters
+        ----------
+        wait : float
+            The expected wait in this domain, in seconds.
+        may_use : callable
+            Returns True for a region whose domains may be asked.
+        """
         me, generation = self.membership.me, request.generation
         service = self.membership.catalog.service(generation.team, generation.service)
         if service is None or wait <= 0:
--- a/tests/features/steps/routedhomes_steps.py
+++ b/tests/features/steps/routedhomes_steps.py
@@ -135,7 +135,7 @@
 @when('a request with homes "{homes}" finds no place in "{domain}"')
 def finds_no_place(context, homes, domain):
     ask = GrantRequest(run("r"), 1.0)
-    found = context.spill._domains_to_ask(ask, float("inf"), homes_of(homes).allow)
+    found = context.spill.domains_worth_asking(ask, float("inf"), homes_of(homes).allow)
     context.asked = found
 
 
