--- a/papayacourse/routed/coldservers.py
+++ b/papayacourse/routed/coldservers.py
@@ -1,9 +1,10 @@
-"""Keeps all daemons together within the pace of servers that have just started.
+"""Keeps the requests of all daemons together within the pace of servers that have just started.
 
-A cold server serves slowly and falls over when requests come at much more than its pace. That
-bound holds for all daemons together, also for those that hear nobody. So each cold server has a few
-daemons, chosen by an order that all derive from the list of hosts; the others send it nothing until
-it is warm. Each of the chosen sends at its part of the pace and saves up one request at most.
+A cold server serves slowly, and crashes when requests come much faster than its pace, the requests
+per second that it bears. That bound is for all daemons together, also for those that can reach no
+other daemon. So each cold server has a few daemons, which every daemon derives from the list of
+hosts by rendezvous hashing; the others send it nothing until it is warm. Each of the chosen daemons
+sends at its part of the pace, and an idle time lets it send at most one request at once.
 """
 
 import asyncio
@@ -18,9 +19,12 @@
 from papayacourse.routed.document import ColdStart
 from papayacourse.types import Host
 
-USED_FRACTION = 0.6  # of the pace; the rest is for requests that take differently long to arrive
+USED_FRACTION = 0.6  # of the pace; requests may come closer together than they were sent
+RATE_PER_DAEMON = 2  # requests per second of the used pace for each chosen daemon
 MIN_RATE = 0.1  # requests per second
-NEVER = float("-inf")
+NEVER = float("-inf")  # seconds of the clock
+LATER_END = 0.5  # seconds by which an entry must mean a later end to be listed; it is read late
+TIME_STEP = 0.001  # seconds by which a listed time is changed so that the list is a new one
 
 
 @define
@@ -33,19 +37,19 @@
         When it is warm, in seconds of the clock.
     rate : float
         The requests per second that this daemon may send; 0 for none.
-    last_at : float
-        When this daemon last sent one, or learned of the server, in seconds of the clock.
+    last_sent_at : float
+        When this daemon last sent a request, or learned of the server, in seconds of the clock.
     """
 
     until: float
     rate: float
-    last_at: float
+    last_sent_at: float
 
     def next_in(self, now: float) -> float:
-        """Return when this daemon may send the next request, in seconds; 0 for now."""
+        """Return in how many seconds this daemon may send the next request; 0 for now."""
         if not self.rate:
             return max(0.0, self.until - now)
-        return max(0.0, min(self.last_at + 1 / self.rate, self.until) - now)
+        return max(0.0, min(self.last_sent_at + 1 / self.rate, self.until) - now)
 
 
 @define(eq=False)
@@ -59,7 +63,8 @@
     daemons : callable
         Returns the names of all listed daemons, whether this one hears them or not.
     cold_start : callable
-        Returns how long the servers of a service are cold and what they bear; None for any pace.
+        Returns how long the servers of a service are cold and what rate they bear then; None for
+        servers that are never cold.
     known : dict of str to ColdServer
         The cold servers, by name.
     listed : dict of str to float
@@ -84,7 +89,7 @@
         return cold is not None and cold.until > self.clock()
 
     def wait_for(self, server: str) -> float:
-        """Return when this daemon may send a server a request, in seconds; 0 for now."""
+        """Return in how many seconds this daemon may send a server a request; 0 for now."""
         cold = self.known.get(server)
         return cold.next_in(self.clock()) if cold is not None else 0.0
 
@@ -97,7 +102,7 @@
         return float(sum(map(self.is_cold, self.known)))
 
     async def wait_for_turn(self, server: str, patience: float) -> bool:
-        """Wait until this daemon may send a server a request; returns False if that is too late.
+        """Wait until this daemon may send a server a request; return False if that is too late.
 
         Parameters
         ----------
@@ -141,20 +146,28 @@
             return
         if until <= now:
             return
-        rate = self._part_of(server.name, start.rate)
+        rate = self._own_rate(server.name, start.rate)
         self.known[server.name] = ColdServer(until, rate, now)
         logs.info(
             "server cold", server=server.name, seconds=round(until - now, 2), source=source,
             rate=round(rate, 2),
         )  # fmt: skip
 
-    def _part_of(self, server: str, pace: float) -> float:
-        """Return the requests per second that this daemon may send of a server's pace."""
+    def _own_rate(self, server: str, pace: float) -> float:
+        """Return the requests per second that this daemon may send to a cold server.
+
+        Parameters
+        ----------
+        pace : float
+            The requests per second that the server bears from all daemons.
+        """
         used = USED_FRACTION * pace
-        chosen = ranked(f"cold/{server}", sorted(self.daemons()))[: max(1, int(used / 2))]
+        number = max(1, int(used / RATE_PER_DAEMON))
+        chosen = ranked(f"cold/{server}", sorted(self.daemons()))[:number]
         if self.me not in chosen:
             return 0.0
-        # Each may have saved up one request. One alone may: a server bears a few beside its pace.
+        # Several daemons may each send one saved-up request in the same second, which the rate
+        # leaves room for. A single one needs none: a server bears a few requests beyond its pace.
         rate = used - len(chosen) if len(chosen) > 1 else used
         return max(rate / len(chosen), MIN_RATE)
 
@@ -163,8 +176,8 @@
         cold = self.known.get(server)
         if cold is None:
             return
-        cold.last_at = self.clock()
-        if cold.until <= cold.last_at:
+        cold.last_sent_at = self.clock()
+        if cold.until <= cold.last_sent_at:
             del self.known[server]
 
     def record_declined(self, server: str) -> None:
@@ -174,10 +187,11 @@
 
 @define(eq=False)
 class ColdListing:
-    """Decides which cold times of servers' entries are worth a new list of hosts.
+    """Decides which cold times of servers' entries need a new list of hosts.
 
-    Entries count down, which every daemon can do by itself. A new list is needed only when a server
-    turns cold, for longer than was said, or warm.
+    The cold time is how much longer a server is cold. Its entry counts it down, which each daemon
+    can do by itself. A new list is needed only when a server turns cold, stays cold for longer than
+    was listed, or turns warm.
 
     Attributes
     ----------
@@ -191,14 +205,11 @@
     published: dict[str, tuple[float, float]] = field(factory=dict)
     entries: dict[str, tuple[float, float]] = field(factory=dict)
 
-    SLACK = 0.5  # seconds; an entry is as old as its way here takes
-    RESOLUTION = 0.001  # seconds
-
     def value(self, server: str, seconds: float) -> float:
-        """Return the cold time to list for a server whose entry says `seconds`."""
+        """Return the cold time to list for a server whose entry says ``seconds``."""
         now = self.clock()
         value, until = self.published.get(server, (0.0, NEVER))
-        if seconds > 0 and self._entry_end(server, seconds) > until + self.SLACK:
+        if seconds > 0 and self._end_by_entry(server, seconds) > until + LATER_END:
             self.list_as_cold(server, seconds)
             return self.published[server][0]
         if not seconds and until <= now:
@@ -207,8 +218,8 @@
             return 0.0
         return value
 
-    def _entry_end(self, server: str, seconds: float) -> float:
-        """Return until when an entry means a server to be cold, counted from its first reading."""
+    def _end_by_entry(self, server: str, seconds: float) -> float:
+        """Return when a server is warm by its entry, counted from when that time was first read."""
         if self.entries.get(server, (0.0, NEVER))[0] != seconds:
             self.entries[server] = (seconds, self.clock() + seconds)
         return self.entries[server][1]
@@ -217,5 +228,5 @@
         """List a server as cold for a time, whatever its entry says."""
         if self.published.get(server, (0.0, NEVER))[0] == seconds:
             # A list that did not change would not be passed on.
-            seconds += self.RESOLUTION
+            seconds += TIME_STEP
         self.published[server] = (seconds, self.clock() + seconds)
--- a/papayacourse/routed/directory.py
+++ b/papayacourse/routed/directory.py
@@ -43,19 +43,19 @@
     engines_known : bool
         Whether the servers have been read at least once.
     drained : frozenset of str
-        The failure domains that the operator drains.
+        The failure domains whose servers are listed as leaving, because the operator drains them.
+    reported_drained : frozenset of str
+        The failure domains that the store lists as drained; an older copy of it may lack some.
     cold_start : callable
-        Returns how the servers of a service start; None if that needs no care.
+        Returns how the servers of a service start; None for servers that are never cold.
     cold_listing : ColdListing
         The cold times in the listings that are published.
-    reported_drained : frozenset of str
-        Those of them that the store has; an older copy of it may lack some.
     in_force : callable
         Returns the newest listing known here, whichever daemon published it.
     numbering : ListNumbering
         Numbers the listings that are published.
-    era : int
-        The store's era of the content here.
+    era, revision : int
+        The store's era and revision of the content here.
     published_hosts : frozenset of Host or None
         The hosts last published in the current epoch.
     """
@@ -139,16 +139,17 @@
             self.published_hosts = None
 
     def _update_drained(self, reported: frozenset[str], is_complete: bool) -> None:
-        """Apply which domains the store says are drained; one just returned may lack some."""
+        """Apply which domains the store lists as drained; a store just returned may lack some."""
         taken_back = frozenset() if is_complete else self.reported_drained - reported
         self.reported_drained = reported
         if is_complete:
             # Other daemons may have followed the store meanwhile.
             self.drained = frozenset(h.domain for h in self.in_force().hosts if h.is_drained)
         kept = self.drained - taken_back if self._may_be_old() else frozenset()
-        self._drain(reported | kept)
+        self._set_drained(reported | kept)
 
-    def _drain(self, domains: frozenset[str]) -> None:
+    def _set_drained(self, domains: frozenset[str]) -> None:
+        """Drain the given domains and take back all others; publishes nothing."""
         for domain in sorted(domains - self.drained):
             logs.info("domain drained", domain=domain, revision=self.revision)
         for domain in sorted(self.drained - domains):
@@ -157,7 +158,10 @@
         self.drained = domains
 
     def _list_as_cold(self, domain: str) -> None:
-        """List the servers of a domain that is taken back as cold: they may be, and it fills up."""
+        """List the servers of a domain that is taken back as cold.
+
+        They may have started meanwhile, and many requests come at once when a domain is taken back.
+        """
         for host in self.engines:
             start = self.cold_start(host.service)
             if host.domain == domain and start is not None:
@@ -169,14 +173,18 @@
         now = {host.name for host in entries}
         self._log_changes(before, entries)
         missing = {name: host for name, host in before.items() if name not in now}
-        self.lapsed = self._kept(missing)
+        self.lapsed = self._possibly_returning(missing)
         self.left = self._still_leaving(before, entries)
         self.engines, self.engines_known = entries, True
 
     def expire(self) -> None:
-        """Remove what is still missing ``LAPSE_GRACE`` after the store returned."""
-        is_settled = self.drained == self.reported_drained
-        if not (self.lapsed or self.left) and is_settled:
+        """Follow the store alone again once ``LAPSE_GRACE`` has passed since it returned.
+
+        Servers that are still missing are removed, servers that it lists as live are live, and
+        domains that it doesn't list as drained are taken back.
+        """
+        is_drained_by_store = self.drained == self.reported_drained
+        if not (self.lapsed or self.left) and is_drained_by_store:
             return
         if self.store_is_away or self._may_be_old():
             return
@@ -187,14 +195,14 @@
                 "servers live again", names=sorted(self.left), why="so listed after an outage"
             )
         self.lapsed, self.left = {}, frozenset()
-        self._drain(self.reported_drained)
+        self._set_drained(self.reported_drained)
         self._publish()
 
     def _may_be_old(self) -> bool:
         """Return True if the store's entries may still be those of before its return."""
         return self.clock() <= self.returned_at + LAPSE_GRACE
 
-    def _kept(self, missing: dict[str, Host]) -> dict[str, Host]:
+    def _possibly_returning(self, missing: dict[str, Host]) -> dict[str, Host]:
         """Return the missing servers that may return: those that were not leaving."""
         if not self._may_be_old():
             return {}
@@ -219,7 +227,7 @@
                 yield host
 
     def _with_listed_cold(self, host: Host) -> Host:
-        """Return a server with the cold time to list, which is 0 where the service bears any pace.
+        """Return a server with the cold time to list; 0 if the service's servers are never cold.
 
         Entries count down, so their own times would make a new listing each second.
         """
@@ -249,6 +257,6 @@
 
 
 def as_entry(host: Host) -> Host:
-    """Return a server without what its domain and the time make of it in a listing."""
+    """Return a server as in its entry, without the drain of its domain and without a cold time."""
     state = HostState.LIVE if host.is_drained else host.state
     return evolve(host, state=state, is_drained=False, cold=0.0)
--- a/papayacourse/routed/serveruse.py
+++ b/papayacourse/routed/serveruse.py
@@ -1,4 +1,7 @@
-"""How plain servers are used: measured for this daemon's calls, and known of other daemons."""
+"""Tells how plain servers are used, by this daemon's calls and by those of other daemons.
+
+This daemon's calls are measured; those of the others are known from reports.
+"""
 
 import math
 import time
@@ -9,15 +12,15 @@
 
 from papayacourse.plainmessages import ServerUse
 
-AVERAGING_TIME = 0.75  # seconds; the weight of what is older falls to 1/e and less
+AVERAGING_TIME = 0.75  # seconds in which the weight of an earlier call falls to 1/e
 FRESH_TIME = 1.0  # seconds for which a report counts in full
-LIFETIME = 2.0  # seconds after which a report counts no more
-MIN_USE = 0.02  # calls; servers used less are not reported
+LIFETIME = 2.0  # seconds from which a report no longer counts
+MIN_USE = 0.02  # calls, averaged; servers with fewer are not reported
 MAX_REPORTED = 64  # servers in a report, the busiest ones
 ACTIVE_TIME = 3.0  # seconds after its last plain call in which a daemon needs others' reports
 
-NEVER = float("-inf")
-UNUSED = ServerUse("", 0)
+NEVER = float("-inf")  # seconds of the clock
+UNUSED = ServerUse("", 0)  # of a server without calls
 
 
 def freshness(age: float) -> float:
@@ -35,7 +38,7 @@
 
 
 def busiest(uses: Iterable[ServerUse]) -> tuple[ServerUse, ...]:
-    """Return the uses that are worth a report, bounded in number."""
+    """Return the uses to report: those of the busiest servers, at most ``MAX_REPORTED``."""
     found = [use for use in uses if use.running + use.ended + use.rejected >= MIN_USE]
     found.sort(key=lambda use: (-use.rejected, -use.running, use.server))
     return tuple(found[:MAX_REPORTED])
@@ -47,18 +50,20 @@
 
     Attributes
     ----------
+    average : ServerUse
+        The average use until ``updated_at``.
+    updated_at : float
+        In seconds of the clock.
     running : int
         The calls in progress now.
-    average : ServerUse
-        Their average until `updated_at`.
     """
 
     average: ServerUse
     updated_at: float
     running: int = 0
 
-    def read(self, now: float) -> ServerUse:
-        """Return the average use until now."""
+    def update(self, now: float) -> ServerUse:
+        """Extend the average until now, and return it."""
         kept = math.exp(-max(0.0, now - self.updated_at) / AVERAGING_TIME)
         use = self.average.scaled(kept)
         self.average = use + ServerUse(use.server, self.running * (1 - kept))
@@ -66,8 +71,16 @@
         return self.average
 
     def add(self, change: int, use: ServerUse, now: float) -> None:
-        """Record that calls begin or end, and what has become of them."""
-        self.average = self.read(now) + use
+        """Record that calls begin or end.
+
+        Parameters
+        ----------
+        change : int
+            How many more calls are in progress now; negative if calls end.
+        use : ServerUse
+            The results of the calls that end.
+        """
+        self.average = self.update(now) + use
         self.running += change
 
 
@@ -80,7 +93,9 @@
     meters : dict of str to UseMeter
         This daemon's calls, by server.
     others : dict of str to ServerUse
-        The use by all other daemons, by server, as it was at `heard_at`.
+        The use by all other daemons, by server, as it was at ``heard_at``.
+    heard_at : float
+        When other daemons' use was last heard, in seconds of the clock.
     called_at : float
         When a plain call last began here, in seconds of the clock.
     rejections : Counter of str
@@ -101,22 +116,25 @@
         return self.clock() - self.called_at < ACTIVE_TIME
 
     def is_informed(self) -> bool:
-        """Return True if other daemons' use is known at all."""
+        """Return True if a report of other daemons' use still counts."""
         return self.clock() - self.heard_at < LIFETIME
 
     def own(self) -> tuple[ServerUse, ...]:
         """Return this daemon's use of servers, to be reported."""
         now = self.clock()
-        return busiest(meter.read(now) for meter in self.meters.values())
+        return busiest(meter.update(now) for meter in self.meters.values())
 
     def of(self, server: str) -> ServerUse:
-        """Return the use of a server by all daemons; this daemon's calls as they are now."""
+        """Return the use of a server by all daemons.
+
+        Of this daemon, the calls in progress are those of now, not their average.
+        """
         meter, others = self.meters.get(server), self.others.get(server)
         if meter is None and others is None:
             return UNUSED
         now, own = self.clock(), ServerUse(server, 0)
         if meter is not None:
-            average = meter.read(now)
+            average = meter.update(now)
             own = ServerUse(server, meter.running, average.ended, average.seconds, average.rejected)
         return own + others.scaled(freshness(now - self.heard_at)) if others else own
 
@@ -143,6 +161,8 @@
         ----------
         seconds : float or None
             How long the server has taken; None if that is not known.
+        rejected : bool
+            Whether the server has not run the call for want of room.
         """
         if rejected:
             self.rejections[server] += 1
--- a/papayacourse/routed/usesharing.py
+++ b/papayacourse/routed/usesharing.py
@@ -1,7 +1,8 @@
 """Shares how plain servers are used among daemons, through one daemon of each failure domain.
 
-Each daemon with plain calls reports its use of servers to the one that sums its domain, and is
-answered by how all others use them. The summing daemons tell each other their domains' sums.
+Each daemon with plain calls reports its use of servers to the daemon that sums the reports of its
+domain, which answers with how all other daemons use them. The summing daemons
+tell each other their domains' sums.
 """
 
 import asyncio
@@ -21,10 +22,10 @@
 
 DUTY = "plain-use"
 MIN_INTERVAL = 0.5  # seconds between reports
-MAX_INTERVAL = 1.0  # seconds; what is older counts less
-MAX_REPORT_RATE = 60  # reports per second that a summing daemon gets before they come less often
-CALL_TIMEOUT = 0.4  # seconds
-PAUSE = 5.0  # seconds without reports to a daemon that has not answered
+MAX_INTERVAL = 1.0  # seconds; reports older than that count less
+MAX_REPORT_RATE = 60  # reports per second to a summing daemon, above which the interval grows
+CALL_TIMEOUT = 0.4  # seconds until a daemon answers a report
+PAUSE = 5.0  # seconds in which nothing is reported to a daemon that has not answered
 
 
 @define(eq=False)
@@ -39,7 +40,7 @@
         The daemons that have not answered, and until when they get nothing, in seconds of the
         clock.
     is_alone : bool
-        Whether the last report was not heard by another daemon.
+        Whether this daemon knows its own calls alone, though other daemons are listed.
     """
 
     membership: Membership
@@ -54,11 +55,11 @@
         self.peers.handlers[ServerUses] = self.handle_report
 
     async def run(self) -> None:
-        """Share periodically until cancelled; nothing where there are no plain calls."""
+        """Share periodically until cancelled; nothing is sent while there are no plain calls."""
         while True:
             await next_tick(self._interval())
             self.board.forget_old()
-            await self._share()
+            await self.share()
 
     def _interval(self) -> float:
         daemons = len(self.membership.live())
@@ -68,7 +69,8 @@
         """Return the daemon that sums a domain; empty if none can be reached."""
         return next(iter(self.membership.owners(DUTY, domain)), "")
 
-    async def _share(self) -> None:
+    async def share(self) -> None:
+        """Sum this domain's reports if that is this daemon's duty; else report its own use."""
         me = self.membership.me
         summing = self._summing_daemon(me.domain)
         if summing == me.name:
@@ -80,7 +82,7 @@
         answer = await self._call(summing, ServerUses(self.view.own())) if summing else None
         if answer is not None:
             self.view.hear(answer.uses)
-        self._record_company(answer is not None)
+        self._record_whether_alone(answer is None)
 
     async def _sum(self) -> None:
         """Tell the other domains how this one uses servers, and learn how they do."""
@@ -91,13 +93,13 @@
         if not uses and not self.view.is_active():
             return
         domains = self.membership.domains().keys() - {self.membership.me.domain}
-        # One that has just asked has been told this domain's use in the answer.
+        # A domain that has just reported has learned of this domain's use from the answer.
         due = [domain for domain in domains if not self.board.has_heard(domain, MIN_INTERVAL / 2)]
         await asyncio.gather(*(self._exchange(domain, uses) for domain in due))
         self.view.hear(self.board.of_others(me))
-        # Those of this domain that have no plain calls report nothing.
+        # Daemons of this domain without plain calls report nothing, but can be heard.
         hears_others = self.board.domains or set(self.membership.live()) - {me}
-        self._record_company(bool(hears_others) or self.listed_daemons() <= {me})
+        self._record_whether_alone(not hears_others and not self.listed_daemons() <= {me})
 
     async def _exchange(self, domain: str, uses: tuple[ServerUse, ...]) -> None:
         summing = self._summing_daemon(domain)
@@ -106,7 +108,7 @@
             self.board.record_domain(domain, answer.uses)
 
     async def _call(self, name: str, message: ServerUses) -> ServerUses | None:
-        """Return a daemon's answer, or None; one that has not answered is left alone for a time."""
+        """Return a daemon's answer; None if it fails to answer, or has failed within ``PAUSE``."""
         now = self.view.clock()
         if self.paused.get(name, now) > now:
             return None
@@ -127,11 +129,11 @@
         self.board.record_daemon(peer.name, message.uses)
         return ServerUses(self.board.of_others(peer.name))
 
-    def _record_company(self, has_company: bool) -> None:
-        """Log when this daemon begins or ceases to judge servers by its own calls alone."""
-        if self.is_alone == (not has_company):
+    def _record_whether_alone(self, is_alone: bool) -> None:
+        """Log when this daemon begins or ceases to choose servers by its own calls alone."""
+        if self.is_alone == is_alone:
             return
-        self.is_alone = not has_company
+        self.is_alone = is_alone
         logs.info(
             "use of servers known of this daemon alone" if self.is_alone
             else "use of servers known of others again",
--- a/tests/features/steps/routedplainuse_steps.py
+++ b/tests/features/steps/routedplainuse_steps.py
@@ -304,7 +304,7 @@
         context.sharing.view.begin("near")
     with patch.object(logs, "info", lambda kind, **_more: context.logged.append(kind)):
         for _ in range(rounds):
-            asyncio.run(context.sharing._share())
+            asyncio.run(context.sharing.share())
             context.clock.now += 0.5
 
 
