Explain costs, readings and refusals, and split the choice among cheap servers

Cause: the constants of costs read as riddles, 'Routed' and 'Entry' said nothing of what they are, 'reading' was never defined, _draw_best chose and compared at once, and tests called private methods of EngineSearch. Change: comments give units and reasons; MatchedRoute, RouteEntry, first_entries, with_decoded_separators, MAX_SLOWNESS_COST and Cost name things; _about_cheapest is split off; excluded, place and may_be_served_here are public, and the last one's docstring says what it does.

--- a/papayacourse/routed/choice.py
+++ b/papayacourse/routed/choice.py
@@ -1,4 +1,7 @@
-"""Chooses servers of plain services by distance, load and recent failures."""
+"""Chooses servers of plain services by distance, load, speed and recent failures.
+
+Costs are in units of load: 1 is the cost of a server whose slots are all in use.
+"""
 
 import random
 import time
@@ -19,14 +22,16 @@
 POOR_FAILURE_RATE = 0.5  # fraction of failed calls from which a server ranks last
 POOR_RECORD_LIFETIME = 3.0  # seconds after the last failure until such a server is tried again
 DEFAULT_SLOTS = 4  # of a server that reports none
-REJECTION_COST = 0.5  # in units of load, of one rejection in the last moment
-SLOW_TIME = 0.1  # seconds a call that count as much as a full server
-SLOW_FACTOR = 2.0  # times the fastest server's time a call; what differs less may be the calls
-MIN_TIMED = 1.0  # calls, from which a server's time a call is known
-IDLE_COST = 0.05  # in units of load; what differs less between idle servers counts little
-# Daemons that know the same would all fill the same server until they hear of it.
+REJECTION_COST = 0.5  # in units of load, of one recent rejection; more don't cost more
+SLOW_TIME = 0.1  # seconds per call beyond those of fast servers that cost one unit of load
+# Calls differ, so that servers of the same speed may differ this much in their time per call.
+SLOW_FACTOR = 2.0  # times the fastest server's time per call, up to which slowness costs nothing
+MAX_SLOWNESS_COST = 1.0  # in units of load
+MIN_TIMED = 1.0  # calls from which a server's time per call is known
+IDLE_COST = 0.05  # in units of load, added to each cost so that idle servers compare as similar
+# Daemons with the same knowledge would otherwise all send to the same server, until they hear of
+# each other's calls.
 SPREAD = 3.0  # times the lowest cost up to which servers share the calls, cheaper ones more
-MAX_SLOWNESS = 1.0  # in units of load
 
 # In units of load: a full server in this domain ranks equal to an idle one in another region.
 LINK_COST = {
@@ -36,6 +41,10 @@
 }
 
 
+# Whether the server ranks last for its failures, whether it is cold, and its cost in units of load.
+Cost = tuple[bool, bool, float]
+
+
 @define
 class ServerRecord:
     """The recent calls to a server.
@@ -68,7 +77,7 @@
 
 @define
 class CallResult:
-    """What has become of a call to a server, for the choice of the next one.
+    """The result of a call to a server, as far as it matters for later choices.
 
     Attributes
     ----------
@@ -131,48 +140,58 @@
         return self._draw_best(candidates)
 
     def _draw_best(self, candidates: list[Host]) -> Host:
-        """Return one of the servers that cost about the least, mostly a cheaper one.
-
-        A daemon that knows only its own calls sends to the best one.
-        """
+        """Return one of the servers that cost about the least, the cheaper ones more often."""
         uses = {host.name: self.use.of(host.name) for host in candidates}
         slow_from = SLOW_FACTOR * fastest_time(uses.values())
         costs = {host.name: self._cost(host, uses[host.name], slow_from) for host in candidates}
+        cheapest = self._about_cheapest(candidates, costs)
+        weights = [slots(host) / (costs[host.name][-1] + IDLE_COST) for host in cheapest]
+        chosen = self.draw(cheapest, weights)[0]
+        self._log_detour(chosen, candidates, uses[chosen.name])
+        return chosen
+
+    def _about_cheapest(self, candidates: list[Host], costs: dict[str, Cost]) -> list[Host]:
+        """Return the servers that share the calls.
+
+        For a daemon that knows only its own calls, these are just the servers of the lowest cost.
+        """
         lowest = min(costs.values())
         best_rank = lowest[:-1]
         limit = (lowest[-1] + IDLE_COST) * (SPREAD if self.use.is_informed() else 1.0)
-        equal = [
+        return [
             host
             for host in candidates
             if costs[host.name][:-1] == best_rank and costs[host.name][-1] + IDLE_COST <= limit
         ]
-        weights = [slots(host) / (costs[host.name][-1] + IDLE_COST) for host in equal]
-        chosen = self.draw(equal, weights)[0]
-        self._log_detour(chosen, candidates, uses[chosen.name])
-        return chosen
 
     def _link_cost(self, host: Host) -> float:
         return LINK_COST[self.here.link_to(host.domain, host.region)]
 
     def _log_detour(self, chosen: Host, candidates: list[Host], use: ServerUse) -> None:
+        """Log it if a nearer server than the chosen one was passed over."""
         nearest = min(candidates, key=self._link_cost)
         if self._link_cost(chosen) == self._link_cost(nearest):
             return
-        past = self.use.of(nearest.name)
+        nearer = self.use.of(nearest.name)
         logs.info(
             "nearer server passed over", server=chosen.name, load=round(load(chosen, use), 2),
-            nearer=nearest.name, nearer_load=round(load(nearest, past), 2),
-            nearer_rejected=round(past.rejected, 2), nearer_time=round(time_per_call(past), 3),
+            nearer=nearest.name, nearer_load=round(load(nearest, nearer), 2),
+            nearer_rejected=round(nearer.rejected, 2), nearer_time=round(time_per_call(nearer), 3),
             informed=self.use.is_informed(),
         )  # fmt: skip
 
-    def _cost(self, host: Host, use: ServerUse, slow_from: float) -> tuple[bool, bool, float]:
+    def _cost(self, host: Host, use: ServerUse, slow_from: float) -> Cost:
         """Return the cost of sending the next call to a server; the lowest is best.
 
         Servers that have just started rank after all warm ones, wherever these are.
+
+        Parameters
+        ----------
+        slow_from : float
+            The time per call from which slowness costs, in seconds.
         """
         rejection = REJECTION_COST * min(1.0, use.rejected)
-        slowness = min(MAX_SLOWNESS, max(0.0, time_per_call(use) - slow_from) / SLOW_TIME)
+        slowness = min(MAX_SLOWNESS_COST, max(0.0, time_per_call(use) - slow_from) / SLOW_TIME)
         is_poor = self.records[host.name].is_poor(self.clock())
         return (
             is_poor,
@@ -189,14 +208,18 @@
 
     @contextmanager
     def watch_call(self, host: Host) -> Iterator[CallResult]:
-        """Record a call to a server, whose result the caller fills in."""
+        """Record the call to a server that is made in the context.
+
+        Yields its result, which the caller fills in.
+        """
         result = CallResult()
         self.use.begin(host.name)
         began = self.use.clock()
         try:
             yield result
         finally:
-            # The way to another region takes longer than most calls, and isn't the server's time.
+            # The network to another region takes longer than most calls, so the time of such a
+            # call says little about the server.
             is_far = self.here.link_to(host.domain, host.region) == LinkClass.OTHER_REGION
             is_timed = result.reached and not result.rejected and not is_far
             seconds = self.use.clock() - began if is_timed else None
@@ -226,5 +249,5 @@
 
 
 def fastest_time(uses: Iterable[ServerUse]) -> float:
-    """Return the time a call of the fastest server, in seconds; 0 if none is known."""
+    """Return the time per call of the fastest server, in seconds; 0 if none is known."""
     return min(filter(None, map(time_per_call, uses)), default=0.0)
--- a/papayacourse/routed/placing.py
+++ b/papayacourse/routed/placing.py
@@ -80,10 +80,11 @@
         if refusal is not None:
             raise refusal
 
-    def _excluded(self) -> tuple[str, ...]:
+    def excluded(self) -> tuple[str, ...]:
         """Return the engines that the schedulers must not grant.
 
-        Those of drained domains are left out: their schedulers know it, and there may be many.
+        Engines of drained domains aren't named: their schedulers know of the drain, and there may
+        be many.
         Cold engines are granted only where this domain has no warm one that takes work.
         """
         notices, here = self.fleet.notices, self.fleet.here.domain
@@ -97,30 +98,34 @@
 
     async def _request_grant(self, is_long: bool) -> Granted:
         limit = min(self.admitted.route.objective * MAX_WAIT_FRACTION, self.admitted.time_left())
-        ask = GrantRequest(self.request, limit, self._excluded())
+        ask = GrantRequest(self.request, limit, self.excluded())
         asked_at = time.monotonic()
         grant = await self._request_safer_grant(ask) if is_long else None
-        grant = grant or await self._place(ask)
+        grant = grant or await self.place(ask)
         waited = time.monotonic() - asked_at
         logs.info("placed", engine=grant.engine, waited=round(waited, 3), is_long=is_long)
         return grant
 
-    async def _place(self, ask: GrantRequest) -> Granted:
+    async def place(self, ask: GrantRequest) -> Granted:
         """Return a place of this failure domain's scheduler, or else of another domain's."""
         remote, began = RemoteSearch(self.fleet, self.admitted), time.monotonic()
-        if not self._may_be_served_here():
+        if not self.may_be_served_here():
             return await remote.find(ask)
         try:
             return await self.fleet.placement.place(ask, self.admitted.homes().allow)
         except RequestRefused as error:
             # Its domain may have been drained while it waited there.
-            if error.reason != NO_ENGINE or self._may_be_served_here():
+            if error.reason != NO_ENGINE or self.may_be_served_here():
                 raise
         left = max(0.0, ask.wait_limit - (time.monotonic() - began))
         return await remote.find(evolve(ask, wait_limit=left))
 
-    def _may_be_served_here(self) -> bool:
-        """Return False if homes exclude this region, or its engines here are drained or cold."""
+    def may_be_served_here(self) -> bool:
+        """Return True if this domain's scheduler may find a place for the request.
+
+        It may not if homes exclude this region, or if any engine here is drained or cold and none
+        takes work.
+        """
         notices = self.fleet.notices
         if not self.admitted.homes().allow(self.fleet.here.region):
             return False
--- a/papayacourse/routed/remoteplacing.py
+++ b/papayacourse/routed/remoteplacing.py
@@ -1,4 +1,4 @@
-"""Finds an engine in other failure domains for a generation that this one cannot place.
+"""Finds an engine in another failure domain for a generation that its own domain cannot place.
 
 A daemon outside a request's home regions, or in a domain without an engine that takes work, has no
 scheduler whose queue the request could wait in. It asks the schedulers of the other domains for a
@@ -18,8 +18,8 @@
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.schedulingmessages import Granted, GrantRequest
 
-ASK_INTERVAL = 0.15  # seconds between rounds over the domains; half of it is random
-RETRY_AFTER = 0.5  # seconds
+ASK_INTERVAL = 0.15  # seconds, the longest pause between rounds over the domains; at least half
+RETRY_AFTER = 0.5  # seconds that a refused caller is told to wait
 
 
 @define(eq=False)
@@ -35,18 +35,22 @@
         Raises
         ------
         RequestRefused
-            When no other domain may serve the request, at once, or when none has a place in time.
+            At once when no other domain may serve the request; later when none had a place in time.
         """
         deadline = time.monotonic() + ask.wait_limit
         while True:
             domains = self._domains()
             if not domains:
-                raise self._refusal("no_engine", "no other domain may serve it and has engines")
+                raise self._logged_refusal(
+                    "no_engine", "no other domain may serve it and has engines"
+                )
             granted = await self.fleet.placement.place_in(domains, ask)
             if granted is not None:
                 return granted
             if time.monotonic() > deadline:
-                raise self._refusal("overloaded", "no place in another domain came free in time")
+                raise self._logged_refusal(
+                    "overloaded", "no place in another domain came free in time"
+                )
             await asyncio.sleep(ASK_INTERVAL * random.uniform(0.5, 1.0))
 
     def _domains(self) -> list[str]:
@@ -66,9 +70,11 @@
         )  # fmt: skip
 
     def _expected_wait(self, domain: str) -> float:
+        """Return the expected wait in a domain, in seconds; 0 if its load is unknown."""
         load = total_load(self.fleet.loads(domain, self.admitted.service))
         return load.expected_wait if load is not None else 0.0
 
-    def _refusal(self, reason: str, detail: str) -> RequestRefused:
+    def _logged_refusal(self, reason: str, detail: str) -> RequestRefused:
+        """Log that no place was found, and return the refusal to raise."""
         logs.info("no place elsewhere", reason=reason, homes=self.admitted.homes().names())
         return RequestRefused(503, reason, detail, retry_after=RETRY_AFTER)
--- a/papayacourse/routed/requesttarget.py
+++ b/papayacourse/routed/requesttarget.py
@@ -1,4 +1,4 @@
-"""Reads which host and path a request names, in any form of RFC 9112 (section 3.2)."""
+"""Reads which host and path a request names, in origin or absolute form (RFC 9112, section 3.2)."""
 
 import re
 
@@ -15,10 +15,10 @@
 
 
 def with_named_target(call: Call) -> Call:
-    """Return a call whose target is path and query, and whose host is the one that it names.
+    """Return a call in origin form: its target is path and query, and its host is the one it names.
 
-    A target in absolute form takes precedence over the Host header, which it replaces: the backend
-    server must not read another host than the one whose route was used.
+    The host of a target in absolute form takes precedence over the Host header and replaces it, so
+    that the backend server reads the same host whose route was used.
 
     Raises
     ------
@@ -54,18 +54,24 @@
 
 
 def check_path(path: str) -> None:
-    """Raise RequestRefused if servers may differ on what a path means at all."""
+    """Raise RequestRefused if a path has characters that servers may treat in different ways.
+
+    These are backslashes, number signs, escaped null characters and malformed escapes.
+    """
     found = MALFORMED_PATH.search(path)
     if found:
         raise RequestRefused(400, "bad_target", f"the path has a malformed {found[0]!r}")
 
 
 def shown_host(host: str) -> str:
-    """Return a host for log lines: bounded, and without user information."""
+    """Return a host for log lines: bounded in length, and without user information."""
     return host.rpartition("@")[2][:MAX_SHOWN]
 
 
 def shown_target(target: str) -> str:
-    """Return a target for log lines: bounded, and without what may be secret in it."""
+    """Return a target for log lines: bounded in length, and without query and user information.
+
+    Both may contain secrets.
+    """
     path = target.partition("?")[0]
     return USER_INFORMATION.sub("//", path, count=1)[:MAX_SHOWN]
--- a/papayacourse/routed/routetable.py
+++ b/papayacourse/routed/routetable.py
@@ -1,4 +1,7 @@
-"""Finds the route that a host and path name."""
+"""Finds the route that a host and path name.
+
+A reading is one of the ways in which servers may read a path; see the module ``spellings``.
+"""
 
 from collections.abc import Callable, Iterable
 from functools import cached_property
@@ -10,19 +13,19 @@
 from papayacourse.routed.spellings import NEEDS_READINGS, READINGS, host_and_port
 
 
-class Routed(Protocol):
-    """A route, as far as it is matched."""
+class MatchedRoute(Protocol):
+    """What of a route is compared with a request: the host and the prefix of its path."""
 
     host: str
     prefix: str
 
 
 @frozen
-class Entry:
-    """A route and its prefix in one reading of paths."""
+class RouteEntry:
+    """A route, and its prefix in one reading of paths."""
 
     prefix: str
-    route: Routed
+    route: MatchedRoute
 
 
 @frozen
@@ -31,34 +34,35 @@
 
     Attributes
     ----------
-    routes : tuple of Routed
+    routes : tuple of MatchedRoute
         The routes, in the document's order.
     """
 
-    routes: tuple[Routed, ...]
+    routes: tuple[MatchedRoute, ...]
 
     @cached_property
-    def plain_entries(self) -> dict[str, list[Entry]]:
-        """Return the routes of each host for paths with one reading, which nearly all have."""
+    def first_entries(self) -> dict[str, list[RouteEntry]]:
+        """Return the routes of each host for the first reading, which suffices for most paths."""
         return by_host(self.routes, READINGS[0])
 
     @cached_property
-    def other_entries(self) -> tuple[dict[str, list[Entry]], ...]:
-        """Return the routes of each host for the other readings, made for the first such path."""
+    def other_entries(self) -> tuple[dict[str, list[RouteEntry]], ...]:
+        """Return the routes of each host for the other readings, computed when first needed."""
         return tuple(by_host(self.routes, reading) for reading in READINGS[1:])
 
-    def find(self, host: str, path: str) -> Routed | None:
+    def find(self, host: str, path: str) -> MatchedRoute | None:
         """Return the route of a host with the longest prefix that begins a path, or None.
 
         Raises
         ------
         RequestRefused
-            When servers that read the path in other ways would take it for another route's.
+            When the path names different routes in different readings.
         """
-        tables = (self.plain_entries,)
+        tables = (self.first_entries,)
         if NEEDS_READINGS.search(path):
             tables = (*tables, *self.other_entries)
         name, port = host_and_port(host)
+        # The tables are in the order of READINGS; a path with one reading needs the first alone.
         found = [
             first_match(table.get(f"{name}:{port}") or table.get(name, ()), reading(path))
             for table, reading in zip(tables, READINGS, strict=False)
@@ -70,16 +74,18 @@
         return found[0]
 
 
-def by_host(routes: Iterable[Routed], reading: Callable[[str], str]) -> dict[str, list[Entry]]:
+def by_host(
+    routes: Iterable[MatchedRoute], reading: Callable[[str], str]
+) -> dict[str, list[RouteEntry]]:
     """Return the routes of each host, those with the longest prefixes first."""
-    found: dict[str, list[Entry]] = {}
-    entries = [Entry(reading(route.prefix), route) for route in routes]
+    found: dict[str, list[RouteEntry]] = {}
+    entries = [RouteEntry(reading(route.prefix), route) for route in routes]
     for entry in sorted(entries, key=lambda entry: -len(entry.prefix)):
         name, port = host_and_port(entry.route.host)
         found.setdefault(f"{name}:{port}" if port else name, []).append(entry)
     return found
 
 
-def first_match(entries: Iterable[Entry], path: str) -> Routed | None:
+def first_match(entries: Iterable[RouteEntry], path: str) -> MatchedRoute | None:
     """Return the route of the first entry whose prefix begins a path."""
     return next((entry.route for entry in entries if path.startswith(entry.prefix)), None)
--- a/papayacourse/routed/spellings.py
+++ b/papayacourse/routed/spellings.py
@@ -1,30 +1,33 @@
-"""Equivalent spellings of hosts and paths (RFC 3986, section 6.2.2), for matching.
+"""Normalizes equivalent spellings of hosts and paths (RFC 3986, section 6.2.2), for matching.
 
-What is sent on to a backend server keeps the caller's bytes; only matching uses these readings.
+Servers differ in how they resolve dot segments and escaped separators. A reading is a function that
+returns a path as some servers read it. Readings are used only for matching; what is sent on to a
+backend server keeps the caller's bytes.
 """
 
 import re
 
+# A host, and its port if it has one.
 AUTHORITY = re.compile(
     r"(\[[0-9A-Za-z:.%]+\]"  # an IPv6 address
     r'|(?:[^\x00-\x20\x7f"#%,/:<>?@\[\\\]]|%[0-9A-Fa-f]{2})+)'
     r"(?::([0-9]*))?"
 )
 ESCAPE = re.compile(r"%[0-9A-Fa-f]{2}")
-ESCAPED_SEPARATORS = re.compile(r"%2F|%5C")
-NEEDS_READINGS = re.compile(r"%|/\.")  # paths without these have one reading
+ESCAPED_SEPARATORS = re.compile(r"%2F|%5C")  # slash and backslash
+NEEDS_READINGS = re.compile(r"%|/\.")  # paths without these are the same in all readings
 UNRESERVED = frozenset("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~")
 
 
 def host_and_port(host: str) -> tuple[str, str]:
-    """Return a host's name as it is compared, and its port; empty if it has none."""
+    """Return a host's name in normal form, and its port, which is empty if there is none."""
     found = AUTHORITY.fullmatch(host)
     name, port = found.groups("") if found else (host, "")
     return with_plain_escapes(name).lower().removesuffix("."), port
 
 
 def with_plain_escapes(text: str) -> str:
-    """Return a text without escapes of unreserved characters, and with others in capitals."""
+    """Return a text with unreserved characters unescaped, and other escapes in capitals."""
     return ESCAPE.sub(_plain_escape, text) if "%" in text else text
 
 
@@ -51,13 +54,13 @@
 
 
 def with_resolved_dots(path: str) -> str:
-    """Return a path as servers read it that resolve dot segments."""
+    """Return a path as read by servers that resolve dot segments."""
     return without_dot_segments(with_plain_escapes(path))
 
 
-def with_all_separators(path: str) -> str:
-    """Return a path as servers read it that decode separators before they resolve segments."""
+def with_decoded_separators(path: str) -> str:
+    """Return a path as read by servers that decode separators before they resolve dot segments."""
     return without_dot_segments(ESCAPED_SEPARATORS.sub("/", with_plain_escapes(path)))
 
 
-READINGS = (with_plain_escapes, with_resolved_dots, with_all_separators)
+READINGS = (with_plain_escapes, with_resolved_dots, with_decoded_separators)
--- a/papayacourse/routed/statemetrics.py
+++ b/papayacourse/routed/statemetrics.py
@@ -1,4 +1,4 @@
-"""The metrics that a daemon reads from its components when they are asked for."""
+"""Registers the metrics that are read from a daemon's components whenever metrics are requested."""
 
 from typing import TYPE_CHECKING
 
@@ -7,7 +7,7 @@
 
 
 def watch_states(daemon: "RoutedDaemon") -> None:
-    """Let a daemon's metrics show the state of its components."""
+    """Register a daemon's metrics of the state of its components, and their running totals."""
     metrics, notices = daemon.metrics, daemon.notices
     use, sharing = daemon.router.choice.use, daemon.use_sharing
     for name, read in (
--- a/tests/features/steps/routedcold_steps.py
+++ b/tests/features/steps/routedcold_steps.py
@@ -233,8 +233,8 @@
     admitted = AdmittedRequest(None, route, None, SERVICE, time.monotonic() + 9.0, 1)
     search = EngineSearch(context.fleet_view, admitted, run("run-1"))
     expected = [] if avoided == "none" else [f"{SERVICE}/{name}" for name in names_in(avoided)]
-    assert list(search._excluded()) == sorted(expected), search._excluded()
-    assert search._may_be_served_here() == (may == "may")
+    assert list(search.excluded()) == sorted(expected), search.excluded()
+    assert search.may_be_served_here() == (may == "may")
 
 
 # The list.
--- a/tests/features/steps/routedhomes_steps.py
+++ b/tests/features/steps/routedhomes_steps.py
@@ -216,7 +216,7 @@
     began = context.placements.began = time.monotonic()
     context.refused = context.granted = None
     try:
-        context.granted = asyncio.run(search._place(GrantRequest(search.request, seconds)))
+        context.granted = asyncio.run(search.place(GrantRequest(search.request, seconds)))
     except RequestRefused as refused:
         context.refused = refused
     context.took = time.monotonic() - began
