Split pauses from paces, and name what a line of pace returns

Cause: Line.at told no unit, the scheduler learnt paces and pauses in one function, Spill listed the other domains twice in the same words, the load's step and pause were described in half a sentence, and the program that the startup steps run imported three modules that it did not use. The program of the startup steps no longer imports those modules before it counts compiled classes, so that the classes in them are counted too, which is stricter.

--- a/papayacourse/admission.py
+++ b/papayacourse/admission.py
@@ -148,7 +148,10 @@
     now: float,
     prefixes: PrefixIndex | None,
 ) -> EngineLedger | None:
-    """Choose among engines that may start a stream; return None if none has room after all."""
+    """Choose by their policy among engines that may start a stream; return None if none has room.
+
+    For the parameters, see ``choose_engine``.
+    """
     match found[0].policy:
         case RoundRobin():
             return found[turn % len(found)]
--- a/papayacourse/duties.py
+++ b/papayacourse/duties.py
@@ -34,7 +34,8 @@
     last_used : dict of Cell to float
         When each cell was last owned or busy, in seconds of the monotonic clock.
     owner_since : float or None
-        Since when this daemon has owned some cell, in seconds of the monotonic clock.
+        Since when this daemon has owned any cell, in seconds of the monotonic clock; None if it
+        owns none.
     has_forecasts : bool
         Whether what forecasts need is imported.
     """
@@ -129,7 +130,7 @@
     async def prepare_forecasts(self) -> None:
         """Import what forecasts need once this daemon is an owner, before its first request.
 
-        A daemon that owns no cell does without, and a start need not wait for it.
+        A daemon that owns no cell doesn't need the import, and a start isn't delayed by it.
         """
         if self.has_forecasts:
             return
--- a/papayacourse/listener.py
+++ b/papayacourse/listener.py
@@ -16,14 +16,17 @@
 from papayacourse import logs
 
 NEW_TIME = 0.08  # seconds for which a connection is new; callers send their request at once
-MAX_LOGGED_CAUSE = 100  # characters
+MAX_LOGGED_CAUSE = 100  # characters of the cause in a log line
 
 
 class MalformedHeads(logging.Filter):
-    """Logs the heads that tornado answers 400 by itself, of which it tells nobody else."""
+    """Logs the request heads that tornado answers 400 by itself.
+
+    Tornado reports them to its logger alone, so this filter reads them there and drops nothing.
+    """
 
     def filter(self, record: logging.LogRecord) -> bool:
-        """Log a malformed head of a caller; the cause, without the caller's values."""
+        """Log the cause of a caller's malformed head, without the values that the caller sent."""
         if str(record.msg).startswith("Malformed HTTP message") and record.args[0] is not None:
             cause = re.split(r"[:'\"]", str(record.args[1]), maxsplit=1)[0]
             logs.info("head not readable", why=cause.strip()[:MAX_LOGGED_CAUSE], status=400)
--- a/papayacourse/meshmessages.py
+++ b/papayacourse/meshmessages.py
@@ -49,8 +49,8 @@
     free_tokens : int
         Memory still available to admission control, in tokens.
     step, pause : float
-        The seconds per token with one more stream, and the pauses for prompts, of the engine with
-        the shortest; in seconds, 0 if unknown.
+        The seconds per token with one more stream, and the expected pause for a prompt in seconds,
+        of the engine with room for which their sum is least; both 0 if no pace is known.
     """
 
     team: str
--- a/papayacourse/pace.py
+++ b/papayacourse/pace.py
@@ -41,7 +41,7 @@
     slope: float
     deviation: float = 0.0
 
-    def at(self, batch: float) -> float:
+    def seconds_per_token(self, batch: float) -> float:
         """Return the seconds per token at a batch size."""
         return self.base + self.slope * batch
 
--- a/papayacourse/scheduler.py
+++ b/papayacourse/scheduler.py
@@ -33,7 +33,7 @@
 
 REPORT_GRACE_SECONDS = 4.0  # time that a granted stream may go unreported
 QUEUE_CHECKS_PER_POLL = 5  # queue checks in each polling interval of the engines
-NOTABLE_GAP = 1.5  # multiples of the usual one, beyond which an engine probably prefilled a prompt
+NOTABLE_GAP = 1.5  # multiples of the usual gap, beyond which an engine probably prefilled a prompt
 INTERVAL_WEIGHT = 0.05  # weight of one progress report in the moving average
 INTERVAL_RANGE_SECONDS = (0.001, 1.0)  # plausible values; others are clamped
 
@@ -177,16 +177,20 @@
         """Learn an engine's pace from the progress of a stream since its last report."""
         if not stream.generation.max_gap:
             return
-        paces, batch, since = self.engines.paces, len(ledger.streams), stream.seen_at
         if row.generated > stream.generated > 0:
-            seconds = (self.clock() - since) / (row.generated - stream.generated)
-            paces.record(ledger.name, batch, seconds)
+            seconds = (self.clock() - stream.seen_at) / (row.generated - stream.generated)
+            self.engines.paces.record(ledger.name, len(ledger.streams), seconds)
+        self._record_pause(ledger, stream, row.longest_gap)
+
+    def _record_pause(self, ledger: EngineLedger, stream: Stream, longest_gap: float) -> None:
+        """Learn how long an engine pauses for prompts, if a gap is much longer than usual."""
+        paces = self.engines.paces
         line = paces.line(ledger.name)
-        if not row.longest_gap or line is None:
+        if not longest_gap or line is None:
             return
-        usual = line.at(batch) * stream.generation.event_tokens
-        if row.longest_gap > NOTABLE_GAP * usual:
-            paces.record_pause(ledger.name, row.longest_gap - usual)
+        usual = line.seconds_per_token(len(ledger.streams)) * stream.generation.event_tokens
+        if longest_gap > NOTABLE_GAP * usual:
+            paces.record_pause(ledger.name, longest_gap - usual)
 
     def has_stream(self, stream: str) -> bool:
         """Return True if a stream runs or waits in this cell."""
--- a/papayacourse/spill.py
+++ b/papayacourse/spill.py
@@ -154,10 +154,9 @@
         me, generation = self.membership.me, request.generation
         if generation.max_gap <= 0:
             return []
-        members = self.membership.members.values()
-        regions = {m.domain: m.region for m in members if may_use(m.region)}
+        regions = self._other_domains(may_use)
         found = []
-        for domain in regions.keys() - {me.domain}:
+        for domain in regions:
             loads = self.loads(domain, generation.team, generation.service)
             gaps = [
                 expected_gap(generation, load.step, load.pause) for load in loads if has_place(load)
@@ -208,10 +207,9 @@
         service = self.membership.catalog.service(generation.team, generation.service)
         if service is None or wait <= 0:
             return []
-        members = self.membership.members.values()
-        regions = {m.domain: m.region for m in members if may_use(m.region)}
+        regions = self._other_domains(may_use)
         others = []
-        for domain in regions.keys() - {me.domain}:
+        for domain in regions:
             load = total_load(self.loads(domain, generation.team, generation.service))
             if load is not None:
                 others.append(CandidateDomain(domain, regions[domain], load.expected_wait))
@@ -220,6 +218,13 @@
                 others.append(CandidateDomain(domain, regions[domain], 0.0))
         return domains_to_ask(wait, me.region, others, service)
 
+    def _other_domains(self, may_use: Callable[[str], bool]) -> dict[str, str]:
+        """Return the region of each other domain, of those regions that may be used."""
+        members = self.membership.members.values()
+        regions = {m.domain: m.region for m in members if may_use(m.region)}
+        regions.pop(self.membership.me.domain, None)
+        return regions
+
     def _has_engines(self, domain: str, generation: GenerationRequest) -> bool:
         layout = self.cell_map.layout(domain, generation.team, generation.service)
         return any(layout.memory.values())
--- a/papayacourse/timeliness.py
+++ b/papayacourse/timeliness.py
@@ -31,7 +31,7 @@
 
 def step_with_one_more(ledger: EngineLedger, line: Line) -> float:
     """Return the seconds per token to expect on an engine with one more stream."""
-    return line.at(len(ledger.streams) + 1) + line.deviation
+    return line.seconds_per_token(len(ledger.streams) + 1) + line.deviation
 
 
 def shortest_step_and_pause(ledgers: Iterable[EngineLedger], paces: Paces) -> tuple[float, float]:
--- a/tests/features/steps/enginepace_steps.py
+++ b/tests/features/steps/enginepace_steps.py
@@ -82,7 +82,7 @@
     'the pace of "{engine}" with {batch:d} streams counts as {seconds:g} s a token within 15 in 100'
 )
 def pace_is(context, engine, batch, seconds):
-    found = context.paces.line(engine).at(batch)
+    found = context.paces.line(engine).seconds_per_token(batch)
     assert abs(found - seconds) <= 0.15 * seconds, found
 
 
@@ -122,7 +122,7 @@
 @then("its engine is taken for one of {seconds:g} s a token that pauses for {pause:g} s")
 def engine_is(context, seconds, pause):
     paces = context.scheduler.engines.paces
-    assert abs(paces.line(context.engine).at(1) - seconds) < 0.001, paces
+    assert abs(paces.line(context.engine).seconds_per_token(1) - seconds) < 0.001, paces
     assert abs(paces.pause(context.engine) - pause) < 0.001, paces
 
 
@@ -191,9 +191,8 @@
         return Granted("new", "there", "") if answer == "yes" else None
 
     context.released, context.asked = [], []
-    timely = lambda *_: ["there"]  # noqa: E731
     context.placement = SimpleNamespace(
-        spill=SimpleNamespace(timely_domains=timely, place_in=place_in),
+        spill=SimpleNamespace(timely_domains=lambda *_: ["there"], place_in=place_in),
         release_grant=lambda generation: asyncio.sleep(0, context.released.append(generation)),
         numbers=StreamNumbers(),
         _placed=lambda _request, placed: placed,
--- a/tests/features/steps/startup_steps.py
+++ b/tests/features/steps/startup_steps.py
@@ -22,9 +22,6 @@
 COUNT_COMPILED = """
 from pathlib import Path
 from papayacourse import classcode
-from papayacourse.cells import Cell
-from papayacourse.duties import Duties
-from standins.fleet import wait_until
 with classcode.kept_in(Path(sys.argv[1])) as codes:
     known = len(codes)
     import userplatform.adapter, papayacourse.routed.daemon
