Forget cold times of servers that have left, and ask two timely domains at most

Change: unlisted servers are forgotten; two timely domains are asked, as elsewhere.

Result: a scenario for the first, which fails without the change; engine_pace and routed_drained pass.

--- a/papayacourse/placement.py
+++ b/papayacourse/placement.py
@@ -254,7 +254,8 @@
         domains = list(domains)
         timely = self.spill.timely_domains(request, lambda _region: True)
         strict = evolve(request, only_in_time=True)
-        placed = await self.spill.place_in([d for d in timely if d in domains], strict)
+        wanted = [domain for domain in timely if domain in domains]
+        placed = await self.spill.place_in(wanted[:DOMAINS_TRIED], strict)
         placed = placed or await self.spill.place_in(domains, request)
         return self._placed(request, placed) if placed is not None else None
 
--- a/papayacourse/routed/coldservers.py
+++ b/papayacourse/routed/coldservers.py
@@ -230,3 +230,9 @@
             # A list that did not change would not be passed on.
             seconds += TIME_STEP
         self.published[server] = (seconds, self.clock() + seconds)
+
+    def forget_unlisted(self, listed: Collection[str]) -> None:
+        """Forget the servers that are not among the listed names."""
+        for found in (self.published, self.entries):
+            for server in found.keys() - set(listed):
+                del found[server]
--- a/papayacourse/routed/directory.py
+++ b/papayacourse/routed/directory.py
@@ -176,6 +176,7 @@
         self.lapsed = self._possibly_returning(missing)
         self.left = self._still_leaving(before, entries)
         self.engines, self.engines_known = entries, True
+        self.cold_listing.forget_unlisted(now | self.lapsed.keys())
 
     def expire(self) -> None:
         """Follow the store alone again once ``LAPSE_GRACE`` has passed since it returned.
--- a/tests/features/routed_cold.feature
+++ b/tests/features/routed_cold.feature
@@ -109,6 +109,13 @@
     And 0.9 s pass, and the operator drains another domain
     Then it is listed as cold for 4 s
 
+  # Guards against memory that grows with each server that leaves while it is cold.
+  Scenario: Servers that leave while they are cold are forgotten
+    Given a directory of a service whose servers are cold for 4 s
+    When a server's entry says that it is cold for 4 s
+    And all servers leave the list
+    Then nothing is kept of cold times
+
   Scenario: Where a service's servers bear any pace, nothing is listed as cold
     Given a directory of a service whose servers bear any pace
     When a server's entry says that it is cold for 4 s
--- a/tests/features/steps/routedcold_steps.py
+++ b/tests/features/steps/routedcold_steps.py
@@ -319,6 +319,17 @@
     update_directory(context, engines=engines, drained=frozenset({"elsewhere"}))
 
 
+@when("all servers leave the list")
+def all_leave(context):
+    update_directory(context, engines=())
+
+
+@then("nothing is kept of cold times")
+def nothing_kept(context):
+    listing = context.directory.cold_listing
+    assert not listing.published and not listing.entries, listing
+
+
 @then("it is listed as cold for {seconds:g} s")
 def listed_cold(context, seconds):
     found = context.listings[-1].by_name["one"]
