Place streams by the pace of engines only where a daemon's file says so

Change: [scheduling] place_by_pace, no by default: requests then carry no target for gaps, and everything is placed as before. Paces are still learnt, and the longest gap of each stream and its cause still told.

--- a/papayacourse/routed/config.py
+++ b/papayacourse/routed/config.py
@@ -15,6 +15,7 @@
     parse_options,
     positive,
     secret,
+    yes_or_no,
 )
 from papayacourse.routed.budget import RetryBudgetLimits
 from papayacourse.types import Address, Fault
@@ -50,6 +51,8 @@
         The retry budget per service, shared by all daemons; see RetryBudgetLimits.
     body_room : int
         The memory for the bodies of all requests in progress, in bytes.
+    place_by_pace : bool
+        Whether generations are placed by the pace of engines.
     """
 
     name: str
@@ -70,6 +73,7 @@
     retry_slack: float = 10.0
     retry_window: float = 10.0
     body_room: int = 24 * 1024 * 1024
+    place_by_pace: bool = False
 
     @property
     def stop_timeout(self) -> float:
@@ -109,6 +113,7 @@
     Option("limits", "grace", "grace", positive(float), required=False),
     Option("limits", "stop_notice", "stop_notice", positive(float), required=False),
     Option("limits", "body_room", "body_room", positive(int), required=False),
+    Option("scheduling", "place_by_pace", "place_by_pace", yes_or_no, required=False),
     Option("retries", "ratio", "retry_ratio", positive(float), required=False),
     Option("retries", "slack", "retry_slack", positive(float), required=False),
     Option("retries", "window", "retry_window", positive(float), required=False),
--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -159,7 +159,7 @@
         self.router = Router(
             self.documents, self.fleet,
             ServerChoice(Place(config.domain, config.region), is_cold=self.notices.cold.is_cold),
-            self.supervisor, self.lifecycle.deadline,
+            self.supervisor, self.lifecycle.deadline, place_by_pace=config.place_by_pace,
         )  # fmt: skip
         self.front = Frontend(
             self.documents, self.router, self.metrics, self.lifecycle.deadline, config.body_room
@@ -402,6 +402,7 @@
         self.config = fresh
         self.budget.limits = fresh.budget
         self.front.body_room = fresh.body_room
+        self.router.place_by_pace = fresh.place_by_pace
         logs.info("configuration reloaded", why=why)
 
     def _shape(self, service: str) -> EngineCapacity:
--- a/papayacourse/routed/generationrequest.py
+++ b/papayacourse/routed/generationrequest.py
@@ -23,9 +23,20 @@
         )  # fmt: skip
 
 
-def generation_request(admitted: AdmittedRequest, event_tokens: int = 1) -> GenerationRequest:
-    """Return the request as the schedulers see it."""
+def generation_request(
+    admitted: AdmittedRequest, event_tokens: int = 1, by_pace: bool = False
+) -> GenerationRequest:
+    """Return the request as the schedulers see it.
+
+    Parameters
+    ----------
+    event_tokens : int
+        Tokens per event of its stream.
+    by_pace : bool
+        Whether it is placed by the pace of engines, if its route names a target for gaps.
+    """
     call, prompt = admitted.call, admitted.call.prompt or Prompt("", 0, 1)
+    has_target = by_pace and admitted.route.has_gap_target
     return GenerationRequest(
         stream=call.request_id,
         team=TEAM,
@@ -37,7 +48,7 @@
         priority=-admitted.rank,
         prefixes=prefix_hashes(prompt),
         fingerprint=admitted.fingerprint,
-        max_gap=admitted.route.max_gap if admitted.route.has_gap_target else 0.0,
+        max_gap=admitted.route.max_gap if has_target else 0.0,
         event_tokens=max(1, event_tokens),
     )
 
--- a/papayacourse/routed/router.py
+++ b/papayacourse/routed/router.py
@@ -45,6 +45,8 @@
         Serves requests through other daemons; set by the daemon.
     work_times : WorkTimes
         How long requests of each route have lately taken.
+    place_by_pace : bool
+        Whether generations are placed by the pace of engines; see docs/design/engine-pace.md.
     """
 
     documents: Documents
@@ -54,6 +56,7 @@
     stop: StopDeadline
     relaying: Relaying = field(init=False)
     work_times: WorkTimes = field(factory=WorkTimes)
+    place_by_pace: bool = False
 
     async def answer(self, exchange: Exchange | RelayedExchange, outcome: Outcome) -> None:
         """Answer a request; records in its outcome what became of it.
@@ -141,7 +144,7 @@
     ) -> None:
         admitted = outcome.admitted
         refuse_too_large(admitted.call.prompt, service.engine)
-        request = generation_request(admitted, service.engine.event_tokens)
+        request = generation_request(admitted, service.engine.event_tokens, self.place_by_pace)
         generation = Generation(admitted, exchange, self.fleet, request, service.engine, guard)
         outcome.generation = generation
         self.supervisor.running.add(generation)
--- a/tests/features/engine_pace.feature
+++ b/tests/features/engine_pace.feature
@@ -8,6 +8,15 @@
       | fast   | 0.016           | 0.001                 | 0.02                    | 6       |
       | slow   | 0.045           | 0.002                 | 0.14                    | 0       |
 
+  Scenario Outline: A route's target counts only where the daemon's file says so
+    When the file of a daemon <says> to place by pace
+    Then streams of a route with a target of 0.18 s between events are placed by <target> s
+
+    Examples:
+      | says         | target |
+      | says         | 0.18   |
+      | does not say | 0      |
+
   Scenario Outline: A pace is learnt from a few reports, some of them odd
     When each has run <sizes> streams, and 1 report in 6 is odd
     Then the pace of "<engine>" with <batch> streams counts as <seconds> s a token within 15 in 100
--- a/tests/features/steps/enginepace_steps.py
+++ b/tests/features/steps/enginepace_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 from routedhomes_steps import member, membership
 from routedplaces_steps import SERVICE, run
+from tornado.httputil import HTTPHeaders
 
 from papayacourse.admission import choose_engine
 from papayacourse.cells import Cell
@@ -25,7 +26,12 @@
 from papayacourse.pace import Paces
 from papayacourse.placement import Placement
 from papayacourse.policies import POLICIES
+from papayacourse.routed.admitted import AdmittedRequest
+from papayacourse.routed.config import parse_routed
 from papayacourse.routed.derived import TEAM
+from papayacourse.routed.document import Repeat, Route, Share
+from papayacourse.routed.generationrequest import generation_request
+from papayacourse.routed.seams import Call
 from papayacourse.schedulingmessages import (
     Granted,
     GrantRefused,
@@ -40,6 +46,23 @@
 ODD = 8.0  # factor of an odd report
 TARGET = 0.18  # seconds
 CELL = Cell("team", SERVICE, 0)
+DAEMON_FILE = """
+[daemon]
+name = a
+domain = lagos
+region = lagos
+regions =
+    lagos = lagos
+[listen]
+http = 127.0.0.1:1
+readiness = 127.0.0.1:2
+mesh = 127.0.0.1:3
+metrics = 127.0.0.1:4
+[platform]
+store = 127.0.0.1:5
+[mesh]
+key = a key of the daemons' mesh
+"""
 
 
 def stream(name: str, gap: float, event_tokens: int = 1) -> Stream:
@@ -225,3 +248,18 @@
 @then('"{names}" are asked')
 def are_asked(context, names):
     assert context.asked == names.split(", "), context.asked
+
+
+@when("the file of a daemon {says} to place by pace")
+def file_says(context, says):
+    text = "[scheduling]\nplace_by_pace = yes\n" if says == "says" else ""
+    context.by_pace = parse_routed("a file", DAEMON_FILE + text).unwrap().place_by_pace
+
+
+@then("streams of a route with a target of {gap:g} s between events are placed by {target:g} s")
+def placed_by_target(context, gap, target):
+    shares = (Share(SERVICE, 1.0),)
+    route = Route("r", "h", "/", Repeat.STREAM, shares, 9.0, 1.5, max_gap=gap, has_gap_target=True)
+    call = Call("id", "POST", "/", "h", HTTPHeaders(), b"")
+    admitted = AdmittedRequest(call, route, None, SERVICE, time.monotonic() + 9.0, 1)
+    assert generation_request(admitted, 4, context.by_pace).max_gap == target
