Log what ends a stream's answer, and each order that stops a run

Cause: on the log of a stream that its move had stopped said no more than that it was streamed: neither that its end was that of the connection, nor that a move was under way, nor that an order to stop had gone out, so the three hypotheses of the incident looked the same.

Change: 'request ended' has 'framing' and 'moving', and 'stop ordered' is written before the order.

--- a/papayacourse/httpcall.py
+++ b/papayacourse/httpcall.py
@@ -23,6 +23,7 @@
     BackendUnanswered,
     BackendUnreachable,
 )
+from papayacourse.framing import Framing, framing_of
 from papayacourse.tasks import is_done_within
 from papayacourse.types import Address
 
@@ -201,6 +202,11 @@
         """Handle a closed connection (called by tornado)."""
         self._fail_head()
 
+    @property
+    def framing(self) -> Framing:
+        """Return what ends the body of the answer, whose head has come."""
+        return framing_of(self.method, self.status, self.headers)
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body in chunks as they arrive.
 
--- a/papayacourse/routed/answerrelay.py
+++ b/papayacourse/routed/answerrelay.py
@@ -47,7 +47,7 @@
         if call.status != 200:
             await self._relay_failure(headers)
             return
-        generation.relayed = call
+        generation.relayed, generation.framing = call, call.framing
         call.idle_timeout = self._stall_timeout()
         call.allows_silence = self._may_wait_for_stalled_engine
         splitter, event_progress = EventSplitter(), EventProgress(call.idle_timeout)
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -7,6 +7,7 @@
 
 from papayacourse import logs
 from papayacourse.exceptions import RequestRefused
+from papayacourse.framing import Framing
 from papayacourse.httpcall import HttpCall
 from papayacourse.requestguard import RequestGuard
 from papayacourse.routed.admitted import AdmittedRequest
@@ -68,6 +69,8 @@
         Held while an engine copies the run, since the engine refuses a concurrent copy.
     gaps : EventGaps
         The gaps between its events.
+    framing : Framing or None
+        What ends the answer of the current engine; None before the first answer.
     """
 
     admitted: AdmittedRequest
@@ -90,6 +93,7 @@
     copy: Standby | None = None
     copy_lock: asyncio.Lock = field(factory=asyncio.Lock)
     gaps: EventGaps = field(factory=EventGaps)
+    framing: Framing | None = None
 
     # Queries.
 
--- a/papayacourse/routed/outcome.py
+++ b/papayacourse/routed/outcome.py
@@ -32,6 +32,8 @@
             "events": generation.events,
             "first_event": None if waited is None else round(waited, 3),
             "resumes": generation.resumes,
+            "framing": str(generation.framing or ""),
+            "moving": generation.pending_move is not None,
             **generation.gaps.log_fields(),
         }
 
--- a/papayacourse/routed/runstop.py
+++ b/papayacourse/routed/runstop.py
@@ -128,6 +128,9 @@
 
     async def _order_once(self) -> StopResult:
         calls = self.fleet.engine_calls
+        logs.info(
+            "stop ordered", request=self.run_id, engine=self.engine.name, target=self.target.name
+        )
         try:
             copied = await calls.copy_run(self.engine, self.run_id, self.target, stop=True)
         except BackendPaused as error:
