Show streams that their last move stopped and that look complete (known red)

Callers got a part of a stream as a complete answer where it came with neither a length nor chunks: the engine closes it when it stops the run for a move, or ends between two events when it is killed.

Stand-in engines learn such streams, and four manners of stopping a run.

--- a/standins/platformcopies.py
+++ b/standins/platformcopies.py
@@ -6,6 +6,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
 from standins.common import JsonHandler
+from standins.platformfaults import LATE_ANSWER, MUTE_TIME
 from standins.platformhandler import EngineHandler
 from standins.platformruns import Copy, Run
 
@@ -35,14 +36,24 @@
         await asyncio.sleep(0.0 if before else engine.copy_time)
         if order["Last"] and not run.end:
             run.end = "stopped"
-        taken = await self.send(order["Target"], handle, run)
+        keeps = order["Last"] and engine.stop_manner == "keeps the run"
+        taken = not keeps and await self.send(order["Target"], handle, run)
         if order["Last"]:
             engine.stopped[handle] = Copy(run.name, run.made)
+            await self.delay_answer()
         if not taken:
             engine.targets.pop(run.name, None)
             self.set_status(503)
         self.finish({"Handle": handle, "Created": run.made})
 
+    async def delay_answer(self) -> None:
+        """Wait before an order to stop is answered, for as long as `stop_manner` says."""
+        match self.standin.stop_manner:
+            case "closes first":
+                await asyncio.sleep(LATE_ANSWER)
+            case "never answers":
+                await asyncio.sleep(MUTE_TIME)
+
     async def send(self, target: str, handle: str, run: Run) -> bool:
         """Give a copy to another engine."""
         body = json.dumps({"handle": handle, "run": run.name, "made": run.made})
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -16,6 +16,7 @@
     DEADLY_PART,
     ENDLESS,
     FAILURES,
+    LATE_CLOSE,
     MUTE_TIME,
     OLD_REFUSAL,
     PARTIAL_HEADS,
@@ -182,10 +183,13 @@
         self.set_header("Content-Type", "text/event-stream")
         if DEADLY_PART.search(run.headers.get("X-Prompt-Prefix", "")):
             await self.crash_at_the_head()
-        last = int(run.headers["X-Token-Counts"].split(",")[1])
+        last = self.standin.ends_after or int(run.headers["X-Token-Counts"].split(",")[1])
         if self.standin.fault in UNFRAMED_ENDS:
             await self.stream_unframed(run, last)
             return
+        if self.standin.is_unframed:
+            self._finished = True
+            await self.request.connection.stream.write(unframed_head(run).encode())
         run.first = int(run.headers.get("Last-Event-Id", 0)) + 1
         run.made = run.first - 1
         while run.made < last and not run.end:
@@ -197,9 +201,8 @@
     async def stream_unframed(self, run: Run, last: int) -> None:
         """Stream events without length or chunks, and end as the fault says."""
         stream, fault = self.request.connection.stream, self.standin.fault
-        head = f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {run.name}\r\nX-Server-Signature: s\r\n"
         self._finished = True
-        await stream.write(f"{head}Content-Type: text/event-stream\r\n\r\n".encode())
+        await stream.write(unframed_head(run).encode())
         if fault == "unframed_early":
             last = 0
         for number in range(1, last + 1):
@@ -234,15 +237,25 @@
             run.end = "cancelled"
             return
         try:
-            self.write(text)
-            await self.flush()
+            await self.send_event(text)
         except StreamClosedError:
             run.end = "cancelled"
         die_if_due(run)
 
+    async def send_event(self, text: str) -> None:
+        """Send one event, in a chunk or as it is."""
+        if self.standin.is_unframed:
+            await self.request.connection.stream.write(text.encode())
+            return
+        self.write(text)
+        await self.flush()
+
     async def end_stream(self, run: Run) -> None:
         """End the answer: whole, or broken off where the run was stopped or cancelled."""
-        if run.end:
+        if run.end == "stopped" and self.standin.stop_manner == "answers first":
+            await asyncio.sleep(LATE_CLOSE)
+        if run.end or self.standin.is_unframed:
+            run.end = run.end or "whole"
             self.request.connection.stream.close()
             self._finished = True
             return
@@ -250,6 +263,12 @@
         await self.finish()
 
 
+def unframed_head(run: Run) -> str:
+    """Return the head of a stream with neither a length nor chunks."""
+    head = f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {run.name}\r\nX-Server-Signature: s\r\n"
+    return f"{head}Content-Type: text/event-stream\r\n\r\n"
+
+
 def event_text(number: int, mark: str = "") -> str:
     """Return one event of a stream."""
     return f"id: {mark}{number}\ndata: token {number}\n\n"
--- a/standins/platformfaults.py
+++ b/standins/platformfaults.py
@@ -36,6 +36,8 @@
 )
 FAILURES = {"fail": 500, "promise": 503}  # the status of a generation that ran and failed
 MUTE_TIME = 60.0  # seconds
+LATE_ANSWER = 0.3  # seconds from the close of a stopped run's stream to the order's answer
+LATE_CLOSE = 0.15  # seconds from the order's answer to the close of a stopped run's stream
 DEADLY_PART = re.compile(r"\bdead-\d+:\d+,")  # in a prompt's list of parts, never the last
 CRASH_DELAY = 0.1  # seconds from the head of an answer to the crash
 DEADLY = re.compile(r"\[(crash|hang)=(\d+)\]")  # in a body: how, and after how many events
--- a/standins/platformruns.py
+++ b/standins/platformruns.py
@@ -66,6 +66,13 @@
         stands for the request's id. Empty for a good answer.
     report_fault : str
         What goes wrong with reports: a name of ``ENDLESS``; empty for nothing.
+    is_unframed : bool
+        Whether streams come with neither a length nor chunks and end with their connection.
+    stop_manner : str
+        What it does when it is ordered to stop a run: ``closes first``, ``answers first``,
+        ``never answers`` or ``keeps the run``; empty for answering at once.
+    ends_after : int
+        The last event of every run, whatever its caller allows; 0 for as many as that.
     noise_pause : float
         Seconds between the pieces of an answer without end.
     id_mark : str
@@ -96,6 +103,9 @@
     fault: str = ""
     after_run: list = field(factory=list)
     report_fault: str = ""
+    is_unframed: bool = False
+    stop_manner: str = ""
+    ends_after: int = 0
     noise_pause: float = 0.0
     state: str = "ready"
     id_mark: str = ""
--- a/tests/features/steps/routedstream_steps.py
+++ b/tests/features/steps/routedstream_steps.py
@@ -205,6 +205,37 @@
     context.plan.connection.close()
 
 
+@given("the engines' streams come without length or chunks")
+def unframed_streams(context):
+    for name in ("planner-1", "planner-2"):
+        if name in context.fleet.processes:
+            context.fleet.admin(name, {"is_unframed": True})
+
+
+@given('"{engine}", ordered to stop a run, {manner}')
+def stop_manner(context, engine, manner):
+    context.fleet.admin(engine, {"stop_manner": manner})
+
+
+@given('"{engine}" ends every run after event {last:d}')
+def ends_after(context, engine, last):
+    context.fleet.admin(engine, {"ends_after": last})
+
+
+@when('after {count:d} events "{engine}" is killed')
+def kill_after(context, count, engine):
+    wait_until(f"{count} events", lambda: len(context.plan.ids()) >= count, SOON)
+    context.fleet.processes[engine].kill()
+
+
+@then("the plan is whole after event {last:d}")
+def whole_after(context, last):
+    context.count = last
+    context.plan.thread.join(PLAN_LIMIT)
+    assert context.plan.ended, context.plan.ids()[-3:]
+    assert context.plan.ids() == list(range(1, last + 1)), context.plan.ids()[-3:]
+
+
 @given('"{engine}" sends ids {odd} from event {first:d} on')
 def odd_ids(context, engine, odd, first):
     marks = {"with a control character": "\x01", "as long as a head": "9" * 10000}
