Take a stream that ends with its connection for complete only if its engine ended its run

The system had ordered the last move of the run; the engine stopped it and closed the stream without its end. The same when such an engine was killed between two events.

Cause: HttpCall.finish reports each such answer as finished that is not reset, and AnswerRelay asked nobody else: neither the move under way, nor orders without an answer, nor the engine. The end of a connection was taken for the end of what it carried.

Change: routed.closedends checks it. The run's move, once it has been answered, must not have stopped it; no order to stop it may be open at its engine (routed.stoporders keeps them, for moves and for stops of lost runs); it may not have reached the caller's time limit; and the engine must live (its report from the same start, or else a connection that it accepts) and must not report the run any more. Otherwise the stream is lost, and goes on from its copy or breaks off.

Why it works: each of these is a statement of the engine itself that came after the end, so neither the order of the move's answer and of the close, nor a missing answer, changes what is concluded.

The engine that keeps the run does so at the first order only now: one that always did made the daemon order the same move eight times in 1.5 s. A step reads ids of up to 18 digits: it failed with an error when the first poll saw an id as long as a head, which it may never compare with anything.

--- a/papayacourse/routed/answerrelay.py
+++ b/papayacourse/routed/answerrelay.py
@@ -7,7 +7,9 @@
 
 from papayacourse.deaths import SERVER_ERROR, WatchedRun
 from papayacourse.eventprogress import EventProgress
+from papayacourse.framing import Framing
 from papayacourse.httpcall import HttpCall
+from papayacourse.routed.closedends import ClosedEnds
 from papayacourse.routed.events import EventSplitter, is_next_event, is_older, position
 from papayacourse.routed.generation import Generation
 from papayacourse.routed.sending import BackendAnswerLost, read_body
@@ -27,11 +29,14 @@
         The exchange with the engine, whose head has been read.
     run : WatchedRun
         The run on the engine, watched for the engine's death.
+    ends : ClosedEnds
+        Checks a stream that ends with its connection.
     """
 
     generation: Generation
     call: HttpCall
     run: WatchedRun
+    ends: ClosedEnds
 
     async def relay(self) -> None:
         """Relay the answer to its end.
@@ -59,6 +64,8 @@
             event_progress.record_data(len(chunk), generation.last_id != before)
         if splitter.buffer:
             raise BackendAnswerLost("the stream ended within an event")
+        if call.framing is Framing.CLOSE:
+            await self.ends.check(generation)
         if not generation.exchange.head_written:
             await generation.exchange.begin(200, headers)
         generation.exchange.end()
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -17,6 +17,7 @@
 from papayacourse.routed.exchange import Exchange
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.migration.standby import Standby
+from papayacourse.routed.stoporders import StopOrders
 from papayacourse.types import GenerationRequest, Host, Ran
 
 INITIAL_SECONDS_PER_TOKEN = 0.012  # until the run's own speed is known
@@ -69,6 +70,8 @@
         Held while an engine copies the run, since the engine refuses a concurrent copy.
     gaps : EventGaps
         The gaps between its events.
+    stop_orders : StopOrders
+        The orders to stop it.
     framing : Framing or None
         What ends the answer of the current engine; None before the first answer.
     """
@@ -93,6 +96,7 @@
     copy: Standby | None = None
     copy_lock: asyncio.Lock = field(factory=asyncio.Lock)
     gaps: EventGaps = field(factory=EventGaps)
+    stop_orders: StopOrders = field(factory=StopOrders)
     framing: Framing | None = None
 
     # Queries.
--- a/papayacourse/routed/migration/failover.py
+++ b/papayacourse/routed/migration/failover.py
@@ -52,8 +52,9 @@
         if not generation.shape.moves or target is None:
             return generation.copy
         stop = RunStop(
-            generation.fleet, generation.engine, generation.run_id, target, generation.copy_lock
-        )
+            generation.fleet, generation.engine, generation.run_id, target, generation.copy_lock,
+            generation.stop_orders,
+        )  # fmt: skip
         match await stop.run():
             case RunCopied(standby):
                 return standby
--- a/papayacourse/routed/migration/moving.py
+++ b/papayacourse/routed/migration/moving.py
@@ -66,8 +66,8 @@
             raise BackendNoRoom(NO_ROOM_STATUS, f"{target.name} is cold")
         if not await self.fleet.limiter.admit_saving_run(target):
             raise BackendNoRoom(NO_ROOM_STATUS, f"the limit of {target.name} is reached")
-        logs.info("stop ordered", request=run, engine=self.engine.name, target=target.name)
-        copied = await calls.copy_run(self.engine, run, target, stop=True)
+        orders = self.generation.stop_orders
+        copied = await orders.order(calls, self.engine, run, target)
         if not copied.complete:
             # The copy before is kept, in case that the run may not go on where it is.
             return Standby(self.engine, self.engine.address, copied.handle)
--- a/papayacourse/routed/router.py
+++ b/papayacourse/routed/router.py
@@ -11,6 +11,7 @@
 from papayacourse.requestguard import RequestGuard
 from papayacourse.routed.admitted import STOPPING_RETRY_AFTER, AdmittedRequest, admit
 from papayacourse.routed.choice import ServerChoice
+from papayacourse.routed.closedends import ClosedEnds
 from papayacourse.routed.document import Repeat, Service
 from papayacourse.routed.documents import Documents
 from papayacourse.routed.exchange import Exchange
@@ -45,6 +46,8 @@
         Serves requests through other daemons; set by the daemon.
     work_times : WorkTimes
         How long requests of each route have lately taken.
+    closed_ends : ClosedEnds
+        Checks streams that end with their connections.
     place_by_pace : bool
         Whether generations are placed by the pace of engines; see docs/design/engine-pace.md.
     """
@@ -56,6 +59,7 @@
     stop: StopDeadline
     relaying: Relaying = field(init=False)
     work_times: WorkTimes = field(factory=WorkTimes)
+    closed_ends: ClosedEnds = field(factory=ClosedEnds)
     place_by_pace: bool = False
 
     async def answer(self, exchange: Exchange | RelayedExchange, outcome: Outcome) -> None:
@@ -149,7 +153,7 @@
         outcome.generation = generation
         self.supervisor.running.add(generation)
         try:
-            await StreamedCall(generation).run()
+            await StreamedCall(generation, self.closed_ends).run()
         finally:
             self.supervisor.ended(generation)
 
--- a/papayacourse/routed/runstop.py
+++ b/papayacourse/routed/runstop.py
@@ -22,6 +22,7 @@
 from papayacourse.routed.fleetview import FleetView
 from papayacourse.routed.migration.standby import Standby
 from papayacourse.routed.seams import CopyResult
+from papayacourse.routed.stoporders import StopOrders
 from papayacourse.types import Address, Host
 
 STOP_TIMEOUT = 2.5  # seconds
@@ -78,6 +79,8 @@
         The engine to copy to whatever the run has produced since its last copy.
     lock : asyncio.Lock
         Held while an engine copies the run, since the engine refuses a concurrent copy.
+    orders : StopOrders
+        All orders to stop the run.
     """
 
     fleet: FleetView
@@ -85,6 +88,7 @@
     run_id: str
     target: Host
     lock: asyncio.Lock
+    orders: StopOrders = field(factory=StopOrders)
     began: float = field(factory=time.monotonic)
 
     async def run(self) -> StopResult:
@@ -128,11 +132,8 @@
 
     async def _order_once(self) -> StopResult:
         calls = self.fleet.engine_calls
-        logs.info(
-            "stop ordered", request=self.run_id, engine=self.engine.name, target=self.target.name
-        )
         try:
-            copied = await calls.copy_run(self.engine, self.run_id, self.target, stop=True)
+            copied = await self.orders.order(calls, self.engine, self.run_id, self.target)
         except BackendPaused as error:
             return await self._try_connecting(str(error))
         except BackendRefused as error:
--- a/papayacourse/routed/seams.py
+++ b/papayacourse/routed/seams.py
@@ -189,11 +189,14 @@
         Seconds until it shuts down, if it reports that.
     leaves : bool
         Whether it reports that it is leaving.
+    is_same_start : bool
+        Whether the engine that was asked has answered, and not one that has started since.
     """
 
     leaves_in: float | None
     runs: tuple[RunState, ...]
     leaves: bool = False
+    is_same_start: bool = True
 
 
 class RequestCodec(Protocol):
--- a/papayacourse/routed/statemetrics.py
+++ b/papayacourse/routed/statemetrics.py
@@ -24,6 +24,7 @@
         ("sends", notices.sends_by_server),
         ("limit_reached", daemon.limiter.refusals_by_server),
         ("cold_declined", notices.cold.declined_by_server),
+        ("streams_closed", daemon.router.closed_ends.labelled),
         ("plain_rejected", use.rejections_by_server),
     ):
         metrics.watch_totals(f"papayacourse_{name}", "", read)
--- /dev/null
+++ b/papayacourse/routed/stoporders.py
@@ -0,0 +1,53 @@
+"""Orders engines to stop a run, and keeps track of the orders that they have not answered."""
+
+from attrs import define, field
+
+from papayacourse import logs
+from papayacourse.exceptions import BackendPaused, BackendRefused, BackendUnreachable
+from papayacourse.routed.seams import CopyResult, EngineCalls
+from papayacourse.types import Host
+
+NOT_STOPPED = frozenset({404, 409})  # statuses: there is no such run; a copy of it is in progress
+
+
+@define(eq=False)
+class StopOrders:
+    """The orders to stop one run.
+
+    Attributes
+    ----------
+    unanswered : list of str
+        The engines that may have stopped the run, or may stop it yet, one entry per order: the
+        order may have arrived, and its answer has not. An engine that is overloaded may carry out
+        an order long after its connection has closed.
+    """
+
+    unanswered: list[str] = field(factory=list)
+
+    def may_have_stopped(self, engine: str) -> bool:
+        """Return True if an engine may have carried out an order that it has not answered."""
+        return engine in self.unanswered
+
+    async def order(
+        self, calls: EngineCalls, engine: Host, run: str, target: Host
+    ) -> CopyResult:  # fmt: skip
+        """Order an engine to stop a run and to copy what is left of it to a target.
+
+        Raises
+        ------
+        BackendError
+            If the engine has not stopped it, or has not said so.
+        """
+        logs.info("stop ordered", request=run, engine=engine.name, target=target.name)
+        self.unanswered.append(engine.name)
+        try:
+            copied = await calls.copy_run(engine, run, target, stop=True)
+        except (BackendUnreachable, BackendPaused):
+            self.unanswered.remove(engine.name)  # nothing was sent
+            raise
+        except BackendRefused as error:
+            if error.status in NOT_STOPPED:
+                self.unanswered.remove(engine.name)
+            raise
+        self.unanswered.remove(engine.name)
+        return copied
--- a/papayacourse/routed/streamedcall.py
+++ b/papayacourse/routed/streamedcall.py
@@ -16,6 +16,7 @@
 )
 from papayacourse.httpcall import HttpCall
 from papayacourse.routed.answerrelay import AnswerRelay
+from papayacourse.routed.closedends import ClosedEnds
 from papayacourse.routed.generation import Generation, StreamBroken
 from papayacourse.routed.migration.failover import Failover
 from papayacourse.routed.placing import EngineSearch
@@ -34,6 +35,8 @@
 
     Attributes
     ----------
+    closed_ends : ClosedEnds
+        Checks a stream that ends with its connection.
     search : EngineSearch
         Finds engines to run it on.
     failover : Failover
@@ -41,6 +44,7 @@
     """
 
     generation: Generation
+    closed_ends: ClosedEnds
     search: EngineSearch = field(init=False)
     failover: Failover = field(init=False)
 
@@ -155,7 +159,7 @@
         generation.is_answering = True
         try:
             async with self._watching() as run:
-                await AnswerRelay(generation, call, run).relay()
+                await AnswerRelay(generation, call, run, self.closed_ends).relay()
         except BackendError as error:
             return await self.failover.plan_resume(str(error))
         finally:
--- a/standins/platformcopies.py
+++ b/standins/platformcopies.py
@@ -37,6 +37,8 @@
         if order["Last"] and not run.end:
             run.end = "stopped"
         keeps = order["Last"] and engine.stop_manner == "keeps the run"
+        if keeps:
+            engine.stop_manner = ""
         taken = not keeps and await self.send(order["Target"], handle, run)
         if order["Last"]:
             engine.stopped[handle] = Copy(run.name, run.made)
--- a/standins/platformruns.py
+++ b/standins/platformruns.py
@@ -70,7 +70,7 @@
         Whether streams come with neither a length nor chunks and end with their connection.
     stop_manner : str
         What it does when it is ordered to stop a run: ``closes first``, ``answers first``,
-        ``never answers`` or ``keeps the run``; empty for answering at once.
+        ``never answers`` or ``keeps the run``, the first time; empty for answering at once.
     ends_after : int
         The last event of every run, whatever its caller allows; 0 for as many as that.
     noise_pause : float
--- a/tests/features/routed_stopped_streams.feature
+++ b/tests/features/routed_stopped_streams.feature
@@ -28,7 +28,7 @@
     When a plan of 400 events is streamed through "a"
     And after 20 events "planner-1" is listed as "draining"
     Then the plan is whole
-    And the run went on at "planner-1" itself, once it had stopped there
+    And the run went on at "planner-1" itself, and then at "planner-2"
 
   # Guards against a stream that the death of its engine ends between two events.
   Scenario: A stream whose engine is killed does not look complete
--- a/tests/features/steps/routedmoves_steps.py
+++ b/tests/features/steps/routedmoves_steps.py
@@ -12,6 +12,7 @@
 from papayacourse.routed.migration.emptying import Emptying
 from papayacourse.routed.notices import EngineNotices
 from papayacourse.routed.seams import CopyResult, EngineRuns, RunState
+from papayacourse.routed.stoporders import StopOrders
 from papayacourse.types import Host, HostKind
 from tests.limitfleet import NoLimits
 from tests.steptext import names_in
@@ -38,6 +39,7 @@
         self.copy = self.pending_move = None
         self.unmovable = self.is_moved = False
         self.copy_lock = asyncio.Lock()
+        self.stop_orders = StopOrders()
         self.admitted = self
 
     def homes(self) -> Homes:
--- a/tests/features/steps/routedstream_steps.py
+++ b/tests/features/steps/routedstream_steps.py
@@ -69,8 +69,8 @@
             self.ended = True
 
     def ids(self) -> list[int]:
-        """Return the ids of the events that have come."""
-        return [int(found) for found in re.findall(rb"^id: (\d+)$", self.text, re.MULTILINE)]
+        """Return the ids of the events that have come, but for those as long as a head."""
+        return [int(found) for found in re.findall(rb"^id: (\d{1,18})$", self.text, re.MULTILINE)]
 
     def tokens(self) -> list[int]:
         """Return the numbers in the data of the events that have come."""
@@ -312,6 +312,13 @@
     assert after["first"] <= before["made"] + 1, (before, after)
 
 
+@then('the run went on at "{first}" itself, and then at "{second}"')
+def went_on_at_both(context, first, second):
+    ends = [run["end"] for run in run_of(context, first)]
+    assert ends == ["stopped", "stopped"], ends
+    went_on_at(context, second)
+
+
 @then('the run went on at "{second}"')
 def went_on_at(context, second):
     (after,) = run_of(context, second)
