Reset the connection of an HTTP/1.0 caller whose stream breaks off

What callers saw: a part of a stream as a complete answer. A caller of HTTP/1.0 gets no chunks, so the end of the connection is the end of its answer, and a stream that had broken off was closed in the same way: the incident's cause (the end of a connection says nothing of what it carried), at the other side of the daemon.

Change: Exchange.abort resets the connection of an answer that ends with it.

Measured: the scenario about a caller of HTTP/1.0 whose engine is killed failed before, not after.

--- a/papayacourse/routed/exchange.py
+++ b/papayacourse/routed/exchange.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 import math
+import socket
+import struct
 import time
 
 from tornado.http1connection import HTTP1Connection
@@ -13,7 +15,7 @@
     ResponseStartLine,
     responses,
 )
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 
 from papayacourse import logs, problems
 from papayacourse.exceptions import RequestRefused
@@ -23,6 +25,8 @@
 from papayacourse.routed.sendhistory import SendHistory
 
 CONTINUE = "100-continue"
+HTTP_1_0 = "HTTP/1.0"
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # the value of SO_LINGER: on, for no time
 
 
 class CallerDisconnected(Exception):
@@ -46,6 +50,8 @@
         Whether another daemon may serve the request.
     sends : SendHistory
         Where the request was sent; answers that are not true to it are refused.
+    ends_by_close : bool
+        Whether the response ends with the connection, since its caller doesn't know chunks.
     """
 
     may_relay = True
@@ -55,6 +61,7 @@
         self.connection = connection
         self.method = ""
         self.target = ""
+        self.version = ""
         self.headers = HTTPHeaders()
         self.parts: list[bytes] = []
         self.size = 0
@@ -64,12 +71,14 @@
         self.task: asyncio.Task | None = None
         self.received_at = 0.0
         self.sends = SendHistory()
+        self.ends_by_close = False
 
     # Called by tornado.
 
     def headers_received(self, start_line: RequestStartLine, headers: HTTPHeaders) -> None:
         """Store the request line and headers; refuses a request over the size limits."""
         self.method, self.target, self.headers = start_line.method, start_line.path, headers
+        self.version = start_line.version
         if headers.get("Expect", "").lower() == CONTINUE:
             headers["Expect"] = CONTINUE  # tornado compares the case, RFC 9110 does not
         self.server.begin_reading(self)
@@ -152,6 +161,7 @@
         """
         self.sends.check_status(status)
         self.head_written = True
+        self.ends_by_close = self.version == HTTP_1_0 and "Content-Length" not in headers
         if self.server.closing() and not self._has_more_requests():
             headers["Connection"] = "close"
         line = ResponseStartLine("", status, responses.get(status, "Unknown"))
@@ -181,9 +191,17 @@
     def abort(self) -> None:
         """Close the connection, so that the caller doesn't take the response for complete."""
         self.done = True
+        if self.ends_by_close and not self.caller_gone:
+            reset_at_close(self.connection.stream)
         self.connection.close()
 
 
+def reset_at_close(stream: IOStream) -> None:
+    """Make the close of a connection a reset, which the other side can't take for a proper end."""
+    if not stream.closed():
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+
+
 class ExchangeOwner:
     """What an exchange needs from the server that received it.
 
--- a/tests/features/routed_stopped_streams.feature
+++ b/tests/features/routed_stopped_streams.feature
@@ -44,6 +44,13 @@
     Then the plan is whole
     And the run went on at "planner-2"
 
+  # Guards against a part that looks complete to a caller who knows no chunks: there, too, the end
+  # of the connection is the only end of the answer.
+  Scenario: A stream for a caller of HTTP/1.0 whose engine is killed is reset
+    When a plan of 400 events is streamed through "a" to a caller of HTTP/1.0
+    And after 20 events "planner-1" is killed
+    Then the connection of that caller is reset after whole events
+
   # Guards against taking a whole stream for a stopped one.
   Scenario: A run that ends by itself while it is being moved is whole
     Given "planner-1" takes 1 s to copy a run
--- a/tests/features/steps/routedstream_steps.py
+++ b/tests/features/steps/routedstream_steps.py
@@ -228,6 +228,72 @@
     context.fleet.processes[engine].kill()
 
 
+@define(eq=False)
+class OldReader(Reader):
+    """A caller of HTTP/1.0, to whom the end of the connection is the end of the answer.
+
+    Attributes
+    ----------
+    is_reset : bool
+        Whether the connection was reset.
+    """
+
+    keeps: bool = False
+    is_reset: bool = False
+
+    def read(self) -> None:
+        """Read the answer to its end."""
+        host, _, port = self.address.rpartition(":")
+        lines = [f"{name}: {value}" for name, value in self.headers.items()]
+        lines += ["Connection: keep-alive"] if self.keeps else []
+        head = "\r\n".join(["POST /plans/1 HTTP/1.0", *lines, "Content-Length: 6", "", ""])
+        with socket.create_connection((host, int(port)), timeout=PLAN_LIMIT) as link:
+            link.sendall(head.encode() + b"a plan")
+            try:
+                while chunk := link.recv(65536):
+                    self.text += chunk
+                self.ended = True
+            except ConnectionResetError:
+                self.is_reset = True
+
+
+def begin_old(context, count, name, keeps):
+    """Begin to stream a plan to a caller of HTTP/1.0."""
+    routed = fleet_of(context)
+    headers = routed.headers(**{"X-Model": "m", "X-Token-Counts": f"1000,{count}"})
+    context.plan = OldReader(routed.address(name), headers, keeps=keeps)
+    context.plan.start()
+
+
+@when('a plan of {count:d} events is streamed through "{name}" to a caller of HTTP/1.0')
+@when('a plan of {count:d} events is streamed through "{name}" to a caller of HTTP/1.0 that closes')
+def stream_old(context, count, name):
+    begin_old(context, count, name, keeps=False)
+
+
+@when(
+    'a plan of {count:d} events is streamed through "{name}" '
+    "to a caller of HTTP/1.0 that asks to keep it"
+)
+def stream_old_kept(context, count, name):
+    begin_old(context, count, name, keeps=True)
+
+
+@then("the connection of that caller is reset after whole events")
+def old_reset(context):
+    context.plan.thread.join(PLAN_LIMIT)
+    ids = context.plan.ids()
+    assert context.plan.is_reset and len(ids) >= 20, (context.plan.ended, ids[-3:])
+    assert ids == list(range(1, len(ids) + 1)) and context.plan.text.endswith(b"\n\n"), ids[-3:]
+
+
+@then("that caller has {count:d} events, and the connection has ended")
+def old_whole(context, count):
+    context.plan.thread.join(SOON)
+    assert context.plan.ended, context.plan.ids()[-3:]
+    assert context.plan.ids() == list(range(1, count + 1)), context.plan.ids()[-3:]
+
+
 @then("the plan is whole after event {last:d}")
 def whole_after(context, last):
     context.count = last
