Close the connection of an HTTP/1.0 caller at the end of a stream

What callers saw: a caller of HTTP/1.0 that asks to keep its connection waited for ever after the last event of a stream. Tornado keeps the connection, though its end is the answer's only end.

Change: Exchange.end closes the connection of an answer that ends with it.

Measured: 'a whole stream for a caller of HTTP/1.0 that asks to keep it' failed before, not after.

--- a/papayacourse/routed/exchange.py
+++ b/papayacourse/routed/exchange.py
@@ -185,8 +185,11 @@
     def end(self) -> None:
         """Finish the response."""
         self.done = True
-        if not self.caller_gone:
-            self.connection.finish()
+        if self.caller_gone:
+            return
+        self.connection.finish()
+        if self.ends_by_close:
+            self.connection.close()
 
     def abort(self) -> None:
         """Close the connection, so that the caller doesn't take the response for complete."""
--- a/tests/features/routed_stopped_streams.feature
+++ b/tests/features/routed_stopped_streams.feature
@@ -51,6 +51,16 @@
     And after 20 events "planner-1" is killed
     Then the connection of that caller is reset after whole events
 
+  # Guards against a caller who waits for the end of an answer that has been written.
+  Scenario Outline: A whole stream for a caller of HTTP/1.0 <connection> ends its connection
+    When a plan of 40 events is streamed through "a" to a caller of HTTP/1.0 <connection>
+    Then that caller has 40 events, and the connection has ended
+
+    Examples:
+      | connection           |
+      | that closes          |
+      | that asks to keep it |
+
   # Guards against taking a whole stream for a stopped one.
   Scenario: A run that ends by itself while it is being moved is whole
     Given "planner-1" takes 1 s to copy a run
