Let a run that its engine keeps rest before it is ordered to stop again

What callers saw: a stream cut off because the retry budget was used up.

Cause: Emptying waited after a refused first copy, but took a move that ended at its own engine for a move that succeeded.

Change: it waits as long as where no engine has room.

Measured: the new scenario of routed_moves.feature (2 to 6 orders in 1 s) failed before, not after.

--- a/papayacourse/routed/migration/emptying.py
+++ b/papayacourse/routed/migration/emptying.py
@@ -159,14 +159,20 @@
         move = Move(self.fleet, self.engine, generation)
         targets = self._targets(generation)
         try:
-            await move.run(targets)
+            standby = await move.run(targets)
         except BackendError as error:
-            serves_on = self._serves_on()
-            if serves_on or isinstance(error, BackendNoRoom):
-                backoff = DRAINED_NO_ROOM_BACKOFF if serves_on else NO_ROOM_BACKOFF
-                self.move_starts[generation.run_id] = time.monotonic() + backoff
+            if self._serves_on() or isinstance(error, BackendNoRoom):
+                self._back_off(generation)
             else:
                 generation.unmovable = True
+        else:
+            if standby.host.name == self.engine.name:
+                self._back_off(generation)
+
+    def _back_off(self, generation: Generation) -> None:
+        """Try to move a run again only after a while."""
+        backoff = DRAINED_NO_ROOM_BACKOFF if self._serves_on() else NO_ROOM_BACKOFF
+        self.move_starts[generation.run_id] = time.monotonic() + backoff
 
     def _targets(self, generation: Generation) -> list[Host]:
         """Return the engines to ask for room: those of the region, or others if it has none.
--- a/papayacourse/routed/migration/moving.py
+++ b/papayacourse/routed/migration/moving.py
@@ -31,9 +31,11 @@
     engine: Host
     generation: Generation
 
-    async def run(self, targets: Iterable[Host]) -> None:
+    async def run(self, targets: Iterable[Host]) -> Standby:
         """Move the run to the engine with its copy, or to the first target that has room.
 
+        Returns where it continues: on its engine if that has stopped it, but not passed it on.
+
         Raises
         ------
         BackendError
@@ -46,6 +48,7 @@
         try:
             async with generation.copy_lock:
                 result = await self._copy_and_stop(targets)
+            return result
         except BackendError as error:
             why = str(error)
             raise
--- a/tests/features/routed_moves.feature
+++ b/tests/features/routed_moves.feature
@@ -46,3 +46,11 @@
     And an engine "near" in its region
     When its runs are moved for 0.4 s
     Then nothing was asked of "near"
+
+  # Guards against a run that is stopped and resumed over and over, on the retry budget of all.
+  Scenario: A run that its engine keeps is not ordered to stop again at once
+    Given an engine that leaves, with run "old" of 500 tokens in its report
+    And an engine "near" in its region
+    And it keeps each run that it is ordered to stop
+    When its runs are moved for 1 s
+    Then it was ordered to stop a run between 2 and 6 times
--- a/tests/features/steps/routedmoves_steps.py
+++ b/tests/features/steps/routedmoves_steps.py
@@ -21,6 +21,7 @@
 LEAVER = "leaver"
 NO_ROOM = 503
 NEVER = float("inf")
+STOP_TIME = 0.01  # seconds until an order to stop is answered
 COPY_RATE = 10_000.0  # tokens a second
 
 
@@ -37,7 +38,7 @@
         self.memory_tokens = tokens
         self.events = 10
         self.copy = self.pending_move = None
-        self.unmovable = self.is_moved = False
+        self.unmovable = self.is_moved = self.goes_on = False
         self.copy_lock = asyncio.Lock()
         self.stop_orders = StopOrders()
         self.admitted = self
@@ -57,6 +58,8 @@
     def finish_move(self, standby) -> None:
         """Note that it has been moved, and where to."""
         self.is_moved, self.moved_to = standby is not None, standby
+        if self.goes_on and self.is_moved and standby.host.name == LEAVER:
+            self.is_moved, self.pending_move, self.copy = False, None, None
 
 
 class Engines:
@@ -67,6 +70,7 @@
         self.room_after = {}
         self.began = 0.0
         self.loses_last = False
+        self.stops = 0
         self.asked = []
         self.copied = []
 
@@ -80,7 +84,10 @@
         self.asked.append(target.name)
         if after < self.room_after[target.name]:
             raise BackendNoRoom(NO_ROOM, "/kv-move")
-        if not stop:
+        if stop:
+            self.stops += 1
+            await asyncio.sleep(STOP_TIME)
+        else:
             self.copied.append((run, target.name, after))
         arrives = not (stop and self.loses_last)
         return CopyResult("h2" if stop else "h1", arrives)
@@ -179,6 +186,18 @@
     add_engine(context, name, "kano", 0.0)
 
 
+@given("it keeps each run that it is ordered to stop")
+def keeps_runs(context):
+    context.fleet_view.engine_calls.loses_last = True
+    for run in context.runs:
+        run.goes_on = True
+
+
+@then("it was ordered to stop a run between {least:d} and {most:d} times")
+def stop_count(context, least, most):
+    assert least <= context.fleet_view.engine_calls.stops <= most
+
+
 @when("its runs are moved for {seconds:g} s")
 def move_runs(context, seconds):
     async def work() -> None:
