Remember that an engine has stopped a run until the run is sent there again

An order to stop a lost run may be carried out after the run has come back to that engine. It then stops the run as it is now, and its answer took the order off the list of those that are open. The engine did not have the run any more, and the part that had come was told as complete.

StopOrders keeps the engines that have stopped the run by their own answers, and forgets one when the run is sent there.

--- a/papayacourse/routed/stoporders.py
+++ b/papayacourse/routed/stoporders.py
@@ -20,13 +20,20 @@
         The engines that may have stopped the run, or may stop it yet, one entry per order: the
         order may have arrived, and its answer has not. An engine that is overloaded may carry out
         an order long after its connection has closed.
+    stopped : set of str
+        The engines that have stopped the run, by their answers, since it was last sent there.
     """
 
     unanswered: list[str] = field(factory=list)
+    stopped: set[str] = field(factory=set)
 
     def may_have_stopped(self, engine: str) -> bool:
-        """Return True if an engine may have carried out an order that it has not answered."""
-        return engine in self.unanswered
+        """Return True if an engine has stopped the run, or an order that may do so is open."""
+        return engine in self.unanswered or engine in self.stopped
+
+    def record_start(self, engine: str) -> None:
+        """Note that the run is sent to an engine: what it stopped before was an earlier one."""
+        self.stopped.discard(engine)
 
     async def order(
         self, calls: EngineCalls, engine: Host, run: str, target: Host
@@ -50,4 +57,5 @@
                 self.unanswered.remove(engine.name)
             raise
         self.unanswered.remove(engine.name)
+        self.stopped.add(engine.name)
         return copied
--- a/papayacourse/routed/streamedcall.py
+++ b/papayacourse/routed/streamedcall.py
@@ -143,6 +143,7 @@
         """Send the request and relay the answer; returns where to resume if that fails."""
         generation, admitted = self.generation, self.generation.admitted
         generation.is_answering = False
+        generation.stop_orders.record_start(generation.engine.name)
         dispatch = Dispatch(
             generation.engine, admitted.time_left(), admitted.account_name,
             admitted.rank, resume,
--- a/tests/features/routed_closed_ends.feature
+++ b/tests/features/routed_closed_ends.feature
@@ -34,6 +34,14 @@
       | answered 404 after 0.3 s           | complete | 0.6     |
       | carried out after 0.3 s            | broken   | 0.6     |
 
+  # Guards against a stream that is told as complete because the order that stopped its run was
+  # answered: it was sent for an earlier run there, and carried out after the run had come back.
+  Scenario: An order from before the run came back to its engine, carried out there later
+    Given the engine of a stream that has ended with its connection does not have the run any more
+    And the run comes back to its engine, and an order from before is obeyed after 0.3 s
+    When the end of the stream is checked after 0.4 s
+    Then the stream counts as broken within 0.2 s
+
   # Guards against a check that outlives its caller, or takes the move with it.
   Scenario: A caller who leaves while the end is checked
     Given the engine of a stream that has ended with its connection reports the run on and on
