Ask after the orders once more when an engine has reported that a run is over

A stream whose connection ended while its run went on is checked for up to 1 s. A move that stopped the run within that time made the next report lack it, and the part that had come was told as complete: the move was asked for only before.

--- a/papayacourse/routed/closedends.py
+++ b/papayacourse/routed/closedends.py
@@ -61,11 +61,17 @@
 async def _check(generation: Generation) -> None:
     if generation.admitted.time_left() < TIME_LIMIT_MARGIN:
         raise BackendAnswerLost("the stream ended at the caller's time limit")
+    await _check_orders(generation)
+    await _check_engine(generation)
+    await _check_orders(generation)  # a move may have stopped it between two reports
+
+
+async def _check_orders(generation: Generation) -> None:
+    """Raise BackendAnswerLost if an order may have stopped the run; waits for a move to end."""
     if generation.pending_move is not None and await asyncio.shield(generation.pending_move):
         raise BackendAnswerLost("the run was stopped for its move")
     if generation.stop_orders.may_have_stopped(generation.engine.name):
-        raise BackendAnswerLost("an order to stop the run was not answered")
-    await _check_engine(generation)
+        raise BackendAnswerLost("the run has been ordered to stop")
 
 
 async def _check_engine(generation: Generation) -> None:
--- a/tests/features/routed_closed_ends.feature
+++ b/tests/features/routed_closed_ends.feature
@@ -42,6 +42,13 @@
     When the end of the stream is checked after 0.4 s
     Then the stream counts as broken within 0.2 s
 
+  # Guards against taking a run for ended by itself that a move stopped between two reports.
+  Scenario: A move that stops the run while the end of its stream is checked
+    Given the engine of a stream that has ended with its connection still reports the run for a while
+    And the run is moved after 0.1 s, in 0.05 s
+    When the end of the stream is checked
+    Then the stream counts as broken within 0.6 s
+
   # Guards against a check that outlives its caller, or takes the move with it.
   Scenario: A caller who leaves while the end is checked
     Given the engine of a stream that has ended with its connection reports the run on and on
