Wait at the end of a stream only for a move that has ordered its run to stop

The caller of a whole stream got its end only once the move that was under way had come to its own, with copies to up to three engines before the order to stop; a caller leaves after 2 s without anything.

The end is checked at once while no order to stop the run is open.

--- a/papayacourse/routed/closedends.py
+++ b/papayacourse/routed/closedends.py
@@ -67,10 +67,14 @@
 
 
 async def _check_orders(generation: Generation) -> None:
-    """Raise BackendAnswerLost if an order may have stopped the run; waits for a move to end."""
-    if generation.pending_move is not None and await asyncio.shield(generation.pending_move):
-        raise BackendAnswerLost("the run was stopped for its move")
-    if generation.stop_orders.may_have_stopped(generation.engine.name):
+    """Raise BackendAnswerLost if an order may have stopped the run.
+
+    Waits for a move that has ordered it: the engine may answer that the run had ended before.
+    """
+    orders, engine = generation.stop_orders, generation.engine.name
+    if orders.may_have_stopped(engine) and generation.pending_move is not None:
+        await asyncio.shield(generation.pending_move)
+    if orders.may_have_stopped(engine):
         raise BackendAnswerLost("the run has been ordered to stop")
 
 
--- a/tests/features/routed_closed_ends.feature
+++ b/tests/features/routed_closed_ends.feature
@@ -49,6 +49,13 @@
     When the end of the stream is checked
     Then the stream counts as broken within 0.6 s
 
+  # Guards against a caller who waits for the end of a whole stream until a copy has arrived.
+  Scenario: A move that has not stopped the run yet does not keep the caller waiting
+    Given the engine of a stream that has ended with its connection does not have the run any more
+    And the run is moved after 0 s, and its first copy takes 2.5 s
+    When the end of the stream is checked after 0.1 s
+    Then the stream counts as complete within 0.3 s
+
   # Guards against a check that outlives its caller, or takes the move with it.
   Scenario: A caller who leaves while the end is checked
     Given the engine of a stream that has ended with its connection reports the run on and on
