Take an answer that ends with its connection before any event for lost

An engine that closed an answer without length or chunks before its first event, lived on and did not report the run made the stream complete: with nothing at all, or, where it was to go on from a copy, after the part from the engine before. The check of the engine can't tell such an answer from a whole one: its report may be older than the run.

Such an answer counts as lost.

--- a/papayacourse/routed/answerrelay.py
+++ b/papayacourse/routed/answerrelay.py
@@ -56,6 +56,7 @@
         call.idle_timeout = self._stall_timeout()
         call.allows_silence = self._may_wait_for_stalled_engine
         splitter, event_progress = EventSplitter(), EventProgress(call.idle_timeout)
+        events_before = generation.events
         async for chunk in call.chunks():
             run.record_output()
             before = generation.last_id
@@ -65,6 +66,8 @@
         if splitter.buffer:
             raise BackendAnswerLost("the stream ended within an event")
         if call.framing is Framing.CLOSE:
+            if generation.events == events_before:
+                raise BackendAnswerLost("the stream ended before its first event")
             await self.ends.check(generation)
         if not generation.exchange.head_written:
             await generation.exchange.begin(200, headers)
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -205,7 +205,7 @@
         stream, fault = self.request.connection.stream, self.standin.fault
         self._finished = True
         await stream.write(unframed_head(run).encode())
-        if fault == "unframed_early":
+        if fault in ("unframed_early", "unframed_empty"):
             last = 0
         for number in range(1, last + 1):
             await stream.write(event_text(number).encode())
--- a/standins/platformfaults.py
+++ b/standins/platformfaults.py
@@ -23,7 +23,7 @@
 }  # what an answer begins with, and what then comes again and again; HEAD is a good answer's head
 UNFRAMED_ENDS = {
     "unframed": b"", "reset_unframed": b"", "unframed_half": b"id: 21\ndata: to",
-    "unframed_early": b"id: 1\nda",
+    "unframed_early": b"id: 1\nda", "unframed_empty": b"",
 }  # fmt: skip
 PARTIAL_HEADS = {
     "half_head": b"HEAD",
--- a/standins/platformruns.py
+++ b/standins/platformruns.py
@@ -59,8 +59,8 @@
     fault : str
         What goes wrong with answers: ``shed``, ``lose``, ``wrong_id``, ``garbage``, ``unframed``,
         ``reset_unframed``, ``killed_unframed``, ``unframed_half``, ``unframed_early``,
-        ``encoded``, ``half_event``, ``fail``, ``promise``, ``promise_429``, ``promise_408``,
-        ``mute``, ``unstoppable``, ``old_refusal``, a name of ``ENDLESS`` or of
+        ``unframed_empty``, ``encoded``, ``half_event``, ``fail``, ``promise``, ``promise_429``,
+        ``promise_408``, ``mute``, ``unstoppable``, ``old_refusal``, a name of ``ENDLESS`` or of
         ``PARTIAL_HEADS``; empty for nothing.
     after_run : list
         The status and headers, a list of pairs, of the answer to a request that has run; ``ID``
--- a/tests/features/routed_unframed.feature
+++ b/tests/features/routed_unframed.feature
@@ -26,6 +26,12 @@
     And a plan of 20 events is streamed through "a"
     Then the plan is answered 502 before its first event
 
+  # Guards against an answer without a single event that passes for a whole stream.
+  Scenario: A stream without a length that ends before its first event is a failure
+    When "planner-1" has fault "unframed_empty"
+    And a plan of 20 events is streamed through "a"
+    Then the plan is answered 502 before its first event
+
   # Guards against giving up a sound engine that is silent for a second or so.
   Scenario Outline: An engine that is silent for <seconds> s keeps its run, also where there is a copy
     Given an engine "planner-2" of "planner" in "lagos" that is listed last
--- a/tests/features/steps/routedclosedends_steps.py
+++ b/tests/features/steps/routedclosedends_steps.py
@@ -112,7 +112,6 @@
     calls: Calls
     has_ended: bool = False
     caller: Caller = field(factory=Caller)
-    events: int = 10
     beside: list = field(factory=list)
     outcome: str = ""
     seconds: float = 0.0
@@ -161,9 +160,7 @@
         fleet = Fleet()
         fleet.engine_calls = self.calls
         host = Host("leaver", HostKind.ENGINE, address, "lagos", "lagos")
-        return Generation(
-            self.caller, None, fleet, None, None, None, engine=host, events=self.events
-        )
+        return Generation(self.caller, None, fleet, None, None, None, engine=host)
 
     async def move(self, generation: Generation) -> None:
         """Move the run to another engine, if it can be."""
@@ -191,11 +188,6 @@
     context.ended.caller.seconds = seconds
 
 
-@given("no event of the stream has come")
-def no_event(context):
-    context.ended.events = 0
-
-
 @given("an order to stop the run is {answered}")
 def order_answered(context, answered):
     ended, calls = context.ended, context.ended.calls
