--- a/tests/features/steps/routedstream_steps.py
+++ b/tests/features/steps/routedstream_steps.py
@@ -212,7 +212,51 @@
             context.fleet.admin(name, {"is_unframed": True})
 
 
-@given('"{engine}", ordered to stop a run, {manner}')
+@when('the streams of "{engine}" come without length or chunks')
+def unframed_streams_of(context, engine):
+    context.fleet.admin(engine, {"is_unframed": True})
+
+
+def engine_of_plan(context):
+    """Return the name of the engine that works on the plan."""
+    engines = [name for name in context.fleet.processes if name.startswith("planner")]
+    (engine,) = [name for name in engines if any(not r["end"] for r in run_of(context, name))]
+    return engine
+
+
+@when("the run is copied to the other engine")
+def run_copied_anywhere(context):
+    daemons = list(fleet_of(context).addresses)
+    copied = lambda: [line for d in daemons for line in fleet_of(context).lines(d, "copied")]  # noqa: E731
+    wait_until("a daemon has had it copied", copied, SOON)
+
+
+@when("the plan's engine is {what}")
+def plan_engine_ends(context, what):
+    engine = engine_of_plan(context)
+    if what == "killed":
+        context.fleet.processes[engine].kill()
+    else:
+        fleet_of(context).list_engine(engine, "draining")
+
+
+@when('"{engine}" has made {count:d} events of the plan')
+def has_made(context, engine, count):
+    made = lambda: any(r["made"] - r["first"] >= count for r in run_of(context, engine))  # noqa: E731
+    wait_until(f"{count} events at {engine}", made, SOON)
+
+
+@when('an engine "{name}" of "{service}" in "{domain}" is listed')
+def engine_listed(context, name, service, domain):
+    fleet_of(context).engine(name, service, domain)
+
+
+@then('"{daemon}" has sent nothing to engines')
+def sent_nothing(context, daemon):
+    assert fleet_of(context).lines(daemon, "sent") == []
+
+
+@step('"{engine}", ordered to stop a run, {manner}')
 def stop_manner(context, engine, manner):
     context.fleet.admin(engine, {"stop_manner": manner})
 
