Take a head whose status HTTP does not have for no answer

What callers saw: an engine's status 600 or 999 as it was, with its body, at plain servers, model engines and plain services of the own interface; an answer after a 101 that nobody had asked for; and after a head of status 000 whose body had no end, nothing until the caller's whole time was over.

Cause: HttpCall dropped each head under 200 as an interim one and took any from 200 on. The limits of a final status (RFC 9110, 15) were written at relayed answers alone.

Change: statuses.py has the one definition. A final head out of 200 to 599, 101 and what is under 100 fail the call at once with BackendNoAnswer. It is a BackendLinkLost, as a head that cannot be parsed is one already: the request may have run, so 502, or another server where it may repeat; an order to stop a run counts as lost. All calls of daemons pass there: requests, reports, moves, both stores, the host list, debug pages.

A part of status 600 from another daemon was refused before as well (relay_proofs.feature, a new row).

--- a/papayacourse/exceptions.py
+++ b/papayacourse/exceptions.py
@@ -162,6 +162,10 @@
     """The backend server accepted a request but did not start its answer in time."""
 
 
+class BackendNoAnswer(BackendLinkLost):
+    """The backend server sent a head that HTTP does not have; the request may have run."""
+
+
 class BackendSilent(BackendLinkLost):
     """The backend server started its answer and then sent nothing more."""
 
--- a/papayacourse/httpcall.py
+++ b/papayacourse/httpcall.py
@@ -17,6 +17,7 @@
 from papayacourse.exceptions import (
     BackendGone,
     BackendLinkLost,
+    BackendNoAnswer,
     BackendNotSendable,
     BackendProtocolError,
     BackendSilent,
@@ -24,6 +25,7 @@
     BackendUnreachable,
 )
 from papayacourse.framing import Framing, framing_of
+from papayacourse.statuses import FINAL_STATUSES, is_interim
 from papayacourse.tasks import is_done_within
 from papayacourse.types import Address
 
@@ -74,6 +76,8 @@
         If no connection could be made; nothing was sent.
     BackendLinkLost
         If the connection broke or went silent after connecting.
+    BackendNoAnswer
+        If the server sent a head whose status HTTP does not have, or agreed to an upgrade.
     BackendNotSendable
         If the head of the request cannot be written; nothing was sent.
     """
@@ -178,12 +182,14 @@
 
     def headers_received(self, start_line, headers: HTTPHeaders) -> None:
         """Store the status and headers (called by tornado)."""
-        if start_line.code < 200:
+        status = start_line.code
+        if is_interim(status) or self.head.done():
             return
-        self.status = start_line.code
-        self.headers = headers
-        if not self.head.done():
-            self.head.set_result(None)
+        if status not in FINAL_STATUSES:
+            self.head.set_exception(BackendNoAnswer(f"{self.address} sent status {status:03d}"))
+            return
+        self.status, self.headers = status, headers
+        self.head.set_result(None)
 
     async def data_received(self, chunk: bytes) -> None:
         """Buffer a chunk of the body; pause reading while the buffer is full."""
--- a/papayacourse/routed/relaying.py
+++ b/papayacourse/routed/relaying.py
@@ -31,6 +31,7 @@
 from papayacourse.routed.relayedexchange import RelayedExchange
 from papayacourse.routed.sendhistory import NOT_EXECUTED_STATUSES, Send
 from papayacourse.serverreach import ServerReach
+from papayacourse.statuses import FINAL_STATUSES
 from papayacourse.types import Ran
 
 MAX_DAEMONS_ASKED = 4  # for one request
@@ -39,7 +40,6 @@
 DECLINE_MEMORY = 1.0  # seconds for which a daemon that declined is not asked again
 LINK_CHECK_INTERVAL = 0.25  # seconds
 RETRY_AFTER = 1.0  # seconds
-MIN_STATUS, MAX_STATUS = 200, 599  # of a final answer in HTTP
 
 
 class RelayUnclear(Exception):
@@ -208,7 +208,7 @@
                 return False
             case RelayEnd.BROKEN:
                 raise RelayBroken(f"the answer broke off at {name}")
-        if not MIN_STATUS <= part.status <= MAX_STATUS:
+        if part.status not in FINAL_STATUSES:
             raise RelayBroken(f"{name} began an answer with status {part.status}")
         if part.status in NOT_EXECUTED_STATUSES:
             # The other daemon says this only if it knows it of each of its own sends.
--- a/standins/plainservice.py
+++ b/standins/plainservice.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import re
 import signal
 from collections import Counter
 
@@ -12,6 +13,7 @@
 from standins.common import JsonHandler, parser, serve
 
 ENDLESS = b"[endless]"  # in a body: the answer does not end
+STATUS = re.compile(rb"\[status=(\w+)\]")  # in a body: the status of the answer
 DEADLY = b"[crash]"  # in a body: the service ends when it begins to run the call
 
 
@@ -55,6 +57,9 @@
         if ENDLESS in self.request.body:
             await self.answer_for_ever()
             return
+        if found := STATUS.search(self.request.body):
+            await self.answer_with_status(found[1])
+            return
         if DEADLY in self.request.body:
             os.kill(os.getpid(), signal.SIGKILL)
         if key:
@@ -89,6 +94,13 @@
             while True:
                 await stream.write(b"n" * 65536)
 
+    async def answer_with_status(self, status: bytes) -> None:
+        """Write a whole answer with any status."""
+        self._finished = True
+        stream = self.request.connection.stream
+        await stream.write(b"HTTP/1.1 %b Odd\r\nContent-Length: 2\r\n\r\nok" % status)
+        stream.close()
+
     get = post = put = patch = delete = _run
 
 
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -18,6 +18,7 @@
     FAILURES,
     LATE_CLOSE,
     MUTE_TIME,
+    ODD_STATUS,
     OLD_REFUSAL,
     PARTIAL_HEADS,
     UNFRAMED_ENDS,
@@ -89,6 +90,8 @@
             self.answer_oddly(run)
         elif self.standin.fault in ENDLESS:
             await self.answer_for_ever(self.standin.fault, run)
+        elif self.standin.fault in ODD_STATUS:
+            await self.answer_with_status(run)
         elif self.standin.fault in PARTIAL_HEADS:
             await self.break_off_in_head(run)
         elif "X-Token-Counts" in self.request.headers:
@@ -157,6 +160,14 @@
         stream.close()
         self._finished = True
 
+    async def answer_with_status(self, run: Run) -> None:
+        """Write a whole answer with the status that is set."""
+        stream, run.end = self.request.connection.stream, "whole"
+        answer = ODD_STATUS[self.standin.fault].replace(b"HEAD", self.head_lines(run))
+        await stream.write(answer.replace(b": ID", f": {run.name}".encode()))
+        stream.close()
+        self._finished = True
+
     async def break_off_in_head(self, run: Run) -> None:
         """Write a part of an answer's head, and close the connection."""
         stream, run.end = self.request.connection.stream, "whole"
--- a/standins/platformfaults.py
+++ b/standins/platformfaults.py
@@ -21,6 +21,11 @@
     "endless_comments": (b"HEAD\r\n", b": noise\n\n"),
     "endless_old": (b"HEAD\r\n", b"id: 1\ndata: token 1\n\n"),
 }  # what an answer begins with, and what then comes again and again; HEAD is a good answer's head
+ODD_STATUS = {
+    "odd_status": b"HEADContent-Length: 2\r\n\r\nok",
+    "odd_status_interim": b"HEAD\r\nHTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n"
+    b"X-Server-Signature: s\r\nContent-Length: 2\r\n\r\nok",
+}  # answers whose head, or interim head, has the status that `status` says
 UNFRAMED_ENDS = {
     "unframed": b"", "reset_unframed": b"", "unframed_half": b"id: 21\ndata: to",
     "unframed_early": b"id: 1\nda",
--- a/standins/platformhandler.py
+++ b/standins/platformhandler.py
@@ -26,14 +26,18 @@
         if self.standin.brittle != "":
             self.set_header("Server-Brittle", str(self.standin.brittle))
 
+    def head_lines(self, run: Run) -> bytes:
+        """Return the first lines of an answer's head, with the status that is set."""
+        line = f"HTTP/1.1 {self.standin.status} Odd\r\n"
+        return f"{line}{REQUEST_ID}: {run.name}\r\nX-Server-Signature: s\r\n".encode()
+
     async def answer_for_ever(self, fault: str, run: Run) -> None:
         """Write bytes without end, until the other side closes."""
         begin, more = ENDLESS[fault]
-        head = f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {run.name}\r\nX-Server-Signature: s\r\n"
         stream = self.request.connection.stream
         self._finished = True
         with contextlib.suppress(StreamClosedError):
-            await stream.write(begin.replace(b"HEAD", head.encode()))
+            await stream.write(begin.replace(b"HEAD", self.head_lines(run)))
             while True:
                 await stream.write(more)
                 await asyncio.sleep(self.standin.noise_pause)
--- a/standins/platformruns.py
+++ b/standins/platformruns.py
@@ -60,13 +60,15 @@
         What goes wrong with answers: ``shed``, ``lose``, ``wrong_id``, ``garbage``, ``unframed``,
         ``reset_unframed``, ``killed_unframed``, ``unframed_half``, ``unframed_early``,
         ``encoded``, ``half_event``, ``fail``, ``promise``, ``promise_429``, ``promise_408``,
-        ``mute``, ``unstoppable``, ``old_refusal``, a name of ``ENDLESS`` or of
-        ``PARTIAL_HEADS``; empty for nothing.
+        ``mute``, ``unstoppable``, ``old_refusal``, a name of ``ENDLESS``, of
+        ``ODD_STATUS`` or of ``PARTIAL_HEADS``; empty for nothing.
     after_run : list
         The status and headers, a list of pairs, of the answer to a request that has run; ``ID``
         stands for the request's id. Empty for a good answer.
     report_fault : str
         What goes wrong with reports: a name of ``ENDLESS``; empty for nothing.
+    status : str
+        The status of answers whose fault is a name of ``ENDLESS`` or of ``ODD_STATUS``.
     is_unframed : bool
         Whether streams come with neither a length nor chunks and end with their connection.
     stop_manner : str
@@ -104,6 +106,7 @@
     fault: str = ""
     after_run: list = field(factory=list)
     report_fault: str = ""
+    status: str = "200"
     is_unframed: bool = False
     stop_manner: str = ""
     ends_after: int = 0
--- a/tests/features/relay_proofs.feature
+++ b/tests/features/relay_proofs.feature
@@ -21,6 +21,7 @@
       | call            | gives a strange answer       | serves it        | 502    | b     |
       | call            | accepts it and breaks off    | serves it        | 502    | b     |
       | call            | answers with status 0        | serves it        | 502    | b     |
+      | call            | answers with status 600      | serves it        | 502    | b     |
       | call            | begins and gives it back     | serves it        | 200    | b     |
       | repeatable call | begins and gives it back     | serves it        | 200    | b     |
       | repeatable call | says nothing                 | serves it        | 200    | b, c  |
--- a/tests/features/steps/relayproofs_steps.py
+++ b/tests/features/steps/relayproofs_steps.py
@@ -39,6 +39,7 @@
     "serves it": [part(200, RelayEnd.WHOLE)],
     "refuses it": [part(503, RelayEnd.WHOLE)],
     "answers with status 0": [part(0, RelayEnd.WHOLE)],
+    "answers with status 600": [part(600, RelayEnd.WHOLE)],
     "gives it back": [part(0, RelayEnd.NOT_SERVED)],
     "accepts it and breaks off": [part(0, RelayEnd.BROKEN)],
     "begins and gives it back": [part(200, RelayEnd.NONE), part(0, RelayEnd.NOT_SERVED)],
