--- a/standins/plainservice.py
+++ b/standins/plainservice.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import signal
+import socket
+import struct
 from collections import Counter
 
 from attrs import define, field
@@ -13,11 +16,21 @@
 
 ENDLESS = b"[endless]"  # in a body: the answer does not end
 DEADLY = b"[crash]"  # in a body: the service ends when it begins to run the call
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # the value of SO_LINGER: on, for no time
 
 
 @define(eq=False)
 class PlainService:
-    """The calls that ran, and the switches that make it fail."""
+    """The calls that ran, and the switches that make it fail.
+
+    Attributes
+    ----------
+    ending : str
+        If it is set, answers have neither a length nor chunks, and this ends them: ``whole``,
+        ``killed`` (the service ends with its answer) or ``reset``.
+    sent : float
+        The part of the body, 0 to 1, that comes before an answer is ``killed`` or ``reset``.
+    """
 
     name: str = ""
     ran: Counter = field(factory=Counter)
@@ -31,6 +44,8 @@
     padding: int = 0
     close_before: int = 0
     close_after: int = 0
+    ending: str = ""
+    sent: float = 0.5
 
     async def hold(self, switch: str) -> None:
         """Keep a call waiting for as long as a switch is set."""
@@ -69,16 +84,33 @@
         self.set_header("X-Backend", service.name)
         if service.answer_id:
             self.set_header("X-Request-Id", service.answer_id)
-        self.finish(
-            {
-                "method": self.request.method,
-                "uri": self.request.uri,
-                "key": key,
-                "times": service.ran[key],
-                "body": self.request.body.decode(errors="replace"),
-                "padding": "p" * service.padding,
-            }
-        )
+        answer = {
+            "method": self.request.method,
+            "uri": self.request.uri,
+            "key": key,
+            "times": service.ran[key],
+            "body": self.request.body.decode(errors="replace"),
+            "padding": "p" * service.padding,
+        }
+        if service.ending:
+            await self.answer_until_close(json.dumps(answer).encode())
+        else:
+            self.finish(answer)
+
+    async def answer_until_close(self, body: bytes) -> None:
+        """Write an answer with neither a length nor chunks, and end it as the switches say."""
+        self._finished = True
+        stream, service = self.request.connection.stream, self.standin
+        part = body if service.ending == "whole" else body[: int(len(body) * service.sent)]
+        with contextlib.suppress(StreamClosedError):
+            await stream.write(f"HTTP/1.1 200 OK\r\nX-Backend: {service.name}\r\n\r\n".encode())
+            if part:
+                await stream.write(part)
+        if service.ending == "killed":
+            os.kill(os.getpid(), signal.SIGKILL)
+        if service.ending == "reset":
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        stream.close()
 
     async def answer_for_ever(self) -> None:
         """Write a body without end, until the other side closes."""
