Close the connection of an HTTP/1.0 caller at the end of the own interface's streams

What callers saw: a caller of HTTP/1.0 that asks to keep its connection waited for ever after the last event of a stream of the own interface, whole (after the end mark) or broken off (after the error event).

Cause: such an answer ends with its connection, which tornado keeps (as in for routed streams).

Change: GenerationHandler.finish closes it once the answer has been written. Tests besides, for what had none: streams of the engines without a length or chunks, closed by their engine after 1, 150 or all 300 tokens, or by its death; answers in one piece; callers of HTTP/1.0 and 1.1 whose engine or daemon dies.

--- a/papayacourse/completions.py
+++ b/papayacourse/completions.py
@@ -20,6 +20,8 @@
 from papayacourse.types import GenerationRequest, HostKind, Ran
 from papayacourse.web import Handler
 
+HTTP_1_0 = "HTTP/1.0"
+
 
 class GenerationHandler(Handler):
     """Base class of the handlers that relay a generation."""
@@ -31,6 +33,16 @@
         self.service_settings: ServiceSettings | None = None
         self.task: asyncio.Task | None = None
         self.resumable = False
+        self.is_stream = False
+
+    def finish(self, chunk=None) -> asyncio.Future[None]:
+        """End the answer, and with it the connection if nothing else tells the caller its end."""
+        sent = super().finish(chunk)
+        if self.is_stream and self.request.version == HTTP_1_0:
+            # Tornado would keep the connection of a caller who asks for that.
+            link = self.request.connection.stream
+            sent.add_done_callback(lambda _: link.close())
+        return sent
 
     async def send_events(self, events, answer_format: chat.AnswerFormat, streamed: bool) -> None:
         """Answer with a generation's events; hold the generation if the caller disconnects."""
@@ -141,7 +153,7 @@
         try:
             async for batch in events:
                 if not begun:
-                    begun = self.resumable = True
+                    begun = self.resumable = self.is_stream = True
                     answer_format = self._with_cursor(answer_format)
                     self.set_header("Content-Type", "text/event-stream")
                     self.set_header("Cache-Control", "no-store")
--- a/standins/batching.py
+++ b/standins/batching.py
@@ -76,6 +76,7 @@
     skip_at: int = -1
     foreign_at: int = -1
     close_at: int = -1
+    unframed: bool = False  # streams have neither a length nor chunks
     refuse: bool = False
     mute: bool = False
     accepts_when_leaving: bool = False
--- a/standins/enginestreams.py
+++ b/standins/enginestreams.py
@@ -13,19 +13,19 @@
 
     async def send(self, generation: Generation, offset: int) -> None:
         """Send events from an offset to the end."""
-        self.set_header("Content-Type", "text/event-stream")
-        self.set_header("X-Generation", generation.mark)
         generation.readers += 1
         try:
-            await self.flush()
+            await self.begin(generation)
             while True:
                 news = generation.news
                 tokens = generation.tokens[offset:]
                 for text in tokens:
-                    self.write(self.events(generation, offset, text))
+                    await self.put(self.events(generation, offset, text))
                     offset += 1
+                    if self.closes_at(offset):
+                        return
                 if tokens:
-                    await self.flush()
+                    await self.flush_events()
                 if self.standin.close_at >= 0 and offset >= self.standin.close_at:
                     self.standin.close_at = -1
                     self.request.connection.stream.close()
@@ -35,13 +35,51 @@
                 if len(generation.tokens) == offset:
                     await news.wait()
             end = {"stream": generation.stream, "offset": offset, "reason": generation.reason}
-            self.write(f"event: end\ndata: {json.dumps(end)}\n\n")
-            await self.finish()
+            await self.put(f"event: end\ndata: {json.dumps(end)}\n\n")
+            await self.end()
         except StreamClosedError:
             pass
         finally:
             generation.readers -= 1
 
+    async def begin(self, generation: Generation) -> None:
+        """Send the head: with neither a length nor chunks if a test asked for that."""
+        if self.standin.unframed:
+            self._finished = True
+            head = f"HTTP/1.1 200 OK\r\nX-Generation: {generation.mark}\r\n\r\n"
+            await self.request.connection.stream.write(head.encode())
+            return
+        self.set_header("Content-Type", "text/event-stream")
+        self.set_header("X-Generation", generation.mark)
+        await self.flush()
+
+    async def put(self, event: str) -> None:
+        """Write an event."""
+        if self._finished:
+            await self.request.connection.stream.write(event.encode())
+        else:
+            self.write(event)
+
+    async def flush_events(self) -> None:
+        """Send what has been written."""
+        if not self._finished:
+            await self.flush()
+
+    async def end(self) -> None:
+        """End the answer."""
+        if self._finished:
+            self.request.connection.stream.close()
+        else:
+            await self.finish()
+
+    def closes_at(self, offset: int) -> bool:
+        """Close a stream that has neither a length nor chunks exactly where a test asked for it."""
+        if not self._finished or self.standin.close_at != offset:
+            return False
+        self.standin.close_at = -1
+        self.request.connection.stream.close()
+        return True
+
     def events(self, generation: Generation, offset: int, text: str) -> str:
         """Return the event of one token, made wrong where a test asked for that."""
         engine = self.standin
--- a/tests/rawhttp.py
+++ b/tests/rawhttp.py
@@ -7,7 +7,12 @@
 
 
 def send(
-    address: str, path: str, body: dict, headers: dict | None = None, receive_buffer: int = 0
+    address: str,
+    path: str,
+    body: dict,
+    headers: dict | None = None,
+    receive_buffer: int = 0,
+    version: str = "HTTP/1.1",
 ) -> socket.socket:
     """Connect and post a body; the connection is the caller's to read and to close.
 
@@ -19,7 +24,7 @@
     host, _, port = address.rpartition(":")
     data = json.dumps(body).encode()
     fields = {"Host": "x", "Content-Length": len(data)} | (headers or {})
-    lines = [f"POST {path} HTTP/1.1", *(f"{name}: {value}" for name, value in fields.items())]
+    lines = [f"POST {path} {version}", *(f"{name}: {value}" for name, value in fields.items())]
     link = socket.socket()
     if receive_buffer:
         link.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
