Run the routed front at random: streams, plain calls and overlapping faults

Cause: the soak runs the own interface only, and no test mixed streams without length or chunks with engines that leave, stop runs and die.

The stand-in engines log runs that began and that ended whole, so that the record outlives a killed engine; the framing of a run is chosen when it begins; a switch kills an engine inside an event; a run ends no later than its caller allows (with ends_after of 100, a plan of 20 events was broken off as too long).

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 
 soak: $(READY)  ## Run callers, faults and operators at random; SEED=1 SECONDS=120.
 	$(BIN)/python -m tests.soak --seed $(or $(SEED),1) --seconds $(or $(SECONDS),120)
+	$(BIN)/python -m tests.routedsoak --seed $(or $(SEED),1) --seconds $(or $(SECONDS),120)
 
 dist: $(READY)  ## Build the one-file program dist/papayacourse.
 	mkdir -p dist
--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -82,6 +82,7 @@
         body = self.request.body.decode("latin1")
         run = Run(name, self.request.method, self.request.uri, headers, body)
         self.standin.runs.append(run)
+        note("run began", run)
         die_if_due(run)
         if self.standin.fault == "old_refusal":
             await self.request.connection.stream.write(OLD_REFUSAL)
@@ -185,11 +186,13 @@
         self.set_header("Content-Type", "text/event-stream")
         if DEADLY_PART.search(run.headers.get("X-Prompt-Prefix", "")):
             await self.crash_at_the_head()
-        last = self.standin.ends_after or int(run.headers["X-Token-Counts"].split(",")[1])
+        allowed = int(run.headers["X-Token-Counts"].split(",")[1])
+        last = min(self.standin.ends_after or allowed, allowed)
         if self.standin.fault in UNFRAMED_ENDS:
             await self.stream_unframed(run, last)
             return
-        if self.standin.is_unframed:
+        run.is_unframed = self.standin.is_unframed
+        if run.is_unframed:
             self._finished = True
             await self.request.connection.stream.write(unframed_head(run).encode())
         run.first = int(run.headers.get("Last-Event-Id", 0)) + 1
@@ -239,14 +242,17 @@
             run.end = "cancelled"
             return
         try:
-            await self.send_event(text)
+            if self.standin.fault == "killed_inside":
+                await self.send_event(run, text[: len(text) // 2])
+                os.kill(os.getpid(), signal.SIGKILL)
+            await self.send_event(run, text)
         except StreamClosedError:
             run.end = "cancelled"
         die_if_due(run)
 
-    async def send_event(self, text: str) -> None:
-        """Send one event, in a chunk or as it is."""
-        if self.standin.is_unframed:
+    async def send_event(self, run: Run, text: str) -> None:
+        """Send one event or a part of it, in a chunk or as it is."""
+        if run.is_unframed:
             await self.request.connection.stream.write(text.encode())
             return
         self.write(text)
@@ -256,15 +262,22 @@
         """End the answer: whole, or broken off where the run was stopped or cancelled."""
         if run.end == "stopped" and self.standin.stop_manner == "answers first":
             await asyncio.sleep(LATE_CLOSE)
-        if run.end or self.standin.is_unframed:
-            run.end = run.end or "whole"
+        if not run.end:
+            run.end = "whole"
+            note("run whole", run)
+        if run.end != "whole" or run.is_unframed:
             self.request.connection.stream.close()
             self._finished = True
             return
-        run.end = "whole"
         await self.finish()
 
 
+def note(what: str, run: Run) -> None:
+    """Log what became of a run, for whoever asks after this engine was killed."""
+    line = {"message_type": what, "run": run.name, "made": run.made}
+    print(json.dumps(line), flush=True)
+
+
 def unframed_head(run: Run) -> str:
     """Return the head of a stream with neither a length nor chunks."""
     head = f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {run.name}\r\nX-Server-Signature: s\r\n"
--- a/standins/platformruns.py
+++ b/standins/platformruns.py
@@ -20,6 +20,8 @@
         ``whole``, ``cancelled`` or ``stopped``; empty while it runs.
     began, worked_at : float
         When it began here and made its last event, in seconds of the host's monotonic clock.
+    is_unframed : bool
+        Whether its stream comes with neither a length nor chunks.
     """
 
     name: str
@@ -32,6 +34,7 @@
     end: str = ""
     began: float = field(factory=time.monotonic)
     worked_at: float = 0.0
+    is_unframed: bool = False
 
 
 @define
@@ -59,8 +62,8 @@
     fault : str
         What goes wrong with answers: ``shed``, ``lose``, ``wrong_id``, ``garbage``, ``unframed``,
         ``reset_unframed``, ``killed_unframed``, ``unframed_half``, ``unframed_early``,
-        ``encoded``, ``half_event``, ``fail``, ``promise``, ``promise_429``, ``promise_408``,
-        ``mute``, ``unstoppable``, ``old_refusal``, a name of ``ENDLESS`` or of
+        ``encoded``, ``half_event``, ``killed_inside``, ``fail``, ``promise``, ``promise_429``,
+        ``promise_408``, ``mute``, ``unstoppable``, ``old_refusal``, a name of ``ENDLESS`` or of
         ``PARTIAL_HEADS``; empty for nothing.
     after_run : list
         The status and headers, a list of pairs, of the answer to a request that has run; ``ID``
@@ -73,7 +76,7 @@
         What it does when it is ordered to stop a run: ``closes first``, ``answers first``,
         ``never answers`` or ``keeps the run``, the first time; empty for answering at once.
     ends_after : int
-        The last event of every run, whatever its caller allows; 0 for as many as that.
+        The last event of every run whose caller allows more; 0 for as many as that.
     noise_pause : float
         Seconds between the pieces of an answer without end.
     id_mark : str
--- a/tests/features/steps/soak_steps.py
+++ b/tests/features/steps/soak_steps.py
@@ -1,8 +1,8 @@
-"""Steps of the randomised run."""
+"""Steps of the randomised runs."""
 
 from behave import then, when
 
-from tests import soak
+from tests import routedsoak, soak
 
 
 @when("callers, faults and operators run at random for {seconds:d} seconds with seed {seed:d}")
@@ -10,6 +10,13 @@
     context.summary = soak.run(seed, seconds)
 
 
+@when(
+    "callers and faults of the routed front are random for {seconds:d} seconds with seed {seed:d}"
+)
+def run_routed_soak(context, seconds, seed):
+    context.summary = routedsoak.run(seed, seconds)
+
+
 @then("no promise was broken")
 def no_promise_broken(context):
     assert not context.summary["problems"], context.summary
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,7 +1,5 @@
 """One long randomised run: callers, faults and operators at once, and every promise checked."""
 
-import argparse
-import json
 import random
 import sys
 import threading
@@ -13,6 +11,7 @@
 
 from standins.fleet import Fleet, FleetError, wait_until
 from tests.callers import StreamingCaller
+from tests.faultlanes import main
 from tests.refunds import pay
 from tests.soakfaults import DOMAINS, ENGINE_OPTIONS, HEAL_LIMIT, Faults
 
@@ -222,17 +221,6 @@
 
     # The promises.
 
-    def worker(self, work, *arguments) -> threading.Thread:
-        """Return a thread whose failure is a problem of the run."""
-
-        def guarded() -> None:
-            try:
-                work(*arguments)
-            except Exception as error:
-                self.problems.append(f"{work.__name__} {arguments[0]} failed: {error!r}")
-
-        return threading.Thread(target=guarded)
-
     def run(self) -> None:
         """Run everything, then check."""
         self.start()
@@ -376,19 +364,5 @@
         return soak.summary()
 
 
-def main() -> int:
-    """Run with the seed and time of the command line; returns the exit status."""
-    options = argparse.ArgumentParser(description="a long randomised run")
-    options.add_argument("--seed", type=int, default=1)
-    options.add_argument("--seconds", type=float, default=120.0)
-    parsed = options.parse_args()
-    summary = run(parsed.seed, parsed.seconds)
-    logs = summary.pop("logs")
-    print(json.dumps(summary, indent=2))
-    for name, tail in logs.items():
-        print(f"--- {name}\n{tail}")
-    return 1 if summary["problems"] else 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main("a long randomised run", run))
--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -3,14 +3,15 @@
 import random
 import time
 
+from tests.faultlanes import FaultLanes
+
 DOMAINS = {"lagos-1": "lagos", "accra-1": "accra"}
 ENGINE_OPTIONS = ("--step", "0.004")
 HEAL_LIMIT = 60.0  # seconds
-MIN_PAUSE, MAX_PAUSE = 0.5, 2.5  # seconds between faults
 VIOLATED = 70  # exit status of a daemon whose invariant was violated
 
 
-class Faults:
+class Faults(FaultLanes):
     """The faults, for a run that keeps the fleet, the daemons away and the problems found."""
 
     def break_things(self) -> None:
@@ -32,26 +33,9 @@
             self.cut_platform,
             self.host_list_outage,
         )
-        end = time.monotonic() + self.seconds
-        lanes = [
-            self.worker(self.break_some, "hosts", hosts, end),
-            self.worker(self.break_some, "between", between, end),
-        ]
-        for lane in lanes:
-            lane.start()
-        for lane in lanes:
-            lane.join()
+        self.inject({"hosts": hosts, "between": between})
         self.heal()
 
-    def break_some(self, lane: str, kinds: tuple, end: float) -> None:
-        """Inject one fault after another until the time is up."""
-        rng = random.Random(f"{self.seed} faults {lane}")
-        while time.monotonic() < end:
-            kind = rng.choice(kinds)
-            self.faults.append(kind.__name__)
-            kind(rng)
-            time.sleep(rng.uniform(MIN_PAUSE, MAX_PAUSE))
-
     def some_daemon(self, rng: random.Random) -> str:
         """Return a daemon that is there."""
         return rng.choice(sorted(name for name in self.daemons if name not in self.away))
