Tell the caller's daemon that a relayed answer cannot go on after its link has closed

What callers saw: nothing known.

Change: a daemon that could not deliver a part sends the mark of a broken answer, for 1 s at most.

--- a/papayacourse/routed/relayedexchange.py
+++ b/papayacourse/routed/relayedexchange.py
@@ -1,6 +1,7 @@
 """A request that another daemon relays, and its answer, which goes back in messages."""
 
 import asyncio
+import contextlib
 import time
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -17,6 +18,12 @@
 
 MAX_PART_BYTES = 256 * 1024
 MAX_QUEUED_BYTES = 128 * 1024  # of an answer whose caller reads slowly
+# A daemon tries so often, so many seconds apart and for so many seconds in all, to say that an
+# answer has broken off. The caller's daemon looks at its links every 0.25 s, and may not notice
+# what is over before.
+BREAK_OFF_TRIES = 5
+BREAK_OFF_PAUSE = 0.1
+BREAK_OFF_TIME = 1.0
 
 
 @define(eq=False)
@@ -177,8 +184,26 @@
         except PeerError as error:
             logs.info("relayed answer not delivered", why=str(error))
             self.lose_caller()
+            await self._break_off()
         return part.end
 
+    async def _break_off(self) -> None:
+        """Tell the caller's daemon that no part follows, though its link may be open again."""
+        last = RelayPart(self.request.number, 0, (), b"", RelayEnd.BROKEN)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(BREAK_OFF_TIME):
+                for _ in range(BREAK_OFF_TRIES):
+                    if await self._is_delivered(last):
+                        break
+                    await asyncio.sleep(BREAK_OFF_PAUSE)
+
+    async def _is_delivered(self, part: RelayPart) -> bool:
+        try:
+            await self.deliver(part)
+        except PeerError:
+            return False
+        return True
+
     def _next_part(self) -> RelayPart:
         """Return the next part, joined with the data of those behind it."""
         part = self.queued.popleft()
