Move no run that has left its engine while that was asked when it ends

Emptying chose a run, asked the engine again for its end, for up to 1 s, and then moved the run, wherever it was by then; so it did after each move of a run that has a copy. The order found no such run, and the run counted as one that can't be moved at the engine where it had gone on. A second move of it replaced the first one's result, for which others wait.

--- a/papayacourse/routed/migration/emptying.py
+++ b/papayacourse/routed/migration/emptying.py
@@ -156,6 +156,8 @@
             return EngineRuns(None, tuple(states))
 
     async def _move(self, generation: Generation) -> None:
+        if generation not in self.running() or not generation.can_move():
+            return  # it has gone on elsewhere, or ended, while the engine was asked
         move = Move(self.fleet, self.engine, generation)
         targets = self._targets(generation)
         try:
--- a/tests/features/routed_moves.feature
+++ b/tests/features/routed_moves.feature
@@ -54,3 +54,13 @@
     And it keeps each run that it is ordered to stop
     When its runs are moved for 1 s
     Then it was ordered to stop a run between 2 and 6 times
+
+  # Guards against the move of a run that is not there any more: as it fails, the run counts as one
+  # that can't be moved, at the engine where it has gone on.
+  Scenario: A run that goes on elsewhere while its engine is asked again is not moved
+    Given an engine of a drained domain, with runs "one, two, three" of 10000 tokens in its report
+    And this daemon passes on "three" only
+    And an engine "near" in its region
+    And its second report takes 0.6 s, and "three" goes on elsewhere meanwhile
+    When its runs are moved for 2 s
+    Then nothing was asked of "near"
--- a/tests/features/steps/routedmoves_steps.py
+++ b/tests/features/steps/routedmoves_steps.py
@@ -73,9 +73,14 @@
         self.stops = 0
         self.asked = []
         self.copied = []
+        self.reports = 0
+        self.on_second_report = None
 
     async def runs(self, _engine) -> EngineRuns:
         """Return what the engine that leaves says of itself."""
+        self.reports += 1
+        if self.reports == 2 and self.on_second_report is not None:
+            await self.on_second_report()
         return self.report
 
     async def copy_run(self, _source, run, target, stop) -> CopyResult:
@@ -193,6 +198,15 @@
         run.goes_on = True
 
 
+@given('its second report takes {seconds:g} s, and "{name}" goes on elsewhere meanwhile')
+def goes_on_elsewhere(context, seconds, name):
+    async def go_on() -> None:
+        await asyncio.sleep(seconds)
+        context.runs = [run for run in context.runs if run.run_id != name]
+
+    context.fleet_view.engine_calls.on_second_report = go_on
+
+
 @then("it was ordered to stop a run between {least:d} and {most:d} times")
 def stop_count(context, least, most):
     assert least <= context.fleet_view.engine_calls.stops <= most
