Begin no move of a run whose stream is lost and that is stopped at its engine

While a lost run is stopped, for up to 2.5 s, it still counted as one that can be moved from there. A move that a leaving engine began then waited for the order to stop, went on beside the run at the next engine, kept that run from being moved in the meantime, and as it failed made it one that can't be moved at all.

A run can be moved only while its stream is relayed.

--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -112,10 +112,13 @@
         return self.request.prompt_tokens + self.generated
 
     def can_move(self) -> bool:
-        """Return True if the run can be moved from its current engine now."""
-        begun = self.events > 0 and self.pending_move is None
-        is_movable = self.shape.moves and not self.unmovable
-        return begun and is_movable and can_resume_after(self.last_id)
+        """Return True if the run can be moved from its current engine now.
+
+        One whose stream was lost can't be: it is stopped there, and goes on elsewhere.
+        """
+        is_relayed = self.events > 0 and self.relayed is not None
+        is_movable = self.shape.moves and not self.unmovable and self.pending_move is None
+        return is_relayed and is_movable and can_resume_after(self.last_id)
 
     @property
     def generated(self) -> int:
--- a/papayacourse/routed/migration/failover.py
+++ b/papayacourse/routed/migration/failover.py
@@ -25,6 +25,7 @@
         """
         generation = self.generation
         generation.log_failed(why)
+        generation.relayed = None
         standby = await generation.pending_move if generation.pending_move is not None else None
         generation.pending_move = None
         generation.gaps.interruption = GapCause.ENGINE_LOST if standby is None else GapCause.MOVE
--- a/tests/features/routed_closed_ends.feature
+++ b/tests/features/routed_closed_ends.feature
@@ -62,3 +62,10 @@
     And the run is moved after 0 s, and its first copy takes 0.5 s
     When the caller leaves 0.1 s after the check of the end began
     Then the check has ended, and the move goes on to its end
+
+  # Guards against a move from the engine that a lost run is leaving: the run can't be moved from
+  # where it has gone on until that move has failed, and not at all after.
+  Scenario: A run whose stream is lost is not moved while it is stopped at its engine
+    Given the engine of a stream that has ended with its connection reports the run on and on
+    When the run is stopped at its engine, since its stream is lost
+    Then the run could be moved before, and can't be while it is stopped
--- a/tests/features/steps/routedclosedends_steps.py
+++ b/tests/features/steps/routedclosedends_steps.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 import time
+from types import SimpleNamespace
 
 from attrs import define, field
 from behave import given, then, when
@@ -18,9 +19,13 @@
     BackendUnanswered,
 )
 from papayacourse.routed.closedends import ClosedEnds
+from papayacourse.routed.document import EngineCapacity
 from papayacourse.routed.generation import Generation
+from papayacourse.routed.migration.failover import Failover
 from papayacourse.routed.migration.moving import Move
+from papayacourse.routed.migration.standby import Standby
 from papayacourse.routed.seams import CopyResult, EngineRuns, RunState
+from papayacourse.tasks import BackgroundTasks
 from papayacourse.types import Host, HostKind
 
 RUN = "run"
@@ -52,6 +57,10 @@
     def __attrs_post_init__(self) -> None:
         self.call = self
 
+    def may_go_to(self, _host) -> bool:
+        """Tell whether it may be sent to an engine."""
+        return True
+
     def time_left(self) -> float:
         """Return how long the caller waits, in seconds."""
         return self.seconds
@@ -157,10 +166,16 @@
 
     def generation(self, address: str) -> Generation:
         """Return the stream's generation, at an engine with an address."""
-        fleet = Fleet()
-        fleet.engine_calls = self.calls
+        fleet, tasks = Fleet(), BackgroundTasks()
+        fleet.engine_calls, fleet.tasks, fleet.is_listed = self.calls, tasks, lambda _name: True
         host = Host("leaver", HostKind.ENGINE, address, "lagos", "lagos")
-        return Generation(self.caller, None, fleet, None, None, None, engine=host)
+        guard = SimpleNamespace(is_condemned=lambda: False)
+        shape = EngineCapacity(24, 30_000, moves=True)
+        call = SimpleNamespace(shorten_idle_timeout=lambda _seconds: None)
+        return Generation(
+            self.caller, None, fleet, None, shape, guard,
+            engine=host, events=10, last_id="10", relayed=call,
+        )  # fmt: skip
 
     async def move(self, generation: Generation) -> None:
         """Move the run to another engine, if it can be."""
@@ -255,6 +270,29 @@
     asyncio.run(context.ended.leave(seconds))
 
 
+@when("the run is stopped at its engine, since its stream is lost")
+def stop_lost(context):
+    async def work() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            generation = context.ended.generation(f"127.0.0.1:{listener.getsockname()[1]}")
+            near = engine("near", "lagos")
+            generation.copy = Standby(near, generation.engine.address, "h1")
+            before = generation.can_move()
+            lost = asyncio.create_task(Failover(generation).plan_resume("closed midway"))
+            await asyncio.sleep(0.1)
+            context.movable = (before, generation.can_move())
+            lost.cancel()
+            await asyncio.gather(lost, return_exceptions=True)
+
+    context.ended.calls.order_time = 0.3
+    asyncio.run(work())
+
+
+@then("the run could be moved before, and can't be while it is stopped")
+def not_movable(context):
+    assert context.movable == (True, False), context.movable
+
+
 @then("the stream counts as {kind} within {seconds:g} s")
 def is_kind(context, kind, seconds):
     ended = context.ended
