--- a/tests/features/routed_stopped_paths.feature
+++ b/tests/features/routed_stopped_paths.feature
@@ -122,3 +122,14 @@
     And "planner-2" has fault "unframed_empty"
     And "planner-1" is killed
     Then the plan breaks off and does not look complete
+
+  # Guards against taking a dead engine for a living one: whatever forwards connections to it still
+  # accepts them, and closes them at once.
+  Scenario: A stream whose engine is killed behind a forwarder does not look complete
+    Given a platform store with document 5
+    And an engine "planner-1" of "planner" in "lagos" behind a proxy
+    And a routed daemon "a" in "lagos"
+    And the engines' streams come without length or chunks
+    When a plan of 400 events is streamed through "a"
+    And after 20 events "planner-1" is killed
+    Then the plan breaks off and does not look complete
