--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -14,6 +14,8 @@
 
 LEASE_LOOK = 0.05  # seconds
 MAX_KEY_BYTES = 200
+NOISE_ROWS = 500  # items of a page, where pages do not end
+NOISE_VALUE = b"n" * 3000
 
 
 @define
@@ -47,6 +49,10 @@
         The copy from which it comes back.
     odd : list
         What each page of a range and each answer to a watch with events holds besides, at its end.
+    has_endless_pages : bool
+        Whether each page of a range names another one, for ever, and holds keys of its own.
+    pages : iterator of int
+        The numbers of these pages.
     """
 
     items: dict[str, tuple[bytes, int, int]] = field(factory=dict)
@@ -63,6 +69,8 @@
     era: int = 1
     saved: dict = field(factory=dict)
     odd: list = field(factory=list)
+    has_endless_pages: bool = False
+    pages: itertools.count = field(factory=itertools.count)
 
     async def write(self, key: str, value: bytes | None, lease: int = 0) -> int:
         """Put or remove a key."""
@@ -116,6 +124,13 @@
     return {"Key": key, "Value": text, "Revision": revision, "Created": revision, "Lease": lease}
 
 
+def endless_page(prefix: str, number: int, revision: int) -> dict:
+    """Return a page of keys that no other page holds, which names a further page."""
+    keys = [f"{prefix}noise-{number:09d}-{row:04d}" for row in range(NOISE_ROWS)]
+    rows = [shown(key, NOISE_VALUE, revision, 0) for key in keys]
+    return {"Items": rows, "HasMore": True, "At": revision}
+
+
 class Call(JsonHandler):
     """What all calls share: the switches."""
 
@@ -155,6 +170,9 @@
     def get(self) -> None:
         """Return a page."""
         prefix, after = self.get_argument("Prefix"), self.get_argument("After", "")
+        if self.standin.has_endless_pages:
+            self.finish(endless_page(prefix, next(self.standin.pages), self.standin.revision))
+            return
         keys = sorted(k for k in self.standin.items if k.startswith(prefix) and k > after)
         rows = [shown(key, *self.standin.items[key]) for key in keys[: self.standin.page]]
         more = len(keys) > self.standin.page
--- a/tests/features/endless.feature
+++ b/tests/features/endless.feature
@@ -104,3 +104,16 @@
     When 40 repeatable calls whose answers do not end are made at once through "a"
     Then each of them is answered 502 "answer_lost"
     And the peak memory of "a" is under 150 MB
+
+  # Guards against a list of the store whose pages do not end, which the daemon kept whole.
+  Scenario: A list of the store without end is given up, and requests are served meanwhile
+    Given a platform store with document 5
+    And an engine "plan-1" of "planner" in "lagos"
+    And an engine "desk-1" of "desk" in "lagos"
+    And a routed daemon "a" in "lagos"
+    When the store has pages without end, and has forgotten its history
+    Then calls are served through "a" for 10 s
+    And the store has been asked for such pages
+    And the peak memory of "a" is under 150 MB
+    When the store is sound again, and lists an engine "plan-2" of "planner"
+    Then "a" learns of it soon
--- a/tests/features/steps/endless_steps.py
+++ b/tests/features/steps/endless_steps.py
@@ -197,3 +197,41 @@
 def each_answered(context, status, reason):
     found = {(answer.status, answer.json["reason"]) for answer in context.answers}
     assert found == {(status, reason)}, found
+
+
+@when("the store has pages without end, and has forgotten its history")
+def make_pages_endless(context):
+    context.fleet.admin("store", {"has_endless_pages": True, "put": {"op/new": "x"}})
+    context.fleet.admin("store", {"forget": True, "put": {"op/new": "y"}})
+    context.ranges = context.fleet.counts("store")["counts"]["kv-range"]
+
+
+@then('calls are served through "{name}" for {seconds:g} s')
+def served_meanwhile(context, name, seconds):
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        answer = fleet_of(context).ask(name, "POST", "/book/1", b"x")
+        assert answer.status == 200, answer
+        time.sleep(0.2)
+
+
+@then("the store has been asked for such pages")
+def pages_asked(context):
+    asked = context.fleet.counts("store")["counts"]["kv-range"] - context.ranges
+    assert asked > 5, asked
+
+
+@when('the store is sound again, and lists an engine "{engine}" of "{service}"')
+def sound_again(context, engine, service):
+    context.fleet.admin("store", {"has_endless_pages": False})
+    fleet_of(context).engine(engine, service, "lagos")
+    context.engine = engine
+
+
+@then('"{name}" learns of it soon')
+def learns(context, name):
+    wait_until(
+        "the new engine is asked for reports",
+        lambda: "GET /report" in context.fleet.counts(context.engine)["arrivals"],
+        4 * SOON,
+    )
