Read refusals and control answers of own engines in part, or up to 1 MB

What callers saw: nothing in one case; with many at once, the daemon's memory filled. An engine of the own protocol that refused, or answered a control request, with a text without end was read up to 8 MB by each request on its own, outside of the limit that all answers share.

Cause: EngineStream and engines.control read the whole body before they looked at the status, with the default limit of HttpCall.read.

Change: of a refusal, the first 4096 bytes are read, since only messages show them; it stays a refusal with its status. A control answer may be 1 MB long; the list of cache events still 8 MB, as there is one reader for each engine. The test double of HttpCall takes the limit, too.

--- a/papayacourse/engines.py
+++ b/papayacourse/engines.py
@@ -13,13 +13,15 @@
     BackendProtocolError,
     BackendRefused,
 )
-from papayacourse.httpcall import HttpCall
+from papayacourse.httpcall import MAX_READ_BYTES, HttpCall
 from papayacourse.types import Address, GenerationRequest
 
 CONNECT_TIMEOUT = 1.0  # seconds
 SILENCE_TIMEOUT = 5.0  # seconds without an event before the link counts as stalled
 CONTROL_TIMEOUT = 2.0  # seconds
 ORDER_TIMEOUT = 3.0  # seconds, including loading from the weight store
+MAX_DETAIL_BYTES = 4096  # of the text of a refusal; only messages show it
+MAX_CONTROL_BYTES = 1024 * 1024  # of the answer to a control request
 MAX_COUNT = 1 << 53  # of requests, tokens or milliseconds
 MAX_DIGITS = 15  # of a count that is a text
 GENERATION_HEADER = "X-Generation"  # identifies one run of a generation uniquely
@@ -197,7 +199,7 @@
         self.count(len(self.call.body))
         if self.call.status != 200:
             try:
-                detail = (await self.call.read()).decode(errors="replace")
+                detail = await read_detail(self.call)
             finally:
                 await self.call.__aexit__(None, None, None)
             raise BackendRefused(self.call.status, detail)
@@ -227,6 +229,11 @@
                 yield batch
 
 
+async def read_detail(call: HttpCall) -> str:
+    """Return the text of a refusal, or its beginning; raises BackendLinkLost."""
+    return (await call.read_start(MAX_DETAIL_BYTES)).decode(errors="replace")
+
+
 def read_fields(answer: bytes, origin: str) -> dict:
     """Decode an engine's JSON answer; raises BackendProtocolError if it is not an object."""
     try:
@@ -252,6 +259,7 @@
     path: str,
     body: dict | None = None,
     idle_timeout: float = CONTROL_TIMEOUT,
+    max_bytes: int = MAX_CONTROL_BYTES,
 ) -> dict:
     """Send a control request to an engine and return its JSON response."""
     data = json.dumps(body).encode() if body is not None else b""
@@ -260,9 +268,9 @@
         connect_timeout=CONNECT_TIMEOUT, idle_timeout=idle_timeout,
     )  # fmt: skip
     async with call:
-        answer = await call.read()
-    if call.status != 200:
-        raise BackendRefused(call.status, answer.decode(errors="replace"))
+        if call.status != 200:
+            raise BackendRefused(call.status, await read_detail(call))
+        answer = await call.read(max_bytes)
     return read_fields(answer, f"{address} {path}")
 
 
@@ -333,7 +341,7 @@
 
 async def cache_events(address: str, after: int) -> CacheEvents:
     """Return an engine's cache events that follow a given event number."""
-    raw = await control(address, "GET", f"/events?after={after}")
+    raw = await control(address, "GET", f"/events?after={after}", max_bytes=MAX_READ_BYTES)
     try:
         events = tuple(map(read_cache_event, raw["events"]))
         return CacheEvents(events, read_count(raw["last"]))
--- a/papayacourse/httpcall.py
+++ b/papayacourse/httpcall.py
@@ -4,6 +4,7 @@
 import socket
 from collections import deque
 from collections.abc import AsyncIterator, Callable
+from contextlib import aclosing
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
@@ -266,6 +267,25 @@
             self.watchdog.cancel()
         self.watchdog = asyncio.get_running_loop().call_later(seconds, self._check_silence)
 
+    async def read_start(self, limit: int) -> bytes:
+        """Return the first ``limit`` bytes of the body, or all if it is shorter.
+
+        Raises
+        ------
+        BackendLinkLost
+            If the connection breaks before, or they do not come within the idle timeout.
+        """
+        found = bytearray()
+        try:
+            async with asyncio.timeout(self.idle_timeout), aclosing(self.chunks()) as chunks:
+                async for chunk in chunks:
+                    found += chunk
+                    if len(found) >= limit:
+                        break
+        except TimeoutError as error:
+            raise BackendSilent(f"{self.address} sent no whole answer in time") from error
+        return bytes(found[:limit])
+
     async def read(
         self, limit: int = MAX_READ_BYTES, take: Callable[[int], None] = lambda _size: None
     ) -> bytes:
--- a/tests/features/endless.feature
+++ b/tests/features/endless.feature
@@ -117,3 +117,16 @@
     And the peak memory of "a" is under 150 MB
     When the store is sound again, and lists an engine "plan-2" of "planner"
     Then "a" learns of it soon
+
+  # Guards against refusals that are kept whole, each on its own, however many come at once.
+  Scenario: Refusals without end of an engine of the own protocol are read in part
+    Given an engine of the own protocol that refuses with status 500 and a text without end
+    When 24 streams from it are opened at once
+    Then they took less than 16 MB of memory at once
+    And each of them is refused with status 500
+
+  Scenario: Control answers without end of an engine of the own protocol are given up early
+    Given an engine of the own protocol that refuses with status 200 and a text without end
+    When its load is asked for by 24 at once
+    Then they took less than 64 MB of memory at once
+    And none of them has an answer
--- a/tests/features/steps/endless_steps.py
+++ b/tests/features/steps/endless_steps.py
@@ -5,6 +5,7 @@
 import http.client
 import threading
 import time
+import tracemalloc
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
@@ -13,9 +14,9 @@
 from routedcrashes_steps import PATHS
 from routedparts_steps import Clock
 
-from papayacourse.engines import EngineStream
+from papayacourse.engines import EngineStream, load
 from papayacourse.eventprogress import EventProgress
-from papayacourse.exceptions import BackendProtocolError
+from papayacourse.exceptions import BackendError, BackendProtocolError, BackendRefused
 from papayacourse.types import GenerationRequest
 from standins.fleet import call, wait_until
 from tests.callers import bearer
@@ -23,6 +24,7 @@
 BALANCES = "/services/deposit-ledger/balances"
 MEGABYTE = 1024  # kilobytes
 SOON = 5.0  # seconds
+NOISE = b"n" * 65536
 
 
 def peak_memory(context, name) -> float:
@@ -235,3 +237,68 @@
         lambda: "GET /report" in context.fleet.counts(context.engine)["arrivals"],
         4 * SOON,
     )
+
+
+@given("an engine of the own protocol that refuses with status {status:d} and a text without end")
+def refusing_engine(context, status):
+    async def refuse(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 %d Odd\r\n\r\n" % status)
+        with contextlib.suppress(OSError):
+            while True:
+                writer.write(NOISE)
+                await writer.drain()
+
+    context.refuse = refuse
+
+
+@when("{count:d} streams from it are opened at once")
+def open_streams(context, count):
+    async def open_one(address):
+        request = GenerationRequest("s", "t", "planner", "x", "p", 10, 10, 0)
+        async with EngineStream(address, request):
+            return
+
+    ask_at_once(context, count, open_one)
+
+
+@when("its load is asked for by {count:d} at once")
+def ask_loads(context, count):
+    ask_at_once(context, count, load)
+
+
+def ask_at_once(context, count, ask):
+    """Ask the engine several times at once, and note the results and the memory they took."""
+
+    async def ask_all():
+        async with await asyncio.start_server(context.refuse, "127.0.0.1", 0) as server:
+            address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+            asked = (ask(address) for _ in range(count))
+            return await asyncio.gather(*asked, return_exceptions=True)
+
+    tracemalloc.start()
+    try:
+        context.results = asyncio.run(ask_all())
+        context.peak = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+
+
+@then("none of them has an answer")
+def none_answered(context):
+    assert all(isinstance(result, BackendError) for result in context.results), context.results
+
+
+@then("each of them is refused with status {status:d}")
+def each_refused(context, status):
+    wrong = [
+        error
+        for error in context.results
+        if not isinstance(error, BackendRefused) or error.status != status
+    ]
+    assert not wrong, wrong
+
+
+@then("they took less than {limit:g} MB of memory at once")
+def took_less(context, limit):
+    assert context.peak < limit * MEGABYTE * 1024, context.peak
--- a/tests/features/steps/enginefuzz_steps.py
+++ b/tests/features/steps/enginefuzz_steps.py
@@ -197,7 +197,7 @@
     async def __aexit__(self, *_error):
         pass
 
-    async def read(self):
+    async def read(self, _limit=None):
         """Return the body."""
         return FixedCall.answer
 
