Test that bytes without end are bounded at each place of an answer

Statuses 000, 500, 503 and 600 with bodies that do not end, chunk extensions, trailers, bytes after a complete length, answers to orders to copy a run, and any answer of the store. Each with 24 callers at once where callers are concerned, while the other kind of request is served on the same daemon.

Peaks under 150 MB.

--- a/standins/platformcopies.py
+++ b/standins/platformcopies.py
@@ -17,6 +17,10 @@
     async def post(self) -> None:
         """Copy a run to another engine; only to one at a time."""
         engine, order = self.standin, self.body()
+        engine.arrivals.append("POST /kv-move")
+        if engine.move_fault:
+            await self.answer_for_ever(engine.move_fault, Run("move"))
+            return
         run = engine.running(order["Id"])
         if run is None:
             self.set_status(404)
--- a/standins/platformfaults.py
+++ b/standins/platformfaults.py
@@ -17,6 +17,12 @@
     "endless_interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
     "endless_body": (b"HEAD\r\n", NOISE),
     "endless_chunks": (b"HEADTransfer-Encoding: chunked\r\n\r\n", b"3e8\r\n" + NOISE + b"\r\n"),
+    "endless_extension": (b"HEADTransfer-Encoding: chunked\r\n\r\n2;", NOISE),
+    "endless_trailer": (
+        b"HEADTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n",
+        b"X-Noise: " + NOISE + b"\r\n",
+    ),
+    "endless_surplus": (b"HEADContent-Length: 2\r\n\r\nok", NOISE),
     "endless_event": (b"HEAD\r\n", NOISE),
     "endless_comments": (b"HEAD\r\n", b": noise\n\n"),
     "endless_old": (b"HEAD\r\n", b"id: 1\ndata: token 1\n\n"),
--- a/standins/platformruns.py
+++ b/standins/platformruns.py
@@ -67,6 +67,8 @@
         stands for the request's id. Empty for a good answer.
     report_fault : str
         What goes wrong with reports: a name of ``ENDLESS``; empty for nothing.
+    move_fault : str
+        What goes wrong with answers to orders to copy or stop: a name of ``ENDLESS``, or empty.
     status : str
         The status of answers whose fault is a name of ``ENDLESS`` or of ``ODD_STATUS``.
     is_unframed : bool
@@ -106,6 +108,7 @@
     fault: str = ""
     after_run: list = field(factory=list)
     report_fault: str = ""
+    move_fault: str = ""
     status: str = "200"
     is_unframed: bool = False
     stop_manner: str = ""
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import copy
 import itertools
 import json
@@ -9,6 +10,7 @@
 from collections import Counter
 
 from attrs import define, field
+from tornado.iostream import StreamClosedError
 
 from standins.common import JsonHandler, parser, serve
 
@@ -38,7 +40,8 @@
     forgotten : int
         The revision up to which history has been forgotten.
     mode : str
-        ``up``, ``down`` (calls are closed), ``silent`` (calls hang) or ``busy`` (503).
+        ``up``, ``down`` (calls are closed), ``silent`` (calls hang), ``busy`` (503) or
+        ``endless`` (answers do not end).
     deaf : bool
         Whether watches hear nothing.
     page : int
@@ -141,6 +144,8 @@
         self.set_header("Store-Era", str(store.era))
         if store.mode == "silent":
             await asyncio.sleep(3600)
+        if store.mode == "endless":
+            await self.answer_for_ever()
         if store.mode == "down":
             self.request.connection.stream.close()
             self._finished = True
@@ -148,6 +153,15 @@
             self.set_status(503)
             self.finish()
 
+    async def answer_for_ever(self) -> None:
+        """Write a list without end, until the other side closes."""
+        self._finished = True
+        stream = self.request.connection.stream
+        with contextlib.suppress(StreamClosedError):
+            await stream.write(b'HTTP/1.1 200 OK\r\n\r\n{"Items": [')
+            while True:
+                await stream.write(b'{"Key": "servers/noise"},' * 1000)
+
 
 class Key(Call):
     """``GET /kv-key``."""
--- a/tests/features/endless.feature
+++ b/tests/features/endless.feature
@@ -130,3 +130,68 @@
     When its load is asked for by 24 at once
     Then they took less than 64 MB of memory at once
     And none of them has an answer
+
+  # Guards against bytes without end of a part of an answer, or of a status, that nobody bounds: each
+  # place in an answer has its own limit. 24 of either kind are made at once.
+  Scenario Outline: Many answers of status <status> with <fault> at once end, and others are served
+    Given a platform store with document 5
+    And an engine "desk-1" of "desk" in "lagos"
+    And an engine "plan-1" of "planner" in "lagos"
+    And a routed daemon "a" in "lagos"
+    When "desk-1" has fault "<fault>" and status "<status>"
+    And 24 calls of "/book/1" are made at once through "a", while plans are served
+    Then each of these calls was answered <answer>
+    And each of these plans was answered 200 within 3 s
+    And the peak memory of "a" is under 150 MB
+    And "desk-1" has no open run soon
+
+    Examples:
+      | fault             | status | answer |
+      | endless_body      | 000    | 502    |
+      | endless_chunks    | 000    | 502    |
+      | endless_body      | 500    | 502    |
+      | endless_chunks    | 503    | 502    |
+      | endless_body      | 600    | 502    |
+      | endless_extension | 200    | 502    |
+      | endless_trailer   | 200    | 502    |
+      | endless_surplus   | 200    | 200    |
+
+  Scenario Outline: Many plans of status <status> with <fault> at once end, and calls are served
+    Given a platform store with document 5
+    And an engine "desk-1" of "desk" in "lagos"
+    And an engine "plan-1" of "planner" in "lagos"
+    And a routed daemon "a" in "lagos"
+    When "plan-1" has fault "<fault>" and status "<status>"
+    And 24 plans are made at once through "a", while calls are served
+    Then none of these plans was answered 200
+    And each of these calls was answered 200 within 3 s
+    And the peak memory of "a" is under 150 MB
+    And "plan-1" has no open run soon
+
+    Examples:
+      | fault             | status |
+      | endless_body      | 000    |
+      | endless_body      | 500    |
+      | endless_extension | 500    |
+
+  Scenario: Answers without end to orders to copy or stop runs are given up
+    Given a platform store with document 5
+    And an engine "plan-1" of "planner" in "lagos"
+    And an engine "plan-2" of "planner" in "lagos"
+    And a routed daemon "a" in "lagos"
+    When "plan-1" and "plan-2" answer orders with fault "endless_body"
+    And 8 plans of 300 events are asked for through "a", and "plan-1" says that it leaves
+    Then the peak memory of "a" is under 150 MB
+    And each of these plans was whole
+    And orders have been sent to "plan-1"
+
+  Scenario: Answers of the store without end are given up, and requests are served meanwhile
+    Given a platform store with document 5
+    And an engine "plan-1" of "planner" in "lagos"
+    And an engine "desk-1" of "desk" in "lagos"
+    And a routed daemon "a" in "lagos"
+    When the store answers without end
+    Then calls are served through "a" for 6 s
+    And the peak memory of "a" is under 150 MB
+    When the store is sound again, and lists an engine "plan-2" of "planner"
+    Then "a" learns of it soon
--- a/tests/features/steps/endless_steps.py
+++ b/tests/features/steps/endless_steps.py
@@ -24,6 +24,7 @@
 BALANCES = "/services/deposit-ledger/balances"
 MEGABYTE = 1024  # kilobytes
 SOON = 5.0  # seconds
+PLAN = {"X_Model": "m", "X_Token_Counts": "100,5"}
 NOISE = b"n" * 65536
 
 
@@ -208,6 +209,11 @@
     context.ranges = context.fleet.counts("store")["counts"]["kv-range"]
 
 
+@when("the store answers without end")
+def make_answers_endless(context):
+    context.fleet.admin("store", {"mode": "endless"})
+
+
 @then('calls are served through "{name}" for {seconds:g} s')
 def served_meanwhile(context, name, seconds):
     until = time.monotonic() + seconds
@@ -225,7 +231,7 @@
 
 @when('the store is sound again, and lists an engine "{engine}" of "{service}"')
 def sound_again(context, engine, service):
-    context.fleet.admin("store", {"has_endless_pages": False})
+    context.fleet.admin("store", {"has_endless_pages": False, "mode": "up"})
     fleet_of(context).engine(engine, service, "lagos")
     context.engine = engine
 
@@ -302,3 +308,84 @@
 @then("they took less than {limit:g} MB of memory at once")
 def took_less(context, limit):
     assert context.peak < limit * MEGABYTE * 1024, context.peak
+
+
+def ask_timed(context, daemon, is_plan):
+    """Make a call or a plan; return its status, 0 without a whole answer, and its seconds."""
+    began = time.monotonic()
+    path, more = ("/plans/1", PLAN) if is_plan else ("/book/1", {})
+    try:
+        status = fleet_of(context).ask(daemon, "POST", path, b"x", **more).status
+    except (OSError, http.client.HTTPException):
+        status = 0
+    return status, time.monotonic() - began
+
+
+def ask_beside(context, count, daemon, is_plan):
+    """Ask many times at once of one kind, and one after another of the other until they end."""
+    context.faulty, context.sound = [], []
+    with ThreadPoolExecutor(count) as pool:
+        asked = [pool.submit(ask_timed, context, daemon, is_plan) for _ in range(count)]
+        while not context.sound or not all(each.done() for each in asked):
+            context.sound.append(ask_timed(context, daemon, not is_plan))
+    context.faulty = [each.result() for each in asked]
+
+
+@when('{count:d} calls of "/book/1" are made at once through "{name}", while plans are served')
+def calls_beside_plans(context, count, name):
+    ask_beside(context, count, name, False)
+
+
+@when('{count:d} plans are made at once through "{name}", while calls are served')
+def plans_beside_calls(context, count, name):
+    ask_beside(context, count, name, True)
+
+
+@then("each of these calls was answered {status:d}")
+def faulty_answered(context, status):
+    assert {found for found, _ in context.faulty} == {status}, context.faulty
+
+
+@then("none of these plans was answered 200")
+def faulty_not_served(context):
+    assert 200 not in {found for found, _ in context.faulty}, context.faulty
+
+
+@then("each of these {kind} was answered 200 within {limit:g} s")
+def sound_answered(context, kind, limit):
+    wrong = [one for one in context.sound if one[0] != 200 or one[1] > limit]
+    assert not wrong, wrong
+
+
+@when('"{first}" and "{second}" answer orders with fault "{fault}"')
+def set_move_fault(context, first, second, fault):
+    for name in (first, second):
+        context.fleet.admin(name, {"move_fault": fault})
+
+
+@when('{count:d} plans of {events:d} events are asked for through "{name}", and "{engine}" says that it leaves')  # noqa: E501  # fmt: skip
+def plans_beside_leaving(context, count, events, name, engine):
+    routed = fleet_of(context)
+
+    def ask(_number):
+        more = PLAN | {"X_Token_Counts": f"100,{events}"}
+        try:
+            return routed.ask(name, "POST", "/plans/1", b"x", **more).status
+        except (OSError, http.client.HTTPException):
+            return 0
+
+    with ThreadPoolExecutor(count) as pool:
+        asked = [pool.submit(ask, number) for number in range(count)]
+        time.sleep(1.0)
+        context.fleet.admin(engine, {"state": "draining"})
+        context.ended = [each.result() for each in asked]
+
+
+@then("each of these plans was whole")
+def plans_whole(context):
+    assert set(context.ended) == {200}, context.ended
+
+
+@then('orders have been sent to "{name}"')
+def orders_sent(context, name):
+    assert "POST /kv-move" in context.fleet.counts(name)["arrivals"]
