--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import copy
 import itertools
 import json
@@ -9,11 +10,14 @@
 from collections import Counter
 
 from attrs import define, field
+from tornado.iostream import StreamClosedError
 
 from standins.common import JsonHandler, parser, serve
 
 LEASE_LOOK = 0.05  # seconds
 MAX_KEY_BYTES = 200
+NOISE_ROWS = 500  # items of a page, where pages do not end
+NOISE_VALUE = b"n" * 3000
 
 
 @define
@@ -36,7 +40,8 @@
     forgotten : int
         The revision up to which history has been forgotten.
     mode : str
-        ``up``, ``down`` (calls are closed), ``silent`` (calls hang) or ``busy`` (503).
+        ``up``, ``down`` (calls are closed), ``silent`` (calls hang), ``busy`` (503) or
+        ``endless`` (answers do not end).
     deaf : bool
         Whether watches hear nothing.
     page : int
@@ -47,6 +52,10 @@
         The copy from which it comes back.
     odd : list
         What each page of a range and each answer to a watch with events holds besides, at its end.
+    has_endless_pages : bool
+        Whether each page of a range names another one, for ever, and holds keys of its own.
+    pages : iterator of int
+        The numbers of these pages.
     """
 
     items: dict[str, tuple[bytes, int, int]] = field(factory=dict)
@@ -63,6 +72,8 @@
     era: int = 1
     saved: dict = field(factory=dict)
     odd: list = field(factory=list)
+    has_endless_pages: bool = False
+    pages: itertools.count = field(factory=itertools.count)
 
     async def write(self, key: str, value: bytes | None, lease: int = 0) -> int:
         """Put or remove a key."""
@@ -116,6 +127,13 @@
     return {"Key": key, "Value": text, "Revision": revision, "Created": revision, "Lease": lease}
 
 
+def endless_page(prefix: str, number: int, revision: int) -> dict:
+    """Return a page of keys that no other page holds, which names a further page."""
+    keys = [f"{prefix}noise-{number:09d}-{row:04d}" for row in range(NOISE_ROWS)]
+    rows = [shown(key, NOISE_VALUE, revision, 0) for key in keys]
+    return {"Items": rows, "HasMore": True, "At": revision}
+
+
 class Call(JsonHandler):
     """What all calls share: the switches."""
 
@@ -126,6 +144,8 @@
         self.set_header("Store-Era", str(store.era))
         if store.mode == "silent":
             await asyncio.sleep(3600)
+        if store.mode == "endless":
+            await self.answer_for_ever()
         if store.mode == "down":
             self.request.connection.stream.close()
             self._finished = True
@@ -133,6 +153,15 @@
             self.set_status(503)
             self.finish()
 
+    async def answer_for_ever(self) -> None:
+        """Write a list without end, until the other side closes."""
+        self._finished = True
+        stream = self.request.connection.stream
+        with contextlib.suppress(StreamClosedError):
+            await stream.write(b'HTTP/1.1 200 OK\r\n\r\n{"Items": [')
+            while True:
+                await stream.write(b'{"Key": "servers/noise"},' * 1000)
+
 
 class Key(Call):
     """``GET /kv-key``."""
@@ -155,6 +184,9 @@
     def get(self) -> None:
         """Return a page."""
         prefix, after = self.get_argument("Prefix"), self.get_argument("After", "")
+        if self.standin.has_endless_pages:
+            self.finish(endless_page(prefix, next(self.standin.pages), self.standin.revision))
+            return
         keys = sorted(k for k in self.standin.items if k.startswith(prefix) and k > after)
         rows = [shown(key, *self.standin.items[key]) for key in keys[: self.standin.page]]
         more = len(keys) > self.standin.page
