Check in the routed soak that only daemons that go leave callers without an answer

Change: callers of HTTP/1.0 take a connection for each call; others give up one that was unused for 8 s. A call without an answer needs a kill or a stop of its daemon while its connection was open.

--- a/tests/routedfaults.py
+++ b/tests/routedfaults.py
@@ -133,11 +133,12 @@
         self.check_alive(name)
         self.away.add(name)
         process = self.routed.fleet.processes[name]
+        began = time.monotonic()
         known = len(self.ends_of_cut(name))
         process.terminate()
         status = process.wait(STOP_LIMIT)
         self.check_stop(name, status, self.ends_of_cut(name)[known:])
-        self.restart(name)
+        self.restart(name, began)
 
     def ends_of_cut(self, name: str) -> list[dict]:
         """Return a daemon's log lines of the requests that it has cut off."""
@@ -155,13 +156,15 @@
         name = rng.choice(sorted(DOMAINS))
         self.check_alive(name)
         self.away.add(name)
-        self.kills.append((name, time.monotonic()))
+        began = time.monotonic()
+        self.kills.append((name, began))
         self.routed.fleet.processes[name].kill()
-        self.restart(name)
+        self.restart(name, began)
 
-    def restart(self, name: str) -> None:
-        """Start a daemon again under its name."""
+    def restart(self, name: str, began: float) -> None:
+        """Start a daemon again that has been away since a moment of the monotonic clock."""
         self.routed.daemon(name, DOMAINS[name])
+        self.outages.append((name, began, time.monotonic()))
         self.away.discard(name)
 
     def reload_daemon(self, rng: random.Random) -> None:
--- a/tests/routedsoak.py
+++ b/tests/routedsoak.py
@@ -26,13 +26,33 @@
 PLAIN_CALLERS = 3
 ENGINES_EACH = 3  # in each domain
 PATIENCE = 20.0  # seconds for a piece of an answer; the time limit in the headers is 15 s
+MAX_IDLE = 8.0  # seconds that a connection is kept unused; daemons close it after 15 s
 PAUSE = 0.1  # seconds before a caller whose call failed makes another
 PLAIN_PAUSE = 0.05  # seconds between plain calls
 WHOLE_SHARE = 0.6  # of the streams; those of daemons and engines that are killed may break off
 UNFRAMED_BODY = b"first half second half"
 
 
-class OldConnection(http.client.HTTPConnection):
+class Kept(http.client.HTTPConnection):
+    """A connection that is kept open.
+
+    Attributes
+    ----------
+    opened, used : float
+        When it was made and last used, in seconds of the monotonic clock.
+    """
+
+    def __init__(self, address: str):
+        host, _, port = address.rpartition(":")
+        super().__init__(host, int(port), timeout=PATIENCE)
+        self.opened = self.used = time.monotonic()
+
+    def is_usable(self) -> bool:
+        """Return True if it is open and has not been idle for long."""
+        return self.sock is not None and time.monotonic() - self.used < MAX_IDLE
+
+
+class OldConnection(Kept):
     """A connection of HTTP/1.0."""
 
     _http_vsn = 10
@@ -53,8 +73,9 @@
         Whether the caller must take it for complete.
     error : str
         What ended it else.
-    began, ended : float
-        Seconds of the monotonic clock.
+    opened, began, ended : float
+        When its connection and it itself began, and when it ended, in seconds of the monotonic
+        clock.
     """
 
     name: str
@@ -66,6 +87,7 @@
     text: bytes = b""
     looks_complete: bool = False
     error: str = ""
+    opened: float = 0.0
     began: float = field(factory=time.monotonic)
     ended: float = 0.0
 
@@ -101,15 +123,15 @@
     """A caller that keeps its connection to each daemon until that is gone."""
 
     is_old: bool
-    connections: dict[str, http.client.HTTPConnection] = field(factory=dict)
+    connections: dict[str, Kept] = field(factory=dict)
 
     def ask(self, answer: Answer, address: str, headers: dict, body: bytes = b"") -> None:
         """Make a call and read what comes."""
         connection = self.connections.get(answer.daemon)
-        if connection is None:
-            kind = OldConnection if self.is_old else http.client.HTTPConnection
-            host, _, port = address.rpartition(":")
-            connection = self.connections[answer.daemon] = kind(host, int(port), timeout=PATIENCE)
+        if connection is None or not connection.is_usable():
+            connection = OldConnection(address) if self.is_old else Kept(address)
+            self.connections[answer.daemon] = connection
+        answer.opened = connection.opened
         try:
             connection.request("POST" if body else "GET", answer.path, body or None, headers)
             response = connection.getresponse()
@@ -118,6 +140,9 @@
                 answer.text += piece
             answer.looks_complete = not response.length
             response.close()  # http.client doesn't do that at the end of a length
+            connection.used = time.monotonic()
+            if self.is_old:
+                connection.close()
         except (OSError, http.client.HTTPException) as error:
             answer.error = repr(error)
             self.connections.pop(answer.daemon).close()
@@ -142,6 +167,8 @@
         The daemons that are down or are being stopped.
     kills : list of tuple of str and float
         Which daemon was killed, and when, in seconds of the monotonic clock.
+    outages : list of tuple of str, float and float
+        Which daemon was killed or stopped, when, and when it was ready again.
     cut : list of dict
         The log lines of long requests that planned stops have cut off.
     """
@@ -158,6 +185,7 @@
     started: int = 0
     away: set[str] = field(factory=set)
     kills: list[tuple[str, float]] = field(factory=list)
+    outages: list[tuple[str, float, float]] = field(factory=list)
     cut: list[dict] = field(factory=list)
     lock: threading.Lock = field(factory=threading.Lock)
     stopping: threading.Event = field(factory=threading.Event)
@@ -237,6 +265,8 @@
         times = Counter(line["run"] for line in began)
         for answer in self.plains:
             self.check_plain(answer, times[answer.name])
+        for answer in self.streams + self.plains:
+            self.check_served(answer)
         share = sum(answer.outcome == "whole" for answer in self.streams) / len(self.streams)
         if share < WHOLE_SHARE:
             self.problems.append(f"a share of {share:.2f} of the streams was served whole")
@@ -267,6 +297,14 @@
             name == answer.daemon and answer.began <= at <= answer.ended for name, at in self.kills
         )
 
+    def check_served(self, answer: Answer) -> None:
+        """See that only daemons that were killed or stopped left a caller without an answer."""
+        if not answer.status and not any(
+            name == answer.daemon and start <= answer.ended and answer.opened <= end
+            for name, start, end in self.outages
+        ):
+            self.problems.append(f"{answer}: no answer, and the daemon was there")
+
     def check_plain(self, answer: Answer, times: int) -> None:
         """See that what may not be repeated ran once at most, and that a 200 has its whole body."""
         if answer.path.startswith("/book/") and times > 1:
