--- a/papayacourse/completions.py
+++ b/papayacourse/completions.py
@@ -13,6 +13,7 @@
 from papayacourse.cursor import Cursor
 from papayacourse.engines import End, Token
 from papayacourse.exceptions import RequestRefused, StopExpired
+from papayacourse.framing import HTTP_1_0
 from papayacourse.quarantine import fingerprint
 from papayacourse.settings import ServiceSettings
 from papayacourse.stopdeadline import EXPIRED
@@ -20,8 +21,6 @@
 from papayacourse.types import GenerationRequest, HostKind, Ran
 from papayacourse.web import Handler
 
-HTTP_1_0 = "HTTP/1.0"
-
 
 class GenerationHandler(Handler):
     """Base class of the handlers that relay a generation."""
--- a/papayacourse/framing.py
+++ b/papayacourse/framing.py
@@ -4,6 +4,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+HTTP_1_0 = "HTTP/1.0"  # has no chunks: an answer without a length ends with its connection
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
--- a/papayacourse/routed/closedends.py
+++ b/papayacourse/routed/closedends.py
@@ -42,13 +42,13 @@
 
     async def check(self, generation: Generation) -> None:
         """Return if a stream is complete; raise BackendAnswerLost if nothing shows that it is."""
-        began, why = time.monotonic(), "the run ended by itself"
+        began = time.monotonic()
         try:
             await _check(generation)
         except BackendAnswerLost as error:
             self._record(generation, "broken", str(error), began)
             raise
-        self._record(generation, "complete", why, began)
+        self._record(generation, "complete", "the run ended by itself", began)
 
     def _record(self, generation: Generation, kind: str, why: str, began: float) -> None:
         self.counts[kind] += 1
--- a/papayacourse/routed/exchange.py
+++ b/papayacourse/routed/exchange.py
@@ -19,13 +19,13 @@
 
 from papayacourse import logs, problems
 from papayacourse.exceptions import RequestRefused
+from papayacourse.framing import HTTP_1_0
 from papayacourse.listener import has_input
 from papayacourse.routed.document import CallerLimits
 from papayacourse.routed.requesttarget import shown_host, shown_target
 from papayacourse.routed.sendhistory import SendHistory
 
 CONTINUE = "100-continue"
-HTTP_1_0 = "HTTP/1.0"
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # the value of SO_LINGER: on, for no time
 
 
