Share the tests' raw servers, and the restart of all daemons

The new server of cut answers repeated the listener of the scripted one, and two steps killed and started all daemons in the same lines. Checks and time limits are as they were.

--- a/tests/features/steps/routedcrashes_steps.py
+++ b/tests/features/steps/routedcrashes_steps.py
@@ -176,13 +176,7 @@
 
 @when('routed daemons "{names}" are all killed, and started again')
 def kill_all(context, names):
-    routed = fleet_of(context)
-    for name in names_in(names):
-        context.fleet.processes[name].kill()
-    for name in names_in(names):
-        routed.start(name)
-    for name in names_in(names):
-        wait_until(f"{name} is ready", lambda n=name: routed.readiness(n) == 200)
+    fleet_of(context).restart_all(names_in(names))
 
 
 @when("{count:d} engines are killed one after another while the same {kind} runs there")
--- a/tests/features/steps/routeddrained_steps.py
+++ b/tests/features/steps/routeddrained_steps.py
@@ -200,13 +200,7 @@
 
 @when('all of "{names}" are killed and started again')
 def kill_all(context, names):
-    routed = fleet_of(context)
-    for name in names_in(names):
-        context.fleet.processes[name].kill()
-    for name in names_in(names):
-        routed.start(name)
-    for name in names_in(names):
-        wait_until(f"{name} is ready", lambda name=name: routed.readiness(name) == 200, SOON)
+    fleet_of(context).restart_all(names_in(names), SOON)
 
 
 @then('"{engine}" gets nothing for {seconds:g} s of calls through "{names}"')
--- a/tests/routedfleet.py
+++ b/tests/routedfleet.py
@@ -16,6 +16,7 @@
 PORTS = {"http": 8740, "readiness": 8749, "mesh": 8748, "metrics": 9464}
 ROOT = Path(__file__).parent.parent
 HOST = "site.example"
+RESTART = 20.0  # seconds until a daemon that was killed is ready again
 KEY = "key-of-organisers"
 MESH_KEY = "k" * 20
 
@@ -155,6 +156,15 @@
             )  # fmt: skip
         self.fleet.processes[name] = Process(name, popen, log)
 
+    def restart_all(self, names: list[str], limit: float = RESTART) -> None:
+        """Kill daemons all at once, start them again, and wait until each is ready."""
+        for name in names:
+            self.fleet.processes[name].kill()
+        for name in names:
+            self.start(name)
+        for name in names:
+            wait_until(f"{name} is ready", lambda name=name: self.readiness(name) == 200, limit)
+
     def cut_file(self, name: str) -> Path:
         """Return the file that tells a daemon under ``tests/cutoff.py`` what it is cut off from."""
         return self.fleet.path / f"{name}.cut"
--- a/tests/scriptedserver.py
+++ b/tests/scriptedserver.py
@@ -1,14 +1,14 @@
 """Servers of the users' platform that run all they get and then answer with any bytes."""
 
-import socketserver
 import struct
-import threading
 from collections import Counter
 from socket import SO_LINGER, SOL_SOCKET
 
-from attrs import define, field
+from attrs import define
 from hypothesis import strategies as st
 
+from tests.rawserver import RawServer, RequestHandler
+
 REPORT = (
     b"HTTP/1.1 200 OK\r\nContent-Length: 78\r\n\r\n"
     b'{"RunningRequests":0,"WaitingRequests":0,"KvCacheUsed":0,"KvCacheTotal":30000}'
@@ -64,45 +64,7 @@
 ).filter(lambda answer: not answer.is_lie())  # fmt: skip
 
 
-@define(eq=False)
-class ScriptedServer:
-    """A server that counts what it has run, and answers as it is told.
-
-    Attributes
-    ----------
-    runs : Counter of str
-        How often each request has run, by its id.
-    """
-
-    runs: Counter
-    answer: ScriptedAnswer | None = None
-    listener: socketserver.ThreadingTCPServer = field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        self.listener = Listener(("127.0.0.1", 0), Handler)
-        self.listener.owner = self
-        threading.Thread(target=self.listener.serve_forever, daemon=True).start()
-
-    @property
-    def address(self) -> str:
-        """Return where it listens."""
-        host, port = self.listener.server_address
-        return f"{host}:{port}"
-
-    def close(self) -> None:
-        """Stop listening."""
-        self.listener.shutdown()
-        self.listener.server_close()
-
-
-class Listener(socketserver.ThreadingTCPServer):
-    """Takes connections for a server."""
-
-    daemon_threads = True
-    owner: ScriptedServer
-
-
-class Handler(socketserver.StreamRequestHandler):
+class Handler(RequestHandler):
     """Runs one request and answers it; reports are sound, so that the server stays in use."""
 
     def handle(self) -> None:
@@ -119,10 +81,17 @@
             self.connection.setsockopt(SOL_SOCKET, SO_LINGER, RESET)
         self.wfile.write(server.answer.encode(name))
 
-    def read_headers(self):
-        """Yield the headers, names in lowercase."""
-        for line in iter(self.rfile.readline, b"\r\n"):
-            if not line:
-                return
-            name, _, value = line.decode("latin1").partition(":")
-            yield name.lower(), value.strip()
+
+@define(eq=False)
+class ScriptedServer(RawServer):
+    """A server that counts what it has run, and answers as it is told.
+
+    Attributes
+    ----------
+    runs : Counter of str
+        How often each request has run, by its id.
+    """
+
+    handler = Handler
+    runs: Counter
+    answer: ScriptedAnswer | None = None
