Review case 9: engines write their entries again and again

Cause: real engines send heartbeats, so a watch seldom waits for long. Change: the engines of the case send them too, and a cut meets the next watch that waits.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -27,6 +27,7 @@
     for engine in engines:
         await engine.start()
         await store.write(f"servers/{engine.name}", engine.entry())
+        asyncio.ensure_future(engine.beat(store))
     await store.write("op/config", desired_state(1))
     with Fleet(lambda _daemon: store.address) as fleet:
         for number in (1, 2):
@@ -52,7 +53,7 @@
     sender = loop.create_task(send())
     await asyncio.sleep(3.0)
     if trouble:
-        store.cut_watches()
+        await store.cut_watches()
         record.line(f"waiting watches cut ({store.cuts} so far)")
     await asyncio.sleep(0.05)
     await store.write(f"servers/{leaver.name}", None)
@@ -61,7 +62,7 @@
     for _ in range(CUTS - 1):
         await asyncio.sleep(CUT_INTERVAL)
         if trouble:
-            store.cut_watches()
+            await store.cut_watches()
             record.line(f"waiting watches cut ({store.cuts} so far)")
     await asyncio.sleep(max(0.0, left_at + DRAIN + LINGER - time.monotonic()))
     await leaver.exit()
--- a/review/standins2/engine.py
+++ b/review/standins2/engine.py
@@ -6,6 +6,9 @@
 from web import answer, head_bytes, listen
 
 
+HEARTBEAT = 1.2  # seconds
+
+
 class Engine:
     """A sound engine; what goes wrong with it is set by its attributes.
 
@@ -39,6 +42,16 @@
             "born": self.born,
         } | more
 
+    async def beat(self, store):
+        """Write the entry again and again, as engines do, for as long as it is in the store."""
+        sequence = 1
+        while True:
+            await asyncio.sleep(HEARTBEAT)
+            sequence += 1
+            if f"servers/{self.name}" not in store.items:
+                return
+            await store.write(f"servers/{self.name}", self.entry(Sequence=sequence))
+
     async def exit(self):
         """End: refuse connections, and break off what runs."""
         self.has_exited = True
--- a/review/standins2/store.py
+++ b/review/standins2/store.py
@@ -49,8 +49,11 @@
         async with self.changed:
             self.changed.notify_all()
 
-    def cut_watches(self):
-        """Close the connections of the watches that are waiting."""
+    async def cut_watches(self, limit=0.5):
+        """Close the connections of the watches that are waiting, or of the next one that does."""
+        ends = time.monotonic() + limit
+        while not self.watching and time.monotonic() < ends:
+            await asyncio.sleep(0.005)
         for writer in list(self.watching):
             self.cuts += 1
             writer.close()
@@ -127,13 +130,13 @@
         if after > self.revision:
             return 410, {}
         ends = time.monotonic() + min(int(query.get("WaitMs", "0")), 30000) / 1000
-        self.watching.add(writer)
         try:
             while True:
                 found = [e for e in self.events if e[0] > after and e[1].startswith(prefix)]
                 left = ends - time.monotonic()
                 if found or left <= 0:
                     break
+                self.watching.add(writer)
                 async with self.changed:
                     try:
                         await asyncio.wait_for(self.changed.wait(), min(left, 0.05))
