--- a/review/6/case.py
+++ b/review/6/case.py
@@ -103,4 +103,4 @@
 
 
 if __name__ == "__main__":
-    main(case, FOLDER)
+    main(case, FOLDER / "record.txt")
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -89,4 +89,4 @@
 
 
 if __name__ == "__main__":
-    main(case, FOLDER)
+    main(case, FOLDER / "record.txt")
--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -250,10 +250,10 @@
 
 
 class Record:
-    """Writes record.txt: what was sent, answered and run."""
+    """Writes the record of a case: what was sent, answered and run."""
 
-    def __init__(self, folder):
-        self.file = (Path(folder) / "record.txt").open("w")
+    def __init__(self, file):
+        self.file = Path(file).open("w")  # noqa: SIM115
         self.began = time.monotonic()
 
     def line(self, text, at=None):
@@ -263,10 +263,10 @@
         self.file.flush()
 
 
-def main(case, folder):
-    """Run a case; exits with 1 if it returns True (the rule was broken), 0 or 2."""
+def main(case, file):
+    """Run a case and write its record; exits with 1 if it returns True, 0 if not, or 2."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder)
+    record = Record(file)
     try:
         broken = asyncio.run(asyncio.wait_for(case(record, trouble), LONGEST))
     except Exception as error:
