Stand-in of an engine: a closed connection cancels its own run only

Cause: the stand-in ended whichever run had the id of the request whose connection closed. A run that goes on at the engine which stopped it has the same id: the close of the old stream cancelled the new run, and "A run that may be resumed is stopped before it goes on" failed by that.

Change: the handler of a connection knows its own run.

No check is changed.

--- a/standins/platformengine.py
+++ b/standins/platformengine.py
@@ -35,6 +35,7 @@
     """Any path: a caller's request."""
 
     kind = "requests"
+    begun: Run | None = None
 
     async def prepare(self) -> None:
         """Refuse what this engine may not run."""
@@ -82,6 +83,7 @@
         name, headers = self.request.headers[REQUEST_ID], dict(self.request.headers.get_all())
         body = self.request.body.decode("latin1")
         run = Run(name, self.request.method, self.request.uri, headers, body)
+        self.begun = run
         self.standin.runs.append(run)
         note("run began", run)
         die_if_due(run)
@@ -103,10 +105,9 @@
     get = post = put = delete = any_method
 
     def on_connection_close(self) -> None:
-        """Cancel the run."""
-        run = self.standin.running(self.request.headers.get(REQUEST_ID, ""))
-        if run is not None:
-            run.end = "cancelled"
+        """Cancel the run of this connection, not another one of the same request."""
+        if self.begun is not None and not self.begun.end:
+            self.begun.end = "cancelled"
 
     def answer_oddly(self, run: Run) -> None:
         """Answer as `after_run` says."""
