--- a/papayacourse/routed/fleetview.py
+++ b/papayacourse/routed/fleetview.py
@@ -17,6 +17,7 @@
 from papayacourse.routed.budget import FleetRetryBudget
 from papayacourse.routed.derived import TEAM
 from papayacourse.routed.document import EngineCapacity
+from papayacourse.routed.enginereturns import EngineReturns
 from papayacourse.routed.homes import ANYWHERE, Homes
 from papayacourse.routed.notices import EngineNotices
 from papayacourse.routed.seams import EngineCalls, RequestCodec
@@ -46,6 +47,8 @@
         Tracks runs, and detects which servers end while they run them.
     tasks : BackgroundTasks
         The work that may outlast the request that began it.
+    returns : EngineReturns
+        Detects when engines that could not be reached accept connections again.
     """
 
     membership: Membership
@@ -60,6 +63,7 @@
     shape: Callable[[str], EngineCapacity]
     answers: AnswerMemory = field(factory=AnswerMemory)
     tasks: BackgroundTasks = field(factory=BackgroundTasks)
+    returns: EngineReturns = field(factory=EngineReturns)
 
     @property
     def here(self) -> Place:
--- a/papayacourse/routed/generation.py
+++ b/papayacourse/routed/generation.py
@@ -16,7 +16,9 @@
 from papayacourse.routed.events import can_resume_after
 from papayacourse.routed.exchange import Exchange
 from papayacourse.routed.fleetview import FleetView
+from papayacourse.routed.latestop import LateStop
 from papayacourse.routed.migration.standby import Standby
+from papayacourse.routed.runstop import RunStop
 from papayacourse.routed.stoporders import StopOrders
 from papayacourse.types import GenerationRequest, Host, Ran
 
@@ -72,6 +74,8 @@
         The gaps between its events.
     stop_orders : StopOrders
         The orders to stop it.
+    late_stops : list of LateStop
+        The stops that begin once the run has gone on elsewhere.
     framing : Framing or None
         What ends the answer of the current engine; None before the first answer.
     """
@@ -97,6 +101,7 @@
     copy_lock: asyncio.Lock = field(factory=asyncio.Lock)
     gaps: EventGaps = field(factory=EventGaps)
     stop_orders: StopOrders = field(factory=StopOrders)
+    late_stops: list[LateStop] = field(factory=list)
     framing: Framing | None = None
 
     # Queries.
@@ -140,6 +145,10 @@
         """Return an upper estimate of the remaining run time, in seconds."""
         return self.tokens_left * self.seconds_per_token()
 
+    def may_go_to(self, host: Host) -> bool:
+        """Return True if the run may go on at an engine: it is certain not to run there already."""
+        return host.name not in self.stop_orders.unproven and self.admitted.may_go_to(host)
+
     def may_have_run(self) -> bool:
         """Return True if an engine may have started to run it."""
         return self.exchange.sends.may_have_run()
@@ -177,6 +186,19 @@
             # The engine has ended the stream, but a silent connection doesn't deliver that.
             self.relayed.shorten_idle_timeout(MOVED_STREAM_TIMEOUT)
 
+    def stop_later(self, stop: RunStop) -> None:
+        """Stop the run on an engine that does not answer now, once it answers again."""
+        late_stop = LateStop(stop, self.admitted.deadline)
+        self.late_stops.append(late_stop)
+        self.fleet.tasks.spawn(late_stop.run())
+
+    def begin_late_stops(self, delay: float = 0.0) -> None:
+        """Let the late stops begin, which must not take away a copy that is still to be used."""
+        begun, self.late_stops = self.late_stops, []
+        loop = asyncio.get_running_loop()
+        for late_stop in begun:
+            loop.call_later(delay, late_stop.may_begin.set)
+
     def log_failed(self, why: str) -> None:
         """Log why the current engine was lost."""
         logs.info(
--- a/papayacourse/routed/migration/copying.py
+++ b/papayacourse/routed/migration/copying.py
@@ -66,7 +66,7 @@
         """Return True if the engine with the copy stays and has memory for it."""
         return (
             self.fleet.stays(host.name)
-            and self.generation.admitted.may_go_to(host)
+            and self.generation.may_go_to(host)
             and await self._memory_fraction(host) <= MAX_MEMORY_FRACTION_KEPT_COPY
         )
 
@@ -77,7 +77,8 @@
         """
         service, homes = self.generation.request.service, self.generation.admitted.homes()
         found = self.fleet.move_targets(self.source, service, homes)
-        near = [host for host in found if self.fleet.is_near(self.source, host)]
+        open_hosts = (host for host in found if self.generation.may_go_to(host))
+        near = [host for host in open_hosts if self.fleet.is_near(self.source, host)]
         return near[:TARGETS_ASKED]
 
     async def _target(self) -> Host | None:
--- a/papayacourse/routed/migration/emptying.py
+++ b/papayacourse/routed/migration/emptying.py
@@ -185,7 +185,11 @@
         the retry within the region.
         """
         homes = generation.admitted.homes()
-        found = self.fleet.move_targets(self.engine, self.service, homes)
+        found = [
+            host
+            for host in self.fleet.move_targets(self.engine, self.service, homes)
+            if generation.may_go_to(host)
+        ]
         near = [host for host in found if self.fleet.is_near(self.engine, host)]
         far_arrives = self._left() > MIN_REGION_COPY or self._outlives_notice()
         return (found if far_arrives else near or found)[:TARGETS_TRIED]
--- a/papayacourse/routed/migration/failover.py
+++ b/papayacourse/routed/migration/failover.py
@@ -6,7 +6,7 @@
 from papayacourse.routed.events import can_resume_after
 from papayacourse.routed.generation import Generation
 from papayacourse.routed.migration.standby import Standby
-from papayacourse.routed.runstop import RunContinues, RunCopied, RunStop
+from papayacourse.routed.runstop import EngineLost, OrderLost, RunContinues, RunCopied, RunStop
 from papayacourse.routed.seams import Resume
 from papayacourse.routed.sendlimiter import SAVE_PATIENCE
 from papayacourse.types import Host
@@ -61,8 +61,9 @@
                 return standby
             case RunContinues(refusal):
                 raise generation.broken(f"{why}; {refusal}")
-            case _:
-                return generation.copy
+            case EngineLost() | OrderLost():
+                generation.stop_later(stop)
+        return generation.copy
 
     def _copy_target(self) -> Host | None:
         """Return the engine to copy the run to: that which has a copy already, if any."""
@@ -77,11 +78,12 @@
         """Return True if the run may continue on an engine.
 
         It is listed, not drained, in the run's homes, and warm, or this daemon soon has a turn.
+        An engine that may still work on the run is none.
         """
-        fleet, admitted = self.generation.fleet, self.generation.admitted
+        fleet = self.generation.fleet
         is_open = fleet.is_listed(host.name) and not fleet.is_drained(host.name)
         has_turn = fleet.notices.cold.wait_for(host.name) <= SAVE_PATIENCE
-        return is_open and has_turn and admitted.may_go_to(host)
+        return is_open and has_turn and self.generation.may_go_to(host)
 
     async def _resume_at(self, standby: Standby, why: str) -> Resume:
         generation, fleet = self.generation, self.generation.fleet
--- a/papayacourse/routed/migration/moving.py
+++ b/papayacourse/routed/migration/moving.py
@@ -94,10 +94,10 @@
 
     async def _usable_copy_target(self) -> Host | None:
         """Return the engine with the copy; drops the copy if that engine is leaving or gone."""
-        copy, admitted = self.generation.copy, self.generation.admitted
+        copy = self.generation.copy
         if copy is None:
             return None
-        if self.fleet.stays(copy.host.name) and admitted.may_go_to(copy.host):
+        if self.fleet.stays(copy.host.name) and self.generation.may_go_to(copy.host):
             return copy.host
         self.generation.copy = None
         await self.fleet.drop_copy(self.engine, copy.handle)
--- a/papayacourse/routed/runstop.py
+++ b/papayacourse/routed/runstop.py
@@ -45,14 +45,14 @@
 
 @frozen
 class EngineLost:
-    """The engine cannot be reached, so nothing can stop what it may still do."""
+    """The engine could not be reached: it may have ended, or be cut off and work on."""
 
     why: str
 
 
 @frozen
 class OrderLost:
-    """The engine accepted the order and did not answer it."""
+    """The engine accepted the order and did not answer it; it may work on."""
 
     why: str
 
@@ -101,7 +101,7 @@
         finally:
             if not order.done():
                 # Left to run: an engine that was frozen carries it out when it continues.
-                order.add_done_callback(self._drop_late_copy)
+                order.add_done_callback(self._use_late_result)
         result = order.result() if order.done() else OrderLost("no answer in time")
         self._log(result)
         return result
@@ -121,16 +121,17 @@
     async def _order(self) -> StopResult:
         """Order the engine to stop the run, until it has answered or cannot be reached."""
         async with self.lock:
-            result = await self._order_once()
+            result = await self.order_once()
             while isinstance(result, OrderLost | RunContinues) and not self._is_late():
                 await asyncio.sleep(RETRY_PAUSE)
-                result = await self._order_once()
+                result = await self.order_once()
         return result
 
     def _is_late(self) -> bool:
         return time.monotonic() - self.began > STOP_TIMEOUT - ANSWER_DELAY
 
-    async def _order_once(self) -> StopResult:
+    async def order_once(self) -> StopResult:
+        """Order the engine to stop the run; returns what its answer shows."""
         calls = self.fleet.engine_calls
         try:
             copied = await self.orders.order(calls, self.engine, self.run_id, self.target)
@@ -160,14 +161,17 @@
         host = self.target if copied.complete else self.engine
         return Standby(host, self.engine.address, copied.handle)
 
-    def _drop_late_copy(self, order: asyncio.Task[StopResult]) -> None:
-        """Free a copy that came too late to be used."""
+    def _use_late_result(self, order: asyncio.Task[StopResult]) -> None:
+        """Record that the run has ended, and free a copy that came too late to be used."""
         if order.cancelled() or order.exception() is not None:
             return
         self._log(order.result())
         match order.result():
             case RunCopied(standby):
+                self.orders.unproven.discard(self.engine.name)
                 self.fleet.tasks.spawn(self.fleet.drop_copy(self.engine, standby.handle))
+            case RunEnded():
+                self.orders.unproven.discard(self.engine.name)
             case _:
                 pass
 
--- a/papayacourse/routed/sendhistory.py
+++ b/papayacourse/routed/sendhistory.py
@@ -4,6 +4,8 @@
 again. A request may have such an answer only if every send of it is known not to have run.
 """
 
+from collections.abc import Callable
+
 from attrs import define, field
 
 from papayacourse import logs
@@ -38,14 +40,18 @@
     ----------
     possible_runs : list of Send
         The sends that may have run the request: nothing shows that they have not.
+    on_begin : callable
+        Called when the request is about to be sent to a receiver.
     """
 
     possible_runs: list[Send] = field(factory=list)
+    on_begin: Callable[[], None] = lambda: None
 
     def begin(self, receiver: str) -> Send:
         """Record that the request is about to be sent to a receiver."""
         send = Send(receiver)
         self.possible_runs.append(send)
+        self.on_begin()
         return send
 
     def record_not_executed(self, send: Send) -> None:
--- a/papayacourse/routed/stoporders.py
+++ b/papayacourse/routed/stoporders.py
@@ -22,10 +22,14 @@
         an order long after its connection has closed.
     stopped : set of str
         The engines that have stopped the run, by their answers, since it was last sent there.
+    unproven : set of str
+        The engines that may still work on the run although it has gone on elsewhere: they could
+        not be reached, or did not answer, and no answer since has shown that the run has ended.
     """
 
     unanswered: list[str] = field(factory=list)
     stopped: set[str] = field(factory=set)
+    unproven: set[str] = field(factory=set)
 
     def may_have_stopped(self, engine: str) -> bool:
         """Return True if an engine has stopped the run, or an order that may do so is open."""
@@ -34,6 +38,7 @@
     def record_start(self, engine: str) -> None:
         """Note that the run is sent to an engine: what it stopped before was an earlier one."""
         self.stopped.discard(engine)
+        self.unproven.discard(engine)
 
     async def order(
         self, calls: EngineCalls, engine: Host, run: str, target: Host
--- a/papayacourse/routed/streamedcall.py
+++ b/papayacourse/routed/streamedcall.py
@@ -26,6 +26,9 @@
 
 MAX_PLACEMENTS = 4  # engines tried until one accepts the request
 RESUME_HEAD_TIMEOUT = 2.5  # seconds in which an engine must start to resume a run
+# Seconds from sending a run to its next engine until orders to stop it go to the engine before.
+# By then the copy that it goes on from is in use, and no order can replace it.
+SUCCESSOR_LEAD = 0.1
 LONG_RUN = 1.5  # seconds; a shorter run ends within its engine's shutdown notice
 
 
@@ -52,6 +55,7 @@
         generation = self.generation
         self.search = EngineSearch(generation.fleet, generation.admitted, generation.request)
         self.failover = Failover(generation)
+        generation.exchange.sends.on_begin = self._begin_late_stops
 
     async def run(self) -> None:
         """Answer the caller.
@@ -86,6 +90,7 @@
     async def _finish(self) -> None:
         """Report the end of the run to the scheduler, and cancel a pending move."""
         generation = self.generation
+        generation.begin_late_stops()
         if generation.pending_move is not None:
             generation.pending_move.cancel()
         if generation.engine is not None:
@@ -168,6 +173,9 @@
             await call.__aexit__(None, None, None)
         return None
 
+    def _begin_late_stops(self) -> None:
+        self.generation.begin_late_stops(SUCCESSOR_LEAD)
+
     def _watching(self) -> AbstractAsyncContextManager[WatchedRun]:
         """Watch for the engine's death while it runs this request."""
         generation = self.generation
@@ -218,8 +226,9 @@
     async def _restart(self, resume: Resume) -> Resume | None:
         """Run the request again on another engine; returns where to resume if that fails too."""
         generation = self.generation
+        generation.begin_late_stops()  # there is no copy that they could take away
         await self._end_placement("failed")
-        self.search.refused.add(generation.engine.name)
+        self.search.refused |= {generation.engine.name} | generation.stop_orders.unproven
         if not generation.fleet.budget.try_spend(generation.admitted.service, "new run"):
             raise generation.broken("no budget for a new run")
         try:
--- a/tests/features/routed_homes.feature
+++ b/tests/features/routed_homes.feature
@@ -91,6 +91,7 @@
     And 6 plans of "/homeplans/1" through "b" are served by "planner-2" only
     When homes change to "lagos"
     Then GET "/home/1" through "a" is soon answered 200 by "desk-1"
+    And GET "/home/1" through "b" is soon answered 200 by "desk-1"
     And 6 plans of "/homeplans/1" through "b" are served by "planner-1" only
     When homes change to "mars"
     Then GET "/home/1" through "a" is soon answered 503
--- a/tests/features/steps/routeddrained_steps.py
+++ b/tests/features/steps/routeddrained_steps.py
@@ -174,7 +174,7 @@
             rebind=AsyncMock(),
         )  # fmt: skip
         generation = SimpleNamespace(
-            fleet=view, admitted=SimpleNamespace(may_go_to=lambda _host: True, service="planner"),
+            fleet=view, may_go_to=lambda _host: True, admitted=SimpleNamespace(service="planner"),
             guard=SimpleNamespace(is_condemned=lambda: False), log_failed=lambda _why: None,
             pending_move=moved, copy=found.copy, last_id="7", may_restart=lambda: False,
             broken=RuntimeError, request=None, engine=None, generated=7, gaps=EventGaps(),
--- a/tests/features/steps/routedhomes_steps.py
+++ b/tests/features/steps/routedhomes_steps.py
@@ -29,6 +29,7 @@
     Share,
 )
 from papayacourse.routed.fleetview import FleetView
+from papayacourse.routed.generation import Generation
 from papayacourse.routed.homes import ANYWHERE, Homes
 from papayacourse.routed.migration.failover import Failover
 from papayacourse.routed.notices import EngineNotices
@@ -250,7 +251,7 @@
 @then('a run in "{_}" with homes "{homes}" does not continue at a copy in "{other}"')
 def does_not_continue(context, _, homes, other):
     fleet = context.fleet_view
-    generation = SimpleNamespace(fleet=fleet, admitted=admitted(homes_of(homes)))
+    generation = Generation(admitted(homes_of(homes)), None, fleet, None, None, None)
     assert not Failover(generation)._may_continue_at(fleet.host(other))
     generation.admitted = admitted(ANYWHERE)
     assert Failover(generation)._may_continue_at(fleet.host(other))
--- a/tests/features/steps/routedmoves_steps.py
+++ b/tests/features/steps/routedmoves_steps.py
@@ -47,6 +47,10 @@
         """Return where it may be served."""
         return ANYWHERE
 
+    def may_go_to(self, host) -> bool:
+        """Return True if it may go on at an engine."""
+        return host.name not in self.stop_orders.unproven
+
     def can_move(self) -> bool:
         """Tell whether it can be moved."""
         return not self.unmovable and not self.is_moved
--- a/tests/features/steps/routedrunstop_steps.py
+++ b/tests/features/steps/routedrunstop_steps.py
@@ -33,6 +33,10 @@
         Seconds until an order is answered.
     reports : bool
         Whether it answers other calls.
+    ordered : int
+        How often it has been ordered to stop a run.
+    is_sent_again : bool
+        Whether the run is sent to it once more.
     """
 
     def __init__(self, *orders: Exception | None, delay: float = 0.0, reports: bool = True):
@@ -40,10 +44,13 @@
         self.delay = delay
         self.reports = reports
         self.dropped = []
+        self.ordered = 0
+        self.is_sent_again = False
 
     async def copy_run(self, _source, _run, _target, stop) -> CopyResult:
         """Stop the run."""
         assert stop
+        self.ordered += 1
         await asyncio.sleep(self.delay)
         error = self.orders.pop(0) if len(self.orders) > 1 else self.orders[0]
         if error is not None:
@@ -83,6 +90,7 @@
     "is frozen for 1.6 s": lambda: OddEngine(None, delay=1.6, reports=False),
     "wants to be left alone": lambda: OddEngine(paused),
     "wanted to be left alone and has ended": lambda: OddEngine(paused),
+    "is sent the run again": lambda: OddEngine(None),
 }
 
 
@@ -90,6 +98,7 @@
 def odd_engine(context, does):
     context.engine = ENGINES[does]()
     context.has_ended = does.endswith("has ended")
+    context.engine.is_sent_again = does == "is sent the run again"
 
 
 @when("it is ordered to stop a run")
--- a/tests/features/steps/routedstranded_steps.py
+++ b/tests/features/steps/routedstranded_steps.py
@@ -116,10 +116,11 @@
     time.sleep(1.0)
 
 
-def set_cut(context, name: str, mode: str) -> None:
-    """Say how a daemon's connections to servers fail; an empty mode heals them."""
+def set_cut(context, name: str, mode: str, servers: list[str] | None = None) -> None:
+    """Say how a daemon's connections to servers, or to some, fail; an empty mode heals them."""
     routed = fleet_of(context)
-    addresses = [place["Address"] for place in routed.places.values()]
+    names = routed.places if servers is None else servers
+    addresses = [routed.places[name]["Address"] for name in names]
     ports = [int(address.rpartition(":")[2]) for address in addresses]
     cut = {"mode": mode, "ports": ports, "hole": context.hole_address}
     file = routed.cut_file(name)
