--- a/papayacourse/routed/daemon.py
+++ b/papayacourse/routed/daemon.py
@@ -155,7 +155,7 @@
             engine_calls, self.notices, self.limiter, self.deaths, self._note_first_event,
             self._shape, tasks=self.tasks,
         )  # fmt: skip
-        self.supervisor = RunSupervisor(self.fleet, lambda: self.directory.store_is_away)
+        self.supervisor = RunSupervisor(self.fleet, lambda: self.directory.contact.is_failing)
         self.router = Router(
             self.documents, self.fleet,
             ServerChoice(Place(config.domain, config.region), is_cold=self.notices.cold.is_cold),
@@ -179,8 +179,9 @@
         )
         self.watchers = Watchers(
             self.membership, self.mesh.peers, self.documents, lambda: self.follower.follows,
-            self.directory.record_store_answer,
+            self.directory.contact.record_answer,
         )  # fmt: skip
+        self.adapter.store.on_answer = self.directory.contact.record_answer
         self.follower.should_follow = self.watchers.should_follow
         self.follower.on_contact = self.watchers.tell
         watch_states(self)
--- a/papayacourse/routed/directory.py
+++ b/papayacourse/routed/directory.py
@@ -11,19 +11,19 @@
 from papayacourse.routed.document import ColdStart
 from papayacourse.routed.listnumbering import ListNumbering
 from papayacourse.routed.seams import StorePosition, StoreUpdate
+from papayacourse.routed.storecontact import StoreContact
 from papayacourse.types import Host, HostKind, HostState
 
-LAPSE_GRACE = 2.2  # seconds after a store outage in which servers renew expired entries
-
 
 @define(eq=False)
 class HostDirectory:
     """Combines the backend servers and daemons in the store into host listings.
 
     During a store outage, entries expire although their servers are alive. A live server that is
-    missing when the store returns stays listed for ``LAPSE_GRACE`` and is removed if it is still
+    missing when the store returns stays listed for ``RETURN_GRACE`` and is removed if it is still
     missing then. A store that returns from an older copy may also list a leaving server as live;
-    it stays leaving for as long, until its entry has been written again.
+    it stays leaving for as long, until its entry has been written again. Without a proven outage
+    or an older copy, the store's entries are true at once: see `StoreContact`.
 
     The servers of a failure domain that the operator drains are listed as leaving until the
     operator takes it back; see docs/design/drained-domains.md.
@@ -36,10 +36,8 @@
         The servers that were missing when the store returned, by name.
     left : frozenset of str
         The names of servers that were leaving before the store returned, and are live there.
-    returned_at : float
-        When the store last returned, in seconds of the clock.
-    store_is_away : bool
-        Whether the last read of the store failed.
+    contact : StoreContact
+        When the store answered, and when it was last away.
     engines_known : bool
         Whether the servers have been read at least once.
     drained : frozenset of str
@@ -74,26 +72,13 @@
     members: tuple[Host, ...] = ()
     lapsed: dict[str, Host] = field(factory=dict)
     left: frozenset[str] = frozenset()
-    returned_at: float = float("-inf")
-    store_is_away: bool = False
+    contact: StoreContact = field(init=False)
     engines_known: bool = False
     published_hosts: frozenset[Host] | None = None
 
     def __attrs_post_init__(self) -> None:
         self.cold_listing = ColdListing(self.clock)
-
-    def record_store_failure(self, why: str) -> None:
-        """Record that the store cannot be read."""
-        if not self.store_is_away:
-            logs.warning("store unavailable", why=why)
-        self.store_is_away = True
-
-    def record_store_answer(self) -> None:
-        """Record that the store can be read."""
-        if self.store_is_away:
-            self.returned_at = self.clock()
-            logs.info("store available again", lapsed=len(self.lapsed))
-        self.store_is_away = False
+        self.contact = StoreContact(self.clock)
 
     def is_outdated(self, known: HostListing, position: StorePosition) -> bool:
         """Return True if an answer of the store cannot continue the content here.
@@ -113,10 +98,10 @@
         known : HostListing
             The listing that was in force before the store was asked.
         """
-        self.record_store_answer()
-        self.revision = news.position.revision
+        self.contact.record_answer()
         if news.is_complete:
             self._begin(known, news)
+        self.revision = news.position.revision
         if news.members is not None:
             self.members = news.members
         if news.engines is not None:
@@ -131,13 +116,20 @@
 
     def _begin(self, known: HostListing, news: StoreUpdate) -> None:
         """Continue with content that has been read as a whole."""
-        epoch, era = self.numbering.epoch, news.position.era
-        has_returned = self.engines_known and era != self.era
-        self.numbering.begin(known, self.revision, has_returned)
-        self.era = era
+        epoch, position = self.numbering.epoch, news.position
+        has_returned = self.engines_known and position.era != self.era
+        self.numbering.begin(known, position.revision, has_returned)
+        if self._is_older_copy(position) or self.numbering.epoch > known.epoch:
+            self.contact.record_older_copy()
+        self.era = position.era
         if self.numbering.epoch != epoch:
             self.published_hosts = None
 
+    def _is_older_copy(self, position: StorePosition) -> bool:
+        """Return True if the store has lost content that was read before."""
+        has_new_era = bool(self.era) and position.era != self.era
+        return has_new_era or (self.engines_known and position.revision < self.revision)
+
     def _update_drained(self, reported: frozenset[str], is_complete: bool) -> None:
         """Apply which domains the store lists as drained; a store just returned may lack some."""
         taken_back = frozenset() if is_complete else self.reported_drained - reported
@@ -145,7 +137,7 @@
         if is_complete:
             # Other daemons may have followed the store meanwhile.
             self.drained = frozenset(h.domain for h in self.in_force().hosts if h.is_drained)
-        kept = self.drained - taken_back if self._may_be_old() else frozenset()
+        kept = self.drained - taken_back if self.contact.may_be_old() else frozenset()
         self._set_drained(reported | kept)
 
     def _set_drained(self, domains: frozenset[str]) -> None:
@@ -179,7 +171,7 @@
         self.cold_listing.forget_unlisted(now | self.lapsed.keys())
 
     def expire(self) -> None:
-        """Follow the store alone again once ``LAPSE_GRACE`` has passed since it returned.
+        """Follow the store alone again once ``RETURN_GRACE`` has passed since it returned.
 
         Servers that are still missing are removed, servers that it lists as live are live, and
         domains that it doesn't list as drained are taken back.
@@ -187,7 +179,7 @@
         is_drained_by_store = self.drained == self.reported_drained
         if not (self.lapsed or self.left) and is_drained_by_store:
             return
-        if self.store_is_away or self._may_be_old():
+        if self.contact.is_away() or self.contact.may_be_old():
             return
         if self.lapsed:
             logs.info("servers gone", names=sorted(self.lapsed), why="missing after an outage")
@@ -199,19 +191,15 @@
         self._set_drained(self.reported_drained)
         self._publish()
 
-    def _may_be_old(self) -> bool:
-        """Return True if the store's entries may still be those of before its return."""
-        return self.clock() <= self.returned_at + LAPSE_GRACE
-
     def _possibly_returning(self, missing: dict[str, Host]) -> dict[str, Host]:
         """Return the missing servers that may return: those that were not leaving."""
-        if not self._may_be_old():
+        if not self.contact.may_be_old():
             return {}
         return {name: host for name, host in missing.items() if host.state == HostState.LIVE}
 
     def _still_leaving(self, before: dict[str, Host], listed: tuple[Host, ...]) -> frozenset[str]:
         """Return the servers that were leaving and are listed as live by a store just returned."""
-        if not self._may_be_old():
+        if not self.contact.may_be_old():
             return frozenset()
         leaving = {name for name, host in before.items() if host.state == HostState.LEAVING}
         live = {host.name for host in listed if host.state == HostState.LIVE}
--- a/papayacourse/routed/seams.py
+++ b/papayacourse/routed/seams.py
@@ -1,6 +1,6 @@
 """The interfaces that a platform's adapter implements, and the types that they exchange."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 
 from attrs import frozen
@@ -300,9 +300,12 @@
     ----------
     era : int
         The era of the last answer; see StorePosition.
+    on_answer : callable
+        Called after each answer to any call.
     """
 
     era: int
+    on_answer: Callable[[], None]
 
     def follow(self, wait: float) -> AsyncIterator[StoreUpdate]:
         """Yield the current contents, then the changes; raises PlatformError.
--- a/papayacourse/routed/storefollower.py
+++ b/papayacourse/routed/storefollower.py
@@ -40,6 +40,8 @@
         Called after each answer of the watch, with or without a change.
     follows : bool
         Whether this daemon follows the store and reaches it.
+    retry_delay : float
+        Upper bound of the delay after the next failed call, in seconds.
     """
 
     store: Store
@@ -50,22 +52,21 @@
     should_follow: Callable[[], bool] = lambda: True
     on_contact: Callable[[], None] = lambda: None
     follows: bool = False
+    retry_delay: float = RETRY_DELAY
 
     async def follow(self) -> None:
         """Follow the store while this daemon has to; run until cancelled."""
-        pause = RETRY_DELAY
         while True:
             if not self.should_follow():
                 await next_tick(FOLLOW_CHECK_INTERVAL)
                 continue
             try:
                 await self._follow()
-                pause = RETRY_DELAY
             except PlatformError as error:
                 logs.info("could not follow the store", why=str(error))
-                self.directory.record_store_failure(str(error))
-                await asyncio.sleep(pause * random.uniform(0.5, 1.0))
-                pause = min(MAX_RETRY_DELAY, pause * 1.5)
+                self.directory.contact.record_failure(str(error))
+                await asyncio.sleep(self.retry_delay * random.uniform(0.5, 1.0))
+                self.retry_delay = min(MAX_RETRY_DELAY, self.retry_delay * 1.5)
 
     async def _follow(self) -> None:
         """Apply the store's updates for as long as this daemon has to follow it."""
@@ -81,7 +82,7 @@
                         "following the store", era=news.position.era,
                         revision=news.position.revision,
                     )  # fmt: skip
-                self.follows = True
+                self.follows, self.retry_delay = True, RETRY_DELAY
                 self.on_contact()
                 if not self.should_follow():
                     logs.info("store followed by others")
--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -56,6 +56,8 @@
         Whether each page of a range names another one, for ever, and holds keys of its own.
     pages : iterator of int
         The numbers of these pages.
+    cuts : int
+        How often all waiting watches have been cut.
     """
 
     items: dict[str, tuple[bytes, int, int]] = field(factory=dict)
@@ -74,6 +76,7 @@
     odd: list = field(factory=list)
     has_endless_pages: bool = False
     pages: itertools.count = field(factory=itertools.count)
+    cuts: int = 0
 
     async def write(self, key: str, value: bytes | None, lease: int = 0) -> int:
         """Put or remove a key."""
@@ -203,7 +206,12 @@
         store, prefix = self.standin, self.get_argument("Prefix")
         after = int(self.get_argument("After"))
         deadline = time.monotonic() + int(self.get_argument("WaitMs")) / 1000
+        cuts = store.cuts
         while True:
+            if store.cuts > cuts:
+                self.request.connection.stream.close()
+                self._finished = True
+                return
             if not store.forgotten <= after <= store.revision or store.mode != "up":
                 self.set_status(410)
                 self.finish({})
@@ -280,6 +288,7 @@
         body = self.body()
         if body.pop("save", False):
             self.standin.save()
+        self.standin.cuts += body.pop("cut_watches", 0)
         if "come_back" in body:
             await self.standin.come_back(body.pop("come_back"))
         for key, value in body.pop("put", {}).items():
--- a/tests/features/steps/routeddrained_steps.py
+++ b/tests/features/steps/routeddrained_steps.py
@@ -57,7 +57,7 @@
 
 @when("the store comes back from an older copy, without the drain")
 def store_forgets_drain(context):
-    context.directory.record_store_failure("a test")
+    context.directory.contact.record_failure("a test")
     context.clock.now += 1
     context.era, context.revision = context.era + 1, 0
     engines = tuple(context.entries.values())
@@ -72,7 +72,7 @@
 
 @when('the store is away for {seconds:g} s, and comes back without "{name}"')
 def store_lacks(context, seconds, name):
-    context.directory.record_store_failure("a test")
+    context.directory.contact.record_failure("a test")
     context.clock.now += seconds
     del context.entries[name]
     update(context, engines=tuple(context.entries.values()))
--- a/tests/features/steps/routedparts_steps.py
+++ b/tests/features/steps/routedparts_steps.py
@@ -184,14 +184,14 @@
 @when('the store is lost and comes back without "{name}"')
 def store_returns(context, name):
     names = [host.name for host in context.directory.engines]
-    context.directory.record_store_failure("a test")
+    context.directory.contact.record_failure("a test")
     context.clock.now += 8
     listed(context, ", ".join(other for other in names if other != name))
 
 
 @when("the store comes back from an older copy, in which all servers are live")
 def store_returns_older(context):
-    context.directory.record_store_failure("a test")
+    context.directory.contact.record_failure("a test")
     context.clock.now += 1
     context.era, context.revision = context.era + 1, 0
     hosts = tuple(evolve(h, state=HostState.LIVE) for h in context.directory.engines)
