Order a lost run to stop also where no other engine takes work at that moment

Cause: an order to stop names a target.

Change: an engine that takes no work now, but stays and is in the run's homes, is named as target.

--- a/papayacourse/routed/migration/failover.py
+++ b/papayacourse/routed/migration/failover.py
@@ -66,13 +66,24 @@
         return generation.copy
 
     def _copy_target(self) -> Host | None:
-        """Return the engine to copy the run to: that which has a copy already, if any."""
-        generation = self.generation
+        """Return the engine to copy the run to: that which has a copy already, if any.
+
+        One that takes no work now is better than none: without a target the run is not stopped.
+        """
+        generation, fleet = self.generation, self.generation.fleet
         if generation.copy is not None and self._may_continue_at(generation.copy.host):
             return generation.copy.host
-        return generation.fleet.best_move_target(
-            generation.engine, generation.request.service, generation.admitted.homes()
-        )
+        engine, service = generation.engine, generation.request.service
+        best = fleet.best_move_target(engine, service, generation.admitted.homes())
+        if best is not None and generation.may_go_to(best):
+            return best
+        return next(filter(self._may_be_target, fleet.servers(service)), None)
+
+    def _may_be_target(self, host: Host) -> bool:
+        """Return True if a copy may go to an engine, whether or not it takes work now."""
+        generation, fleet = self.generation, self.generation.fleet
+        is_other = host.name != generation.engine.name
+        return is_other and fleet.is_live(host) and generation.may_go_to(host)
 
     def _may_continue_at(self, host: Host) -> bool:
         """Return True if the run may continue on an engine.
--- a/tests/features/routed_stop_later.feature
+++ b/tests/features/routed_stop_later.feature
@@ -58,6 +58,19 @@
     When it is to be ordered late, and the run has not gone on for 0 s
     Then the run may go to another engine, and not to that one
 
+  # Guards against a run that goes on elsewhere later, and that nothing has stopped before.
+  Scenario Outline: A run is stopped also where <others>
+    Given a lost run on "e1" of a service whose other engines are "<names>"
+    And "<busy>" take no work now, "<leaving>" leave and "<unproven>" may still work on it
+    Then it is ordered to stop with the target "<target>"
+
+    Examples:
+      | others                                      | names  | busy   | leaving | unproven | target |
+      | another takes work                          | e2     | none   | none    | none     | e2     |
+      | no other takes work                         | e2     | e2     | none    | none     | e2     |
+      | the only other that takes work may run it   | e2, e3 | e3     | none    | e2       | e3     |
+      | all others leave                            | e2     | e2     | e2      | none     | none   |
+
   # Guards against a flood of connections to an engine that has crashed.
   Scenario: All who wait for an engine share its connection attempts, which become rare
     Given no engine to connect to
--- a/tests/features/steps/routedstoplater_steps.py
+++ b/tests/features/steps/routedstoplater_steps.py
@@ -14,10 +14,12 @@
 from papayacourse.routed.enginereturns import EngineReturns
 from papayacourse.routed.generation import Generation
 from papayacourse.routed.latestop import LateStop
+from papayacourse.routed.migration.failover import Failover
 from papayacourse.routed.runstop import RunStop
 from papayacourse.types import Host, HostKind
 from standins.fleet import wait_until
 from tests.routedfleet import ROOT
+from tests.steptext import names_in
 
 LATER = 60.0  # seconds
 
@@ -122,6 +124,35 @@
     assert [run.may_go_to(host) for host in context.hosts] == [False, True]
 
 
+@given('a lost run on "{engine}" of a service whose other engines are "{names}"')
+def lost_run(context, engine, names):
+    hosts = {
+        name: Host(name, HostKind.ENGINE, "127.0.0.1:9", "lagos", "lagos")
+        for name in [engine, *names_in(names)]
+    }
+    context.hosts, context.lost = hosts, hosts[engine]
+
+
+@given('"{busy}" take no work now, "{leaving}" leave and "{unproven}" may still work on it')
+def other_engines(context, busy, leaving, unproven):
+    taking = [host for host in context.hosts.values() if host.name not in names_in(busy)]
+    fleet = SimpleNamespace(
+        best_move_target=lambda engine, *_: next((h for h in taking if h != engine), None),
+        servers=lambda _service: iter(context.hosts.values()),
+        is_live=lambda host: host.name not in names_in(leaving),
+    )
+    anywhere = SimpleNamespace(may_go_to=lambda _host: True, homes=lambda: None)
+    request = SimpleNamespace(service="planner")
+    context.run = Generation(anywhere, None, fleet, request, None, None, engine=context.lost)
+    context.run.stop_orders.unproven |= set(names_in(unproven))
+
+
+@then('it is ordered to stop with the target "{target}"')
+def has_target(context, target):
+    found = Failover(context.run)._copy_target()
+    assert (found.name if found else "none") == target, found
+
+
 # Returns of engines.
 
 
