Cancel a generation later also at an engine that refused one connection

The generation began anew elsewhere, or broke off, and nothing cancelled it at the engine before, which may refuse connections for a moment and live. Only engines that gave no answer were told.

Change: whatever may have been sent to an engine that refuses connections is cancelled there, with the same retries for 30 s.

Result: a scenario in engineloss.feature failed before (no DELETE in 4 s), and passes; one that was never sent there is not cancelled, before and after.

--- a/papayacourse/streams.py
+++ b/papayacourse/streams.py
@@ -360,11 +360,12 @@
         if not self.is_reporter:
             return
         self._strike(error)
-        if isinstance(error, EngineUnreachable):
+        gone = isinstance(error.__cause__, BackendGone)
+        # A refused connection does not prove that the engine has ended: it may be cut off.
+        if isinstance(error, EngineUnreachable) or (gone and self.maybe_sent):
             task = asyncio.create_task(cancel_with_retries(self.address, self.generation.stream))
             self.cancelling.add(task)
             task.add_done_callback(self.cancelling.discard)
-        gone = isinstance(error.__cause__, BackendGone)
         await self._report_end("gone" if gone else "failed")
 
     def _strike(self, error: EngineLost) -> None:
--- a/tests/features/engineloss.feature
+++ b/tests/features/engineloss.feature
@@ -13,3 +13,15 @@
       | span |
       | 0.5  |
       | 0    |
+
+  # Guards against two engines at work on one generation (the class of review/6): the engine before
+  # refuses connections for a moment and lives.
+  Scenario Outline: A generation that was <sent> an engine which refuses connections is <ended>
+    Given a generation that was <sent> an engine which refuses connections
+    When it is given up, and the engine takes connections again 0.4 s later
+    Then within 4 s the engine is told <times> to cancel the generation
+
+    Examples:
+      | sent        | ended               | times   |
+      | sent to     | cancelled later     | once    |
+      | not sent to | nobody's to cancel  | nothing |
